--- /dev/null
+++ b/internal/call/answer.go
@@ -0,0 +1,27 @@
+package call
+
+import (
+	"endivespring/internal/fleet"
+	"endivespring/internal/verdict"
+)
+
+// Answer is the outcome of a call, whole or not at all.
+type Answer struct {
+	Number    uint64
+	RequestID string
+	Verdict   verdict.Verdict
+	Reason    verdict.Reason
+	// Status is the upstream's HTTP status, or zero if there is no answer.
+	Status      int
+	Body        []byte
+	ContentType string
+	// Upstream and Epoch say where the request ran.
+	Upstream string
+	Epoch    fleet.Epoch
+	Load     Load
+}
+
+// Refusal returns an answer without a body.
+func Refusal(c *Call, v verdict.Verdict, reason verdict.Reason) Answer {
+	return Answer{Number: c.Number, RequestID: c.RequestID, Verdict: v, Reason: reason}
+}
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,7 @@
+package clock
+
+// Clock reads monotonic time.
+type Clock interface {
+	// Now returns the current instant.
+	Now() Instant
+}
--- /dev/null
+++ b/internal/event/catalogue.go
@@ -0,0 +1,46 @@
+package event
+
+// The events of the system. 1xx: processes; 2xx: control log and sessions;
+// 3xx: placement and ownership; 4xx: operator commands; 5xx: routing;
+// 6xx: door and admission; 7xx: upstream connections.
+var (
+	ProcessStarted    = define(100, "process-started", Info, "The process is ready to serve.")
+	ProcessStopping   = define(101, "process-stopping", Info, "The process finishes its work before it exits.")
+	ProcessStopped    = define(102, "process-stopped", Info, "The process has finished and exits.")
+	LeaderElected     = define(200, "leader-elected", Info, "This voter leads the control log.")
+	LeaderLost        = define(201, "leader-lost", Warn, "This voter no longer leads the control log.")
+	SessionOpened     = define(210, "session-opened", Info, "A router opened a session.")
+	SessionExpired    = define(211, "session-expired", Warn, "A router's session lapsed; its shards are free to grant.")
+	SessionClosed     = define(212, "session-closed", Info, "A router closed its session.")
+	SessionRejected   = define(213, "session-rejected", Warn, "A renewal named a session that is not current.")
+	ShardsGranted     = define(300, "shards-granted", Info, "Shards were granted to a router with a new epoch.")
+	ShardsRevoked     = define(301, "shards-revoked", Info, "Shards were asked back from their owner.")
+	ShardsReleased    = define(302, "shards-released", Info, "The owner finished its work and gave shards back.")
+	CommandAccepted   = define(400, "command-accepted", Info, "An operator's command was committed.")
+	CommandRefused    = define(401, "command-refused", Warn, "An operator's command was refused.")
+	ViewApplied       = define(500, "view-applied", Info, "The router applied a newer view.")
+	ViewExpired       = define(501, "view-expired", Alarm, "The router's view lapsed; it refuses new work until it reaches the control leader.")
+	RequestRouted     = define(510, "request-routed", Info, "The entry chose a door for a request.")
+	RequestRetried    = define(511, "request-retried", Info, "The entry tries a request again at another door.")
+	RequestFinished   = define(512, "request-finished", Info, "The entry answered a request.")
+	AnswerDropped     = define(520, "answer-dropped", Warn, "A late or crossed answer was dropped.")
+	RequestRefused    = define(600, "request-refused", Info, "The door refused a request before it ran.")
+	UpstreamAnnounced = define(610, "upstream-announced", Info, "An upstream announced itself to the router beside it.")
+	UpstreamLeft      = define(611, "upstream-left", Info, "An upstream announced that it leaves.")
+	UpstreamLost      = define(612, "upstream-lost", Warn, "An upstream stopped announcing itself.")
+	LimitChanged      = define(620, "limit-changed", Info, "The door changed the upstream's admission limit.")
+	ConnectionRetired = define(700, "connection-retired", Warn, "A connection missed a deadline and is not used again.")
+	PeerConnected     = define(710, "peer-connected", Info, "A link to another router was opened.")
+	PeerLost          = define(711, "peer-lost", Warn, "A link to another router was lost.")
+)
+
+var catalogue []*Definition
+
+func define(number int, name string, level Level, meaning string) *Definition {
+	d := &Definition{Number: number, Name: name, Level: level, Meaning: meaning}
+	catalogue = append(catalogue, d)
+	return d
+}
+
+// Catalogue returns every event in the order of definition.
+func Catalogue() []*Definition { return catalogue }
--- /dev/null
+++ b/internal/event/definition.go
@@ -0,0 +1,9 @@
+package event
+
+// Definition describes one numbered event. Numbers are never reused.
+type Definition struct {
+	Number  int
+	Name    string
+	Level   Level
+	Meaning string
+}
--- /dev/null
+++ b/internal/event/log.go
@@ -0,0 +1,89 @@
+// Package event provides the numbered events of the system and the duty that
+// writes them.
+package event
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"endivespring/internal/ring"
+)
+
+const logRingCapacity = 8192 // entries
+
+// Log writes entries as JSON lines behind a ring that drops the oldest entry
+// when full, so that writing never delays a request.
+type Log struct {
+	ring   *ring.Ring[Entry]
+	logger zerolog.Logger
+}
+
+// NewLog returns a log that writes to w and adds the process name to each line.
+func NewLog(w io.Writer, process string) *Log {
+	return &Log{
+		ring:   ring.New[Entry]("event-log", logRingCapacity, ring.DropOldest),
+		logger: zerolog.New(w).With().Str("process", process).Logger(),
+	}
+}
+
+// Record appends an occurrence of the event without blocking.
+func (l *Log) Record(definition *Definition, fields ...Field) {
+	entry := Entry{Definition: definition, Time: time.Now(), Fields: fields}
+	_ = l.ring.Put(context.Background(), entry)
+}
+
+// Dropped returns how many entries were discarded.
+func (l *Log) Dropped() int64 { return l.ring.Dropped() }
+
+// Run writes entries until the context ends, then writes what is left.
+func (l *Log) Run(ctx context.Context) error {
+	for {
+		select {
+		case entry := <-l.ring.Out():
+			l.write(entry)
+		case <-ctx.Done():
+			l.flush()
+			return nil
+		}
+	}
+}
+
+func (l *Log) flush() {
+	for l.ring.Depth() > 0 {
+		l.write(<-l.ring.Out())
+	}
+}
+
+func (l *Log) write(entry Entry) {
+	line := l.logger.WithLevel(zerologLevel(entry.Definition.Level))
+	line = line.Time("time", entry.Time).Int("event", entry.Definition.Number)
+	for _, field := range entry.Fields {
+		line = appendField(line, field)
+	}
+	line.Msg(entry.Definition.Name)
+}
+
+func appendField(line *zerolog.Event, field Field) *zerolog.Event {
+	switch value := field.Value.(type) {
+	case string:
+		return line.Str(field.Name, value)
+	case error:
+		return line.Str(field.Name, value.Error())
+	default:
+		return line.Interface(field.Name, value)
+	}
+}
+
+func zerologLevel(level Level) zerolog.Level {
+	switch level {
+	case Info:
+		return zerolog.InfoLevel
+	case Warn:
+		return zerolog.WarnLevel
+	default:
+		return zerolog.ErrorLevel
+	}
+}
--- /dev/null
+++ b/internal/event/recorder.go
@@ -0,0 +1,7 @@
+package event
+
+// Recorder accepts events. Record never blocks.
+type Recorder interface {
+	// Record appends an occurrence of the event.
+	Record(definition *Definition, fields ...Field)
+}
--- /dev/null
+++ b/internal/fleet/data_centre.go
@@ -0,0 +1,4 @@
+package fleet
+
+// DataCentre names a data centre.
+type DataCentre string
--- /dev/null
+++ b/internal/fleet/shard_id.go
@@ -0,0 +1,24 @@
+package fleet
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ShardID names one part of a service's key space.
+type ShardID struct {
+	Service string
+	Number  uint32
+}
+
+// ShardOf returns the shard of a key in a service with the given number of
+// shards, which must be positive.
+func ShardOf(service, key string, shards uint32) ShardID {
+	return ShardID{Service: service, Number: uint32(xxhash.Sum64String(key) % uint64(shards))}
+}
+
+// String returns service/number.
+func (id ShardID) String() string {
+	return id.Service + "/" + strconv.FormatUint(uint64(id.Number), 10)
+}
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/samber/lo"
+)
+
+// View is the state of the fleet that routers need. A view is owned by one
+// duty; Clone before sharing it.
+type View struct {
+	Version Version
+	// Config counts accepted operator changes.
+	Config         Version
+	Preset         *Preset
+	Routers        map[RouterID]Router
+	Shards         map[ShardID]Shard
+	DataCentresOut map[DataCentre]bool
+	UpstreamsOut   map[string]bool
+}
+
+// NewView returns an empty view of version zero.
+func NewView() *View {
+	return &View{
+		Routers:        map[RouterID]Router{},
+		Shards:         map[ShardID]Shard{},
+		DataCentresOut: map[DataCentre]bool{},
+		UpstreamsOut:   map[string]bool{},
+	}
+}
+
+// Apply applies a change and reports whether it fitted. A change that does not
+// fit leaves the view as it was: the receiver must ask for a full one.
+func (v *View) Apply(c *Change) bool {
+	if c.To < v.Version || (!c.Full && c.From != v.Version) {
+		return false
+	}
+	if c.Full {
+		*v = *NewView()
+	}
+	v.Merge(c)
+	v.Version = c.To
+	return true
+}
+
+// Merge applies the contents of a change without looking at its versions.
+func (v *View) Merge(c *Change) {
+	if c.Preset != nil {
+		v.Preset = c.Preset
+	}
+	v.Config = max(v.Config, c.Config)
+	for _, router := range c.Routers {
+		v.Routers[router.ID] = router
+	}
+	for _, id := range c.Removed {
+		delete(v.Routers, id)
+	}
+	for _, shard := range c.Shards {
+		v.Shards[shard.ID] = shard
+	}
+	v.mergeSettings(c)
+}
+
+func (v *View) mergeSettings(c *Change) {
+	for _, setting := range c.DataCentres {
+		setOrDelete(v.DataCentresOut, setting.Name, setting.Out)
+	}
+	for _, setting := range c.Upstreams {
+		setOrDelete(v.UpstreamsOut, setting.Name, setting.Out)
+	}
+}
+
+// Full returns a change that replaces any older view with this one. Its lists
+// are sorted.
+func (v *View) Full() *Change {
+	c := &Change{To: v.Version, Full: true, Preset: v.Preset, Config: v.Config}
+	c.Routers = lo.Values(v.Routers)
+	slices.SortFunc(c.Routers, func(a, b Router) int { return cmp.Compare(a.ID, b.ID) })
+	c.Shards = lo.Values(v.Shards)
+	slices.SortFunc(c.Shards, func(a, b Shard) int {
+		return cmp.Or(cmp.Compare(a.ID.Service, b.ID.Service), cmp.Compare(a.ID.Number, b.ID.Number))
+	})
+	for _, name := range sortedKeys(v.DataCentresOut) {
+		c.DataCentres = append(c.DataCentres, DataCentreSetting{Name: name, Out: true})
+	}
+	for _, name := range sortedKeys(v.UpstreamsOut) {
+		c.Upstreams = append(c.Upstreams, UpstreamSetting{Name: name, Out: true})
+	}
+	return c
+}
+
+// Clone returns an independent copy. Presets are immutable and shared.
+func (v *View) Clone() *View {
+	c := NewView()
+	c.Merge(v.Full())
+	c.Version = v.Version
+	return c
+}
+
+// Eligible reports whether a router may get new work for its service.
+func (v *View) Eligible(r Router) bool {
+	return r.Upstream.Name != "" && !r.Leaving && !v.DataCentresOut[r.DataCentre] && !v.UpstreamsOut[r.Upstream.Name]
+}
+
+// Shard returns the ownership of a shard. An unknown shard is free.
+func (v *View) Shard(id ShardID) Shard {
+	if shard, ok := v.Shards[id]; ok {
+		return shard
+	}
+	return Shard{ID: id}
+}
+
+func setOrDelete[K comparable](m map[K]bool, key K, value bool) {
+	if value {
+		m[key] = true
+		return
+	}
+	delete(m, key)
+}
+
+func sortedKeys[K cmp.Ordered](m map[K]bool) []K {
+	keys := lo.Keys(m)
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/ring/reply.go
@@ -0,0 +1,12 @@
+package ring
+
+import "context"
+
+// Reply is a ring of one slot that carries the answer to one request.
+type Reply[T any] struct{ *Ring[T] }
+
+// NewReply returns an empty reply.
+func NewReply[T any]() Reply[T] { return Reply[T]{New[T]("reply", 1, Refuse)} }
+
+// Send stores the answer. A second answer is dropped and counted as refused.
+func (r Reply[T]) Send(answer T) { _ = r.Put(context.Background(), answer) }
