Add the decision cores of control and router

Pure state machines: consensus with pre-vote, check-quorum, leader lease, disk identities and membership repair; control state; controller; leases; placement; sessions; routing; attempts; door; admission. Time and random sources are arguments; no core imports an adapter or an encoding.

--- /dev/null
+++ b/internal/attempt/finish.go
@@ -0,0 +1,9 @@
+package attempt
+
+import "endivespring/internal/call"
+
+// Finish is the answer to a request.
+type Finish struct {
+	Token  uint64
+	Answer call.Answer
+}
--- /dev/null
+++ b/internal/attempt/flight.go
@@ -0,0 +1,13 @@
+package attempt
+
+import (
+	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
+)
+
+// flight is a call under way.
+type flight struct {
+	task   *task
+	router fleet.RouterID
+	sent   clock.Instant
+}
--- /dev/null
+++ b/internal/consensus/core.go
@@ -0,0 +1,209 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"endivespring/internal/clock"
+)
+
+// ErrNotLeader is returned for proposals at a node that does not lead.
+var ErrNotLeader = eris.New("not the leader")
+
+// Core is one node of the replicated log. It is not safe for concurrent use.
+type Core struct {
+	config Config
+	random *rand.Rand
+	now    clock.Instant
+
+	hard   HardState
+	log    entryLog
+	role   Role
+	leader NodeID
+
+	membership      Membership
+	membershipIndex uint64
+
+	// lastContact is when a current leader was last heard; after a start it is
+	// the start, since the node may have answered a leader just before.
+	lastContact  clock.Instant
+	electionAt   clock.Instant
+	heartbeatAt  clock.Instant
+	votes        map[NodeID]bool
+	progress     map[NodeID]*progress
+	selfMatch    uint64
+	termStart    uint64
+	transferring bool
+	joinAt       clock.Instant
+	joined       map[string]joiner
+	startedEmpty bool
+	output       Output
+	storedHard   HardState
+}
+
+// New returns a node that starts with what its disk holds. The caller applies
+// the stored snapshot to its state machine; committed entries after it are
+// output again.
+func New(config Config, stored *Stored, now clock.Instant) *Core {
+	c := &Core{
+		config:       config,
+		random:       rand.New(rand.NewPCG(config.Seed, config.Seed^0x9e3779b97f4a7c15)),
+		now:          now,
+		hard:         stored.HardState,
+		storedHard:   stored.HardState,
+		log:          newEntryLog(stored),
+		lastContact:  now,
+		joinAt:       now,
+		joined:       map[string]joiner{},
+		startedEmpty: stored.Empty(),
+	}
+	c.membership, c.membershipIndex = c.log.membership()
+	c.selfMatch = c.log.lastIndex()
+	c.resetElection()
+	return c
+}
+
+// ID returns the node's identity.
+func (c *Core) ID() NodeID { return c.config.ID }
+
+// Role returns the node's role.
+func (c *Core) Role() Role { return c.role }
+
+// Term returns the current term.
+func (c *Core) Term() uint64 { return c.hard.Term }
+
+// Leader returns the leader of the current term, or the zero identity.
+func (c *Core) Leader() NodeID { return c.leader }
+
+// Membership returns the latest membership in the log.
+func (c *Core) Membership() Membership { return c.membership }
+
+// CommitIndex returns the last committed index.
+func (c *Core) CommitIndex() uint64 { return c.log.committed }
+
+// LastIndex returns the last index of the log.
+func (c *Core) LastIndex() uint64 { return c.log.lastIndex() }
+
+// SnapshotIndex returns the index of the latest snapshot.
+func (c *Core) SnapshotIndex() uint64 { return c.log.snapshot.Index }
+
+// Take returns what the steps since the last Take ask for.
+func (c *Core) Take() Output {
+	out := c.output
+	if c.hard != c.storedHard {
+		hard := c.hard
+		out.HardState = &hard
+		c.storedHard = hard
+	}
+	c.output = Output{}
+	return out
+}
+
+// Deadline returns when Tick must be called next.
+func (c *Core) Deadline() clock.Instant {
+	deadline := c.electionAt
+	if c.role == Leader {
+		deadline = c.heartbeatAt
+	}
+	if len(c.membership.Voters) == 0 {
+		deadline = min(deadline, c.joinAt)
+	}
+	return deadline
+}
+
+// Tick advances the clock and does what is due.
+func (c *Core) Tick(now clock.Instant) {
+	c.now = max(c.now, now)
+	if len(c.membership.Voters) == 0 {
+		c.tickJoin()
+		return
+	}
+	if c.role == Leader {
+		c.tickLeader()
+		return
+	}
+	if c.now >= c.electionAt {
+		c.campaign(PreCandidate)
+	}
+}
+
+// Propose appends a command if the node leads, and returns its index and term.
+func (c *Core) Propose(data []byte) (index, term uint64, err error) {
+	if c.role != Leader || c.transferring {
+		return 0, 0, ErrNotLeader
+	}
+	index = c.appendOwn(Entry{Kind: EntryCommand, Data: data})
+	return index, c.hard.Term, nil
+}
+
+// Persisted reports that all entries up to index, appended in the given term,
+// are on this node's disk.
+func (c *Core) Persisted(index, term uint64, now clock.Instant) {
+	c.now = max(c.now, now)
+	if c.role != Leader || term != c.hard.Term || index <= c.selfMatch {
+		return
+	}
+	c.selfMatch = index
+	c.advanceCommit()
+}
+
+// Compact drops entries up to a snapshot of the state machine at index, which
+// must have been output as committed. It returns the snapshot to store.
+func (c *Core) Compact(index uint64, data []byte) (*Snapshot, bool) {
+	term, ok := c.log.term(index)
+	if !ok || index <= c.log.snapshot.Index || index > c.log.committed {
+		return nil, false
+	}
+	s := Snapshot{Index: index, Term: term, Membership: c.log.membershipAt(index), Data: data}
+	c.log.compact(s)
+	return &s, true
+}
+
+func (c *Core) resetElection() {
+	jitter := c.random.Int64N(int64(c.config.ElectionTimeout))
+	c.electionAt = c.now + clock.Instant(c.config.ElectionTimeout) + clock.Instant(jitter)
+}
+
+func (c *Core) becomeFollower(term uint64, leader NodeID) {
+	if term > c.hard.Term {
+		c.hard = HardState{Term: term}
+	}
+	c.role = Follower
+	c.leader = leader
+	c.transferring = false
+	c.votes, c.progress = nil, nil
+	c.resetElection()
+}
+
+func (c *Core) send(m Message) {
+	c.address(&m)
+	c.output.Immediate = append(c.output.Immediate, m)
+}
+
+func (c *Core) sendAfterSync(m Message) {
+	c.address(&m)
+	c.output.AfterSync = append(c.output.AfterSync, m)
+}
+
+func (c *Core) address(m *Message) {
+	m.From = c.config.ID
+	if m.Term == 0 {
+		m.Term = c.hard.Term
+	}
+}
+
+func (c *Core) commitTo(index uint64) {
+	index = min(index, c.log.lastIndex())
+	if index <= c.log.committed {
+		return
+	}
+	from := c.log.committed + 1
+	c.log.committed = index
+	committed := c.log.slice(from, int(index-from+1))
+	c.output.Committed = append(c.output.Committed, committed...)
+}
+
+// Rest returns the entries after the latest snapshot.
+func (c *Core) Rest() []Entry { return slices.Clone(c.log.entries) }
--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,93 @@
+package consensus
+
+import "endivespring/internal/clock"
+
+// campaign starts a pre-vote or, after a won pre-vote, an election.
+func (c *Core) campaign(role Role) {
+	c.resetElection()
+	if !c.membership.IsVoter(c.config.ID) {
+		return
+	}
+	c.role = role
+	c.leader = NodeID{}
+	c.votes = map[NodeID]bool{c.config.ID: true}
+	kind, term := PreVote, c.hard.Term+1
+	if role == Candidate {
+		c.hard = HardState{Term: c.hard.Term + 1, Vote: c.config.ID}
+		kind, term = Vote, c.hard.Term
+	}
+	for _, id := range c.membership.Voters {
+		if id == c.config.ID {
+			continue
+		}
+		c.sendAfterSync(Message{Kind: kind, To: id, Term: term, Index: c.log.lastIndex(), LogTerm: c.log.lastTerm()})
+	}
+	c.countVotes()
+}
+
+// heardLeader reports whether a leader may still hold its lease.
+func (c *Core) heardLeader() bool {
+	if c.role == Leader {
+		return true
+	}
+	return c.now < c.lastContact+clock.Instant(c.config.ElectionTimeout)
+}
+
+func (c *Core) upToDate(m *Message) bool {
+	last := c.log.lastTerm()
+	return m.LogTerm > last || (m.LogTerm == last && m.Index >= c.log.lastIndex())
+}
+
+func (c *Core) stepPreVote(m *Message) {
+	grant := m.Term > c.hard.Term && c.upToDate(m) && !c.heardLeader()
+	reply := Message{Kind: PreVoteReply, To: m.From, Term: m.Term, Reject: !grant}
+	if !grant {
+		reply.Term = c.hard.Term
+	}
+	c.sendAfterSync(reply)
+}
+
+// stepVote grants a vote at most once a term, and never while a leader may
+// hold its lease, unless that leader gave it up by a transfer.
+func (c *Core) stepVote(m *Message) {
+	if c.heardLeader() && !m.Transfer {
+		return
+	}
+	if m.Term > c.hard.Term {
+		c.becomeFollower(m.Term, NodeID{})
+	}
+	free := c.hard.Vote.IsZero() || c.hard.Vote == m.From
+	grant := m.Term == c.hard.Term && free && c.upToDate(m)
+	if grant {
+		c.hard.Vote = m.From
+		c.resetElection()
+	}
+	c.sendAfterSync(Message{Kind: VoteReply, To: m.From, Reject: !grant})
+}
+
+func (c *Core) stepVoteReply(m *Message) {
+	expected := (c.role == PreCandidate && m.Kind == PreVoteReply && m.Term == c.hard.Term+1) ||
+		(c.role == Candidate && m.Kind == VoteReply && m.Term == c.hard.Term)
+	if !expected || m.Reject {
+		return
+	}
+	c.votes[m.From] = true
+	c.countVotes()
+}
+
+func (c *Core) countVotes() {
+	granted := 0
+	for _, id := range c.membership.Voters {
+		if c.votes[id] {
+			granted++
+		}
+	}
+	if granted < c.membership.Quorum() {
+		return
+	}
+	if c.role == PreCandidate {
+		c.campaign(Candidate)
+		return
+	}
+	c.becomeLeader()
+}
--- /dev/null
+++ b/internal/consensus/leading.go
@@ -0,0 +1,186 @@
+package consensus
+
+import (
+	"slices"
+
+	"endivespring/internal/clock"
+)
+
+func (c *Core) becomeLeader() {
+	c.role = Leader
+	c.leader = c.config.ID
+	c.votes = nil
+	c.progress = map[NodeID]*progress{}
+	c.selfMatch = 0
+	c.syncProgress()
+	c.termStart = c.appendOwn(Entry{Kind: EntryBarrier})
+	c.heartbeatAt = c.now
+	c.tickLeader()
+}
+
+// syncProgress makes the progress table follow the membership.
+func (c *Core) syncProgress() {
+	for _, id := range c.membership.Nodes() {
+		if id != c.config.ID && c.progress[id] == nil {
+			c.progress[id] = &progress{next: c.log.lastIndex() + 1, ackedSent: c.now}
+		}
+	}
+	for id := range c.progress {
+		if !c.membership.Contains(id) {
+			delete(c.progress, id)
+		}
+	}
+}
+
+func (c *Core) tickLeader() {
+	if c.quorumContact() == 0 || c.now > c.quorumContact()+2*clock.Instant(c.config.ElectionTimeout) {
+		c.becomeFollower(c.hard.Term, NodeID{})
+		return
+	}
+	if c.now < c.heartbeatAt {
+		return
+	}
+	c.heartbeatAt = c.now + clock.Instant(c.config.HeartbeatInterval)
+	for _, id := range c.membership.Nodes() {
+		if id == c.config.ID {
+			continue
+		}
+		p := c.progress[id]
+		c.send(Message{Kind: Heartbeat, To: id, Commit: min(p.match, c.log.committed), Sent: c.now})
+		if p.pending && c.now > p.pendingAt+4*clock.Instant(c.config.HeartbeatInterval) {
+			p.pending = false
+			p.next = p.match + 1
+		}
+		c.replicate(id)
+	}
+	c.maintainMembership()
+}
+
+// quorumContact returns the latest instant at which a heartbeat was sent that
+// a majority has answered.
+func (c *Core) quorumContact() clock.Instant {
+	var sent []clock.Instant
+	for _, id := range c.membership.Voters {
+		if id == c.config.ID {
+			sent = append(sent, c.now)
+			continue
+		}
+		sent = append(sent, c.progress[id].ackedSent)
+	}
+	slices.Sort(sent)
+	slices.Reverse(sent)
+	if len(sent) < c.membership.Quorum() {
+		return 0
+	}
+	return sent[c.membership.Quorum()-1]
+}
+
+// LeaseUntil returns the instant until which no other node can lead, or zero
+// if this node does not lead or has not committed an entry of its term.
+func (c *Core) LeaseUntil() clock.Instant {
+	if c.role != Leader || c.transferring || c.log.committed < c.termStart {
+		return 0
+	}
+	return c.quorumContact() + clock.Instant(c.config.ElectionTimeout-c.config.DriftMargin)
+}
+
+func (c *Core) appendOwn(entry Entry) uint64 {
+	entry.Index = c.log.lastIndex() + 1
+	entry.Term = c.hard.Term
+	c.log.append([]Entry{entry})
+	c.output.Entries = append(c.output.Entries, entry)
+	if entry.Membership != nil {
+		c.adoptMembership()
+	}
+	for _, id := range c.membership.Nodes() {
+		if id != c.config.ID {
+			c.replicate(id)
+		}
+	}
+	return entry.Index
+}
+
+// replicate sends the next entries to a node that has none pending.
+func (c *Core) replicate(id NodeID) {
+	p := c.progress[id]
+	if p.pending || p.next > c.log.lastIndex() && p.match >= c.log.lastIndex() {
+		return
+	}
+	p.pending, p.pendingAt = true, c.now
+	previous, ok := c.log.term(p.next - 1)
+	if !ok {
+		snapshot := c.log.snapshot
+		c.send(Message{Kind: InstallSnapshot, To: id, Snapshot: &snapshot, Commit: c.log.committed})
+		return
+	}
+	entries := c.log.slice(p.next, c.config.MaxBatch)
+	c.send(Message{
+		Kind: Append, To: id, Index: p.next - 1, LogTerm: previous,
+		Entries: slices.Clone(entries), Commit: c.log.committed,
+	})
+}
+
+func (c *Core) stepAppendReply(m *Message) {
+	p := c.progress[m.From]
+	if c.role != Leader || p == nil {
+		return
+	}
+	p.pending = false
+	if m.Reject {
+		p.next = max(p.match+1, min(m.Index+1, p.next-1))
+	} else if m.Index >= p.match {
+		p.match = m.Index
+		p.next = m.Index + 1
+		c.advanceCommit()
+	}
+	if c.role == Leader && c.progress[m.From] != nil {
+		c.replicate(m.From)
+	}
+}
+
+func (c *Core) stepHeartbeatReply(m *Message) {
+	p := c.progress[m.From]
+	if c.role != Leader || p == nil {
+		return
+	}
+	p.ackedSent = max(p.ackedSent, min(m.Sent, c.now))
+	c.replicate(m.From)
+}
+
+// advanceCommit commits what a majority of disks holds. Only entries of the
+// leader's own term are counted.
+func (c *Core) advanceCommit() {
+	var match []uint64
+	for _, id := range c.membership.Voters {
+		if id == c.config.ID {
+			match = append(match, c.selfMatch)
+			continue
+		}
+		match = append(match, c.progress[id].match)
+	}
+	slices.Sort(match)
+	index := match[len(match)-c.membership.Quorum()]
+	if term, ok := c.log.term(index); !ok || term != c.hard.Term {
+		return
+	}
+	if index <= c.log.committed {
+		return
+	}
+	c.commitTo(index)
+	c.afterCommit()
+}
+
+// Transfer hands leadership to the most advanced voter, for a graceful stop.
+func (c *Core) Transfer() {
+	var best NodeID
+	for _, id := range c.membership.Voters {
+		if id != c.config.ID && (best.IsZero() || c.progress[id].match > c.progress[best].match) {
+			best = id
+		}
+	}
+	if c.role != Leader || best.IsZero() || c.progress[best].match < c.log.lastIndex() {
+		return
+	}
+	c.transferring = true
+	c.send(Message{Kind: TimeoutNow, To: best})
+}
--- /dev/null
+++ b/internal/consensus/progress.go
@@ -0,0 +1,16 @@
+package consensus
+
+import "endivespring/internal/clock"
+
+// progress is what a leader knows of one other node.
+type progress struct {
+	// match is the last entry known to be on the node's disk.
+	match uint64
+	// next is the first entry to send.
+	next uint64
+	// pending is set while an Append or InstallSnapshot awaits its reply.
+	pending   bool
+	pendingAt clock.Instant
+	// ackedSent is the latest Sent of a heartbeat that the node answered.
+	ackedSent clock.Instant
+}
--- /dev/null
+++ b/internal/control/assign.go
@@ -0,0 +1,13 @@
+package control
+
+import "endivespring/internal/fleet"
+
+// Assign grants free shards and asks granted ones back. Parts that no longer
+// fit the state are ignored.
+type Assign struct {
+	Grants  []Grant
+	Revokes []fleet.ShardID
+}
+
+// Empty reports whether the command does nothing.
+func (a *Assign) Empty() bool { return len(a.Grants) == 0 && len(a.Revokes) == 0 }
--- /dev/null
+++ b/internal/control/command.go
@@ -0,0 +1,14 @@
+// Package control is the state machine on the replicated log: sessions,
+// shard ownership, presets and operator settings. It is deterministic; time
+// does not enter it.
+package control
+
+// Command is one command of the log. Exactly one field is set.
+type Command struct {
+	OpenSession    *OpenSession
+	CloseSessions  *CloseSessions
+	UpdateRouter   *UpdateRouter
+	Assign         *Assign
+	ReleaseShards  *ReleaseShards
+	OperatorChange *OperatorChange
+}
--- /dev/null
+++ b/internal/control/grant.go
@@ -0,0 +1,10 @@
+package control
+
+import "endivespring/internal/fleet"
+
+// Grant gives a free shard to a router's session.
+type Grant struct {
+	Shard   fleet.ShardID
+	Router  fleet.RouterID
+	Session fleet.Session
+}
--- /dev/null
+++ b/internal/control/opened_session.go
@@ -0,0 +1,9 @@
+package control
+
+import "endivespring/internal/fleet"
+
+// OpenedSession is an open session and the nonce that opened it.
+type OpenedSession struct {
+	Nonce   string
+	Session fleet.Session
+}
--- /dev/null
+++ b/internal/control/operator_result.go
@@ -0,0 +1,7 @@
+package control
+
+// OperatorResult is the remembered outcome of an operator's command.
+type OperatorResult struct {
+	CommandID string
+	Result    Result
+}
--- /dev/null
+++ b/internal/control/result.go
@@ -0,0 +1,16 @@
+package control
+
+import "endivespring/internal/fleet"
+
+// Result is the outcome of a command.
+type Result struct {
+	Accepted bool
+	// Reason says why a command was refused.
+	Reason string
+	// Config is the number of accepted operator changes afterwards.
+	Config fleet.Version
+	// Version is the view version that holds the change.
+	Version fleet.Version
+	// Session is the session opened by OpenSession.
+	Session fleet.Session
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,236 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+
+	"endivespring/internal/fleet"
+)
+
+// ResultsKept is how many operator results are remembered for resends.
+const ResultsKept = 20000
+
+// State is the replicated state. It is owned by one duty. Invariant: a shard
+// has at most one owner, and its epoch grows with each grant.
+type State struct {
+	View        *fleet.View
+	LastSession fleet.Session
+	// Results are the latest operator results, oldest first.
+	Results []OperatorResult
+	// Opened are the sessions that are not closed yet, oldest first.
+	Opened []OpenedSession
+	// ShardCounts holds the number of shards of every service ever seen.
+	ShardCounts map[string]uint32
+
+	byCommand map[string]Result
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	return &State{View: fleet.NewView(), ShardCounts: map[string]uint32{}, byCommand: map[string]Result{}}
+}
+
+// Index rebuilds lookup tables after the exported fields were filled in.
+func (s *State) Index() {
+	s.byCommand = make(map[string]Result, len(s.Results))
+	for _, r := range s.Results {
+		s.byCommand[r.CommandID] = r.Result
+	}
+}
+
+// Sessions returns the open sessions.
+func (s *State) Sessions() []fleet.Session {
+	sessions := make([]fleet.Session, 0, len(s.Opened))
+	for _, o := range s.Opened {
+		sessions = append(sessions, o.Session)
+	}
+	return sessions
+}
+
+// Current returns the router whose current session is given.
+func (s *State) Current(session fleet.Session) (fleet.Router, bool) {
+	for _, r := range s.View.Routers {
+		if r.Session == session {
+			return r, true
+		}
+	}
+	return fleet.Router{}, false
+}
+
+// Apply executes a command and returns its result and the change of the view,
+// which is nil if the view stays as it is.
+func (s *State) Apply(c *Command) (Result, *fleet.Change) {
+	change := &fleet.Change{From: s.View.Version}
+	var result Result
+	switch {
+	case c.OpenSession != nil:
+		result = s.openSession(c.OpenSession, change)
+	case c.CloseSessions != nil:
+		result = s.closeSessions(c.CloseSessions, change)
+	case c.UpdateRouter != nil:
+		result = s.updateRouter(c.UpdateRouter, change)
+	case c.Assign != nil:
+		result = s.assign(c.Assign, change)
+	case c.ReleaseShards != nil:
+		result = s.release(c.ReleaseShards, change)
+	case c.OperatorChange != nil:
+		return s.operate(c.OperatorChange, change)
+	}
+	return s.commit(result, change)
+}
+
+// commit merges the change into the view under the next version.
+func (s *State) commit(result Result, change *fleet.Change) (Result, *fleet.Change) {
+	if change.Empty() {
+		result.Version = s.View.Version
+		result.Config = s.View.Config
+		return result, nil
+	}
+	change.To = s.View.Version + 1
+	change.Config = max(change.Config, s.View.Config)
+	s.View.Merge(change)
+	s.View.Version = change.To
+	result.Version = change.To
+	result.Config = s.View.Config
+	return result, change
+}
+
+func (s *State) openSession(c *OpenSession, change *fleet.Change) Result {
+	for _, o := range s.Opened {
+		if o.Nonce == c.Nonce {
+			return Result{Accepted: true, Session: o.Session}
+		}
+	}
+	s.LastSession++
+	s.Opened = append(s.Opened, OpenedSession{Nonce: c.Nonce, Session: s.LastSession})
+	router := c.Router
+	router.Session = s.LastSession
+	change.Routers = append(change.Routers, router)
+	return Result{Accepted: true, Session: s.LastSession}
+}
+
+func (s *State) closeSessions(c *CloseSessions, change *fleet.Change) Result {
+	closed := map[fleet.Session]bool{}
+	for _, session := range c.Sessions {
+		closed[session] = true
+	}
+	s.Opened = slices.DeleteFunc(s.Opened, func(o OpenedSession) bool { return closed[o.Session] })
+	for id, router := range s.View.Routers {
+		if closed[router.Session] {
+			change.Removed = append(change.Removed, id)
+		}
+	}
+	slices.Sort(change.Removed)
+	for _, shard := range s.View.Shards {
+		if shard.Phase != fleet.ShardFree && closed[shard.Session] {
+			change.Shards = append(change.Shards, freed(shard))
+		}
+	}
+	sortShards(change.Shards)
+	return Result{Accepted: true}
+}
+
+func (s *State) updateRouter(c *UpdateRouter, change *fleet.Change) Result {
+	current, ok := s.View.Routers[c.Router.ID]
+	if !ok || current.Session != c.Router.Session {
+		return Result{Reason: "session is not current"}
+	}
+	if current != c.Router {
+		change.Routers = append(change.Routers, c.Router)
+	}
+	return Result{Accepted: true}
+}
+
+func (s *State) assign(c *Assign, change *fleet.Change) Result {
+	touched := map[fleet.ShardID]bool{}
+	for _, grant := range c.Grants {
+		shard := s.View.Shard(grant.Shard)
+		router, ok := s.View.Routers[grant.Router]
+		if shard.Phase != fleet.ShardFree || touched[shard.ID] || !ok || router.Session != grant.Session {
+			continue
+		}
+		touched[shard.ID] = true
+		change.Shards = append(change.Shards, fleet.Shard{
+			ID: shard.ID, Phase: fleet.ShardGranted, Owner: router.ID, Session: router.Session, Epoch: shard.Epoch + 1,
+		})
+	}
+	for _, id := range c.Revokes {
+		shard := s.View.Shard(id)
+		if shard.Phase != fleet.ShardGranted || touched[id] {
+			continue
+		}
+		touched[id] = true
+		shard.Phase = fleet.ShardRevoking
+		change.Shards = append(change.Shards, shard)
+	}
+	return Result{Accepted: true}
+}
+
+func (s *State) release(c *ReleaseShards, change *fleet.Change) Result {
+	for _, release := range c.Releases {
+		shard := s.View.Shard(release.Shard)
+		if shard.OwnedBy(c.Session) && shard.Epoch == release.Epoch {
+			change.Shards = append(change.Shards, freed(shard))
+		}
+	}
+	return Result{Accepted: true}
+}
+
+// operate executes an operator's command once; a resend gets the first result.
+func (s *State) operate(c *OperatorChange, change *fleet.Change) (Result, *fleet.Change) {
+	if result, ok := s.byCommand[c.CommandID]; ok {
+		return result, nil
+	}
+	result := s.checkOperator(c)
+	if result.Accepted {
+		s.fillOperator(c, change)
+		change.Config = s.View.Config + 1
+	}
+	result, changed := s.commit(result, change)
+	s.remember(c.CommandID, result)
+	return result, changed
+}
+
+func (s *State) checkOperator(c *OperatorChange) Result {
+	if c.Expected != s.View.Config {
+		return Result{Reason: fmt.Sprintf("expected config version %d, but %d is in force", c.Expected, s.View.Config)}
+	}
+	if c.Preset == nil {
+		return Result{Accepted: true}
+	}
+	for _, service := range c.Preset.Services {
+		if count, ok := s.ShardCounts[service.Name]; ok && count != service.Shards {
+			return Result{Reason: fmt.Sprintf("service %s has %d shards, which cannot change to %d", service.Name, count, service.Shards)}
+		}
+	}
+	return Result{Accepted: true}
+}
+
+func (s *State) fillOperator(c *OperatorChange, change *fleet.Change) {
+	switch {
+	case c.Preset != nil:
+		preset := *c.Preset
+		preset.Version = s.View.Config + 1
+		change.Preset = &preset
+		for _, service := range preset.Services {
+			s.ShardCounts[service.Name] = service.Shards
+		}
+	case c.DataCentre != nil:
+		change.DataCentres = append(change.DataCentres, *c.DataCentre)
+	case c.Upstream != nil:
+		change.Upstreams = append(change.Upstreams, *c.Upstream)
+	}
+}
+
+func (s *State) remember(id string, result Result) {
+	if len(s.Results) >= ResultsKept {
+		delete(s.byCommand, s.Results[0].CommandID)
+		s.Results = s.Results[1:]
+	}
+	s.Results = append(s.Results, OperatorResult{CommandID: id, Result: result})
+	s.byCommand[id] = result
+}
+
+func freed(shard fleet.Shard) fleet.Shard {
+	return fleet.Shard{ID: shard.ID, Phase: fleet.ShardFree, Epoch: shard.Epoch}
+}
--- /dev/null
+++ b/internal/controller/core.go
@@ -0,0 +1,379 @@
+// Package controller decides what the leader of control does: it renews and
+// ends sessions, sends views, plans ownership and answers operators. It is a
+// pure state machine over the replicated state; time is an argument.
+package controller
+
+import (
+	"time"
+
+	"endivespring/internal/call"
+	"endivespring/internal/clock"
+	"endivespring/internal/control"
+	"endivespring/internal/event"
+	"endivespring/internal/fleet"
+	"endivespring/internal/lease"
+	"endivespring/internal/placement"
+	"endivespring/internal/session"
+)
+
+const (
+	historyKept   = 4096                  // view changes kept for routers that reconnect
+	proposeAgain  = time.Second           // wait before a proposal that may be lost is repeated
+	tickInterval  = 25 * time.Millisecond // time between looks at leases and placement
+	streamTimeout = 10 * time.Second      // silence after which a stream is forgotten
+)
+
+// Core is the controller of one control process. It is owned by one duty.
+type Core struct {
+	timing  lease.Timing
+	limits  placement.Limits
+	state   *control.State
+	table   *lease.Table
+	lead    Leadership
+	term    uint64
+	leader  func(name string) string
+	history []*fleet.Change
+	streams map[StreamID]*stream
+	waiters []waiter
+	// closing holds when each ended session was last proposed to be closed.
+	closing   map[fleet.Session]clock.Instant
+	assigning clock.Instant
+	dirty     bool
+	tickAt    clock.Instant
+	output    Output
+}
+
+// New returns a controller that does not lead. The function leader maps the
+// name of a control process to its peer address.
+func New(timing lease.Timing, limits placement.Limits, leader func(name string) string) *Core {
+	return &Core{
+		timing: timing, limits: limits, leader: leader, state: control.NewState(), table: lease.NewTable(timing),
+		streams: map[StreamID]*stream{}, closing: map[fleet.Session]clock.Instant{},
+	}
+}
+
+// Take returns what the steps since the last Take ask for.
+func (c *Core) Take() Output {
+	out := c.output
+	c.output = Output{}
+	return out
+}
+
+// State returns the replicated state; it must not be changed.
+func (c *Core) State() *control.State { return c.state }
+
+// Restore replaces the state by that of a snapshot.
+func (c *Core) Restore(state *control.State) {
+	c.state = state
+	c.history = nil
+}
+
+// Deadline returns when Tick must be called next.
+func (c *Core) Deadline() clock.Instant { return c.tickAt }
+
+// leading reports whether this process may answer renewals now.
+func (c *Core) leading(now clock.Instant) bool { return c.lead.Leads && now < c.lead.LeaseUntil }
+
+// Lead takes the node's leadership. At the start of a term every session may
+// have been renewed by the previous leader until now.
+func (c *Core) Lead(now clock.Instant, lead Leadership) {
+	led := c.lead.Leads
+	c.lead = lead
+	if lead.Leads && lead.LeaseUntil > 0 && c.term != lead.Term {
+		c.term = lead.Term
+		c.table.Reset(c.state.Sessions(), now)
+		clear(c.closing)
+		c.assigning = 0
+		c.dirty = true
+		c.decide(event.LeaderElected, event.F("term", lead.Term))
+	}
+	if led && !lead.Leads {
+		c.decide(event.LeaderLost, event.F("term", lead.Term))
+		c.stepDown()
+	}
+}
+
+func (c *Core) stepDown() {
+	for id := range c.streams {
+		c.redirect(id)
+	}
+	clear(c.streams)
+	for _, w := range c.waiters {
+		c.output.Replies = append(c.output.Replies, OperatorReply{Token: w.token, Redirect: true})
+	}
+	c.waiters = nil
+}
+
+func (c *Core) redirect(id StreamID) {
+	down := session.Down{Redirect: true}
+	if !c.lead.Leads {
+		down.Leader = c.leader(c.lead.Leader)
+	}
+	c.output.Sends = append(c.output.Sends, Send{Stream: id, Down: down})
+}
+
+// Committed applies a command of the log.
+func (c *Core) Committed(now clock.Instant, command *control.Command) {
+	result, change := c.state.Apply(command)
+	if change != nil {
+		c.remember(change)
+		c.broadcast(change)
+		c.dirty = true
+	}
+	switch {
+	case command.OpenSession != nil:
+		c.opened(now, command.OpenSession, result)
+	case command.CloseSessions != nil:
+		c.closed(command.CloseSessions)
+	case command.Assign != nil:
+		c.assigning = 0
+		c.decideAssign(change)
+	case command.ReleaseShards != nil:
+		c.decideShards(event.ShardsReleased, change, fleet.ShardFree)
+	case command.OperatorChange != nil:
+		c.operated(command.OperatorChange, result)
+	}
+}
+
+func (c *Core) remember(change *fleet.Change) {
+	if len(c.history) >= historyKept {
+		c.history = append([]*fleet.Change(nil), c.history[historyKept/2:]...)
+	}
+	c.history = append(c.history, change)
+}
+
+func (c *Core) broadcast(change *fleet.Change) {
+	for _, s := range c.streams {
+		if s.synced && s.sent == change.From {
+			s.sent = change.To
+			c.output.Sends = append(c.output.Sends, Send{Stream: s.id, Down: session.Down{Session: s.session, Change: change}})
+		}
+	}
+}
+
+func (c *Core) opened(now clock.Instant, open *control.OpenSession, result control.Result) {
+	c.table.Open(result.Session, now)
+	c.decide(event.SessionOpened, event.F("router", string(open.Router.ID)), event.F("session", uint64(result.Session)))
+	for _, s := range c.streams {
+		if s.nonce == open.Nonce && s.session == 0 {
+			s.session = result.Session
+			c.renew(now, s)
+		}
+	}
+}
+
+func (c *Core) closed(command *control.CloseSessions) {
+	for _, id := range command.Sessions {
+		c.table.Close(id)
+		delete(c.closing, id)
+		for _, s := range c.streams {
+			if s.session == id {
+				c.output.Sends = append(c.output.Sends, Send{Stream: s.id, Down: session.Down{Session: id, Closed: true, Rejected: true}})
+				delete(c.streams, s.id)
+			}
+		}
+	}
+}
+
+func (c *Core) operated(command *control.OperatorChange, result control.Result) {
+	definition := event.CommandAccepted
+	if !result.Accepted {
+		definition = event.CommandRefused
+	}
+	c.decide(definition, event.F("command", command.CommandID), event.F("operator", command.Operator),
+		event.F("config", uint64(result.Config)), event.F("reason", result.Reason))
+	var left []waiter
+	for _, w := range c.waiters {
+		if w.command == command.CommandID {
+			c.output.Replies = append(c.output.Replies, OperatorReply{Token: w.token, Result: result})
+			continue
+		}
+		left = append(left, w)
+	}
+	c.waiters = left
+}
+
+// Renewal takes a router's message on a stream.
+func (c *Core) Renewal(now clock.Instant, id StreamID, up *session.Up) {
+	if !c.leading(now) {
+		c.redirect(id)
+		return
+	}
+	s := c.streams[id]
+	if s == nil {
+		s = &stream{id: id, router: up.Router.ID, session: up.Session, sent: up.Applied}
+		c.streams[id] = s
+	}
+	s.nonce, s.sequence, s.applied, s.heardAt = up.Nonce, up.Sequence, up.Applied, now
+	if up.Session != 0 {
+		s.session = up.Session
+	}
+	if s.session == 0 {
+		c.propose(control.Command{OpenSession: &control.OpenSession{Router: up.Router, Nonce: up.Nonce}})
+		return
+	}
+	if !c.renew(now, s) {
+		return
+	}
+	c.takeReports(up, s.session)
+}
+
+// renew answers the latest renewal of a stream with a lease, and first with
+// what its view lacks.
+func (c *Core) renew(now clock.Instant, s *stream) bool {
+	current, ok := c.state.View.Routers[s.router]
+	if !ok || current.Session != s.session || !c.table.Renew(s.session, now) {
+		c.decide(event.SessionRejected, event.F("router", string(s.router)), event.F("session", uint64(s.session)))
+		c.output.Sends = append(c.output.Sends, Send{Stream: s.id, Down: session.Down{Session: s.session, Rejected: true}})
+		delete(c.streams, s.id)
+		return false
+	}
+	if !c.leading(now) {
+		return false
+	}
+	c.sync(s)
+	c.output.Sends = append(c.output.Sends, Send{Stream: s.id, Down: session.Down{
+		Session: s.session, Sequence: s.sequence, Lease: true, Ownership: c.timing.Ownership, View: c.timing.View,
+	}})
+	return true
+}
+
+// sync sends the changes that the stream's router lacks, or the full view.
+func (c *Core) sync(s *stream) {
+	if s.synced {
+		return
+	}
+	s.synced = true
+	missing, ok := c.since(s.sent)
+	if !ok {
+		missing = []*fleet.Change{c.state.View.Full()}
+	}
+	for _, change := range missing {
+		c.output.Sends = append(c.output.Sends, Send{Stream: s.id, Down: session.Down{Session: s.session, Change: change}})
+	}
+	s.sent = c.state.View.Version
+}
+
+// since returns the changes after a version, if they are all kept.
+func (c *Core) since(version fleet.Version) ([]*fleet.Change, bool) {
+	if version == c.state.View.Version {
+		return nil, true
+	}
+	if version == 0 || len(c.history) == 0 || version < c.history[0].From || version > c.state.View.Version {
+		return nil, false
+	}
+	return c.history[version-c.history[0].From:], true
+}
+
+// takeReports proposes what a renewal says beyond being alive.
+func (c *Core) takeReports(up *session.Up, id fleet.Session) {
+	if up.Closing {
+		c.propose(control.Command{CloseSessions: &control.CloseSessions{Sessions: []fleet.Session{id}}})
+		return
+	}
+	router := up.Router
+	router.Session = id
+	if c.state.View.Routers[router.ID] != router {
+		c.propose(control.Command{UpdateRouter: &control.UpdateRouter{Router: router}})
+	}
+	if len(up.Releases) > 0 {
+		c.propose(control.Command{ReleaseShards: &control.ReleaseShards{Session: id, Releases: up.Releases}})
+	}
+}
+
+// Detach forgets a stream that ended.
+func (c *Core) Detach(id StreamID) { delete(c.streams, id) }
+
+// Operate takes an operator's command; the reply comes once it is committed.
+func (c *Core) Operate(now clock.Instant, token uint64, change *control.OperatorChange) {
+	if !c.leading(now) {
+		c.output.Replies = append(c.output.Replies, OperatorReply{Token: token, Redirect: true})
+		return
+	}
+	c.waiters = append(c.waiters, waiter{token: token, command: change.CommandID})
+	c.propose(control.Command{OperatorChange: change})
+}
+
+// Abandon forgets an operator's request whose caller no longer waits.
+func (c *Core) Abandon(token uint64) {
+	for i, w := range c.waiters {
+		if w.token == token {
+			c.waiters = append(c.waiters[:i], c.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// Tick ends sessions whose lease has run out and plans ownership.
+func (c *Core) Tick(now clock.Instant) {
+	if now < c.tickAt {
+		return
+	}
+	c.tickAt = now.Add(tickInterval)
+	if !c.leading(now) {
+		return
+	}
+	c.expireSessions(now)
+	c.plan(now)
+	for id, s := range c.streams {
+		if now.Sub(s.heardAt) > streamTimeout {
+			delete(c.streams, id)
+		}
+	}
+}
+
+func (c *Core) expireSessions(now clock.Instant) {
+	for _, id := range c.table.Expire(now) {
+		c.closing[id] = now - clock.Instant(proposeAgain)
+		c.decide(event.SessionExpired, event.F("session", uint64(id)))
+	}
+	command := &control.CloseSessions{}
+	for id, proposed := range c.closing {
+		if now.Sub(proposed) >= proposeAgain {
+			c.closing[id] = now
+			command.Sessions = append(command.Sessions, id)
+		}
+	}
+	if len(command.Sessions) > 0 {
+		c.propose(control.Command{CloseSessions: command})
+	}
+}
+
+func (c *Core) plan(now clock.Instant) {
+	waiting := c.assigning != 0 && now.Sub(c.assigning) < proposeAgain
+	if !c.dirty || waiting {
+		return
+	}
+	c.dirty = false
+	assign := placement.Plan(c.state.View, c.limits)
+	if assign.Empty() {
+		return
+	}
+	c.assigning = now
+	c.propose(control.Command{Assign: assign})
+}
+
+func (c *Core) propose(command control.Command) {
+	c.output.Proposals = append(c.output.Proposals, command)
+}
+
+func (c *Core) decide(definition *event.Definition, fields ...event.Field) {
+	c.output.Decisions = append(c.output.Decisions, call.Decide(definition, fields...))
+}
+
+func (c *Core) decideAssign(change *fleet.Change) {
+	c.decideShards(event.ShardsGranted, change, fleet.ShardGranted)
+	c.decideShards(event.ShardsRevoked, change, fleet.ShardRevoking)
+}
+
+// decideShards logs the shards of a change in one phase, a line for each.
+func (c *Core) decideShards(definition *event.Definition, change *fleet.Change, phase fleet.ShardPhase) {
+	if change == nil || !c.lead.Leads {
+		return
+	}
+	for _, shard := range change.Shards {
+		if shard.Phase == phase {
+			c.decide(definition, event.F("shard", shard.ID.String()), event.F("owner", string(shard.Owner)), event.F("epoch", uint64(shard.Epoch)))
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/operator_reply.go
@@ -0,0 +1,11 @@
+package controller
+
+import "endivespring/internal/control"
+
+// OperatorReply is the outcome of an operator's request.
+type OperatorReply struct {
+	Token  uint64
+	Result control.Result
+	// Redirect is set if this process does not lead; nothing was decided here.
+	Redirect bool
+}
--- /dev/null
+++ b/internal/controller/report.go
@@ -0,0 +1,114 @@
+package controller
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/samber/lo"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
+)
+
+// Status returns what operators see.
+func (c *Core) Status(now clock.Instant) Status {
+	view := c.state.View
+	status := Status{
+		Leads: c.leading(now), Leader: c.lead.Leader, Term: c.lead.Term, Voters: c.lead.Voters, Learners: c.lead.Learners,
+		Commit: c.lead.Commit, Snapshot: c.lead.Snapshot, Config: view.Config, View: view.Version, Behind: []string{},
+	}
+	if view.Preset != nil {
+		status.Preset, status.PresetAt = view.Preset.Name, view.Preset.Version
+	}
+	status.CentresOut = lo.Map(lo.Keys(view.DataCentresOut), func(d fleet.DataCentre, _ int) string { return string(d) })
+	slices.Sort(status.CentresOut)
+	status.Routers = c.routerStatuses()
+	for _, r := range status.Routers {
+		if r.Applied == view.Version {
+			status.InForce++
+			continue
+		}
+		status.Behind = append(status.Behind, r.Router)
+	}
+	status.Services = c.serviceStatuses()
+	return status
+}
+
+func (c *Core) routerStatuses() []RouterStatus {
+	applied := map[fleet.Session]fleet.Version{}
+	for _, s := range c.streams {
+		applied[s.session] = max(applied[s.session], s.applied)
+	}
+	shards := map[fleet.Session]int{}
+	for _, shard := range c.state.View.Shards {
+		if shard.Phase != fleet.ShardFree {
+			shards[shard.Session]++
+		}
+	}
+	var out []RouterStatus
+	for _, r := range c.state.View.Routers {
+		out = append(out, RouterStatus{
+			Router: string(r.ID), DataCentre: string(r.DataCentre), Upstream: r.Upstream.Name, Service: r.Upstream.Service,
+			State: c.routerState(r), Session: r.Session, Applied: applied[r.Session], Shards: shards[r.Session],
+		})
+	}
+	slices.SortFunc(out, func(a, b RouterStatus) int { return cmp.Compare(a.Router, b.Router) })
+	return out
+}
+
+func (c *Core) routerState(r fleet.Router) string {
+	switch {
+	case r.Leaving:
+		return "leaving"
+	case r.Upstream.Name == "":
+		return "no-upstream"
+	case !c.state.View.Eligible(r):
+		return "out"
+	default:
+		return "ready"
+	}
+}
+
+func (c *Core) serviceStatuses() []ServiceStatus {
+	var out []ServiceStatus
+	if c.state.View.Preset == nil {
+		return out
+	}
+	for _, service := range c.state.View.Preset.Services {
+		status := ServiceStatus{Service: service.Name, Shards: int(service.Shards)}
+		for number := range service.Shards {
+			switch c.state.View.Shard(fleet.ShardID{Service: service.Name, Number: number}).Phase {
+			case fleet.ShardGranted:
+				status.Granted++
+			case fleet.ShardRevoking:
+				status.Revoking++
+			default:
+				status.Free++
+			}
+		}
+		out = append(out, status)
+	}
+	return out
+}
+
+// Explain says who owns a key, or false if the service is unknown.
+func (c *Core) Explain(service, key string) (Explanation, bool) {
+	s := c.state.View.Preset.Service(service)
+	if s == nil {
+		return Explanation{}, false
+	}
+	id := fleet.ShardOf(service, key, s.Shards)
+	shard := c.state.View.Shard(id)
+	out := Explanation{
+		Service: service, Key: key, Shard: id.String(), Phase: shard.Phase.String(),
+		Owner: string(shard.Owner), Epoch: shard.Epoch, Moves: []Move{},
+	}
+	for _, change := range c.history {
+		for _, moved := range change.Shards {
+			if moved.ID == id {
+				out.Moves = append(out.Moves, Move{Version: change.To, Phase: moved.Phase.String(), Owner: string(moved.Owner), Epoch: moved.Epoch})
+			}
+		}
+	}
+	return out, true
+}
--- /dev/null
+++ b/internal/controller/stream.go
@@ -0,0 +1,21 @@
+package controller
+
+import (
+	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
+)
+
+// stream is a router's connection to this process.
+type stream struct {
+	id       StreamID
+	router   fleet.RouterID
+	nonce    string
+	session  fleet.Session
+	sequence uint64
+	// sent is the view version that was sent on the stream.
+	sent   fleet.Version
+	synced bool
+	// applied is the view version that the router reported last.
+	applied fleet.Version
+	heardAt clock.Instant
+}
--- /dev/null
+++ b/internal/controller/waiter.go
@@ -0,0 +1,7 @@
+package controller
+
+// waiter is an operator's request whose command is not committed yet.
+type waiter struct {
+	token   uint64
+	command string
+}
--- /dev/null
+++ b/internal/door/abort.go
@@ -0,0 +1,10 @@
+package door
+
+import "endivespring/internal/fleet"
+
+// Abort asks to cancel a run at the upstream.
+type Abort struct {
+	Run       uint64
+	Upstream  fleet.Upstream
+	RequestID string
+}
--- /dev/null
+++ b/internal/door/holding.go
@@ -0,0 +1,16 @@
+package door
+
+import (
+	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
+)
+
+// holding is a shard that this door owns.
+type holding struct {
+	shard fleet.Shard
+	// since is when the door learned of the grant.
+	since clock.Instant
+	jobs  int
+	// released is set once the shard was given back.
+	released bool
+}
--- /dev/null
+++ b/internal/door/record_key.go
@@ -0,0 +1,7 @@
+package door
+
+// recordKey names a request of a service.
+type recordKey struct {
+	service   string
+	requestID string
+}
--- /dev/null
+++ b/internal/door/reply.go
@@ -0,0 +1,9 @@
+package door
+
+import "endivespring/internal/call"
+
+// Reply is an answer for one call.
+type Reply struct {
+	Ticket Ticket
+	Answer call.Answer
+}
--- /dev/null
+++ b/internal/lease/table.go
@@ -0,0 +1,79 @@
+// Package lease holds the two ends of a lease: the leader's table of when each
+// session may be taken to have ended, and the router's own, earlier end.
+package lease
+
+import (
+	"slices"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
+)
+
+// Table is the leader's side. A session is expired only after the router's own
+// lease must have run out, since the leader counts from when it answered and
+// the router from when it sent.
+type Table struct {
+	timing    Timing
+	deadlines map[fleet.Session]clock.Instant
+	expired   map[fleet.Session]bool
+}
+
+// NewTable returns an empty table.
+func NewTable(timing Timing) *Table {
+	return &Table{timing: timing, deadlines: map[fleet.Session]clock.Instant{}, expired: map[fleet.Session]bool{}}
+}
+
+// Reset starts a leader's term: every session may have been renewed by the
+// previous leader until now.
+func (t *Table) Reset(sessions []fleet.Session, now clock.Instant) {
+	clear(t.deadlines)
+	clear(t.expired)
+	for _, session := range sessions {
+		t.deadlines[session] = t.deadline(now)
+	}
+}
+
+// Renew extends a session from now and reports whether it may still be
+// renewed. A session that expired stays so.
+func (t *Table) Renew(session fleet.Session, now clock.Instant) bool {
+	deadline, ok := t.deadlines[session]
+	if !ok || t.expired[session] || deadline <= now {
+		return false
+	}
+	t.deadlines[session] = t.deadline(now)
+	return true
+}
+
+// Open adds a session that was just opened.
+func (t *Table) Open(session fleet.Session, now clock.Instant) {
+	if _, ok := t.deadlines[session]; !ok {
+		t.deadlines[session] = t.deadline(now)
+	}
+}
+
+// Close forgets a session.
+func (t *Table) Close(session fleet.Session) {
+	delete(t.deadlines, session)
+	delete(t.expired, session)
+}
+
+// Expire returns, in order, the sessions whose lease has ended by now and that
+// were not returned before.
+func (t *Table) Expire(now clock.Instant) []fleet.Session {
+	var ended []fleet.Session
+	for session, deadline := range t.deadlines {
+		if deadline <= now && !t.expired[session] {
+			t.expired[session] = true
+			ended = append(ended, session)
+		}
+	}
+	slices.Sort(ended)
+	return ended
+}
+
+// Len returns the number of sessions.
+func (t *Table) Len() int { return len(t.deadlines) }
+
+func (t *Table) deadline(now clock.Instant) clock.Instant {
+	return now.Add(t.timing.Ownership + t.timing.Margin)
+}
--- /dev/null
+++ b/internal/session/core.go
@@ -0,0 +1,154 @@
+package session
+
+import (
+	"time"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/control"
+	"endivespring/internal/fleet"
+	"endivespring/internal/lease"
+)
+
+// silentRenewals is the number of renewals without an answer after which the
+// connection to control is given up.
+const silentRenewals = 3
+
+// Core is the router's side of its session. It is a pure state machine: time,
+// nonces and messages are arguments.
+type Core struct {
+	renewal  time.Duration
+	router   fleet.Router
+	nonce    string
+	session  fleet.Session
+	applied  fleet.Version
+	needFull bool
+	holder   *lease.Holder
+	releases map[fleet.ShardID]control.Release
+	renewAt  clock.Instant
+	heardAt  clock.Instant
+	closing  bool
+	closed   bool
+}
+
+// New returns a router without a session. Renewals are sent once every renewal.
+func New(router fleet.Router, renewal time.Duration, nonce string) *Core {
+	return &Core{
+		router: router, renewal: renewal, nonce: nonce,
+		holder: lease.NewHolder(), releases: map[fleet.ShardID]control.Release{},
+	}
+}
+
+// Connected starts a new stream to control and makes a renewal due.
+func (c *Core) Connected(now clock.Instant) {
+	c.renewAt = now
+	c.heardAt = now
+	if c.needFull {
+		c.applied = 0
+	}
+}
+
+// Silent reports whether the stream must be given up.
+func (c *Core) Silent(now clock.Instant) bool {
+	return now.Sub(c.heardAt) > silentRenewals*c.renewal
+}
+
+// Deadline returns when Due must be called next.
+func (c *Core) Deadline() clock.Instant { return c.renewAt }
+
+// Due returns the renewal to send now, if any.
+func (c *Core) Due(now clock.Instant) (Up, bool) {
+	if now < c.renewAt {
+		return Up{}, false
+	}
+	c.renewAt = now.Add(c.renewal)
+	up := Up{
+		Nonce: c.nonce, Session: c.session, Sequence: c.holder.Renew(now), Applied: c.applied,
+		Router: c.router, Closing: c.closing,
+	}
+	up.Router.Session = c.session
+	for _, r := range c.releases {
+		up.Releases = append(up.Releases, r)
+	}
+	return up, true
+}
+
+// Registration changes what the router says of itself and makes a renewal due.
+func (c *Core) Registration(now clock.Instant, upstream fleet.Upstream, leaving bool) {
+	if c.router.Upstream == upstream && c.router.Leaving == leaving {
+		return
+	}
+	c.router.Upstream = upstream
+	c.router.Leaving = leaving
+	c.renewAt = now
+}
+
+// Release gives shards back with the next renewal, which becomes due. It is
+// repeated until the view shows it.
+func (c *Core) Release(now clock.Instant, releases []control.Release) {
+	for _, r := range releases {
+		c.releases[r.Shard] = r
+	}
+	c.renewAt = now
+}
+
+// Close asks to end the session and makes a renewal due.
+func (c *Core) Close(now clock.Instant) {
+	c.closing = true
+	c.renewAt = now
+}
+
+// Closed reports whether control has ended the session as asked.
+func (c *Core) Closed() bool { return c.closed }
+
+// Session returns the open session, or zero.
+func (c *Core) Session() fleet.Session { return c.session }
+
+// Receive takes a message from control. It returns the update for entry and
+// door; resync is set if the stream must be opened again.
+func (c *Core) Receive(now clock.Instant, down *Down) (update Update, resync bool) {
+	c.heardAt = now
+	if down.Session != 0 && c.session == 0 {
+		c.session = down.Session
+	}
+	if down.Lease && down.Session == c.session {
+		c.holder.Granted(down.Sequence, down.Ownership, down.View)
+	}
+	if down.Closed {
+		c.closed = true
+		c.holder.Drop()
+	}
+	if down.Change != nil {
+		resync = !c.apply(down.Change)
+	}
+	update = Update{Session: c.session, OwnUntil: c.holder.OwnershipUntil(), ViewUntil: c.holder.ViewUntil()}
+	if !resync {
+		update.Change = down.Change
+	}
+	return update, resync
+}
+
+// Rejected drops the session and its lease and starts over under a new nonce.
+func (c *Core) Rejected(now clock.Instant, nonce string) Update {
+	c.nonce = nonce
+	c.session = 0
+	clear(c.releases)
+	c.holder.Drop()
+	c.renewAt = now
+	return Update{OwnUntil: c.holder.OwnershipUntil(), ViewUntil: c.holder.ViewUntil()}
+}
+
+// apply tracks the version and drops releases that the change shows.
+func (c *Core) apply(change *fleet.Change) bool {
+	if change.To < c.applied || (!change.Full && change.From != c.applied) {
+		c.needFull = true
+		return false
+	}
+	c.applied = change.To
+	c.needFull = false
+	for _, shard := range change.Shards {
+		if r, ok := c.releases[shard.ID]; ok && (shard.Epoch != r.Epoch || shard.Phase == fleet.ShardFree) {
+			delete(c.releases, shard.ID)
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/session/down.go
@@ -0,0 +1,27 @@
+package session
+
+import (
+	"time"
+
+	"endivespring/internal/fleet"
+)
+
+// Down is what the leader sends to a router.
+type Down struct {
+	Session fleet.Session
+	// Sequence is the renewal that a lease answers.
+	Sequence uint64
+	Lease    bool
+	// Ownership and View are the lengths of the leases.
+	Ownership time.Duration
+	View      time.Duration
+	Change    *fleet.Change
+	// Redirect is set by a process that does not lead; Leader is the peer
+	// address of the one that does, if known.
+	Redirect bool
+	Leader   string
+	// Rejected means that the session is not current: open a new one.
+	Rejected bool
+	// Closed means that the session ended as asked.
+	Closed bool
+}
--- /dev/null
+++ b/internal/session/up.go
@@ -0,0 +1,23 @@
+// Package session holds the messages between a router and the leader of
+// control, and the router's state machine for them.
+package session
+
+import (
+	"endivespring/internal/control"
+	"endivespring/internal/fleet"
+)
+
+// Up is a renewal from a router.
+type Up struct {
+	// Nonce names this start of the router.
+	Nonce string
+	// Session is zero until one is open.
+	Session  fleet.Session
+	Sequence uint64
+	// Applied is the view version that the router has.
+	Applied  fleet.Version
+	Router   fleet.Router
+	Releases []control.Release
+	// Closing asks to end the session.
+	Closing bool
+}
