--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,183 @@
+// Package caller is the HTTP front end for callers.
+package caller
+
+import (
+	"bytes"
+	"crypto/rand"
+	"errors"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/valyala/fasthttp"
+
+	"endivespring/internal/attempt"
+	"endivespring/internal/call"
+	"endivespring/internal/ring"
+	"endivespring/internal/verdict"
+)
+
+// Header names of callers' requests and of the answers.
+const (
+	HeaderRequestID = "Endivespring-Request-Id"
+	HeaderKey       = "Endivespring-Key"
+	// HeaderAttempt is above 1 if the caller may have sent the request before.
+	HeaderAttempt = "Endivespring-Attempt"
+	// HeaderTimeout is the caller's own limit in milliseconds.
+	HeaderTimeout  = "Endivespring-Timeout-Ms"
+	HeaderVerdict  = "Endivespring-Verdict"
+	HeaderReason   = "Endivespring-Reason"
+	HeaderUpstream = "Endivespring-Upstream"
+	HeaderEpoch    = "Endivespring-Epoch"
+)
+
+const (
+	idleTimeout     = 60 * time.Second
+	readTimeout     = 30 * time.Second
+	writeTimeout    = 30 * time.Second
+	maxIDLength     = 128              // bytes of a request id or key
+	answerPatience  = 11 * time.Minute // bound on waiting for the entry's answer
+	readBufferBytes = 8 << 10
+)
+
+// Server takes callers' requests.
+type Server struct {
+	requests *ring.Ring[Request]
+	app      *fiber.App
+	stopping atomic.Bool
+}
+
+// NewServer returns a server that hands requests to a ring. Bodies are limited
+// to maxBody bytes.
+func NewServer(requests *ring.Ring[Request], maxBody int) *Server {
+	s := &Server{requests: requests}
+	s.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true, BodyLimit: maxBody, ReadBufferSize: readBufferBytes,
+		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, ErrorHandler: handleError,
+	})
+	s.app.Add(fiber.MethodPost, "/v1/:service/:operation", s.serve)
+	s.app.Add(fiber.MethodGet, "/v1/:service/:operation", s.serve)
+	return s
+}
+
+// App returns the HTTP application.
+func (s *Server) App() *fiber.App { return s.app }
+
+// Stop makes the server close each connection after its next answer.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+func (s *Server) serve(c *fiber.Ctx) error {
+	if s.stopping.Load() {
+		c.Response().SetConnectionClose()
+	}
+	request, problem := read(c)
+	if problem != verdict.ReasonNone {
+		return refuse(c, request.ID, problem)
+	}
+	reply := ring.NewReply[call.Answer]()
+	if err := s.requests.Put(c.Context(), Request{Request: request, Reply: reply}); err != nil {
+		return refuse(c, request.ID, verdict.ReasonOverloaded)
+	}
+	patience := time.NewTimer(answerPatience)
+	defer patience.Stop()
+	select {
+	case answer := <-reply.Out():
+		return write(c, &answer)
+	case <-patience.C:
+		answer := call.Answer{RequestID: request.ID, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline}
+		return write(c, &answer)
+	}
+}
+
+// read copies everything out of the library's buffers, which it reuses.
+func read(c *fiber.Ctx) (attempt.Request, verdict.Reason) {
+	request := attempt.Request{
+		ID:      clone(c.Get(HeaderRequestID)),
+		Service: clone(c.Params("service")), Operation: clone(c.Params("operation")),
+		Key: clone(c.Get(HeaderKey)), Body: bytes.Clone(c.Body()),
+	}
+	if request.ID == "" {
+		request.ID = rand.Text()
+	}
+	if len(request.ID) > maxIDLength || len(request.Key) > maxIDLength {
+		return request, verdict.ReasonBadRequest
+	}
+	attemptNumber, ok := number(c, HeaderAttempt, 1)
+	timeout, ok2 := number(c, HeaderTimeout, 0)
+	if !ok || !ok2 {
+		return request, verdict.ReasonBadRequest
+	}
+	request.Resend = attemptNumber > 1
+	request.Timeout = time.Duration(timeout) * time.Millisecond
+	return request, verdict.ReasonNone
+}
+
+func number(c *fiber.Ctx, header string, missing int) (int, bool) {
+	text := c.Get(header)
+	if text == "" {
+		return missing, true
+	}
+	value, err := strconv.Atoi(text)
+	return value, err == nil && value >= 1
+}
+
+func clone(text string) string { return string([]byte(text)) }
+
+func refuse(c *fiber.Ctx, id string, reason verdict.Reason) error {
+	answer := call.Answer{RequestID: id, Verdict: verdict.NotRun, Reason: reason}
+	return write(c, &answer)
+}
+
+func write(c *fiber.Ctx, answer *call.Answer) error {
+	c.Set(HeaderRequestID, answer.RequestID)
+	c.Set(HeaderVerdict, answer.Verdict.String())
+	if answer.Upstream != "" {
+		c.Set(HeaderUpstream, answer.Upstream)
+	}
+	if answer.Epoch > 0 {
+		c.Set(HeaderEpoch, strconv.FormatUint(uint64(answer.Epoch), 10))
+	}
+	if answer.Verdict == verdict.Ran && answer.Status != 0 {
+		c.Set(fiber.HeaderContentType, answer.ContentType)
+		return c.Status(answer.Status).Send(answer.Body)
+	}
+	c.Set(HeaderReason, string(answer.Reason))
+	return c.Status(statusOf(answer)).JSON(ErrorBody{
+		RequestID: answer.RequestID, Verdict: answer.Verdict.String(), Reason: string(answer.Reason),
+	})
+}
+
+// statusOf maps a refusal to an HTTP status: 4xx for the caller's mistakes,
+// 503 for a proved refusal, 502 and 504 if the request may have run.
+func statusOf(answer *call.Answer) int {
+	switch answer.Reason {
+	case verdict.ReasonUnknownService, verdict.ReasonUnknownOp:
+		return fiber.StatusNotFound
+	case verdict.ReasonBadRequest, verdict.ReasonMissingKey:
+		return fiber.StatusBadRequest
+	case verdict.ReasonBodyTooLarge:
+		return fiber.StatusRequestEntityTooLarge
+	}
+	switch {
+	case answer.Verdict == verdict.NotRun:
+		return fiber.StatusServiceUnavailable
+	case answer.Reason == verdict.ReasonDeadline:
+		return fiber.StatusGatewayTimeout
+	default:
+		return fiber.StatusBadGateway
+	}
+}
+
+// handleError answers requests that the library refused before they were read.
+func handleError(c *fiber.Ctx, err error) error {
+	reason := verdict.ReasonBadRequest
+	var known *fiber.Error
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &known) && known.Code == fiber.StatusRequestEntityTooLarge {
+		reason = verdict.ReasonBodyTooLarge
+	}
+	if known != nil && known.Code == fiber.StatusNotFound {
+		reason = verdict.ReasonUnknownService
+	}
+	return refuse(c, "", reason)
+}
--- /dev/null
+++ b/internal/command/exit.go
@@ -0,0 +1,36 @@
+// Package command holds the subcommands of the binary, one a file.
+package command
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
+
+	"endivespring/internal/operator"
+)
+
+// Exit codes besides those of the subcommands library (0 success, 1 failure,
+// 2 wrong usage).
+const (
+	// ExitRefused means that control refused the command; nothing changed.
+	ExitRefused subcommands.ExitStatus = 3
+	// ExitUnknown means that the command may have been accepted or not.
+	ExitUnknown subcommands.ExitStatus = 4
+)
+
+// fail prints an error and returns the matching exit code.
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "endivespring: "+err.Error())
+	if eris.Is(err, operator.ErrUnknown) {
+		return ExitUnknown
+	}
+	return subcommands.ExitFailure
+}
+
+// usage prints what is wrong with the arguments.
+func usage(format string, args ...any) subcommands.ExitStatus {
+	fmt.Fprintf(os.Stderr, "endivespring: "+format+"\n", args...)
+	return subcommands.ExitUsageError
+}
--- /dev/null
+++ b/internal/command/operator_flags.go
@@ -0,0 +1,88 @@
+package command
+
+import (
+	"crypto/rand"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"endivespring/internal/operator"
+	"endivespring/internal/settings"
+)
+
+// operatorFlags are the flags of every operator's command.
+type operatorFlags struct {
+	settingsFile string
+	output       string
+	expected     int64
+	commandID    string
+
+	settings settings.Operator
+}
+
+func (o *operatorFlags) set(f *flag.FlagSet) {
+	f.StringVar(&o.settingsFile, "settings", "operator.json", "settings file")
+	f.StringVar(&o.output, "output", "table", "table or json")
+}
+
+// setChange adds the flags of commands that change something.
+func (o *operatorFlags) setChange(f *flag.FlagSet) {
+	o.set(f)
+	f.Int64Var(&o.expected, "expect", -1, "config version that the command is based on; the present one if not given")
+	f.StringVar(&o.commandID, "command-id", "", "id that makes a resend safe; a new one if not given")
+}
+
+// client reads the settings and returns a client.
+func (o *operatorFlags) client() (*operator.Client, error) {
+	if err := settings.Read(o.settingsFile, &o.settings); err != nil {
+		return nil, err
+	}
+	token, err := settings.ReadToken(o.settings.TokenFile)
+	if err != nil {
+		return nil, err
+	}
+	return operator.NewClient(o.settings.Control, token), nil
+}
+
+// change sends a command and prints its outcome.
+func (o *operatorFlags) change(body operator.ChangeBody) subcommands.ExitStatus {
+	client, err := o.client()
+	if err != nil {
+		return fail(err)
+	}
+	if o.expected < 0 {
+		status, err := client.Status()
+		if err != nil {
+			return fail(err)
+		}
+		o.expected = int64(status.Config)
+	}
+	if o.commandID == "" {
+		o.commandID = rand.Text()
+	}
+	body.CommandID, body.Operator, body.Expected = o.commandID, o.settings.Name, uint64(o.expected)
+	result, err := client.Change(&body)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "command id %s\n", o.commandID)
+		return fail(err)
+	}
+	return o.printResult(result)
+}
+
+func (o *operatorFlags) printResult(result *operator.ResultBody) subcommands.ExitStatus {
+	if o.output == "json" {
+		if status := printJSON(result); status != subcommands.ExitSuccess {
+			return status
+		}
+	} else if result.Accepted {
+		fmt.Fprintf(os.Stdout, "accepted: config version %d\n", result.Config)
+	} else {
+		fmt.Fprintf(os.Stdout, "refused: %s\n", result.Reason)
+	}
+	if !result.Accepted {
+		return ExitRefused
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/command/router.go
@@ -0,0 +1,50 @@
+package command
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+	"github.com/samber/do/v2"
+
+	"endivespring/internal/router"
+	"endivespring/internal/settings"
+)
+
+// Router runs a router.
+type Router struct{ settingsFile string }
+
+// Name returns the subcommand's name.
+func (*Router) Name() string { return "router" }
+
+// Synopsis returns a one-line description.
+func (*Router) Synopsis() string { return "run the router beside an upstream" }
+
+// Usage returns the help text.
+func (*Router) Usage() string {
+	return `router --settings FILE
+  Runs a router until SIGTERM. On SIGTERM it hands its shards over, finishes
+  what runs and exits.
+  Example: endivespring router --settings router-1.json
+`
+}
+
+// SetFlags declares the flags.
+func (c *Router) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settingsFile, "settings", "", "settings file")
+}
+
+// Execute runs the process.
+func (c *Router) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s := &settings.Router{}
+	if err := settings.Read(c.settingsFile, s); err != nil {
+		return fail(err)
+	}
+	injector := processScope(s.Name)
+	do.ProvideValue(injector, s)
+	node, err := router.Start(ctx, injector)
+	if err != nil {
+		return fail(err)
+	}
+	return serve(node)
+}
--- /dev/null
+++ b/internal/command/standin.go
@@ -0,0 +1,55 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"endivespring/internal/standin"
+)
+
+// Standin runs a stand-in upstream.
+type Standin struct{ settings standin.Settings }
+
+// Name returns the subcommand's name.
+func (*Standin) Name() string { return "standin" }
+
+// Synopsis returns a one-line description.
+func (*Standin) Synopsis() string { return "run a stand-in upstream for tests" }
+
+// Usage returns the help text.
+func (*Standin) Usage() string {
+	return `standin --name NAME --service SERVICE --address IP:PORT --announce IP:PORT
+  Runs an upstream that announces itself to the router at --announce.
+  Example: endivespring standin --name u1 --service timetable --address 127.0.0.1:9001 --announce 127.0.0.1:7102
+`
+}
+
+// SetFlags declares the flags.
+func (c *Standin) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings.Name, "name", "", "name of the upstream")
+	f.StringVar(&c.settings.Service, "service", "", "service that it serves")
+	f.StringVar(&c.settings.Address, "address", "", "own address")
+	f.StringVar(&c.settings.Announce, "announce", "", "announce address of the router beside it")
+	f.IntVar(&c.settings.Slots, "slots", 10, "requests that run at once when warm")
+	f.IntVar(&c.settings.ColdSlots, "cold-slots", 2, "requests that it bears right after a start")
+	f.IntVar(&c.settings.Connections, "connections", 130, "largest number of connections")
+	f.BoolVar(&c.settings.ChecksGrants, "checks-grants", true, "refuse stale epochs")
+	f.DurationVar(&c.settings.Latency, "latency", 2*time.Millisecond, "how long a run takes")
+	f.StringVar(&c.settings.Ledger, "ledger", "", "file that each run is appended to")
+	f.DurationVar(&c.settings.AnnounceEvery, "announce-every", 500*time.Millisecond, "time between announcements")
+}
+
+// Execute runs the stand-in.
+func (c *Standin) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settings.Name == "" || c.settings.Service == "" || c.settings.Address == "" || c.settings.Announce == "" {
+		return usage("standin needs --name, --service, --address and --announce")
+	}
+	server, err := standin.Start(ctx, c.settings)
+	if err != nil {
+		return fail(err)
+	}
+	return serve(server)
+}
--- /dev/null
+++ b/internal/controlnode/arrival.go
@@ -0,0 +1,17 @@
+package controlnode
+
+import (
+	"endivespring/internal/controller"
+	"endivespring/internal/ring"
+	"endivespring/internal/session"
+)
+
+// arrival is a message of a router's stream, or the stream's end.
+type arrival struct {
+	stream controller.StreamID
+	up     session.Up
+	down   *ring.Ring[session.Down]
+	ended  bool
+	// cut ends the stream.
+	cut func()
+}
--- /dev/null
+++ b/internal/controlnode/consensus_duty.go
@@ -0,0 +1,126 @@
+package controlnode
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/consensus"
+	"endivespring/internal/controller"
+	"endivespring/internal/ring"
+)
+
+const maxProposalBatch = 256 // proposals appended before the next sync
+
+// consensusDuty owns the consensus core.
+type consensusDuty struct {
+	core      *consensus.Core
+	clock     clock.Clock
+	inbound   *ring.Ring[*consensus.Message]
+	proposals *ring.Ring[[]byte]
+	persisted *ring.Ring[persisted]
+	compact   *ring.Ring[compaction]
+	transfer  *ring.Ring[struct{}]
+	writes    *ring.Ring[write]
+	updates   *ring.Ring[logUpdate]
+	outbound  *outbound
+	last      controller.Leadership
+}
+
+// Run steps the core until the context ends.
+func (d *consensusDuty) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+			d.core.Tick(d.clock.Now())
+		case message := <-d.inbound.Out():
+			d.core.Tick(d.clock.Now())
+			d.core.Step(message)
+		case data := <-d.proposals.Out():
+			d.core.Tick(d.clock.Now())
+			d.propose(data)
+		case p := <-d.persisted.Out():
+			d.core.Persisted(p.index, p.term, d.clock.Now())
+		case c := <-d.compact.Out():
+			if err := d.compactTo(ctx, c); err != nil {
+				return err
+			}
+		case <-d.transfer.Out():
+			d.core.Transfer()
+		}
+		if err := d.dispatch(ctx); err != nil {
+			return err
+		}
+		timer.Reset(max(0, d.core.Deadline().Sub(d.clock.Now())))
+	}
+}
+
+// propose appends a command and those that wait behind it, so that one sync
+// stores them all. A node that does not lead drops them: the controller
+// proposes again.
+func (d *consensusDuty) propose(data []byte) {
+	for range maxProposalBatch {
+		if _, _, err := d.core.Propose(data); err != nil || d.proposals.Depth() == 0 {
+			return
+		}
+		data = <-d.proposals.Out()
+	}
+}
+
+func (d *consensusDuty) compactTo(ctx context.Context, c compaction) error {
+	snapshot, ok := d.core.Compact(c.index, c.data)
+	if !ok {
+		return nil
+	}
+	return d.writes.Put(ctx, write{compact: snapshot, rest: d.core.Rest()})
+}
+
+// dispatch carries out what the core asks for. Messages that depend on stored
+// state go through the storage duty.
+func (d *consensusDuty) dispatch(ctx context.Context) error {
+	out := d.core.Take()
+	d.outbound.send(ctx, out.Immediate)
+	if out.NeedsStorage() {
+		if err := d.writes.Put(ctx, write{output: out, term: d.core.Term()}); err != nil {
+			return err
+		}
+	}
+	update := logUpdate{snapshot: out.Snapshot, committed: out.Committed}
+	if lead := d.leadership(); !sameLeadership(lead, d.last) {
+		d.last = lead
+		update.leadership = &lead
+	}
+	if update.snapshot == nil && len(update.committed) == 0 && update.leadership == nil {
+		return nil
+	}
+	return d.updates.Put(ctx, update)
+}
+
+func (d *consensusDuty) leadership() controller.Leadership {
+	membership := d.core.Membership()
+	return controller.Leadership{
+		Leads: d.core.Role() == consensus.Leader, Term: d.core.Term(), LeaseUntil: d.core.LeaseUntil(),
+		Leader: d.core.Leader().Name, Voters: nodeNames(membership.Voters), Learners: nodeNames(membership.Learners),
+		Commit: d.core.CommitIndex(), Snapshot: d.core.SnapshotIndex(),
+	}
+}
+
+func nodeNames(ids []consensus.NodeID) []string {
+	names := make([]string, 0, len(ids))
+	for _, id := range ids {
+		names = append(names, id.String())
+	}
+	slices.Sort(names)
+	return names
+}
+
+func sameLeadership(a, b controller.Leadership) bool {
+	return a.Leads == b.Leads && a.Term == b.Term && a.LeaseUntil == b.LeaseUntil && a.Leader == b.Leader &&
+		a.Commit == b.Commit && a.Snapshot == b.Snapshot &&
+		slices.Equal(a.Voters, b.Voters) && slices.Equal(a.Learners, b.Learners)
+}
--- /dev/null
+++ b/internal/controlnode/controller_duty.go
@@ -0,0 +1,161 @@
+package controlnode
+
+import (
+	"context"
+	"time"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/consensus"
+	"endivespring/internal/controller"
+	"endivespring/internal/event"
+	"endivespring/internal/operator"
+	"endivespring/internal/ring"
+	"endivespring/internal/wire"
+)
+
+// controllerDuty owns the replicated state and the controller core.
+type controllerDuty struct {
+	core      *controller.Core
+	clock     clock.Clock
+	events    event.Recorder
+	updates   *ring.Ring[logUpdate]
+	arrivals  *ring.Ring[arrival]
+	operators *ring.Ring[operator.Request]
+	proposals *ring.Ring[[]byte]
+	compact   *ring.Ring[compaction]
+	// every is the number of entries between snapshots.
+	every uint64
+
+	streams   map[controller.StreamID]arrival
+	replies   map[uint64]operator.Request
+	token     uint64
+	applied   uint64
+	compacted uint64
+}
+
+// Run steps the core until the context ends.
+func (d *controllerDuty) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+			d.core.Tick(d.clock.Now())
+			timer.Reset(max(time.Millisecond, d.core.Deadline().Sub(d.clock.Now())))
+		case update := <-d.updates.Out():
+			if err := d.update(ctx, &update); err != nil {
+				return err
+			}
+		case a := <-d.arrivals.Out():
+			d.arrive(&a)
+		case request := <-d.operators.Out():
+			d.operate(&request)
+		}
+		if err := d.dispatch(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+func (d *controllerDuty) update(ctx context.Context, update *logUpdate) error {
+	if update.snapshot != nil {
+		state, err := wire.DecodeState(update.snapshot.Data)
+		if err != nil {
+			return err
+		}
+		d.core.Restore(state)
+		d.applied, d.compacted = update.snapshot.Index, update.snapshot.Index
+	}
+	for _, entry := range update.committed {
+		if err := d.apply(&entry); err != nil {
+			return err
+		}
+	}
+	if update.leadership != nil {
+		d.core.Lead(d.clock.Now(), *update.leadership)
+	}
+	return d.maybeCompact(ctx)
+}
+
+func (d *controllerDuty) apply(entry *consensus.Entry) error {
+	d.applied = entry.Index
+	if entry.Kind != consensus.EntryCommand {
+		return nil
+	}
+	command, err := wire.DecodeCommand(entry.Data)
+	if err != nil {
+		return err
+	}
+	d.core.Committed(d.clock.Now(), command)
+	return nil
+}
+
+func (d *controllerDuty) maybeCompact(ctx context.Context) error {
+	if d.applied < d.compacted+d.every {
+		return nil
+	}
+	data, err := wire.EncodeState(d.core.State())
+	if err != nil {
+		return err
+	}
+	d.compacted = d.applied
+	_ = d.compact.Put(ctx, compaction{index: d.applied, data: data})
+	return nil
+}
+
+func (d *controllerDuty) arrive(a *arrival) {
+	if a.ended {
+		delete(d.streams, a.stream)
+		d.core.Detach(a.stream)
+		return
+	}
+	d.streams[a.stream] = *a
+	d.core.Renewal(d.clock.Now(), a.stream, &a.up)
+}
+
+func (d *controllerDuty) operate(request *operator.Request) {
+	switch {
+	case request.Change != nil:
+		d.token++
+		d.replies[d.token] = *request
+		d.core.Operate(d.clock.Now(), d.token, request.Change)
+	case request.Explain != nil:
+		reply := operator.Reply{}
+		if explanation, ok := d.core.Explain(request.Explain.Service, request.Explain.Key); ok {
+			reply.Explanation = &explanation
+		}
+		request.Reply.Send(reply)
+	default:
+		status := d.core.Status(d.clock.Now())
+		request.Reply.Send(operator.Reply{Status: &status})
+	}
+}
+
+func (d *controllerDuty) dispatch(ctx context.Context) error {
+	out := d.core.Take()
+	for i := range out.Proposals {
+		data, err := wire.EncodeCommand(&out.Proposals[i])
+		if err != nil {
+			return err
+		}
+		_ = d.proposals.Put(ctx, data)
+	}
+	for _, send := range out.Sends {
+		a, ok := d.streams[send.Stream]
+		if ok && a.down.Put(ctx, send.Down) != nil {
+			a.cut()
+		}
+	}
+	for _, reply := range out.Replies {
+		if request, ok := d.replies[reply.Token]; ok {
+			delete(d.replies, reply.Token)
+			request.Reply.Send(operator.Reply{Redirect: reply.Redirect, Result: reply.Result})
+		}
+	}
+	for _, decision := range out.Decisions {
+		d.events.Record(decision.Event, decision.Fields...)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controlnode/log_update.go
@@ -0,0 +1,13 @@
+package controlnode
+
+import (
+	"endivespring/internal/consensus"
+	"endivespring/internal/controller"
+)
+
+// logUpdate is what the consensus duty tells the controller duty, in order.
+type logUpdate struct {
+	snapshot   *consensus.Snapshot
+	committed  []consensus.Entry
+	leadership *controller.Leadership
+}
--- /dev/null
+++ b/internal/controlnode/node.go
@@ -0,0 +1,216 @@
+// Package controlnode runs a control process: its duties, the rings between
+// them and the adapters around them.
+package controlnode
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/rotisserie/eris"
+	"github.com/samber/do/v2"
+	"google.golang.org/grpc"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/consensus"
+	"endivespring/internal/controller"
+	"endivespring/internal/duty"
+	"endivespring/internal/event"
+	"endivespring/internal/lease"
+	"endivespring/internal/operator"
+	"endivespring/internal/peer"
+	"endivespring/internal/placement"
+	"endivespring/internal/ring"
+	"endivespring/internal/settings"
+	"endivespring/internal/storage"
+	"endivespring/internal/wire"
+	"endivespring/internal/wire/wirepb"
+)
+
+const (
+	inboundCapacity  = 1024 // consensus messages
+	proposalCapacity = 4096 // commands
+	writeCapacity    = 256  // storage requests
+	updateCapacity   = 1024 // log updates
+	arrivalCapacity  = 8192 // renewals
+	operatorCapacity = 256  // operators' requests
+	peerCapacity     = 256  // consensus messages to one peer
+	maxBatch         = 512  // entries in one message
+
+	// transferTime is how long a stopping leader waits for its successor.
+	transferTime = 300 * time.Millisecond
+)
+
+// Node is a control process.
+type Node struct {
+	settings *settings.Control
+	group    *duty.Group
+	transfer *ring.Ring[struct{}]
+	grpc     *grpc.Server
+	app      *fiber.App
+	disk     *storage.Disk
+	events   *event.Log
+}
+
+// Start opens the data folder and the listeners and starts the duties. The
+// injector provides *settings.Control, *event.Log and clock.Clock; token is
+// the operators' token.
+func Start(ctx context.Context, injector do.Injector, token string) (*Node, error) {
+	s := do.MustInvoke[*settings.Control](injector)
+	disk, stored, err := openDisk(s)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		settings: s, disk: disk, group: duty.NewGroup(ctx), events: do.MustInvoke[*event.Log](injector),
+		transfer: ring.New[struct{}]("transfer", 1, ring.Refuse),
+	}
+	if err := n.start(injector, stored, token); err != nil {
+		n.group.Stop()
+		_ = disk.Close()
+		return nil, err
+	}
+	return n, nil
+}
+
+// openDisk opens the data folder. A damaged one is set aside: this process
+// then joins as a new voter.
+func openDisk(s *settings.Control) (*storage.Disk, *consensus.Stored, error) {
+	disk, stored, err := storage.Open(s.DataFolder, s.Fleet, s.Name)
+	if !eris.Is(err, storage.ErrDamaged) {
+		return disk, stored, err
+	}
+	if _, err := storage.SetAside(s.DataFolder); err != nil {
+		return nil, nil, err
+	}
+	return storage.Open(s.DataFolder, s.Fleet, s.Name)
+}
+
+func (n *Node) start(injector do.Injector, stored *consensus.Stored, token string) error {
+	self := n.settings.Self()
+	peerListener, err := peer.Listen(self.Peer)
+	if err != nil {
+		return err
+	}
+	operatorListener, err := peer.Listen(self.Operator)
+	if err != nil {
+		return err
+	}
+	timeSource := do.MustInvoke[clock.Clock](injector)
+	out := n.startPeers()
+	writes := ring.New[write]("writes", writeCapacity, ring.Wait)
+	done := ring.New[persisted]("persisted", writeCapacity, ring.DropOldest)
+	c := n.consensusDuty(timeSource, stored, out, writes, done)
+	o, err := n.controllerDuty(timeSource, c, stored)
+	if err != nil {
+		return err
+	}
+	storageDuty := &storageDuty{disk: n.disk, writes: writes, persisted: done, outbound: out}
+	n.group.Go("event-log", n.events.Run)
+	n.group.Go("storage", storageDuty.Run)
+	n.group.Go("consensus", c.Run)
+	n.group.Go("controller", o.Run)
+
+	n.grpc = peer.NewServer()
+	wirepb.RegisterConsensusServer(n.grpc, &consensusServer{fleet: n.settings.Fleet, inbound: c.inbound})
+	wirepb.RegisterSessionsServer(n.grpc, &sessionServer{fleet: n.settings.Fleet, arrivals: o.arrivals})
+	n.group.Go("peer-server", func(context.Context) error { return n.grpc.Serve(peerListener) })
+	n.app = operator.NewServer(token, o.operators).App()
+	n.group.Go("operator-server", func(context.Context) error { return n.app.Listener(operatorListener) })
+	n.events.Record(event.ProcessStarted, event.F("role", "control"), event.F("name", n.settings.Name), event.F("disk", n.disk.Identity().Disk))
+	return nil
+}
+
+func (n *Node) startPeers() *outbound {
+	out := &outbound{rings: map[string]*ring.Ring[consensus.Message]{}}
+	for _, p := range n.settings.Peers {
+		if p.Name == n.settings.Name {
+			continue
+		}
+		messages := ring.New[consensus.Message]("peer-"+p.Name, peerCapacity, ring.DropOldest)
+		out.rings[p.Name] = messages
+		d := &peerDuty{fleet: n.settings.Fleet, address: p.Peer, out: messages}
+		n.group.Go("peer-"+p.Name, d.Run)
+	}
+	return out
+}
+
+func (n *Node) consensusDuty(timeSource clock.Clock, stored *consensus.Stored, out *outbound, writes *ring.Ring[write], done *ring.Ring[persisted]) *consensusDuty {
+	timing := n.settings.Timing
+	config := consensus.Config{
+		ID: n.disk.NodeID(), HeartbeatInterval: timing.Heartbeat.Value(), ElectionTimeout: timing.Election.Value(),
+		DriftMargin: timing.Drift.Value(), MaxBatch: maxBatch, Seed: seedOf(n.disk.Identity().Disk),
+	}
+	for _, p := range n.settings.Peers {
+		config.Peers = append(config.Peers, p.Name)
+	}
+	return &consensusDuty{
+		core: consensus.New(config, stored, timeSource.Now()), clock: timeSource, outbound: out, writes: writes, persisted: done,
+		transfer:  n.transfer,
+		inbound:   ring.New[*consensus.Message]("consensus-in", inboundCapacity, ring.DropOldest),
+		proposals: ring.New[[]byte]("proposals", proposalCapacity, ring.Refuse),
+		compact:   ring.New[compaction]("compactions", 1, ring.Refuse),
+		updates:   ring.New[logUpdate]("log-updates", updateCapacity, ring.Wait),
+	}
+}
+
+func (n *Node) controllerDuty(timeSource clock.Clock, c *consensusDuty, stored *consensus.Stored) (*controllerDuty, error) {
+	timing := n.settings.Timing
+	leases := lease.Timing{Ownership: timing.Ownership.Value(), View: timing.View.Value(), Margin: timing.Drift.Value()}
+	core := controller.New(leases, placement.Limits{MaxRebalancing: n.settings.MaxRebalancing}, n.peerAddress)
+	d := &controllerDuty{
+		core: core, clock: timeSource, events: n.events, updates: c.updates, proposals: c.proposals, compact: c.compact,
+		every:     uint64(n.settings.SnapshotEntries),
+		arrivals:  ring.New[arrival]("renewals", arrivalCapacity, ring.Refuse),
+		operators: ring.New[operator.Request]("operators", operatorCapacity, ring.Refuse),
+		streams:   map[controller.StreamID]arrival{}, replies: map[uint64]operator.Request{},
+	}
+	if stored.Snapshot != nil {
+		state, err := wire.DecodeState(stored.Snapshot.Data)
+		if err != nil {
+			return nil, err
+		}
+		core.Restore(state)
+		d.applied, d.compacted = stored.Snapshot.Index, stored.Snapshot.Index
+	}
+	return d, nil
+}
+
+func (n *Node) peerAddress(name string) string {
+	for _, p := range n.settings.Peers {
+		if p.Name == name {
+			return p.Peer
+		}
+	}
+	return ""
+}
+
+// Stop hands leadership over and stops the process.
+func (n *Node) Stop() {
+	n.events.Record(event.ProcessStopping, event.F("name", n.settings.Name))
+	_ = n.transfer.Put(n.group.Context(), struct{}{})
+	wait(n.group.Context(), transferTime)
+	n.shutdown()
+}
+
+func (n *Node) shutdown() {
+	n.group.Stop()
+	n.grpc.Stop()
+	_ = n.app.Shutdown()
+}
+
+// Wait waits until the process has stopped and returns why it failed, if it did.
+func (n *Node) Wait() error {
+	<-n.group.Context().Done()
+	n.shutdown()
+	err := n.group.Wait()
+	_ = n.disk.Close()
+	return err
+}
+
+func seedOf(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(text))
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/controlnode/session_server.go
@@ -0,0 +1,78 @@
+package controlnode
+
+import (
+	"context"
+	"sync/atomic"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"endivespring/internal/controller"
+	"endivespring/internal/ring"
+	"endivespring/internal/session"
+	"endivespring/internal/wire"
+	"endivespring/internal/wire/wirepb"
+)
+
+const downRingCapacity = 1024 // messages waiting for one router
+
+// sessionServer takes renewals of routers.
+type sessionServer struct {
+	wirepb.UnimplementedSessionsServer
+	fleet    string
+	arrivals *ring.Ring[arrival]
+	next     atomic.Uint64
+}
+
+// Attach joins one router's stream to the controller duty.
+func (s *sessionServer) Attach(stream grpc.BidiStreamingServer[wirepb.SessionUp, wirepb.SessionDown]) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	a := arrival{
+		stream: controller.StreamID(s.next.Add(1)), cut: cancel,
+		down: ring.New[session.Down]("session-down", downRingCapacity, ring.Refuse),
+	}
+	failed := ring.NewReply[error]()
+	go func() {
+		failed.Send(s.receive(ctx, stream, a))
+		cancel()
+	}()
+	s.send(ctx, stream, a.down)
+	a.ended = true
+	_ = s.arrivals.Put(stream.Context(), a)
+	select {
+	case err := <-failed.Out():
+		return err
+	default:
+		return status.Error(codes.Unavailable, "stream was cut")
+	}
+}
+
+func (s *sessionServer) receive(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.SessionUp, wirepb.SessionDown], a arrival) error {
+	for {
+		up, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if up.GetFleet() != s.fleet {
+			return status.Errorf(codes.PermissionDenied, "fleet %q is not %q", up.GetFleet(), s.fleet)
+		}
+		a.up = wire.ToUp(up)
+		if err := s.arrivals.Put(ctx, a); err != nil {
+			return status.Error(codes.ResourceExhausted, "control is overloaded")
+		}
+	}
+}
+
+func (s *sessionServer) send(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.SessionUp, wirepb.SessionDown], down *ring.Ring[session.Down]) {
+	for {
+		message, err := down.Take(ctx)
+		if err != nil {
+			return
+		}
+		if stream.Send(wire.FromDown(&message)) != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/load/shot.go
@@ -0,0 +1,11 @@
+package load
+
+import "time"
+
+// shot is one request to send.
+type shot struct {
+	due     time.Time
+	address string
+	key     string
+	id      string
+}
--- /dev/null
+++ b/internal/operator/error_body.go
@@ -0,0 +1,6 @@
+package operator
+
+// ErrorBody is an error as JSON.
+type ErrorBody struct {
+	Error string `json:"error"`
+}
--- /dev/null
+++ b/internal/operator/request.go
@@ -0,0 +1,16 @@
+package operator
+
+import (
+	"endivespring/internal/control"
+	"endivespring/internal/ring"
+)
+
+// Request is an operator's request on its way to the controller duty. Exactly
+// one of Change, Status and Explain is set.
+type Request struct {
+	Change  *control.OperatorChange
+	Status  bool
+	Explain *ExplainQuery
+	// Reply takes exactly one reply.
+	Reply ring.Reply[Reply]
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,147 @@
+// Package operator is the HTTP front end for operators.
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+
+	"endivespring/internal/control"
+	"endivespring/internal/fleet"
+	"endivespring/internal/preset"
+	"endivespring/internal/ring"
+	"endivespring/internal/settings"
+)
+
+const (
+	replyTimeout = 5 * time.Second // longest wait for a command's commit
+	readTimeout  = 10 * time.Second
+	idleTimeout  = 30 * time.Second
+)
+
+// Server answers operators. Every request needs the operators' token.
+type Server struct {
+	token    string
+	requests *ring.Ring[Request]
+	app      *fiber.App
+}
+
+// NewServer returns a server that hands requests to a ring.
+func NewServer(token string, requests *ring.Ring[Request]) *Server {
+	s := &Server{token: token, requests: requests}
+	s.app = fiber.New(fiber.Config{
+		DisableStartupMessage: true, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Immutable: true,
+		ErrorHandler: func(c *fiber.Ctx, err error) error {
+			code := fiber.StatusInternalServerError
+			var known *fiber.Error
+			if errors.As(err, &known) {
+				code = known.Code
+			}
+			return c.Status(code).JSON(ErrorBody{Error: err.Error()})
+		},
+	})
+	s.app.Use(s.authenticate)
+	s.app.Post("/v1/changes", s.change)
+	s.app.Get("/v1/status", s.status)
+	s.app.Get("/v1/explain", s.explain)
+	return s
+}
+
+// App returns the HTTP application.
+func (s *Server) App() *fiber.App { return s.app }
+
+func (s *Server) authenticate(c *fiber.Ctx) error {
+	given := strings.TrimPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
+	if subtle.ConstantTimeCompare([]byte(given), []byte(s.token)) != 1 {
+		return fiber.NewError(fiber.StatusUnauthorized, "operator token is missing or wrong")
+	}
+	return c.Next()
+}
+
+func (s *Server) change(c *fiber.Ctx) error {
+	var body ChangeBody
+	if err := json.Unmarshal(c.Body(), &body); err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, "body: "+err.Error())
+	}
+	change, err := body.change()
+	if err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, err.Error())
+	}
+	reply, err := s.ask(Request{Change: change})
+	if err != nil {
+		return err
+	}
+	return c.JSON(resultBody(reply.Result))
+}
+
+func (s *Server) status(c *fiber.Ctx) error {
+	reply, err := s.ask(Request{Status: true})
+	if err != nil {
+		return err
+	}
+	return c.JSON(reply.Status)
+}
+
+func (s *Server) explain(c *fiber.Ctx) error {
+	reply, err := s.ask(Request{Explain: &ExplainQuery{Service: c.Query("service"), Key: c.Query("key")}})
+	if err != nil {
+		return err
+	}
+	if reply.Explanation == nil {
+		return fiber.NewError(fiber.StatusNotFound, "unknown service "+c.Query("service"))
+	}
+	return c.JSON(reply.Explanation)
+}
+
+// ask hands a request to the controller duty and waits for the reply.
+func (s *Server) ask(request Request) (Reply, error) {
+	request.Reply = ring.NewReply[Reply]()
+	ctx, cancel := context.WithTimeout(context.Background(), replyTimeout)
+	defer cancel()
+	if err := s.requests.Put(ctx, request); err != nil {
+		return Reply{}, fiber.NewError(fiber.StatusServiceUnavailable, "control is overloaded; nothing was done")
+	}
+	select {
+	case reply := <-request.Reply.Out():
+		if reply.Redirect {
+			return Reply{}, fiber.NewError(fiber.StatusMisdirectedRequest, "this control process does not lead")
+		}
+		return reply, nil
+	case <-ctx.Done():
+		return Reply{}, fiber.NewError(fiber.StatusGatewayTimeout, "outcome unknown; send again with the same command id")
+	}
+}
+
+func (b *ChangeBody) change() (*control.OperatorChange, error) {
+	change := &control.OperatorChange{CommandID: b.CommandID, Operator: b.Operator, Expected: fleet.Version(b.Expected)}
+	parts := 0
+	if len(b.Preset) > 0 {
+		p, err := preset.Parse("preset", b.Preset)
+		if err != nil {
+			return nil, err
+		}
+		change.Preset = p
+		parts++
+	}
+	if b.DataCentre != "" {
+		change.DataCentre = &fleet.DataCentreSetting{Name: fleet.DataCentre(b.DataCentre), Out: b.Out}
+		parts++
+	}
+	if b.Upstream != "" {
+		change.Upstream = &fleet.UpstreamSetting{Name: b.Upstream, Out: b.Out}
+		parts++
+	}
+	if parts != 1 || b.CommandID == "" {
+		return nil, settings.Problems{{File: "body", Field: "commandId", Message: "needs a command id and one of preset, dataCentre and upstream"}}
+	}
+	return change, nil
+}
+
+func resultBody(r control.Result) ResultBody {
+	return ResultBody{Accepted: r.Accepted, Reason: r.Reason, Config: uint64(r.Config), View: uint64(r.Version)}
+}
--- /dev/null
+++ b/internal/router/abort_duty.go
@@ -0,0 +1,26 @@
+package router
+
+import (
+	"context"
+
+	"endivespring/internal/door"
+	"endivespring/internal/ring"
+	"endivespring/internal/upstream"
+)
+
+// abortDuty tells the upstream which runs are no longer wanted.
+type abortDuty struct {
+	client *upstream.Client
+	aborts *ring.Ring[door.Abort]
+}
+
+// Run sends cancellations until the context ends.
+func (d *abortDuty) Run(ctx context.Context) error {
+	for {
+		abort, err := d.aborts.Take(ctx)
+		if err != nil {
+			return nil
+		}
+		d.client.Cancel(abort.Upstream.Address, abort.RequestID)
+	}
+}
--- /dev/null
+++ b/internal/router/door_server.go
@@ -0,0 +1,92 @@
+package router
+
+import (
+	"context"
+	"sync/atomic"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"endivespring/internal/call"
+	"endivespring/internal/clock"
+	"endivespring/internal/ring"
+	"endivespring/internal/verdict"
+	"endivespring/internal/wire"
+	"endivespring/internal/wire/wirepb"
+)
+
+const answerCapacity = 4096 // answers waiting for one stream
+
+// doorServer takes calls of other routers' entries.
+type doorServer struct {
+	wirepb.UnimplementedDoorsServer
+	fleet string
+	clock clock.Clock
+	door  *ring.Ring[submission]
+	next  atomic.Uint64
+}
+
+// Link joins one entry's stream to the door duty.
+func (s *doorServer) Link(stream grpc.BidiStreamingServer[wirepb.DoorUp, wirepb.DoorDown]) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	id := localLink + s.next.Add(1)
+	sink := &linkSink{out: ring.New[*wirepb.DoorDown]("link-answers", answerCapacity, ring.Refuse), cut: cancel}
+	if s.door.Put(ctx, submission{link: id, open: sink}) != nil {
+		return status.Error(codes.ResourceExhausted, "door is overloaded")
+	}
+	go func() {
+		defer cancel()
+		s.receive(ctx, stream, id, sink)
+	}()
+	s.send(ctx, stream, sink)
+	s.forget(id)
+	return status.Error(codes.Unavailable, "link ended")
+}
+
+// forget tells the door duty that the link is gone. The ring may be full for a
+// moment, so this waits for room.
+func (s *doorServer) forget(id uint64) {
+	_ = s.door.PutWait(context.Background(), submission{link: id, closed: true})
+}
+
+func (s *doorServer) send(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.DoorUp, wirepb.DoorDown], sink *linkSink) {
+	for {
+		down, err := sink.out.Take(ctx)
+		if err != nil {
+			return
+		}
+		if stream.Send(down) != nil {
+			return
+		}
+	}
+}
+
+func (s *doorServer) receive(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.DoorUp, wirepb.DoorDown], id uint64, sink *linkSink) {
+	for {
+		up, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		if up.GetPing() != 0 {
+			_ = sink.out.Put(ctx, &wirepb.DoorDown{Pong: up.GetPing()})
+			continue
+		}
+		if up.GetFleet() != s.fleet {
+			return
+		}
+		s.take(ctx, up, id, sink)
+	}
+}
+
+func (s *doorServer) take(ctx context.Context, up *wirepb.DoorUp, id uint64, sink *linkSink) {
+	if up.GetCancel() != 0 {
+		_ = s.door.Put(ctx, submission{link: id, cancel: up.GetCancel()})
+		return
+	}
+	request := wire.ToCall(up.GetCall(), s.clock.Now())
+	if s.door.Put(ctx, submission{link: id, call: request}) != nil {
+		sink.answer(ctx, call.Refusal(&request, verdict.NotRun, verdict.ReasonOverloaded))
+	}
+}
--- /dev/null
+++ b/internal/router/entry_duty.go
@@ -0,0 +1,155 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"endivespring/internal/attempt"
+	"endivespring/internal/call"
+	"endivespring/internal/caller"
+	"endivespring/internal/clock"
+	"endivespring/internal/duty"
+	"endivespring/internal/event"
+	"endivespring/internal/fleet"
+	"endivespring/internal/ring"
+	"endivespring/internal/session"
+	"endivespring/internal/verdict"
+)
+
+// entryDuty owns the attempt core, the callers' requests under way and the
+// links to other doors.
+type entryDuty struct {
+	self     fleet.RouterID
+	fleet    string
+	core     *attempt.Core
+	clock    clock.Clock
+	events   event.Recorder
+	group    *duty.Group
+	requests *ring.Ring[caller.Request]
+	answers  *ring.Ring[inboundAnswer]
+	updates  *ring.Ring[session.Update]
+	door     *ring.Ring[submission]
+
+	token   uint64
+	waiting map[uint64]caller.Request
+	links   map[fleet.RouterID]*link
+}
+
+// Run steps the core until the context ends.
+func (d *entryDuty) Run(ctx context.Context) error {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+			d.core.Tick(d.clock.Now())
+		case request := <-d.requests.Out():
+			d.start(request)
+		case answer := <-d.answers.Out():
+			d.answered(&answer)
+		case update := <-d.updates.Out():
+			d.core.SetViewLease(update.ViewUntil)
+			if update.Change != nil {
+				d.core.SetView(d.clock.Now(), update.Change)
+			}
+		}
+		d.dispatch(ctx)
+		timer.Reset(d.sleep())
+	}
+}
+
+func (d *entryDuty) sleep() time.Duration {
+	deadline := d.core.Deadline()
+	if deadline == clock.Never {
+		return time.Hour
+	}
+	return max(0, deadline.Sub(d.clock.Now()))
+}
+
+func (d *entryDuty) start(request caller.Request) {
+	d.token++
+	request.Request.Token = d.token
+	d.waiting[d.token] = request
+	d.core.Start(d.clock.Now(), request.Request)
+}
+
+func (d *entryDuty) answered(in *inboundAnswer) {
+	now := d.clock.Now()
+	switch {
+	case in.ended != nil:
+		if d.links[in.from] == in.ended {
+			delete(d.links, in.from)
+		}
+		d.core.LostRouter(now, in.from)
+		d.events.Record(event.PeerLost, event.F("router", string(in.from)))
+	case in.lost:
+		d.core.Lost(now, in.answer.Number, in.verdict)
+	default:
+		d.core.Answered(now, in.from, in.answer)
+	}
+}
+
+// dispatch carries out what the core asks for until it asks for nothing more.
+func (d *entryDuty) dispatch(ctx context.Context) {
+	for {
+		out := d.core.Take()
+		for _, finish := range out.Finishes {
+			d.finish(finish)
+		}
+		for _, cancel := range out.Cancels {
+			d.cancel(ctx, cancel)
+		}
+		for _, send := range out.Sends {
+			d.send(ctx, send)
+		}
+		for _, decision := range out.Decisions {
+			d.events.Record(decision.Event, decision.Fields...)
+		}
+		if len(out.Sends) == 0 {
+			return
+		}
+	}
+}
+
+func (d *entryDuty) finish(finish attempt.Finish) {
+	if request, ok := d.waiting[finish.Token]; ok {
+		delete(d.waiting, finish.Token)
+		request.Reply.Send(finish.Answer)
+	}
+}
+
+func (d *entryDuty) send(ctx context.Context, send attempt.Send) {
+	var err error
+	if send.Router.ID == d.self {
+		err = d.door.Put(ctx, submission{link: localLink, call: send.Call})
+	} else {
+		err = d.link(send.Router).calls.Put(ctx, outgoing{call: send.Call})
+	}
+	if err != nil {
+		d.core.Lost(d.clock.Now(), send.Call.Number, verdict.NotRun)
+	}
+}
+
+func (d *entryDuty) cancel(ctx context.Context, cancel attempt.Cancel) {
+	if cancel.Router == d.self {
+		_ = d.door.Put(ctx, submission{link: localLink, cancel: cancel.Number})
+		return
+	}
+	if l := d.links[cancel.Router]; l != nil {
+		_ = l.calls.Put(ctx, outgoing{call: call.Call{Number: cancel.Number}, cancel: true})
+	}
+}
+
+// link returns the link to a router's door, opening one if there is none.
+func (d *entryDuty) link(router fleet.Router) *link {
+	l := d.links[router.ID]
+	if l != nil && l.address == router.Address {
+		return l
+	}
+	l = newLink(d.fleet, router, d.clock, d.answers, d.events)
+	d.links[router.ID] = l
+	d.group.Go("link-"+string(router.ID), l.Run)
+	return l
+}
--- /dev/null
+++ b/internal/router/node.go
@@ -0,0 +1,182 @@
+// Package router runs a router: its entry for callers, the door to the
+// upstream beside it, and its session with control.
+package router
+
+import (
+	"context"
+	"crypto/rand"
+	"math/big"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/samber/do/v2"
+	"google.golang.org/grpc"
+
+	"endivespring/internal/attempt"
+	"endivespring/internal/caller"
+	"endivespring/internal/clock"
+	"endivespring/internal/control"
+	"endivespring/internal/door"
+	"endivespring/internal/duty"
+	"endivespring/internal/event"
+	"endivespring/internal/fleet"
+	"endivespring/internal/peer"
+	"endivespring/internal/ring"
+	"endivespring/internal/session"
+	"endivespring/internal/settings"
+	"endivespring/internal/upstream"
+	"endivespring/internal/wire/wirepb"
+)
+
+const (
+	runCapacity      = 256  // runs waiting for a sender
+	updateCapacity   = 64   // view and lease updates
+	noticeCapacity   = 16   // announcements
+	doorCapacity     = 8192 // calls waiting for the door duty
+	answerRingLength = 8192 // answers waiting for the entry duty
+
+	closeTimeout = time.Second // longest wait for the session's end
+)
+
+// Node is a router process.
+type Node struct {
+	settings *settings.Router
+	group    *duty.Group
+	events   *event.Log
+	clock    clock.Clock
+	entry    *entryDuty
+	door     *doorDuty
+	session  *sessionDuty
+	caller   *caller.Server
+	announce *fiber.App
+	grpc     *grpc.Server
+}
+
+// Start opens the listeners and starts the duties. The injector provides
+// *settings.Router, *event.Log and clock.Clock.
+func Start(ctx context.Context, injector do.Injector) (*Node, error) {
+	n := &Node{
+		settings: do.MustInvoke[*settings.Router](injector), events: do.MustInvoke[*event.Log](injector),
+		clock: do.MustInvoke[clock.Clock](injector), group: duty.NewGroup(ctx),
+	}
+	listeners, err := listenAll(n.settings.Caller, n.settings.Announce, n.settings.Peer)
+	if err != nil {
+		n.group.Stop()
+		return nil, err
+	}
+	n.build()
+	n.run(listeners)
+	n.events.Record(event.ProcessStarted, event.F("role", "router"), event.F("name", n.settings.Name))
+	return n, nil
+}
+
+func listenAll(addresses ...string) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range addresses {
+		listener, err := peer.Listen(address)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, err
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+// build makes the duties and the rings between them.
+func (n *Node) build() {
+	s := n.settings
+	self := fleet.Router{ID: fleet.RouterID(s.Name), DataCentre: fleet.DataCentre(s.DataCentre), Address: s.Peer}
+	answers := ring.New[inboundAnswer]("answers", answerRingLength, ring.Wait)
+	submissions := ring.New[submission]("submissions", doorCapacity, ring.Refuse)
+	n.entry = &entryDuty{
+		self: self.ID, fleet: s.Fleet, core: attempt.New(randomSeed()), clock: n.clock, events: n.events, group: n.group,
+		requests: ring.New[caller.Request]("requests", s.Entries, ring.Refuse), answers: answers, door: submissions,
+		updates: ring.New[session.Update]("entry-updates", updateCapacity, ring.Wait),
+		waiting: map[uint64]caller.Request{}, links: map[fleet.RouterID]*link{},
+	}
+	n.door = &doorDuty{
+		core: door.New(self.ID, self.DataCentre), clock: n.clock, events: n.events, submissions: submissions,
+		outcomes:   ring.New[door.Outcome]("outcomes", runCapacity, ring.Wait),
+		updates:    ring.New[session.Update]("door-updates", updateCapacity, ring.Wait),
+		notices:    ring.New[upstream.Notice]("notices", noticeCapacity, ring.Refuse),
+		stop:       ring.New[struct{}]("door-stop", 1, ring.Refuse),
+		runs:       ring.New[door.Run]("runs", runCapacity, ring.Refuse),
+		aborts:     ring.New[door.Abort]("aborts", runCapacity, ring.DropOldest),
+		releases:   ring.New[[]control.Release]("releases", updateCapacity, ring.Refuse),
+		registered: ring.New[registration]("registrations", noticeCapacity, ring.DropOldest),
+		lostAfter:  s.Announced.Value(), drained: ring.New[struct{}]("door-drained", 1, ring.DropOldest),
+		sinks: map[uint64]answerSink{localLink: &localSink{self: self.ID, answers: answers}},
+	}
+	n.session = &sessionDuty{
+		fleet: s.Fleet, addresses: s.Control, core: session.New(self, s.Renewal.Value(), rand.Text()),
+		clock: n.clock, events: n.events, releases: n.door.releases, registered: n.door.registered,
+		closing: ring.New[struct{}]("session-closing", 1, ring.Refuse),
+		closed:  ring.New[struct{}]("session-closed", 1, ring.DropOldest),
+		entry:   n.entry.updates, door: n.door.updates,
+	}
+	n.caller = caller.NewServer(n.entry.requests, s.MaxBody)
+	n.announce = upstream.NewServer(n.door.notices).App()
+	n.grpc = peer.NewServer()
+	wirepb.RegisterDoorsServer(n.grpc, &doorServer{fleet: s.Fleet, clock: n.clock, door: submissions})
+}
+
+func (n *Node) run(listeners []net.Listener) {
+	client := upstream.NewClient(n.clock, n.settings.MaxBody)
+	n.door.startSender = func() {
+		sender := &senderDuty{client: client, runs: n.door.runs, outcomes: n.door.outcomes}
+		n.group.Go("sender", sender.Run)
+	}
+	n.group.Go("event-log", n.events.Run)
+	n.group.Go("entry", n.entry.Run)
+	n.group.Go("door", n.door.Run)
+	n.group.Go("session", n.session.Run)
+	aborts := &abortDuty{client: client, aborts: n.door.aborts}
+	n.group.Go("aborts", aborts.Run)
+	n.group.Go("caller-server", func(context.Context) error { return n.caller.App().Listener(listeners[0]) })
+	n.group.Go("announce-server", func(context.Context) error { return n.announce.Listener(listeners[1]) })
+	n.group.Go("peer-server", func(context.Context) error { return n.grpc.Serve(listeners[2]) })
+}
+
+// Stop hands shards over, finishes what runs, ends the session and stops the
+// process, each within the grace period.
+func (n *Node) Stop() {
+	n.events.Record(event.ProcessStopping, event.F("name", n.settings.Name))
+	ctx, cancel := context.WithTimeout(n.group.Context(), n.settings.Grace.Value())
+	defer cancel()
+	n.caller.Stop()
+	_ = n.door.stop.Put(ctx, struct{}{})
+	_, _ = n.door.drained.Take(ctx)
+	_ = n.caller.App().ShutdownWithContext(ctx)
+	_ = n.session.closing.Put(ctx, struct{}{})
+	ctx, cancel = context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	_, _ = n.session.closed.Take(ctx)
+	n.shutdown()
+}
+
+func (n *Node) shutdown() {
+	n.group.Stop()
+	n.grpc.Stop()
+	_ = n.announce.Shutdown()
+	_ = n.caller.App().Shutdown()
+}
+
+// Wait waits until the process has stopped and returns why it failed, if it did.
+func (n *Node) Wait() error {
+	<-n.group.Context().Done()
+	n.shutdown()
+	return n.group.Wait()
+}
+
+func randomSeed() uint64 {
+	limit := new(big.Int).SetUint64(1 << 62)
+	value, err := rand.Int(rand.Reader, limit)
+	if err != nil {
+		return 1
+	}
+	return value.Uint64()
+}
--- /dev/null
+++ b/internal/router/session_duty.go
@@ -0,0 +1,179 @@
+package router
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/control"
+	"endivespring/internal/event"
+	"endivespring/internal/peer"
+	"endivespring/internal/ring"
+	"endivespring/internal/session"
+	"endivespring/internal/wire"
+	"endivespring/internal/wire/wirepb"
+)
+
+const attachDelay = 50 * time.Millisecond // wait before the next control process is tried
+
+// sessionDuty owns the router's session: it renews it, spreads view and lease
+// to entry and door, and moves to the leader when it changes.
+type sessionDuty struct {
+	fleet      string
+	addresses  []string
+	core       *session.Core
+	clock      clock.Clock
+	events     event.Recorder
+	releases   *ring.Ring[[]control.Release]
+	registered *ring.Ring[registration]
+	closing    *ring.Ring[struct{}]
+	closed     *ring.Ring[struct{}]
+	entry      *ring.Ring[session.Update]
+	door       *ring.Ring[session.Update]
+
+	next   int
+	leader string
+}
+
+// Run keeps a stream to the leader until the context ends.
+func (d *sessionDuty) Run(ctx context.Context) error {
+	for ctx.Err() == nil && !d.core.Closed() {
+		d.attach(ctx, d.address())
+		if d.leader == "" {
+			d.pause(ctx)
+		}
+	}
+	_ = d.closed.Put(ctx, struct{}{})
+	return nil
+}
+
+// address returns the known leader's address, or the next control process in turn.
+func (d *sessionDuty) address() string {
+	if leader := d.leader; leader != "" {
+		d.leader = ""
+		return leader
+	}
+	d.next++
+	return d.addresses[d.next%len(d.addresses)]
+}
+
+// pause waits before the next try and keeps taking what others report.
+func (d *sessionDuty) pause(ctx context.Context) {
+	timer := time.NewTimer(attachDelay)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		case r := <-d.registered.Out():
+			d.core.Registration(d.clock.Now(), r.upstream, r.leaving)
+		case releases := <-d.releases.Out():
+			d.core.Release(d.clock.Now(), releases)
+		case <-d.closing.Out():
+			d.core.Close(d.clock.Now())
+		}
+	}
+}
+
+// attach runs one stream until it fails, is silent or redirects.
+func (d *sessionDuty) attach(ctx context.Context, address string) {
+	connection, err := peer.Dial(address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = connection.Close() }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.core.Connected(d.clock.Now())
+	outgoing := ring.New[session.Up]("session-up", 8, ring.DropOldest)
+	incoming := ring.New[session.Down]("session-in", 64, ring.Wait)
+	ended := ring.New[struct{}]("session-ended", 1, ring.DropOldest)
+	go func() {
+		defer func() { _ = ended.Put(ctx, struct{}{}) }()
+		d.exchange(ctx, wirepb.NewSessionsClient(connection), outgoing, incoming)
+	}()
+	d.serve(ctx, outgoing, incoming, ended)
+}
+
+// exchange joins the stream to two rings until it fails.
+func (d *sessionDuty) exchange(ctx context.Context, client wirepb.SessionsClient, outgoing *ring.Ring[session.Up], incoming *ring.Ring[session.Down]) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := client.Attach(ctx)
+	if err != nil {
+		return
+	}
+	go func() {
+		defer cancel()
+		for {
+			up, err := outgoing.Take(ctx)
+			if err != nil || stream.Send(wire.FromUp(&up, d.fleet)) != nil {
+				return
+			}
+		}
+	}()
+	for {
+		down, err := stream.Recv()
+		if err != nil || incoming.Put(ctx, wire.ToDown(down)) != nil {
+			return
+		}
+	}
+}
+
+func (d *sessionDuty) serve(ctx context.Context, outgoing *ring.Ring[session.Up], incoming *ring.Ring[session.Down], ended *ring.Ring[struct{}]) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ended.Out():
+			return
+		case <-timer.C:
+			if d.core.Silent(d.clock.Now()) {
+				d.events.Record(event.ConnectionRetired, event.F("peer", "control"))
+				return
+			}
+		case down := <-incoming.Out():
+			if !d.receive(ctx, &down) {
+				return
+			}
+		case r := <-d.registered.Out():
+			d.core.Registration(d.clock.Now(), r.upstream, r.leaving)
+		case releases := <-d.releases.Out():
+			d.core.Release(d.clock.Now(), releases)
+		case <-d.closing.Out():
+			d.core.Close(d.clock.Now())
+		}
+		if up, due := d.core.Due(d.clock.Now()); due {
+			_ = outgoing.Put(ctx, up)
+		}
+		timer.Reset(max(time.Millisecond, d.core.Deadline().Sub(d.clock.Now())))
+	}
+}
+
+// receive takes a message and reports whether the stream is still of use.
+func (d *sessionDuty) receive(ctx context.Context, down *session.Down) bool {
+	if down.Redirect {
+		d.leader = down.Leader
+		return false
+	}
+	if down.Rejected && !down.Closed {
+		d.spread(ctx, d.core.Rejected(d.clock.Now(), rand.Text()))
+		return true
+	}
+	update, resync := d.core.Receive(d.clock.Now(), down)
+	if update.Change != nil {
+		d.events.Record(event.ViewApplied, event.F("version", uint64(update.Change.To)), event.F("full", update.Change.Full))
+	}
+	d.spread(ctx, update)
+	return !resync && !d.core.Closed()
+}
+
+func (d *sessionDuty) spread(ctx context.Context, update session.Update) {
+	_ = d.entry.Put(ctx, update)
+	_ = d.door.Put(ctx, update)
+}
--- /dev/null
+++ b/internal/settings/control.go
@@ -0,0 +1,39 @@
+package settings
+
+import "github.com/samber/lo"
+
+// Control holds the settings of a control process.
+type Control struct {
+	Fleet      string        `json:"fleet" required:"true" doc:"Name of the fleet. Processes of other fleets are refused."`
+	Name       string        `json:"name" required:"true" doc:"Name of this control process; one of the peers."`
+	DataCentre string        `json:"dataCentre" required:"true" doc:"Data centre of this VM."`
+	DataFolder string        `json:"dataFolder" required:"true" doc:"Existing folder for this process's durable state."`
+	TokenFile  string        `json:"tokenFile" required:"true" doc:"File with the operators' token."`
+	Peers      []ControlPeer `json:"peers" min:"1" required:"true" doc:"All control processes of the fleet, this one included."`
+	Timing     Timing        `json:"timing" doc:"Time spans; the same at every control process."`
+	// SnapshotEntries is the number of log entries between snapshots.
+	SnapshotEntries int `json:"snapshotEntries" default:"4096" min:"16" max:"1000000" doc:"Log entries between snapshots."`
+	MaxRebalancing  int `json:"maxRebalancing" default:"16" min:"1" max:"4096" doc:"Shards of a service that may be on the move for balance at once."`
+}
+
+// Check reports problems across fields.
+func (c *Control) Check() Problems {
+	problems := c.Timing.problems()
+	names := lo.Map(c.Peers, func(p ControlPeer, _ int) string { return p.Name })
+	if !lo.Contains(names, c.Name) {
+		problems = append(problems, Problem{Field: "name", Value: c.Name, Message: "is not one of peers"})
+	}
+	for _, duplicate := range lo.FindDuplicates(names) {
+		problems = append(problems, Problem{Field: "peers", Value: duplicate, Message: "name is used twice"})
+	}
+	if len(c.Peers)%2 == 0 {
+		problems = append(problems, Problem{Field: "peers", Value: len(c.Peers), Message: "use an odd number of control processes"})
+	}
+	return problems
+}
+
+// Self returns this process's own addresses.
+func (c *Control) Self() ControlPeer {
+	self, _ := lo.Find(c.Peers, func(p ControlPeer) bool { return p.Name == c.Name })
+	return self
+}
--- /dev/null
+++ b/internal/settings/problems.go
@@ -0,0 +1,23 @@
+package settings
+
+import "strings"
+
+// Problems lists everything wrong with a file. It is an error if not empty.
+type Problems []Problem
+
+// Error returns one problem a line.
+func (p Problems) Error() string {
+	lines := make([]string, 0, len(p))
+	for _, problem := range p {
+		lines = append(lines, problem.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Or returns the problems as an error, or nil if there are none.
+func (p Problems) Or() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return p
+}
--- /dev/null
+++ b/internal/settings/router.go
@@ -0,0 +1,17 @@
+package settings
+
+// Router holds the settings of a router.
+type Router struct {
+	Fleet      string   `json:"fleet" required:"true" doc:"Name of the fleet. Processes of other fleets are refused."`
+	Name       string   `json:"name" required:"true" doc:"Name of this router; unique in the fleet."`
+	DataCentre string   `json:"dataCentre" required:"true" doc:"Data centre of this VM."`
+	Caller     string   `json:"caller" required:"true" kind:"address" doc:"Address for callers."`
+	Announce   string   `json:"announce" required:"true" kind:"address" doc:"Address where the upstream beside this router announces itself."`
+	Peer       string   `json:"peer" required:"true" kind:"address" doc:"Address for other routers."`
+	Control    []string `json:"control" min:"1" required:"true" kind:"address" doc:"Peer addresses of the control processes."`
+	MaxBody    int      `json:"maxBody" default:"1048576" min:"1024" max:"67108864" doc:"Largest request or answer body, in bytes."`
+	Entries    int      `json:"maxRequests" default:"4096" min:"16" max:"65536" doc:"Largest number of callers' requests under way."`
+	Renewal    Duration `json:"renewal" default:"300ms" min:"20ms" max:"10s" doc:"Time between renewals; the same as timing.renewal at control."`
+	Grace      Duration `json:"grace" default:"20s" min:"100ms" max:"10m" doc:"Longest time to finish work after a request to stop."`
+	Announced  Duration `json:"announceTimeout" default:"3s" min:"100ms" max:"1m" doc:"An upstream that has not announced itself for this long is lost."`
+}
--- /dev/null
+++ b/internal/settings/walker.go
@@ -0,0 +1,213 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+var durationType = reflect.TypeFor[Duration]()
+
+// walker fills a struct from decoded JSON and collects problems.
+type walker struct {
+	file     string
+	problems Problems
+}
+
+func (w *walker) problem(field string, value any, format string, args ...any) {
+	w.problems = append(w.problems, Problem{File: w.file, Field: field, Value: value, Message: fmt.Sprintf(format, args...)})
+}
+
+func (w *walker) value(path string, raw any, target reflect.Value, tag reflect.StructTag) {
+	switch {
+	case target.Type() == durationType:
+		w.duration(path, raw, target, tag)
+	case target.Kind() == reflect.Struct:
+		w.object(path, raw, target)
+	case target.Kind() == reflect.Slice:
+		w.list(path, raw, target, tag)
+	default:
+		w.scalar(path, raw, target, tag)
+	}
+}
+
+func (w *walker) object(path string, raw any, target reflect.Value) {
+	object, ok := raw.(map[string]any)
+	if !ok {
+		w.problem(name(path), raw, "must be an object")
+		return
+	}
+	known := map[string]bool{}
+	for i := range target.NumField() {
+		field := target.Type().Field(i)
+		key := field.Tag.Get("json")
+		known[key] = true
+		w.field(join(path, key), object, key, target.Field(i), field.Tag)
+	}
+	keys := lo.Keys(object)
+	slices.Sort(keys)
+	for _, key := range keys {
+		if !known[key] {
+			w.problem(join(path, key), object[key], "unknown field")
+		}
+	}
+}
+
+func (w *walker) field(path string, object map[string]any, key string, target reflect.Value, tag reflect.StructTag) {
+	raw, present := object[key]
+	if present {
+		w.value(path, raw, target, tag)
+		return
+	}
+	if tag.Get("required") == "true" {
+		w.problem(path, nil, "missing")
+		return
+	}
+	if value, ok := tag.Lookup("default"); ok {
+		w.value(path, defaultValue(value, target), target, tag)
+		return
+	}
+	if target.Kind() == reflect.Struct {
+		w.value(path, map[string]any{}, target, tag)
+	}
+}
+
+// defaultValue turns a default of a tag into what the JSON decoder would give.
+func defaultValue(value string, target reflect.Value) any {
+	switch {
+	case target.Type() == durationType || target.Kind() == reflect.String:
+		return value
+	case target.Kind() == reflect.Bool:
+		return value == "true"
+	default:
+		return json.Number(value)
+	}
+}
+
+func (w *walker) list(path string, raw any, target reflect.Value, tag reflect.StructTag) {
+	items, ok := raw.([]any)
+	if !ok {
+		w.problem(path, raw, "must be a list")
+		return
+	}
+	if low := tag.Get("min"); low != "" && len(items) < lo.Must(strconv.Atoi(low)) {
+		w.problem(path, len(items), "needs at least %s items", low)
+	}
+	target.Set(reflect.MakeSlice(target.Type(), len(items), len(items)))
+	for i, item := range items {
+		w.value(fmt.Sprintf("%s[%d]", path, i), item, target.Index(i), tag)
+	}
+}
+
+func (w *walker) duration(path string, raw any, target reflect.Value, tag reflect.StructTag) {
+	text, ok := raw.(string)
+	if !ok {
+		w.problem(path, raw, "must be a time span with its unit, such as \"400ms\"")
+		return
+	}
+	span, err := time.ParseDuration(text)
+	if err != nil {
+		w.problem(path, text, "must be a time span with its unit, such as \"400ms\"")
+		return
+	}
+	if low := tag.Get("min"); low != "" && span < lo.Must(time.ParseDuration(low)) {
+		w.problem(path, text, "must be at least %s", low)
+	}
+	if high := tag.Get("max"); high != "" && span > lo.Must(time.ParseDuration(high)) {
+		w.problem(path, text, "must be at most %s", high)
+	}
+	target.SetInt(int64(span))
+}
+
+func (w *walker) scalar(path string, raw any, target reflect.Value, tag reflect.StructTag) {
+	switch target.Kind() {
+	case reflect.String:
+		w.text(path, raw, target, tag)
+	case reflect.Bool:
+		flag, ok := raw.(bool)
+		if !ok {
+			w.problem(path, raw, "must be true or false")
+			return
+		}
+		target.SetBool(flag)
+	default:
+		w.number(path, raw, target, tag)
+	}
+}
+
+func (w *walker) text(path string, raw any, target reflect.Value, tag reflect.StructTag) {
+	text, ok := raw.(string)
+	if !ok {
+		w.problem(path, raw, "must be a text")
+		return
+	}
+	if text == "" && tag.Get("required") == "true" {
+		w.problem(path, nil, "must not be empty")
+		return
+	}
+	if tag.Get("kind") == "address" && text != "" {
+		if problem := addressProblem(text); problem != "" {
+			w.problem(path, text, "%s", problem)
+		}
+	}
+	target.SetString(text)
+}
+
+func addressProblem(text string) string {
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || net.ParseIP(host) == nil {
+		return "must be an IP number and a port, such as 10.0.0.1:7000"
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 1 || n > 65535 {
+		return "port must be from 1 to 65535"
+	}
+	return ""
+}
+
+func (w *walker) number(path string, raw any, target reflect.Value, tag reflect.StructTag) {
+	number, ok := raw.(json.Number)
+	if !ok {
+		w.problem(path, raw, "must be a number")
+		return
+	}
+	value, err := number.Float64()
+	whole := !strings.ContainsAny(number.String(), ".eE")
+	if err != nil || (target.Kind() != reflect.Float64 && !whole) {
+		w.problem(path, raw, "must be a whole number")
+		return
+	}
+	if low := tag.Get("min"); low != "" && value < lo.Must(strconv.ParseFloat(low, 64)) {
+		w.problem(path, raw, "must be at least %s", low)
+		return
+	}
+	if high := tag.Get("max"); high != "" && value > lo.Must(strconv.ParseFloat(high, 64)) {
+		w.problem(path, raw, "must be at most %s", high)
+		return
+	}
+	if target.Kind() == reflect.Float64 {
+		target.SetFloat(value)
+		return
+	}
+	target.SetInt(lo.Must(number.Int64()))
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+func name(path string) string {
+	if path == "" {
+		return "(file)"
+	}
+	return path
+}
--- /dev/null
+++ b/internal/shape/shape_test.go
@@ -0,0 +1,140 @@
+// Package shape checks the layout of the code: one type a file, doc comments
+// on public items, rings between duties, no waiting by sleeping.
+package shape
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const root = "../.."
+
+// sources returns the parsed Go files outside generated code.
+func sources(t *testing.T) (*token.FileSet, map[string]*ast.File) {
+	t.Helper()
+	set := token.NewFileSet()
+	files := map[string]*ast.File{}
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, ".pb.go") {
+			return err
+		}
+		files[path], err = parser.ParseFile(set, path, nil, parser.ParseComments)
+		return err
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 100, "only %d files found", len(files))
+	return set, files
+}
+
+func isTest(path string) bool { return strings.HasSuffix(path, "_test.go") }
+
+func TestOneTypePerFile(t *testing.T) {
+	_, files := sources(t)
+	for path, file := range files {
+		types := 0
+		for _, decl := range file.Decls {
+			if group, ok := decl.(*ast.GenDecl); ok && group.Tok == token.TYPE {
+				types += len(group.Specs)
+			}
+		}
+		if types > 1 && !isTest(path) {
+			t.Errorf("%s declares %d types", path, types)
+		}
+	}
+}
+
+func TestPublicItemsAreDocumented(t *testing.T) {
+	set, files := sources(t)
+	packages := map[string]bool{}
+	for path, file := range files {
+		if isTest(path) {
+			continue
+		}
+		packages[filepath.Dir(path)] = packages[filepath.Dir(path)] || file.Doc != nil
+		for _, decl := range file.Decls {
+			if name := undocumented(decl); name != "" {
+				t.Errorf("%s: %s has no doc comment", set.Position(decl.Pos()), name)
+			}
+		}
+	}
+	for dir, documented := range packages {
+		if !documented {
+			t.Errorf("package in %s has no doc comment", dir)
+		}
+	}
+}
+
+func undocumented(decl ast.Decl) string {
+	switch d := decl.(type) {
+	case *ast.FuncDecl:
+		if d.Name.IsExported() && d.Doc == nil {
+			return d.Name.Name
+		}
+	case *ast.GenDecl:
+		for _, spec := range d.Specs {
+			if s, ok := spec.(*ast.TypeSpec); ok && s.Name.IsExported() && d.Doc == nil && s.Doc == nil {
+				return s.Name.Name
+			}
+		}
+	}
+	return ""
+}
+
+func TestDutiesAreJoinedByRings(t *testing.T) {
+	forbidden := map[string]string{
+		"time.Sleep(": "waits by sleeping", "runtime.Gosched(": "waits by yielding", "make(chan ": "makes a channel outside ring",
+		"sync.Mutex": "locks", "sync.RWMutex": "locks", "sync.Map": "shares a map",
+		"fmt.Errorf(": "makes an error without eris", "errors.New(": "makes an error without eris",
+	}
+	_, files := sources(t)
+	for path := range files {
+		if isTest(path) || strings.Contains(path, "/internal/ring/") {
+			continue
+		}
+		data, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		for text, problem := range forbidden {
+			if strings.Contains(string(data), text) {
+				t.Errorf("%s %s", path, problem)
+			}
+		}
+	}
+}
+
+// TestCoresAreApartFromEncodings checks that decision cores import no adapter,
+// no wire format and no library that does input or output.
+func TestCoresAreApartFromEncodings(t *testing.T) {
+	cores := []string{"consensus", "control", "controller", "lease", "placement", "session", "routing", "admission", "attempt", "door", "fleet", "call"}
+	forbidden := []string{"net", "os", "io", "google.golang.org", "github.com/gofiber", "github.com/valyala", "encoding/json", "endivespring/internal/wire", "endivespring/internal/ring", "endivespring/internal/duty"}
+	_, files := sources(t)
+	for path, file := range files {
+		if isTest(path) || !contains(cores, filepath.Base(filepath.Dir(path))) {
+			continue
+		}
+		for _, spec := range file.Imports {
+			name := strings.Trim(spec.Path.Value, `"`)
+			for _, bad := range forbidden {
+				if name == bad || strings.HasPrefix(name, bad+"/") {
+					t.Errorf("%s imports %s", path, name)
+				}
+			}
+		}
+	}
+}
+
+func contains(list []string, item string) bool {
+	for _, other := range list {
+		if other == item {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/standin/settings.go
@@ -0,0 +1,26 @@
+// Package standin is an upstream for tests and demonstrations: it announces
+// itself, runs requests in a number of slots and keeps a ledger of each run.
+package standin
+
+import "time"
+
+// Settings holds what a stand-in is and how it behaves at first.
+type Settings struct {
+	Name     string
+	Service  string
+	Address  string
+	Announce string
+	// Slots is the number of requests that run at once when warm.
+	Slots int
+	// ColdSlots is the number of requests that it bears right after a start.
+	ColdSlots   int
+	Connections int
+	// ChecksGrants makes it refuse epochs older than the newest it saw.
+	ChecksGrants bool
+	// Latency is how long a run takes.
+	Latency time.Duration
+	// Ledger is the file that each run is appended to, or empty.
+	Ledger string
+	// AnnounceEvery is the time between announcements.
+	AnnounceEvery time.Duration
+}
--- /dev/null
+++ b/internal/upstream/server.go
@@ -0,0 +1,77 @@
+package upstream
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"strings"
+
+	"github.com/gofiber/fiber/v2"
+
+	"endivespring/internal/fleet"
+	"endivespring/internal/ring"
+)
+
+const (
+	maxSlots        = 1024 // requests at once that a door gives one upstream
+	maxAnnouncement = 64 << 10
+)
+
+// Server takes announcements of the upstream beside the router.
+type Server struct {
+	notices *ring.Ring[Notice]
+	app     *fiber.App
+}
+
+// NewServer returns a server that hands notices to a ring.
+func NewServer(notices *ring.Ring[Notice]) *Server {
+	s := &Server{notices: notices, app: fiber.New(fiber.Config{
+		DisableStartupMessage: true, Immutable: true, BodyLimit: maxAnnouncement,
+	})}
+	s.app.Post("/v1/announce", s.announce)
+	s.app.Post("/v1/leave", s.leave)
+	return s
+}
+
+// App returns the HTTP application.
+func (s *Server) App() *fiber.App { return s.app }
+
+func (s *Server) announce(c *fiber.Ctx) error {
+	var a Announcement
+	if err := json.Unmarshal(c.Body(), &a); err != nil {
+		return c.Status(fiber.StatusBadRequest).SendString("announcement: " + err.Error())
+	}
+	if problems := a.problems(); len(problems) > 0 {
+		return c.Status(fiber.StatusBadRequest).SendString("announcement: " + strings.Join(problems, "; "))
+	}
+	return s.put(c, Notice{Upstream: fleet.Upstream(a)})
+}
+
+func (s *Server) leave(c *fiber.Ctx) error { return s.put(c, Notice{Leaving: true}) }
+
+func (s *Server) put(c *fiber.Ctx, notice Notice) error {
+	if err := s.notices.Put(c.Context(), notice); err != nil {
+		return c.Status(fiber.StatusServiceUnavailable).SendString("router is overloaded")
+	}
+	return c.SendStatus(fiber.StatusNoContent)
+}
+
+func (a *Announcement) problems() []string {
+	var problems []string
+	if a.Name == "" || a.Service == "" {
+		problems = append(problems, "name and service must not be empty")
+	}
+	if host, _, err := net.SplitHostPort(a.Address); err != nil || net.ParseIP(host) == nil {
+		problems = append(problems, fmt.Sprintf("address %q must be an IP number and a port", a.Address))
+	}
+	if a.Slots < 1 || a.Slots > maxSlots {
+		problems = append(problems, fmt.Sprintf("slots %d must be from 1 to %d", a.Slots, maxSlots))
+	}
+	if a.ColdSlots < 0 || a.ColdSlots > a.Slots {
+		problems = append(problems, fmt.Sprintf("coldSlots %d must be from 0 to slots", a.ColdSlots))
+	}
+	if a.Connections < a.Slots {
+		problems = append(problems, fmt.Sprintf("connections %d must be at least slots", a.Connections))
+	}
+	return problems
+}
--- /dev/null
+++ b/internal/wire/command.go
@@ -0,0 +1,134 @@
+package wire
+
+import (
+	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
+
+	"endivespring/internal/control"
+	"endivespring/internal/fleet"
+	"endivespring/internal/wire/wirepb"
+)
+
+// EncodeCommand encodes a command for the log.
+func EncodeCommand(c *control.Command) ([]byte, error) {
+	data, err := proto.Marshal(fromCommand(c))
+	return data, eris.Wrap(err, "encode command")
+}
+
+// DecodeCommand decodes a command of the log.
+func DecodeCommand(data []byte) (*control.Command, error) {
+	var c wirepb.Command
+	if err := proto.Unmarshal(data, &c); err != nil {
+		return nil, eris.Wrap(err, "decode command")
+	}
+	return toCommand(&c), nil
+}
+
+func fromCommand(c *control.Command) *wirepb.Command {
+	out := &wirepb.Command{}
+	switch {
+	case c.OpenSession != nil:
+		out.OpenSession = &wirepb.OpenSession{Router: FromRouter(c.OpenSession.Router), Nonce: c.OpenSession.Nonce}
+	case c.CloseSessions != nil:
+		out.CloseSessions = &wirepb.CloseSessions{
+			Sessions: lo.Map(c.CloseSessions.Sessions, func(s fleet.Session, _ int) uint64 { return uint64(s) }),
+		}
+	case c.UpdateRouter != nil:
+		out.UpdateRouter = &wirepb.UpdateRouter{Router: FromRouter(c.UpdateRouter.Router)}
+	case c.Assign != nil:
+		out.Assign = &wirepb.Assign{
+			Grants:  lo.Map(c.Assign.Grants, func(g control.Grant, _ int) *wirepb.Grant { return fromGrant(g) }),
+			Revokes: lo.Map(c.Assign.Revokes, func(id fleet.ShardID, _ int) *wirepb.ShardID { return fromShardID(id) }),
+		}
+	case c.ReleaseShards != nil:
+		out.ReleaseShards = &wirepb.ReleaseShards{
+			Session: uint64(c.ReleaseShards.Session), Releases: FromReleases(c.ReleaseShards.Releases),
+		}
+	case c.OperatorChange != nil:
+		out.OperatorChange = fromOperatorChange(c.OperatorChange)
+	}
+	return out
+}
+
+func toCommand(c *wirepb.Command) *control.Command {
+	out := &control.Command{}
+	switch {
+	case c.GetOpenSession() != nil:
+		out.OpenSession = &control.OpenSession{Router: ToRouter(c.GetOpenSession().GetRouter()), Nonce: c.GetOpenSession().GetNonce()}
+	case c.GetCloseSessions() != nil:
+		out.CloseSessions = &control.CloseSessions{
+			Sessions: lo.Map(c.GetCloseSessions().GetSessions(), func(s uint64, _ int) fleet.Session { return fleet.Session(s) }),
+		}
+	case c.GetUpdateRouter() != nil:
+		out.UpdateRouter = &control.UpdateRouter{Router: ToRouter(c.GetUpdateRouter().GetRouter())}
+	case c.GetAssign() != nil:
+		out.Assign = &control.Assign{
+			Grants:  lo.Map(c.GetAssign().GetGrants(), func(g *wirepb.Grant, _ int) control.Grant { return toGrant(g) }),
+			Revokes: lo.Map(c.GetAssign().GetRevokes(), func(id *wirepb.ShardID, _ int) fleet.ShardID { return toShardID(id) }),
+		}
+	case c.GetReleaseShards() != nil:
+		out.ReleaseShards = &control.ReleaseShards{
+			Session: fleet.Session(c.GetReleaseShards().GetSession()), Releases: ToReleases(c.GetReleaseShards().GetReleases()),
+		}
+	case c.GetOperatorChange() != nil:
+		out.OperatorChange = toOperatorChange(c.GetOperatorChange())
+	}
+	return out
+}
+
+func fromShardID(id fleet.ShardID) *wirepb.ShardID {
+	return &wirepb.ShardID{Service: id.Service, Number: id.Number}
+}
+
+func toShardID(id *wirepb.ShardID) fleet.ShardID {
+	return fleet.ShardID{Service: id.GetService(), Number: id.GetNumber()}
+}
+
+func fromGrant(g control.Grant) *wirepb.Grant {
+	return &wirepb.Grant{Shard: fromShardID(g.Shard), Router: string(g.Router), Session: uint64(g.Session)}
+}
+
+func toGrant(g *wirepb.Grant) control.Grant {
+	return control.Grant{Shard: toShardID(g.GetShard()), Router: fleet.RouterID(g.GetRouter()), Session: fleet.Session(g.GetSession())}
+}
+
+// FromReleases converts releases.
+func FromReleases(releases []control.Release) []*wirepb.Release {
+	return lo.Map(releases, func(r control.Release, _ int) *wirepb.Release {
+		return &wirepb.Release{Shard: fromShardID(r.Shard), Epoch: uint64(r.Epoch)}
+	})
+}
+
+// ToReleases converts releases.
+func ToReleases(releases []*wirepb.Release) []control.Release {
+	return lo.Map(releases, func(r *wirepb.Release, _ int) control.Release {
+		return control.Release{Shard: toShardID(r.GetShard()), Epoch: fleet.Epoch(r.GetEpoch())}
+	})
+}
+
+func fromOperatorChange(c *control.OperatorChange) *wirepb.OperatorChange {
+	out := &wirepb.OperatorChange{
+		CommandId: c.CommandID, Operator: c.Operator, Expected: uint64(c.Expected), Preset: FromPreset(c.Preset),
+	}
+	if c.DataCentre != nil {
+		out.DataCentre = &wirepb.NamedSetting{Name: string(c.DataCentre.Name), Out: c.DataCentre.Out}
+	}
+	if c.Upstream != nil {
+		out.Upstream = &wirepb.NamedSetting{Name: c.Upstream.Name, Out: c.Upstream.Out}
+	}
+	return out
+}
+
+func toOperatorChange(c *wirepb.OperatorChange) *control.OperatorChange {
+	out := &control.OperatorChange{
+		CommandID: c.GetCommandId(), Operator: c.GetOperator(), Expected: fleet.Version(c.GetExpected()), Preset: ToPreset(c.GetPreset()),
+	}
+	if c.GetDataCentre() != nil {
+		out.DataCentre = &fleet.DataCentreSetting{Name: fleet.DataCentre(c.GetDataCentre().GetName()), Out: c.GetDataCentre().GetOut()}
+	}
+	if c.GetUpstream() != nil {
+		out.Upstream = &fleet.UpstreamSetting{Name: c.GetUpstream().GetName(), Out: c.GetUpstream().GetOut()}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/wire/session.go
@@ -0,0 +1,42 @@
+package wire
+
+import (
+	"time"
+
+	"endivespring/internal/fleet"
+	"endivespring/internal/session"
+	"endivespring/internal/wire/wirepb"
+)
+
+// FromUp converts a renewal of the named fleet.
+func FromUp(u *session.Up, fleetName string) *wirepb.SessionUp {
+	return &wirepb.SessionUp{
+		Fleet: fleetName, Nonce: u.Nonce, Session: uint64(u.Session), Sequence: u.Sequence, Applied: uint64(u.Applied),
+		Router: FromRouter(u.Router), Releases: FromReleases(u.Releases), Closing: u.Closing,
+	}
+}
+
+// ToUp converts a renewal.
+func ToUp(u *wirepb.SessionUp) session.Up {
+	return session.Up{
+		Nonce: u.GetNonce(), Session: fleet.Session(u.GetSession()), Sequence: u.GetSequence(), Applied: fleet.Version(u.GetApplied()),
+		Router: ToRouter(u.GetRouter()), Releases: ToReleases(u.GetReleases()), Closing: u.GetClosing(),
+	}
+}
+
+// FromDown converts a message to a router.
+func FromDown(d *session.Down) *wirepb.SessionDown {
+	return &wirepb.SessionDown{
+		Session: uint64(d.Session), Sequence: d.Sequence, Lease: d.Lease, OwnershipNs: int64(d.Ownership), ViewNs: int64(d.View),
+		Change: FromChange(d.Change), Redirect: d.Redirect, Leader: d.Leader, Rejected: d.Rejected, Closed: d.Closed,
+	}
+}
+
+// ToDown converts a message to a router.
+func ToDown(d *wirepb.SessionDown) session.Down {
+	return session.Down{
+		Session: fleet.Session(d.GetSession()), Sequence: d.GetSequence(), Lease: d.GetLease(),
+		Ownership: time.Duration(d.GetOwnershipNs()), View: time.Duration(d.GetViewNs()),
+		Change: ToChange(d.GetChange()), Redirect: d.GetRedirect(), Leader: d.GetLeader(), Rejected: d.GetRejected(), Closed: d.GetClosed(),
+	}
+}
--- /dev/null
+++ b/internal/wire/state.go
@@ -0,0 +1,58 @@
+package wire
+
+import (
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"endivespring/internal/control"
+	"endivespring/internal/fleet"
+	"endivespring/internal/wire/wirepb"
+)
+
+// EncodeState encodes the control state for a snapshot.
+func EncodeState(s *control.State) ([]byte, error) {
+	out := &wirepb.ControlState{View: FromChange(s.View.Full()), LastSession: uint64(s.LastSession)}
+	for _, r := range s.Results {
+		out.Results = append(out.Results, &wirepb.OperatorResult{
+			CommandId: r.CommandID, Accepted: r.Result.Accepted, Reason: r.Result.Reason,
+			Config: uint64(r.Result.Config), Version: uint64(r.Result.Version),
+		})
+	}
+	for _, o := range s.Opened {
+		out.Opened = append(out.Opened, &wirepb.OpenedSession{Nonce: o.Nonce, Session: uint64(o.Session)})
+	}
+	for service, count := range s.ShardCounts {
+		out.ShardCounts = append(out.ShardCounts, &wirepb.ShardCount{Service: service, Shards: count})
+	}
+	data, err := proto.Marshal(out)
+	return data, eris.Wrap(err, "encode control state")
+}
+
+// DecodeState decodes a snapshot of the control state. No bytes are the empty
+// state.
+func DecodeState(data []byte) (*control.State, error) {
+	var in wirepb.ControlState
+	if err := proto.Unmarshal(data, &in); err != nil {
+		return nil, eris.Wrap(err, "decode control state")
+	}
+	s := control.NewState()
+	if in.GetView() != nil {
+		s.View.Merge(ToChange(in.GetView()))
+		s.View.Version = fleet.Version(in.GetView().GetTo())
+	}
+	s.LastSession = fleet.Session(in.GetLastSession())
+	for _, r := range in.GetResults() {
+		s.Results = append(s.Results, control.OperatorResult{CommandID: r.GetCommandId(), Result: control.Result{
+			Accepted: r.GetAccepted(), Reason: r.GetReason(),
+			Config: fleet.Version(r.GetConfig()), Version: fleet.Version(r.GetVersion()),
+		}})
+	}
+	for _, o := range in.GetOpened() {
+		s.Opened = append(s.Opened, control.OpenedSession{Nonce: o.GetNonce(), Session: fleet.Session(o.GetSession())})
+	}
+	for _, c := range in.GetShardCounts() {
+		s.ShardCounts[c.GetService()] = c.GetShards()
+	}
+	s.Index()
+	return s, nil
+}
--- /dev/null
+++ b/internal/wire/wirepb/doc.go
@@ -0,0 +1,2 @@
+// Package wirepb is the generated code of endivespring.proto.
+package wirepb
--- /dev/null
+++ b/scenarios/fleet_test.go
@@ -0,0 +1,187 @@
+package scenarios
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// fleet is the processes of one scenario. Scripts of one scenario run on one
+// goroutine; the mutex guards the map against the clean-up.
+type fleet struct {
+	mu        sync.Mutex
+	processes map[string]*process
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+type fleetKey struct{}
+
+func setup(env *testscript.Env) error {
+	f := &fleet{processes: map[string]*process{}}
+	env.Values[fleetKey{}] = f
+	env.Defer(f.stop)
+	return os.WriteFile(filepath.Join(env.WorkDir, "token"), []byte("scenario-token\n"), 0o600)
+}
+
+func fleetOf(ts *testscript.TestScript) *fleet { return ts.Value(fleetKey{}).(*fleet) }
+
+func (f *fleet) stop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.processes {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+}
+
+// cmdFleet writes the settings of a fleet: fleet CONTROLS UPSTREAM...
+// Each upstream is name:service:datacentre.
+func cmdFleet(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 1 {
+		ts.Fatalf("usage: fleet CONTROLS NAME:SERVICE:DATACENTRE...")
+	}
+	var controls int
+	_, err := fmt.Sscan(args[0], &controls)
+	ts.Check(err)
+	var peers []map[string]any
+	var peerAddresses, operators []string
+	for i := range controls {
+		peer, operator := freeAddress(ts), freeAddress(ts)
+		peers = append(peers, map[string]any{"name": fmt.Sprintf("control-%d", i+1), "peer": peer, "operator": operator})
+		peerAddresses, operators = append(peerAddresses, peer), append(operators, operator)
+	}
+	for i := range controls {
+		name := fmt.Sprintf("control-%d", i+1)
+		ts.Check(os.MkdirAll(ts.MkAbs(name), 0o750))
+		writeJSON(ts, name+".json", map[string]any{
+			"fleet": "scenario", "name": name, "dataCentre": fmt.Sprintf("dc%d", i+1), "dataFolder": ts.MkAbs(name),
+			"tokenFile": ts.MkAbs("token"), "peers": peers, "snapshotEntries": 64,
+		})
+	}
+	writeJSON(ts, "operator.json", map[string]any{"name": "scenario", "control": operators, "tokenFile": ts.MkAbs("token")})
+	for _, arg := range args[1:] {
+		part := strings.Split(arg, ":")
+		caller, announce, peer, self := freeAddress(ts), freeAddress(ts), freeAddress(ts), freeAddress(ts)
+		writeJSON(ts, "router-"+part[0]+".json", map[string]any{
+			"fleet": "scenario", "name": "router-" + part[0], "dataCentre": part[2], "caller": caller,
+			"announce": announce, "peer": peer, "control": peerAddresses, "announceTimeout": "1500ms",
+		})
+		ts.Setenv("caller_"+part[0], caller)
+		ts.Setenv("args_"+part[0], strings.Join([]string{
+			"--name", part[0], "--service", part[1], "--address", self, "--announce", announce, "--ledger", ts.MkAbs(part[0] + ".ledger"),
+		}, " "))
+	}
+}
+
+func writeJSON(ts *testscript.TestScript, name string, value any) {
+	data, err := json.MarshalIndent(value, "", "  ")
+	ts.Check(err)
+	ts.Check(os.WriteFile(ts.MkAbs(name), data, 0o640))
+}
+
+var (
+	portMu   sync.Mutex
+	portUsed = map[string]bool{}
+)
+
+// freeAddress returns a loopback address that no scenario of this run uses.
+func freeAddress(ts *testscript.TestScript) string {
+	portMu.Lock()
+	defer portMu.Unlock()
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		address := listener.Addr().String()
+		ts.Check(listener.Close())
+		if !portUsed[address] {
+			portUsed[address] = true
+			return address
+		}
+	}
+}
+
+// cmdStart starts processes: start control-1 router-u1 u1 [--flag...]
+// Flags after a name go to the stand-in of that name.
+func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
+	for i := 0; i < len(args); i++ {
+		name := args[i]
+		var extra []string
+		for i+1 < len(args) && strings.HasPrefix(args[i+1], "--") {
+			i++
+			extra = append(extra, args[i])
+		}
+		role, _, _ := strings.Cut(name, "-")
+		command := append([]string{"standin"}, strings.Fields(ts.Getenv("args_"+name))...)
+		if role == "control" || role == "router" {
+			command = []string{role, "--settings", name + ".json"}
+		}
+		startProcess(ts, name, append(command, extra...))
+	}
+}
+
+func startProcess(ts *testscript.TestScript, name string, command []string) {
+	log, err := os.OpenFile(ts.MkAbs(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
+	ts.Check(err)
+	binary, err := exec.LookPath("endivespring")
+	ts.Check(err)
+	cmd := exec.Command(binary, command...)
+	cmd.Dir = ts.MkAbs(".")
+	cmd.Stdout, cmd.Stderr = log, log
+	ts.Check(cmd.Start())
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = cmd.Wait()
+		_ = log.Close()
+		close(p.done)
+	}()
+	f := fleetOf(ts)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.processes[name] = p
+}
+
+// cmdSignal sends a signal: signal KILL|STOP|CONT|TERM NAME...
+// After KILL it waits until the process is gone.
+func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
+	signals := map[string]syscall.Signal{"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM}
+	for _, name := range args[1:] {
+		p := fleetOf(ts).processes[name]
+		if p == nil {
+			ts.Fatalf("no process %s", name)
+		}
+		ts.Check(p.cmd.Process.Signal(signals[args[0]]))
+		if args[0] == "KILL" {
+			<-p.done
+		}
+	}
+}
+
+// cmdAwait waits for processes to end with exit code 0 (or not, with !).
+func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
+	for _, name := range args {
+		p := fleetOf(ts).processes[name]
+		select {
+		case <-p.done:
+		case <-time.After(40 * time.Second):
+			ts.Fatalf("%s did not end", name)
+		}
+		if (p.err != nil) != neg {
+			ts.Fatalf("%s ended with %v", name, p.err)
+		}
+	}
+}
--- /dev/null
+++ b/scenarios/scenarios_test.go
@@ -0,0 +1,33 @@
+// Package scenarios runs scripted scenarios on separate processes.
+package scenarios
+
+import (
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"endivespring/internal/command"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"endivespring": func() { os.Exit(command.Main()) },
+	})
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   ".",
+		Setup: setup,
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"fleet":      cmdFleet,
+			"start":      cmdStart,
+			"signal":     cmdSignal,
+			"await":      cmdAwait,
+			"eventually": cmdEventually,
+			"request":    cmdRequest,
+			"ledger":     cmdLedger,
+		},
+	})
+}
