--- /dev/null
+++ b/internal/capacity/control_test.go
@@ -0,0 +1,146 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/control"
+	"endivespring/internal/controller"
+	"endivespring/internal/fleet"
+	"endivespring/internal/lease"
+	"endivespring/internal/placement"
+	"endivespring/internal/session"
+	"endivespring/internal/storage"
+	"endivespring/internal/wire"
+
+	"endivespring/internal/consensus"
+)
+
+var timing = lease.Timing{Ownership: time.Second, View: 3 * time.Second, Margin: 40 * time.Millisecond}
+
+func leading(state *control.State, now clock.Instant) *controller.Core {
+	core := controller.New(timing, placement.Limits{MaxRebalancing: 16}, func(string) string { return "" })
+	core.Restore(state)
+	core.Lead(now, controller.Leadership{Leads: true, Term: 1, LeaseUntil: clock.Never})
+	core.Take()
+	return core
+}
+
+// BenchmarkRenewal measures one renewal at the leader, with its encoding.
+func BenchmarkRenewal(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("routers=%d/shards=%d", size[0], size[1]), func(b *testing.B) {
+			state := fleetOf(size[0], size[1])
+			core := leading(state, 1)
+			var up, down, count int
+			for b.Loop() {
+				i := count % size[0]
+				router := routerOf(i)
+				router.Session = fleet.Session(i + 1)
+				renewal := session.Up{Session: router.Session, Sequence: uint64(count), Applied: state.View.Version, Router: router, Nonce: fmt.Sprintf("nonce-%06d", i)}
+				message := wire.FromUp(&renewal, "fleet")
+				up += proto.Size(message)
+				decoded := wire.ToUp(message)
+				core.Renewal(clock.Instant(count), controller.StreamID(i), &decoded)
+				for _, send := range core.Take().Sends {
+					down += proto.Size(wire.FromDown(&send.Down))
+				}
+				count++
+			}
+			b.ReportMetric(float64(up)/float64(count), "up-B")
+			b.ReportMetric(float64(down)/float64(count), "down-B")
+		})
+	}
+}
+
+// BenchmarkCommitBroadcast measures a committed change at the leader with every
+// router attached: applying it and queueing it for each stream.
+func BenchmarkCommitBroadcast(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("routers=%d/shards=%d", size[0], size[1]), func(b *testing.B) {
+			state := fleetOf(size[0], size[1])
+			core := leading(state, 1)
+			for i := range size[0] {
+				router := routerOf(i)
+				router.Session = fleet.Session(i + 1)
+				core.Renewal(1, controller.StreamID(i), &session.Up{Session: router.Session, Applied: state.View.Version, Router: router})
+			}
+			core.Take()
+			out := 0
+			for i := 0; b.Loop(); i++ {
+				core.Committed(clock.Instant(i), &control.Command{OperatorChange: &control.OperatorChange{
+					CommandID: fmt.Sprint(i), Expected: state.View.Config, DataCentre: &fleet.DataCentreSetting{Name: "dc-00", Out: i%2 == 0},
+				}})
+				out += len(core.Take().Sends)
+			}
+			b.ReportMetric(float64(out)/float64(b.N), "sends")
+		})
+	}
+}
+
+// BenchmarkPlan measures a plan for a settled fleet, and after one router of it
+// was lost.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range sizes {
+		for _, lost := range []bool{false, true} {
+			b.Run(fmt.Sprintf("routers=%d/shards=%d/lost=%v", size[0], size[1], lost), func(b *testing.B) {
+				state := fleetOf(size[0], size[1])
+				if lost {
+					state.Apply(&control.Command{CloseSessions: &control.CloseSessions{Sessions: []fleet.Session{1}}})
+				}
+				grants := 0
+				for b.Loop() {
+					grants = len(placement.Plan(state.View, placement.Limits{MaxRebalancing: 16}).Grants)
+				}
+				b.ReportMetric(float64(grants), "grants")
+			})
+		}
+	}
+}
+
+// BenchmarkSnapshot measures the snapshot of the control state: bytes, memory
+// and the time to encode it.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("routers=%d/shards=%d", size[0], size[1]), func(b *testing.B) {
+			var state *control.State
+			heap := heapOf(func() *control.State { state = fleetOf(size[0], size[1]); return state })
+			var data []byte
+			for b.Loop() {
+				var err error
+				data, err = wire.EncodeState(state)
+				assert.NilError(b, err)
+			}
+			b.ReportMetric(float64(len(data)), "snapshot-B")
+			b.ReportMetric(float64(heap), "heap-B")
+		})
+	}
+}
+
+// BenchmarkSyncedAppend measures one synced write of a batch of commands.
+func BenchmarkSyncedAppend(b *testing.B) {
+	for _, batch := range []int{1, 16, 256} {
+		b.Run(fmt.Sprintf("commands=%d", batch), func(b *testing.B) {
+			disk, _, err := storage.Open(b.TempDir(), "fleet", "control-1")
+			assert.NilError(b, err)
+			defer func() { _ = disk.Close() }()
+			data, err := wire.EncodeCommand(&control.Command{OperatorChange: &control.OperatorChange{CommandID: "command", Preset: presetOf(1600)}})
+			assert.NilError(b, err)
+			index := uint64(0)
+			for b.Loop() {
+				var entries []consensus.Entry
+				for range batch {
+					index++
+					entries = append(entries, consensus.Entry{Index: index, Term: 1, Data: data})
+				}
+				assert.NilError(b, disk.Append(nil, entries))
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*batch), "ns/command")
+		})
+	}
+}
--- /dev/null
+++ b/internal/capacity/fleet_test.go
@@ -0,0 +1,74 @@
+// Package capacity measures how state, time and memory of each role grow with
+// the fleet. docs/CAPACITY.md is worked out from these benchmarks.
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"endivespring/internal/control"
+	"endivespring/internal/fleet"
+)
+
+const slotsPerUpstream = 10
+
+// fleetOf returns the control state of a settled fleet: every router has an
+// upstream, and each of four services an equal part of the shards.
+func fleetOf(routers, shards int) *control.State {
+	state := control.NewState()
+	state.Apply(&control.Command{OperatorChange: &control.OperatorChange{CommandID: "preset", Preset: presetOf(shards)}})
+	for i := range routers {
+		state.Apply(&control.Command{OpenSession: &control.OpenSession{Nonce: fmt.Sprintf("nonce-%06d", i), Router: routerOf(i)}})
+	}
+	assign := &control.Assign{}
+	for i := range shards {
+		service := i % services
+		owner := (i/services%(routers/services))*services + service
+		assign.Grants = append(assign.Grants, control.Grant{
+			Shard:  fleet.ShardID{Service: serviceName(service), Number: uint32(i / services)},
+			Router: routerOf(owner).ID, Session: fleet.Session(owner + 1),
+		})
+	}
+	state.Apply(&control.Command{Assign: assign})
+	return state
+}
+
+const services = 4
+
+func serviceName(i int) string { return fmt.Sprintf("service-%d", i) }
+
+func presetOf(shards int) *fleet.Preset {
+	p := &fleet.Preset{Name: "ordinary"}
+	for i := range services {
+		p.Services = append(p.Services, fleet.Service{
+			Name: serviceName(i), Keyed: i%2 == 0, Shards: uint32(shards / services), QueueLimit: 64, RetryBudget: 0.1,
+			RecordWindow: 10 * time.Minute,
+			Operations:   []fleet.Operation{{Name: "lookup", Idempotent: true, Deadline: time.Second}, {Name: "change", Deadline: time.Second}},
+		})
+	}
+	return p
+}
+
+func routerOf(i int) fleet.Router {
+	address := fmt.Sprintf("10.%d.%d.%d", i>>16, i>>8&255, i&255)
+	return fleet.Router{
+		ID: fleet.RouterID(fmt.Sprintf("router-%05d", i)), DataCentre: fleet.DataCentre(fmt.Sprintf("dc-%02d", i%18)), Address: address + ":7400",
+		Upstream: fleet.Upstream{
+			Name: fmt.Sprintf("upstream-%05d", i), Service: serviceName(i % services), Address: address + ":9000", Boot: "B4RC5G2T4WQ7E",
+			Slots: slotsPerUpstream, ColdSlots: 2, Connections: 130, ChecksGrants: true,
+		},
+	}
+}
+
+// heapOf returns the bytes that build leaves on the heap.
+func heapOf[T any](build func() T) uint64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return after.HeapAlloc - min(before.HeapAlloc, after.HeapAlloc)
+}
--- /dev/null
+++ b/internal/capacity/request_test.go
@@ -0,0 +1,92 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/admission"
+	"endivespring/internal/attempt"
+	"endivespring/internal/call"
+	"endivespring/internal/clock"
+	"endivespring/internal/door"
+	"endivespring/internal/verdict"
+)
+
+// BenchmarkEntryRequest measures the entry core's part of one good request.
+func BenchmarkEntryRequest(b *testing.B) {
+	for _, size := range sizes {
+		for _, service := range []int{0, 1} {
+			b.Run(fmt.Sprintf("routers=%d/keyed=%v", size[0], service == 0), func(b *testing.B) {
+				core := attempt.New(1)
+				assert.Assert(b, core.SetView(0, fleetOf(size[0], size[1]).View.Full()))
+				core.SetViewLease(clock.Never)
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now := clock.Instant(i) * 1000
+					core.Start(now, attempt.Request{Token: uint64(i + 1), ID: "request", Service: serviceName(service), Operation: "lookup", Key: fmt.Sprint(i)})
+					sends := core.Take().Sends
+					assert.Equal(b, len(sends), 1)
+					core.Answered(now+500, sends[0].Router.ID, call.Answer{Number: sends[0].Call.Number, RequestID: "request", Verdict: verdict.Ran, Load: call.Load{Limit: slotsPerUpstream}})
+					assert.Equal(b, len(core.Take().Finishes), 1)
+				}
+			})
+		}
+	}
+}
+
+// doorOf returns the door of router 1, which serves an unkeyed service.
+func doorOf() *door.Core {
+	state := fleetOf(8, 64)
+	core := door.New(routerOf(1).ID, routerOf(1).DataCentre)
+	core.SetView(1, state.View.Full())
+	core.SetLease(1, 2, clock.Never, clock.Never)
+	core.Announce(1, routerOf(1).Upstream)
+	return core
+}
+
+// BenchmarkDoorRequest measures the door core's part of one good request.
+func BenchmarkDoorRequest(b *testing.B) {
+	for _, idempotent := range []bool{true, false} {
+		b.Run(fmt.Sprintf("idempotent=%v", idempotent), func(b *testing.B) {
+			core := doorOf()
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				// A millisecond a request lets records expire after their window.
+				runOne(b, core, i, clock.Instant(i)*clock.Instant(20*time.Millisecond), idempotent)
+			}
+		})
+	}
+}
+
+func runOne(b testing.TB, core *door.Core, i int, now clock.Instant, idempotent bool) {
+	b.Helper()
+	request := call.Call{
+		Number: uint64(i + 1), RequestID: fmt.Sprintf("0123456789abcdef-%d", i), Service: serviceName(1), Operation: "lookup",
+		Idempotent: idempotent, Sharded: !idempotent, Deadline: now + clock.Instant(time.Second),
+	}
+	core.Submit(now, door.Ticket{Link: 1, Number: request.Number}, request)
+	runs := core.Take().Runs
+	assert.Equal(b, len(runs), 1)
+	answer := call.Answer{Verdict: verdict.Ran, Status: 200, Body: make([]byte, 100)}
+	core.Complete(now+1000, door.Outcome{Run: runs[0].ID, Answer: answer, Health: admission.Good})
+	assert.Equal(b, len(core.Take().Replies), 1)
+}
+
+// BenchmarkRecords measures the memory of one remembered request id with its
+// answer of 100 bytes.
+func BenchmarkRecords(b *testing.B) {
+	const records = 50000
+	for b.Loop() {
+		heap := heapOf(func() *door.Core {
+			core := doorOf()
+			for i := range records {
+				runOne(b, core, i, clock.Instant(i), false)
+			}
+			return core
+		})
+		b.ReportMetric(float64(heap)/records, "B/record")
+	}
+}
