Keep shards in a table by service and number

A map entry holds the shard's id twice, and every decoded shard its own copy of the owner's name. Ruled out: dropping the owner (needed to tell who holds a shard whose session is no longer current).

Change: a slice for each service, indexed by shard number, with owners' names kept once. Iteration is now in order, so that sorting after it goes.

--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -121,12 +121,11 @@
 		}
 	}
 	slices.Sort(change.Removed)
-	for _, shard := range s.View.Shards {
+	for shard := range s.View.Shards.All() {
 		if shard.Phase != fleet.ShardFree && closed[shard.Session] {
 			change.Shards = append(change.Shards, freed(shard))
 		}
 	}
-	sortShards(change.Shards)
 	return Result{Accepted: true}
 }
 
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -40,7 +40,7 @@
 		applied[s.session] = max(applied[s.session], s.applied)
 	}
 	shards := map[fleet.Session]int{}
-	for _, shard := range c.state.View.Shards {
+	for shard := range c.state.View.Shards.All() {
 		if shard.Phase != fleet.ShardFree {
 			shards[shard.Session]++
 		}
--- a/internal/door/core.go
+++ b/internal/door/core.go
@@ -102,7 +102,8 @@
 
 // adoptShards makes the holdings follow the view.
 func (c *Core) adoptShards(now clock.Instant) {
-	for id, shard := range c.view.Shards {
+	for shard := range c.view.Shards.All() {
+		id := shard.ID
 		h := c.holdings[id]
 		switch {
 		case c.session == 0 || !shard.OwnedBy(c.session):
--- /dev/null
+++ b/internal/fleet/shard_table.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"iter"
+	"slices"
+
+	"github.com/samber/lo"
+)
+
+// maxNames bounds the memory of owners' names, most of which may be gone.
+const maxNames = 16384
+
+// ShardTable holds the ownership of shards by service and number. A shard that
+// was never set is free. It is owned by one duty.
+type ShardTable struct {
+	services map[string][]shardEntry
+	// names holds one copy of each owner's name.
+	names map[RouterID]RouterID
+}
+
+// NewShardTable returns an empty table.
+func NewShardTable() *ShardTable {
+	return &ShardTable{services: map[string][]shardEntry{}, names: map[RouterID]RouterID{}}
+}
+
+// Get returns a shard.
+func (t *ShardTable) Get(id ShardID) Shard {
+	entries := t.services[id.Service]
+	if int(id.Number) >= len(entries) {
+		return Shard{ID: id}
+	}
+	return entries[id.Number].shard(id)
+}
+
+// Set replaces a shard.
+func (t *ShardTable) Set(s Shard) {
+	entries := t.services[s.ID.Service]
+	if missing := int(s.ID.Number) + 1 - len(entries); missing > 0 {
+		entries = append(entries, make([]shardEntry, missing)...)
+		t.services[s.ID.Service] = entries
+	}
+	entries[s.ID.Number] = shardEntry{owner: t.intern(s.Owner), session: s.Session, epoch: s.Epoch, phase: s.Phase}
+}
+
+// All returns the shards that were ever granted, by service and number.
+func (t *ShardTable) All() iter.Seq[Shard] {
+	return func(yield func(Shard) bool) {
+		names := lo.Keys(t.services)
+		slices.Sort(names)
+		for _, name := range names {
+			for number, entry := range t.services[name] {
+				if entry.epoch > 0 && !yield(entry.shard(ShardID{Service: name, Number: uint32(number)})) {
+					return
+				}
+			}
+		}
+	}
+}
+
+func (t *ShardTable) intern(name RouterID) RouterID {
+	if known, ok := t.names[name]; ok {
+		return known
+	}
+	if len(t.names) >= maxNames {
+		clear(t.names)
+	}
+	t.names[name] = name
+	return name
+}
+
+func (e shardEntry) shard(id ShardID) Shard {
+	return Shard{ID: id, Phase: e.phase, Owner: e.owner, Session: e.session, Epoch: e.epoch}
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -15,7 +15,7 @@
 	Config         Version
 	Preset         *Preset
 	Routers        map[RouterID]Router
-	Shards         map[ShardID]Shard
+	Shards         *ShardTable
 	DataCentresOut map[DataCentre]bool
 	UpstreamsOut   map[string]bool
 }
@@ -24,7 +24,7 @@
 func NewView() *View {
 	return &View{
 		Routers:        map[RouterID]Router{},
-		Shards:         map[ShardID]Shard{},
+		Shards:         NewShardTable(),
 		DataCentresOut: map[DataCentre]bool{},
 		UpstreamsOut:   map[string]bool{},
 	}
@@ -57,7 +57,7 @@
 		delete(v.Routers, id)
 	}
 	for _, shard := range c.Shards {
-		v.Shards[shard.ID] = shard
+		v.Shards.Set(shard)
 	}
 	v.mergeSettings(c)
 }
@@ -77,10 +77,7 @@
 	c := &Change{To: v.Version, Full: true, Preset: v.Preset, Config: v.Config}
 	c.Routers = lo.Values(v.Routers)
 	slices.SortFunc(c.Routers, func(a, b Router) int { return cmp.Compare(a.ID, b.ID) })
-	c.Shards = lo.Values(v.Shards)
-	slices.SortFunc(c.Shards, func(a, b Shard) int {
-		return cmp.Or(cmp.Compare(a.ID.Service, b.ID.Service), cmp.Compare(a.ID.Number, b.ID.Number))
-	})
+	c.Shards = slices.Collect(v.Shards.All())
 	for _, name := range sortedKeys(v.DataCentresOut) {
 		c.DataCentres = append(c.DataCentres, DataCentreSetting{Name: name, Out: true})
 	}
@@ -104,12 +101,7 @@
 }
 
 // Shard returns the ownership of a shard. An unknown shard is free.
-func (v *View) Shard(id ShardID) Shard {
-	if shard, ok := v.Shards[id]; ok {
-		return shard
-	}
-	return Shard{ID: id}
-}
+func (v *View) Shard(id ShardID) Shard { return v.Shards.Get(id) }
 
 func setOrDelete[K comparable](m map[K]bool, key K, value bool) {
 	if value {
