Let scenarios cut, hold, silence, delay and heal paths between processes

Cause: no scenario could split processes that stay alive. A relay for each path between named processes; 'fleet relayed' writes the relays' addresses into the settings, 'path' changes them. Ruled out: packet filters (need rights) and one relay a process (can't split one pair). All routers dial a router by one address, so paths between routers are told apart by their far end only. A router may now advertise an address other than the one that it listens on, and follows a redirect only to a control address of its own settings; it tries the others in turn otherwise.

--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -89,7 +89,7 @@
 // build makes the duties and the rings between them.
 func (n *Node) build() {
 	s := n.settings
-	self := fleet.Router{ID: fleet.RouterID(s.Name), DataCentre: fleet.DataCentre(s.DataCentre), Address: s.Peer}
+	self := fleet.Router{ID: fleet.RouterID(s.Name), DataCentre: fleet.DataCentre(s.DataCentre), Address: s.Reached()}
 	answers := ring.New[inboundAnswer]("answers", answerRingLength, ring.Wait)
 	submissions := ring.New[submission]("submissions", doorCapacity, ring.Refuse)
 	n.entry = &entryDuty{
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"slices"
 	"time"
 
 	"endivespring/internal/clock"
@@ -158,7 +159,9 @@
 // receive takes a message and reports whether the stream is still of use.
 func (d *sessionDuty) receive(ctx context.Context, down *session.Down) bool {
 	if down.Redirect {
-		d.leader = down.Leader
+		if slices.Contains(d.addresses, down.Leader) {
+			d.leader = down.Leader
+		}
 		return false
 	}
 	if down.Rejected && !down.Closed {
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -8,6 +8,7 @@
 	Caller     string   `json:"caller" required:"true" kind:"address" doc:"Address for callers."`
 	Announce   string   `json:"announce" required:"true" kind:"address" doc:"Address where the upstream beside this router announces itself."`
 	Peer       string   `json:"peer" required:"true" kind:"address" doc:"Address for other routers."`
+	Advertise  string   `json:"advertise" kind:"address" doc:"Address by which other routers reach this one, if it differs from peer."`
 	Control    []string `json:"control" min:"1" required:"true" kind:"address" doc:"Peer addresses of the control processes."`
 	MaxBody    int      `json:"maxBody" default:"1048576" min:"1024" max:"67108864" doc:"Largest request or answer body, in bytes."`
 	Entries    int      `json:"maxRequests" default:"4096" min:"16" max:"65536" doc:"Largest number of callers' requests under way."`
@@ -15,3 +16,11 @@
 	Grace      Duration `json:"grace" default:"20s" min:"100ms" max:"10m" doc:"Longest time to finish work after a request to stop."`
 	Announced  Duration `json:"announceTimeout" default:"3s" min:"100ms" max:"1m" doc:"An upstream that has not announced itself for this long is lost."`
 }
+
+// Reached returns the address by which other routers reach this one.
+func (r *Router) Reached() string {
+	if r.Advertise != "" {
+		return r.Advertise
+	}
+	return r.Peer
+}
--- a/scenarios/check_test.go
+++ b/scenarios/check_test.go
@@ -47,6 +47,13 @@
 // body. Status, headers and body go to the file "answer". With ! the answer's
 // verdict must not be ran.
 func cmdRequest(ts *testscript.TestScript, neg bool, args []string) {
+	if ran, answer := send(ts, args); ran == neg {
+		ts.Fatalf("unexpected answer:\n%s", answer)
+	}
+}
+
+// send sends a request as cmdRequest describes and reports whether it ran.
+func send(ts *testscript.TestScript, args []string) (ran bool, answer string) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	request.Header.SetMethod("POST")
 	request.SetRequestURI("http://" + ts.Getenv("caller_"+args[0]) + "/v1/" + args[1])
@@ -60,15 +67,12 @@
 		request.Header.Set(headers[name], value)
 	}
 	err := fasthttp.DoTimeout(request, response, 15*time.Second)
-	answer := response.String()
+	answer = response.String()
 	if err != nil {
 		answer = err.Error()
 	}
 	ts.Check(os.WriteFile(ts.MkAbs("answer"), []byte(answer), 0o640))
-	ran := string(response.Header.Peek("Endivespring-Verdict")) == "ran"
-	if ran == neg {
-		ts.Fatalf("unexpected answer:\n%s", answer)
-	}
+	return string(response.Header.Peek("Endivespring-Verdict")) == "ran", answer
 }
 
 // cmdLedger checks all ledgers: ledger once PREFIX (each request id with the
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -20,6 +20,9 @@
 type fleet struct {
 	mu        sync.Mutex
 	processes map[string]*process
+	// relaying is set if the processes reach each other through relays.
+	relaying bool
+	relays   map[pathName]*relay
 }
 
 type process struct {
@@ -31,7 +34,7 @@
 type fleetKey struct{}
 
 func setup(env *testscript.Env) error {
-	f := &fleet{processes: map[string]*process{}}
+	f := &fleet{processes: map[string]*process{}, relays: map[pathName]*relay{}}
 	env.Values[fleetKey{}] = f
 	env.Defer(f.stop)
 	return os.WriteFile(filepath.Join(env.WorkDir, "token"), []byte("scenario-token\n"), 0o600)
@@ -47,26 +50,36 @@
 		_ = p.cmd.Process.Kill()
 		<-p.done
 	}
+	for _, r := range f.relays {
+		r.stop()
+	}
 }
 
-// cmdFleet writes the settings of a fleet: fleet CONTROLS UPSTREAM...
-// Each upstream is name:service:datacentre.
+// cmdFleet writes the settings of a fleet: fleet [relayed] CONTROLS UPSTREAM...
+// Each upstream is name:service:datacentre. With "relayed" the command path can
+// change the paths between processes.
 func cmdFleet(ts *testscript.TestScript, neg bool, args []string) {
+	f := fleetOf(ts)
+	if len(args) > 0 && args[0] == "relayed" {
+		f.relaying = true
+		args = args[1:]
+	}
 	if neg || len(args) < 1 {
-		ts.Fatalf("usage: fleet CONTROLS NAME:SERVICE:DATACENTRE...")
+		ts.Fatalf("usage: fleet [relayed] CONTROLS NAME:SERVICE:DATACENTRE...")
 	}
 	var controls int
 	_, err := fmt.Sscan(args[0], &controls)
 	ts.Check(err)
-	var peers []map[string]any
-	var peerAddresses, operators []string
+	var names, peerAddresses, operators []string
 	for i := range controls {
-		peer, operator := freeAddress(ts), freeAddress(ts)
-		peers = append(peers, map[string]any{"name": fmt.Sprintf("control-%d", i+1), "peer": peer, "operator": operator})
-		peerAddresses, operators = append(peerAddresses, peer), append(operators, operator)
+		names = append(names, fmt.Sprintf("control-%d", i+1))
+		peerAddresses, operators = append(peerAddresses, freeAddress(ts)), append(operators, freeAddress(ts))
 	}
-	for i := range controls {
-		name := fmt.Sprintf("control-%d", i+1)
+	for i, name := range names {
+		var peers []map[string]any
+		for j, other := range names {
+			peers = append(peers, map[string]any{"name": other, "peer": f.relayed(ts, name, other, peerAddresses[j]), "operator": operators[j]})
+		}
 		ts.Check(os.MkdirAll(ts.MkAbs(name), 0o750))
 		writeJSON(ts, name+".json", map[string]any{
 			"fleet": "scenario", "name": name, "dataCentre": fmt.Sprintf("dc%d", i+1), "dataFolder": ts.MkAbs(name),
@@ -77,9 +90,14 @@
 	for _, arg := range args[1:] {
 		part := strings.Split(arg, ":")
 		caller, announce, peer, self := freeAddress(ts), freeAddress(ts), freeAddress(ts), freeAddress(ts)
-		writeJSON(ts, "router-"+part[0]+".json", map[string]any{
-			"fleet": "scenario", "name": "router-" + part[0], "dataCentre": part[2], "caller": caller,
-			"announce": announce, "peer": peer, "control": peerAddresses, "announceTimeout": "1500ms",
+		router := "router-" + part[0]
+		var reached []string
+		for j, name := range names {
+			reached = append(reached, f.relayed(ts, router, name, peerAddresses[j]))
+		}
+		writeJSON(ts, router+".json", map[string]any{
+			"fleet": "scenario", "name": router, "dataCentre": part[2], "caller": caller, "announce": announce, "peer": peer,
+			"advertise": f.relayed(ts, "routers", router, peer), "control": reached, "announceTimeout": "1500ms",
 		})
 		ts.Setenv("caller_"+part[0], caller)
 		ts.Setenv("args_"+part[0], strings.Join([]string{
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -22,7 +22,9 @@
 		Setup: setup,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"fleet":      cmdFleet,
+			"path":       cmdPath,
 			"start":      cmdStart,
+			"until":      cmdUntil,
 			"signal":     cmdSignal,
 			"await":      cmdAwait,
 			"eventually": cmdEventually,
