Let the stand-in misbehave on command

Ruled out: one flag for each fault (a run-time change would need a second way); fixed slots that take jobs from a ring by themselves (neither epoch check nor concurrency would be exact at the start of a run).

Change: a scheduler duty owns what runs, the newest epochs and what the stand-in bears. Behaviour comes as JSON by flag and by POST /behaviour. The ledger records started, finished, cancelled, overloaded and fenced with the concurrency and its peak. Grants are checked for expiry by the wall clock of the shared VM. /cancel and the deadline end a run; its answer says so, and the router takes that as may-have-run.

--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"time"
 
@@ -11,7 +12,10 @@
 )
 
 // Standin runs a stand-in upstream.
-type Standin struct{ settings standin.Settings }
+type Standin struct {
+	settings  standin.Settings
+	behaviour string
+}
 
 // Name returns the subcommand's name.
 func (*Standin) Name() string { return "standin" }
@@ -36,8 +40,10 @@
 	f.IntVar(&c.settings.Slots, "slots", 10, "requests that run at once when warm")
 	f.IntVar(&c.settings.ColdSlots, "cold-slots", 2, "requests that it bears right after a start")
 	f.IntVar(&c.settings.Connections, "connections", 130, "largest number of connections")
-	f.BoolVar(&c.settings.ChecksGrants, "checks-grants", true, "refuse stale epochs")
+	f.BoolVar(&c.settings.ChecksGrants, "checks-grants", true, "refuse stale epochs and expired grants")
 	f.DurationVar(&c.settings.Latency, "latency", 2*time.Millisecond, "how long a run takes")
+	f.IntVar(&c.settings.WarmCompletions, "warm-completions", 4, "good completions after which it bears one more request at once")
+	f.StringVar(&c.behaviour, "behaviour", "{}", "JSON as for POST /behaviour, which changes it later")
 	f.StringVar(&c.settings.Ledger, "ledger", "", "file that each run is appended to")
 	f.DurationVar(&c.settings.AnnounceEvery, "announce-every", 500*time.Millisecond, "time between announcements")
 }
@@ -47,6 +53,9 @@
 	if c.settings.Name == "" || c.settings.Service == "" || c.settings.Address == "" || c.settings.Announce == "" {
 		return usage("standin needs --name, --service, --address and --announce")
 	}
+	if err := json.Unmarshal([]byte(c.behaviour), &c.settings.Behaviour); err != nil {
+		return usage("--behaviour: %v", err)
+	}
 	server, err := standin.Start(ctx, c.settings)
 	if err != nil {
 		return fail(err)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -4,12 +4,10 @@
 	"bytes"
 	"context"
 	"crypto/rand"
-	"net/http"
 	"os"
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v2"
 	"github.com/rotisserie/eris"
 
@@ -20,20 +18,22 @@
 )
 
 const (
-	queueCapacity  = 1    // jobs waiting for a slot; more are shed
-	ledgerCapacity = 1024 // lines waiting for the file
-	leaveTime      = 300 * time.Millisecond
-	ledgerMode     = 0o640
+	arrivalCapacity = 64   // requests, cancellations and changes waiting for the scheduler
+	ledgerCapacity  = 1024 // lines waiting for the file
+	leaveTime       = 300 * time.Millisecond
+	shutdownTimeout = 5 * time.Second // longest wait for connections to end
+	ledgerMode      = 0o640
 )
 
 // Server is a running stand-in.
 type Server struct {
 	settings Settings
 	group    *duty.Group
-	jobs     *ring.Ring[*job]
+	arrivals *ring.Ring[*job]
+	cancels  *ring.Ring[string]
+	changes  *ring.Ring[changeRequest]
 	announce *announceDuty
 	app      *fiber.App
-	epochs   *ring.Ring[epochCheck]
 	ledger   *os.File
 }
 
@@ -51,7 +51,8 @@
 	server.startDuties()
 	server.app = fiber.New(fiber.Config{DisableStartupMessage: true})
 	server.app.Post("/run/:operation", server.run)
-	server.app.Post("/cancel", func(c *fiber.Ctx) error { return c.SendStatus(http.StatusNoContent) })
+	server.app.Post("/cancel", server.cancel)
+	server.app.Post("/behaviour", server.change)
 	server.group.Go("server", func(context.Context) error { return server.app.Listener(listener) })
 	return server, nil
 }
@@ -68,13 +69,18 @@
 
 func (s *Server) startDuties() {
 	lines := ring.New[LedgerLine]("ledger", ledgerCapacity, ring.Wait)
-	s.jobs = ring.New[*job]("jobs", queueCapacity, ring.Refuse)
-	s.epochs = ring.New[epochCheck]("epochs", queueCapacity, ring.Wait)
+	slots := ring.New[*job]("slots", s.settings.Slots, ring.Wait)
+	done := ring.New[*job]("done", s.settings.Slots, ring.Wait)
+	s.arrivals = ring.New[*job]("arrivals", arrivalCapacity, ring.Wait)
+	s.cancels = ring.New[string]("cancels", arrivalCapacity, ring.Wait)
+	s.changes = ring.New[changeRequest]("changes", 1, ring.Wait)
 	s.group.Go("ledger", (&ledgerDuty{lines: lines, out: s.ledger}).Run)
-	s.group.Go("epochs", (&epochDuty{checks: s.epochs, newest: map[string]uint64{}}).Run)
+	scheduler := &schedulerDuty{
+		settings: s.settings, arrivals: s.arrivals, slots: slots, done: done, cancels: s.cancels, changes: s.changes, ledger: lines,
+	}
+	s.group.Go("scheduler", scheduler.Run)
 	for range s.settings.Slots {
-		slot := &slotDuty{name: s.settings.Name, latency: s.settings.Latency, jobs: s.jobs, ledger: lines}
-		s.group.Go("slot", slot.Run)
+		s.group.Go("slot", (&slotDuty{name: s.settings.Name, jobs: slots, done: done}).Run)
 	}
 	s.announce = &announceDuty{address: s.settings.Announce, every: s.settings.AnnounceEvery, announcement: upstream.Announcement{
 		Name: s.settings.Name, Service: s.settings.Service, Address: s.settings.Address, Boot: rand.Text(),
@@ -85,21 +91,14 @@
 
 func (s *Server) run(c *fiber.Ctx) error {
 	j := readJob(c)
-	c.Set(upstream.HeaderRequestID, j.line.RequestID)
-	if s.settings.ChecksGrants && !s.current(&j.line) {
-		c.Set(upstream.HeaderRan, "no")
-		return c.SendStatus(http.StatusPreconditionFailed)
-	}
-	out := result{status: http.StatusServiceUnavailable}
-	if s.jobs.Put(c.Context(), j) == nil {
-		out = <-j.reply.Out()
+	if s.arrivals.Put(s.group.Context(), j) != nil {
+		return c.SendStatus(fiber.StatusServiceUnavailable)
 	}
-	if !out.ran {
-		c.Set(upstream.HeaderRan, "no")
+	out, err := j.reply.Take(s.group.Context())
+	if err != nil {
+		out = result{fault: FaultReset}
 	}
-	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
-	c.Set(upstream.HeaderChecksum, strconv.FormatUint(xxhash.Sum64(out.body), 16))
-	return c.Status(out.status).Send(out.body)
+	return s.answer(c, &out)
 }
 
 // readJob copies everything out of the library's buffers.
@@ -107,36 +106,49 @@
 	copied := func(name string) string { return string(bytes.Clone([]byte(c.Get(name)))) }
 	epoch, _ := strconv.ParseUint(copied(upstream.HeaderEpoch), 10, 64)
 	left, _ := strconv.ParseInt(copied(upstream.HeaderDeadline), 10, 64)
-	return &job{
+	j := &job{
 		line: LedgerLine{
 			RequestID: copied(upstream.HeaderRequestID), Operation: string(bytes.Clone([]byte(c.Params("operation")))),
 			Key: copied(upstream.HeaderKey), Shard: copied(upstream.HeaderShard), Epoch: epoch,
 		},
-		body: bytes.Clone(c.Body()), deadline: time.Now().Add(time.Duration(left) * time.Millisecond), reply: ring.NewReply[result](),
+		body: bytes.Clone(c.Body()), deadline: time.Now().Add(milliseconds(left)), opened: c.Context().ConnTime(),
+		cancel: ring.NewReply[struct{}](), reply: ring.NewReply[result](),
+	}
+	if end, err := strconv.ParseInt(copied(upstream.HeaderGrantEnd), 10, 64); err == nil {
+		j.grantEnd = time.Unix(0, end)
 	}
+	return j
 }
 
-// current asks the epoch duty whether the request's epoch is not stale.
-func (s *Server) current(line *LedgerLine) bool {
-	check := epochCheck{shard: line.Shard, epoch: line.Epoch, reply: ring.NewReply[bool]()}
-	if s.epochs.Put(s.group.Context(), check) != nil {
-		return false
+func (s *Server) cancel(c *fiber.Ctx) error {
+	_ = s.cancels.Put(s.group.Context(), string(bytes.Clone([]byte(c.Get(upstream.HeaderRequestID)))))
+	return c.SendStatus(fiber.StatusNoContent)
+}
+
+func (s *Server) change(c *fiber.Ctx) error {
+	request := changeRequest{body: bytes.Clone(c.Body()), reply: ring.NewReply[string]()}
+	if s.changes.Put(s.group.Context(), request) != nil {
+		return c.SendStatus(fiber.StatusServiceUnavailable)
+	}
+	problem, err := request.reply.Take(s.group.Context())
+	if err != nil || problem != "" {
+		return c.Status(fiber.StatusBadRequest).SendString(problem)
 	}
-	return <-check.reply.Out()
+	return c.SendStatus(fiber.StatusNoContent)
 }
 
 // Stop leaves, waits until the router has sent its last request and stops.
 func (s *Server) Stop() {
 	_ = s.announce.leave()
 	pause(s.group.Context(), leaveTime)
-	_ = s.app.Shutdown()
+	_ = s.app.ShutdownWithTimeout(shutdownTimeout)
 	s.group.Stop()
 }
 
 // Wait waits until the stand-in has stopped.
 func (s *Server) Wait() error {
 	<-s.group.Context().Done()
-	_ = s.app.Shutdown()
+	_ = s.app.ShutdownWithTimeout(shutdownTimeout)
 	err := s.group.Wait()
 	_ = s.ledger.Close()
 	return err
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -15,12 +15,26 @@
 	// ColdSlots is the number of requests that it bears right after a start.
 	ColdSlots   int
 	Connections int
-	// ChecksGrants makes it refuse epochs older than the newest it saw.
+	// ChecksGrants makes it refuse epochs older than the newest it saw and
+	// expired grants.
 	ChecksGrants bool
 	// Latency is how long a run takes.
 	Latency time.Duration
 	// Ledger is the file that each run is appended to, or empty.
 	Ledger string
+	// WarmCompletions is the number of good completions after which it bears
+	// one more request at once.
+	WarmCompletions int
+	// Behaviour is how it treats requests at first.
+	Behaviour Behaviour
 	// AnnounceEvery is the time between announcements.
 	AnnounceEvery time.Duration
 }
+
+// bearsCold returns how many requests it bears at once when cold.
+func (s *Settings) bearsCold() int {
+	if s.ColdSlots == 0 {
+		return s.Slots
+	}
+	return s.ColdSlots
+}
--- a/internal/standin/slot_duty.go
+++ b/internal/standin/slot_duty.go
@@ -7,14 +7,14 @@
 	"time"
 
 	"endivespring/internal/ring"
+	"endivespring/internal/upstream"
 )
 
-// slotDuty runs one job at a time.
+// slotDuty runs one job at a time and gives it back to the scheduler.
 type slotDuty struct {
-	name    string
-	latency time.Duration
-	jobs    *ring.Ring[*job]
-	ledger  *ring.Ring[LedgerLine]
+	name string
+	jobs *ring.Ring[*job]
+	done *ring.Ring[*job]
 }
 
 // Run takes jobs until the context ends.
@@ -24,25 +24,37 @@
 		if err != nil {
 			return nil
 		}
-		j.reply.Send(d.execute(ctx, j))
+		d.execute(ctx, j)
+		if d.done.Put(ctx, j) != nil {
+			return nil
+		}
 	}
 }
 
-func (d *slotDuty) execute(ctx context.Context, j *job) result {
-	if time.Now().After(j.deadline) {
-		return result{status: http.StatusServiceUnavailable}
+// execute works until the run's time is up, its deadline passes or it is
+// cancelled.
+func (d *slotDuty) execute(ctx context.Context, j *job) {
+	left := time.Until(j.deadline)
+	timer := time.NewTimer(min(j.plan, left))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		j.cancelled = j.plan > left
+	case <-j.cancel.Out():
+		j.cancelled = true
+	case <-ctx.Done():
+		j.cancelled = true
 	}
-	j.line.Upstream = d.name
-	j.line.At = time.Now().UnixNano()
-	if d.ledger.Put(ctx, j.line) != nil {
-		return result{status: http.StatusServiceUnavailable}
+	j.result = result{requestID: j.line.RequestID, fault: j.fault, delay: j.delay}
+	if j.cancelled {
+		j.result.status, j.result.ran = http.StatusServiceUnavailable, upstream.RanUnknown
+		return
 	}
-	pause(ctx, d.latency)
 	body, err := json.Marshal(Answer{RequestID: j.line.RequestID, Key: j.line.Key, Upstream: d.name, Echo: string(j.body)})
+	j.result.status, j.result.body = http.StatusOK, body
 	if err != nil {
-		return result{status: http.StatusInternalServerError, ran: true}
+		j.result.status = http.StatusInternalServerError
 	}
-	return result{status: http.StatusOK, ran: true, body: body}
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -113,8 +113,12 @@
 	if string(response.Header.Peek(HeaderRequestID)) != run.Call.RequestID {
 		return outcome(run, verdict.MayHaveRun, verdict.ReasonTruncated, admission.Failed)
 	}
-	if string(response.Header.Peek(HeaderRan)) == "no" {
+	switch string(response.Header.Peek(HeaderRan)) {
+	case "":
+	case RanNo:
 		return refused(run, response)
+	default:
+		return outcome(run, verdict.MayHaveRun, verdict.ReasonCancelled, admission.Good)
 	}
 	body := response.Body()
 	if !whole(response, body) {
--- a/internal/upstream/headers.go
+++ b/internal/upstream/headers.go
@@ -10,8 +10,18 @@
 	HeaderEpoch     = "Endivespring-Epoch"
 	// HeaderDeadline is the time left in milliseconds.
 	HeaderDeadline = "Endivespring-Deadline-Ms"
-	// HeaderRan is "no" on an answer that proves that the request did not run.
+	// HeaderGrantEnd is when the grant expires, in nanoseconds since 1970 by the
+	// wall clock of the VM that router and upstream share.
+	HeaderGrantEnd = "Endivespring-Grant-End"
+	// HeaderRan is RanNo on an answer that proves that the request did not run
+	// and RanUnknown if it was cancelled in the middle. It is absent if it ran.
 	HeaderRan = "Endivespring-Ran"
 	// HeaderChecksum is the XXH64 of the body in hexadecimal; optional.
 	HeaderChecksum = "Endivespring-Checksum"
 )
+
+// Values of HeaderRan.
+const (
+	RanNo      = "no"
+	RanUnknown = "unknown"
+)
--- a/scenarios/check_test.go
+++ b/scenarios/check_test.go
@@ -100,7 +100,7 @@
 		ts.Check(err)
 		for scanner := bufio.NewScanner(f); scanner.Scan(); {
 			var line standin.LedgerLine
-			if json.Unmarshal(scanner.Bytes(), &line) == nil {
+			if json.Unmarshal(scanner.Bytes(), &line) == nil && line.Event == standin.LedgerStarted {
 				runs[line.RequestID]++
 			}
 		}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -28,6 +28,7 @@
 			"eventually": cmdEventually,
 			"request":    cmdRequest,
 			"ledger":     cmdLedger,
+			"behave":     cmdBehave,
 		},
 	})
 }
