Serve each process's metrics as text

Cause: nothing showed ring depths, refusals, leases or requests by verdict while a process runs. Ruled out: a counter in each duty for each decision, since the event log sees every decision already; and counters behind a lock on the request path. Change: a go-metrics registry per process. Events are counted by number in the event log, requests by verdict and reason in a map that is copied on growth, and duties set gauges that they own. Rings register by name where they are wired. The optional setting metrics gives the address of the text form. Streams' own rings (session-up, session-down, link-answers) are not shown: they come and go with connections. Conclusion: TestServedText reads every family over HTTP under -race.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/rand"
 	"errors"
 	"strconv"
@@ -44,17 +45,18 @@
 // Server takes callers' requests.
 type Server struct {
 	requests *ring.Ring[Request]
+	observe  Observer
 	app      *fiber.App
 	stopping atomic.Bool
 }
 
-// NewServer returns a server that hands requests to a ring. Bodies are limited
-// to maxBody bytes.
-func NewServer(requests *ring.Ring[Request], maxBody int) *Server {
-	s := &Server{requests: requests}
+// NewServer returns a server that hands requests to a ring and shows each
+// answer to observe. Bodies are limited to maxBody bytes.
+func NewServer(requests *ring.Ring[Request], maxBody int, observe Observer) *Server {
+	s := &Server{requests: requests, observe: observe}
 	s.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true, BodyLimit: maxBody, ReadBufferSize: readBufferBytes,
-		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, ErrorHandler: handleError,
+		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, ErrorHandler: s.handleError,
 	})
 	s.app.Add(fiber.MethodPost, "/v1/:service/:operation", s.serve)
 	s.app.Add(fiber.MethodGet, "/v1/:service/:operation", s.serve)
@@ -71,22 +73,29 @@
 	if s.stopping.Load() {
 		c.Response().SetConnectionClose()
 	}
+	start := time.Now()
 	request, problem := read(c)
-	if problem != verdict.ReasonNone {
-		return refuse(c, request.ID, problem)
+	answer := refusal(request.ID, problem)
+	if problem == verdict.ReasonNone {
+		answer = s.ask(c.Context(), request)
 	}
+	s.observe(&answer, time.Since(start))
+	return write(c, &answer)
+}
+
+// ask hands a request to the entry duty and waits for the answer.
+func (s *Server) ask(ctx context.Context, request attempt.Request) call.Answer {
 	reply := ring.NewReply[call.Answer]()
-	if err := s.requests.Put(c.Context(), Request{Request: request, Reply: reply}); err != nil {
-		return refuse(c, request.ID, verdict.ReasonOverloaded)
+	if err := s.requests.Put(ctx, Request{Request: request, Reply: reply}); err != nil {
+		return refusal(request.ID, verdict.ReasonOverloaded)
 	}
 	patience := time.NewTimer(answerPatience)
 	defer patience.Stop()
 	select {
 	case answer := <-reply.Out():
-		return write(c, &answer)
+		return answer
 	case <-patience.C:
-		answer := call.Answer{RequestID: request.ID, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline}
-		return write(c, &answer)
+		return call.Answer{RequestID: request.ID, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline}
 	}
 }
 
@@ -124,9 +133,8 @@
 
 func clone(text string) string { return string([]byte(text)) }
 
-func refuse(c *fiber.Ctx, id string, reason verdict.Reason) error {
-	answer := call.Answer{RequestID: id, Verdict: verdict.NotRun, Reason: reason}
-	return write(c, &answer)
+func refusal(id string, reason verdict.Reason) call.Answer {
+	return call.Answer{RequestID: id, Verdict: verdict.NotRun, Reason: reason}
 }
 
 func write(c *fiber.Ctx, answer *call.Answer) error {
@@ -170,7 +178,7 @@
 }
 
 // handleError answers requests that the library refused before they were read.
-func handleError(c *fiber.Ctx, err error) error {
+func (s *Server) handleError(c *fiber.Ctx, err error) error {
 	reason := verdict.ReasonBadRequest
 	var known *fiber.Error
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &known) && known.Code == fiber.StatusRequestEntityTooLarge {
@@ -179,5 +187,7 @@
 	if known != nil && known.Code == fiber.StatusNotFound {
 		reason = verdict.ReasonUnknownService
 	}
-	return refuse(c, "", reason)
+	answer := refusal("", reason)
+	s.observe(&answer, 0)
+	return write(c, &answer)
 }
--- a/internal/command/control.go
+++ b/internal/command/control.go
@@ -10,6 +10,7 @@
 	"endivespring/internal/clock"
 	"endivespring/internal/controlnode"
 	"endivespring/internal/event"
+	"endivespring/internal/metrics"
 	"endivespring/internal/settings"
 )
 
@@ -58,6 +59,9 @@
 func processScope(name string) do.Injector {
 	injector := do.New()
 	do.ProvideValue(injector, event.NewLog(stderrLog, name))
+	do.Provide(injector, func(i do.Injector) (*metrics.Registry, error) {
+		return metrics.NewRegistry(do.MustInvoke[*event.Log](i)), nil
+	})
 	do.Provide(injector, func(do.Injector) (clock.Clock, error) { return clock.NewMonotonic(), nil })
 	return injector
 }
--- a/internal/controlnode/controller_duty.go
+++ b/internal/controlnode/controller_duty.go
@@ -8,6 +8,7 @@
 	"endivespring/internal/consensus"
 	"endivespring/internal/controller"
 	"endivespring/internal/event"
+	"endivespring/internal/metrics"
 	"endivespring/internal/operator"
 	"endivespring/internal/ring"
 	"endivespring/internal/wire"
@@ -25,6 +26,7 @@
 	compact   *ring.Ring[compaction]
 	// every is the number of entries between snapshots.
 	every uint64
+	meter *metrics.ControlMeter
 
 	streams   map[controller.StreamID]arrival
 	replies   map[uint64]operator.Request
@@ -76,6 +78,8 @@
 	if update.leadership != nil {
 		d.core.Lead(d.clock.Now(), *update.leadership)
 	}
+	d.meter.Leadership(update.leadership)
+	d.meter.State(d.applied, d.core.State())
 	return d.maybeCompact(ctx)
 }
 
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -18,6 +18,7 @@
 	"endivespring/internal/duty"
 	"endivespring/internal/event"
 	"endivespring/internal/lease"
+	"endivespring/internal/metrics"
 	"endivespring/internal/operator"
 	"endivespring/internal/peer"
 	"endivespring/internal/placement"
@@ -51,10 +52,12 @@
 	app      *fiber.App
 	disk     *storage.Disk
 	events   *event.Log
+	registry *metrics.Registry
+	metrics  *fiber.App
 }
 
 // Start opens the data folder and the listeners and starts the duties. The
-// injector provides *settings.Control, *event.Log and clock.Clock; token is
+// injector provides *settings.Control, *event.Log, *metrics.Registry and clock.Clock; token is
 // the operators' token.
 func Start(ctx context.Context, injector do.Injector, token string) (*Node, error) {
 	s := do.MustInvoke[*settings.Control](injector)
@@ -64,7 +67,7 @@
 	}
 	n := &Node{
 		settings: s, disk: disk, group: duty.NewGroup(ctx), events: do.MustInvoke[*event.Log](injector),
-		transfer: ring.New[struct{}]("transfer", 1, ring.Refuse),
+		transfer: ring.New[struct{}]("transfer", 1, ring.Refuse), registry: do.MustInvoke[*metrics.Registry](injector),
 	}
 	if err := n.start(injector, stored, token); err != nil {
 		n.group.Stop()
@@ -97,6 +100,9 @@
 	if err != nil {
 		return err
 	}
+	if err := n.startMetrics(); err != nil {
+		return err
+	}
 	timeSource := do.MustInvoke[clock.Clock](injector)
 	out := n.startPeers()
 	writes := ring.New[write]("writes", writeCapacity, ring.Wait)
@@ -106,6 +112,7 @@
 	if err != nil {
 		return err
 	}
+	n.registry.Rings(n.events.Ring(), writes, done, c.inbound, c.proposals, c.updates, c.compact, o.arrivals, o.operators)
 	storageDuty := &storageDuty{disk: n.disk, writes: writes, persisted: done, outbound: out}
 	n.group.Go("event-log", n.events.Run)
 	n.group.Go("storage", storageDuty.Run)
@@ -122,6 +129,20 @@
 	return nil
 }
 
+// startMetrics serves the metrics if the settings give an address.
+func (n *Node) startMetrics() error {
+	n.metrics = metrics.NewServer(n.registry)
+	if n.settings.Metrics == "" {
+		return nil
+	}
+	listener, err := peer.Listen(n.settings.Metrics)
+	if err != nil {
+		return err
+	}
+	n.group.Go("metrics-server", func(context.Context) error { return n.metrics.Listener(listener) })
+	return nil
+}
+
 func (n *Node) startPeers() *outbound {
 	out := &outbound{rings: map[string]*ring.Ring[consensus.Message]{}}
 	for _, p := range n.settings.Peers {
@@ -130,6 +151,7 @@
 		}
 		messages := ring.New[consensus.Message]("peer-"+p.Name, peerCapacity, ring.DropOldest)
 		out.rings[p.Name] = messages
+		n.registry.Rings(messages)
 		d := &peerDuty{fleet: n.settings.Fleet, address: p.Peer, out: messages}
 		n.group.Go("peer-"+p.Name, d.Run)
 	}
@@ -164,6 +186,7 @@
 		every:     uint64(n.settings.SnapshotEntries),
 		arrivals:  ring.New[arrival]("renewals", arrivalCapacity, ring.Refuse),
 		operators: ring.New[operator.Request]("operators", operatorCapacity, ring.Refuse),
+		meter:     metrics.NewControlMeter(n.registry),
 		streams:   map[controller.StreamID]arrival{}, replies: map[uint64]operator.Request{},
 	}
 	if stored.Snapshot != nil {
@@ -198,6 +221,7 @@
 	n.group.Stop()
 	n.grpc.Stop()
 	_ = n.app.Shutdown()
+	_ = n.metrics.Shutdown()
 }
 
 // Wait waits until the process has stopped and returns why it failed, if it did.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -37,7 +37,7 @@
 var catalogue []*Definition
 
 func define(number int, name string, level Level, meaning string) *Definition {
-	d := &Definition{Number: number, Name: name, Level: level, Meaning: meaning}
+	d := &Definition{Number: number, Name: name, Level: level, Meaning: meaning, index: len(catalogue)}
 	catalogue = append(catalogue, d)
 	return d
 }
--- a/internal/event/log.go
+++ b/internal/event/log.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,6 +20,8 @@
 type Log struct {
 	ring   *ring.Ring[Entry]
 	logger zerolog.Logger
+	// counts holds the occurrences of each event of the catalogue.
+	counts []atomic.Int64
 }
 
 // NewLog returns a log that writes to w and adds the process name to each line.
@@ -26,15 +29,23 @@
 	return &Log{
 		ring:   ring.New[Entry]("event-log", logRingCapacity, ring.DropOldest),
 		logger: zerolog.New(w).With().Str("process", process).Logger(),
+		counts: make([]atomic.Int64, len(catalogue)),
 	}
 }
 
 // Record appends an occurrence of the event without blocking.
 func (l *Log) Record(definition *Definition, fields ...Field) {
+	l.counts[definition.index].Add(1)
 	entry := Entry{Definition: definition, Time: time.Now(), Fields: fields}
 	_ = l.ring.Put(context.Background(), entry)
 }
 
+// Ring returns the ring between callers of Record and the duty.
+func (l *Log) Ring() *ring.Ring[Entry] { return l.ring }
+
+// Count returns how often an event was recorded, dropped entries included.
+func (l *Log) Count(definition *Definition) int64 { return l.counts[definition.index].Load() }
+
 // Dropped returns how many entries were discarded.
 func (l *Log) Dropped() int64 { return l.ring.Dropped() }
 
--- /dev/null
+++ b/internal/metrics/registry_test.go
@@ -0,0 +1,107 @@
+package metrics
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/call"
+	"endivespring/internal/clock"
+	"endivespring/internal/control"
+	"endivespring/internal/controller"
+	"endivespring/internal/event"
+	"endivespring/internal/ring"
+	"endivespring/internal/verdict"
+)
+
+type fixedClock clock.Instant
+
+func (c fixedClock) Now() clock.Instant { return clock.Instant(c) }
+
+// TestServedText fills every kind of metric and reads them over HTTP.
+func TestServedText(t *testing.T) {
+	log := event.NewLog(io.Discard, "test")
+	r := NewRegistry(log)
+	full := ring.New[int]("tiny", 1, ring.Refuse)
+	_, _ = full.Put(context.Background(), 1), full.Put(context.Background(), 2)
+	dropping := ring.New[int]("dropping", 1, ring.DropOldest)
+	_, _ = dropping.Put(context.Background(), 1), dropping.Put(context.Background(), 2)
+	r.Rings(full, dropping)
+	r.Rings(dropping)
+	log.Record(event.PeerLost)
+
+	meter := NewRequestMeter(r)
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for range 500 {
+				meter.Observe(&call.Answer{Verdict: verdict.Ran}, 2*time.Millisecond)
+				meter.Observe(&call.Answer{Verdict: verdict.NotRun, Reason: verdict.ReasonShed}, time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	NewDoorMeter(r).Set(call.Load{Limit: 10, InFlight: 7, Queued: 3})
+	session := NewSessionMeter(r, fixedClock(time.Second))
+	session.Leases(clock.Instant(1500*time.Millisecond), clock.Instant(time.Millisecond))
+	session.View(9)
+	c := NewControlMeter(r)
+	c.Leadership(&controller.Leadership{Leads: true, Commit: 40, Snapshot: 32, Term: 3})
+	state := control.NewState()
+	state.View.Config = 5
+	c.State(39, state)
+
+	response, err := NewServer(r).Test(httptest.NewRequest("GET", "/metrics", nil))
+	assert.NilError(t, err)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, response.Header.Get("Content-Type"), textType)
+	text := string(body)
+	for _, line := range []string{
+		`endivespring_ring_depth{ring="tiny"} 1`, `endivespring_ring_refused_total{ring="tiny"} 1`,
+		`endivespring_ring_dropped_total{ring="dropping"} 1`, `endivespring_ring_capacity{ring="dropping"} 1`,
+		`endivespring_events_total{event="711",name="peer-lost"} 1`, `endivespring_events_total{event="700",name="connection-retired"} 0`,
+		`endivespring_requests_total{verdict="ran",reason=""} 4000`, `endivespring_requests_total{verdict="not-run",reason="shed"} 4000`,
+		`endivespring_request_latency_microseconds_count 8000`, `endivespring_request_latency_microseconds{quantile="0.999"} 2000`,
+		`endivespring_door_limit 10`, `endivespring_door_running 7`, `endivespring_door_queued 3`,
+		`endivespring_ownership_lease_left_milliseconds 500`, `endivespring_view_lease_left_milliseconds 0`,
+		`endivespring_log_commit_index 40`, `endivespring_log_applied_index 39`, `endivespring_log_snapshot_index 32`,
+		`endivespring_log_term 3`, `endivespring_leads 1`, `endivespring_config_version 5`, `endivespring_sessions 0`,
+		"# TYPE endivespring_events_total counter", "# TYPE endivespring_door_limit gauge",
+	} {
+		assert.Assert(t, strings.Contains(text, line+"\n"), "missing %s in\n%s", line, text)
+	}
+	assertTextForm(t, text)
+}
+
+// assertTextForm checks each line, and that each family appears once.
+func assertTextForm(t *testing.T, text string) {
+	t.Helper()
+	line := regexp.MustCompile(`^(# (HELP|TYPE) endivespring_\w+ .+|endivespring_\w+(\{\w+="[^"]*"(,\w+="[^"]*")*\})? -?\d+(\.\d+)?)$`)
+	for _, l := range strings.Split(strings.TrimSpace(text), "\n") {
+		assert.Assert(t, line.MatchString(l), "bad line %q", l)
+	}
+	for _, f := range Catalogue() {
+		assert.Equal(t, strings.Count(text, "# TYPE "+f.Name+" "), 1, f.Name)
+	}
+}
+
+func TestLabelsAreEscaped(t *testing.T) {
+	assert.Equal(t, series(RingDepth, label{"ring", "a\"b\\c\nd"}), `endivespring_ring_depth{ring="a\"b\\c\nd"}`)
+}
+
+func TestNilMetersTakeNothing(t *testing.T) {
+	(*Registry)(nil).Rings(ring.New[int]("x", 1, ring.Wait))
+	(*DoorMeter)(nil).Set(call.Load{})
+	(*SessionMeter)(nil).Leases(1, 1)
+	(*SessionMeter)(nil).View(1)
+	(*ControlMeter)(nil).Leadership(&controller.Leadership{})
+	(*ControlMeter)(nil).State(1, control.NewState())
+}
--- /dev/null
+++ b/internal/metrics/text.go
@@ -0,0 +1,53 @@
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// shownQuantiles are the quantiles of a summary.
+var shownQuantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// WriteText writes every metric in the Prometheus text form, a family at a
+// time.
+func (r *Registry) WriteText(w io.Writer) {
+	values := map[string]any{}
+	r.metrics.Each(func(name string, metric any) { values[name] = metric })
+	names := make([]string, 0, len(values))
+	for name := range values {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, family := range catalogue {
+		first := true
+		for _, name := range names {
+			if base, _, _ := strings.Cut(name, "{"); base != family.Name {
+				continue
+			}
+			if first {
+				fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s %s\n", family.Name, family.Meaning, family.Name, family.Kind)
+				first = false
+			}
+			writeMetric(w, name, values[name])
+		}
+	}
+}
+
+func writeMetric(w io.Writer, name string, metric any) {
+	switch m := metric.(type) {
+	case gometrics.Counter:
+		fmt.Fprintf(w, "%s %d\n", name, m.Count())
+	case gometrics.Gauge:
+		fmt.Fprintf(w, "%s %d\n", name, m.Value())
+	case gometrics.Histogram:
+		snapshot := m.Snapshot()
+		for i, value := range snapshot.Percentiles(shownQuantiles) {
+			fmt.Fprintf(w, "%s{quantile=\"%g\"} %g\n", name, shownQuantiles[i], value)
+		}
+		fmt.Fprintf(w, "%s_count %d\n", name, snapshot.Count())
+	}
+}
--- a/internal/router/door_duty.go
+++ b/internal/router/door_duty.go
@@ -10,6 +10,7 @@
 	"endivespring/internal/door"
 	"endivespring/internal/event"
 	"endivespring/internal/fleet"
+	"endivespring/internal/metrics"
 	"endivespring/internal/ring"
 	"endivespring/internal/session"
 	"endivespring/internal/upstream"
@@ -36,6 +37,7 @@
 	// running.
 	drained *ring.Ring[struct{}]
 
+	meter *metrics.DoorMeter
 	// startSender starts one more sender duty.
 	startSender func()
 
@@ -70,6 +72,7 @@
 			d.leave(ctx)
 		}
 		d.dispatch(ctx)
+		d.meter.Set(d.core.Load())
 		timer.Reset(d.sleep())
 	}
 }
--- a/internal/router/entry_duty.go
+++ b/internal/router/entry_duty.go
@@ -11,6 +11,7 @@
 	"endivespring/internal/duty"
 	"endivespring/internal/event"
 	"endivespring/internal/fleet"
+	"endivespring/internal/metrics"
 	"endivespring/internal/ring"
 	"endivespring/internal/session"
 	"endivespring/internal/verdict"
@@ -30,6 +31,8 @@
 	updates  *ring.Ring[session.Update]
 	door     *ring.Ring[submission]
 
+	registry *metrics.Registry
+
 	token   uint64
 	waiting map[uint64]caller.Request
 	links   map[fleet.RouterID]*link
@@ -150,6 +153,7 @@
 	}
 	l = newLink(d.fleet, router, d.clock, d.answers, d.events)
 	d.links[router.ID] = l
+	d.registry.Rings(l.calls)
 	d.group.Go("link-"+string(router.ID), l.Run)
 	return l
 }
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -21,6 +21,7 @@
 	"endivespring/internal/duty"
 	"endivespring/internal/event"
 	"endivespring/internal/fleet"
+	"endivespring/internal/metrics"
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/session"
@@ -51,16 +52,23 @@
 	caller   *caller.Server
 	announce *fiber.App
 	grpc     *grpc.Server
+	registry *metrics.Registry
+	metrics  *fiber.App
 }
 
 // Start opens the listeners and starts the duties. The injector provides
-// *settings.Router, *event.Log and clock.Clock.
+// *settings.Router, *event.Log, *metrics.Registry and clock.Clock.
 func Start(ctx context.Context, injector do.Injector) (*Node, error) {
 	n := &Node{
 		settings: do.MustInvoke[*settings.Router](injector), events: do.MustInvoke[*event.Log](injector),
 		clock: do.MustInvoke[clock.Clock](injector), group: duty.NewGroup(ctx),
+		registry: do.MustInvoke[*metrics.Registry](injector),
 	}
-	listeners, err := listenAll(n.settings.Caller, n.settings.Announce, n.settings.Peer)
+	addresses := []string{n.settings.Caller, n.settings.Announce, n.settings.Peer}
+	if n.settings.Metrics != "" {
+		addresses = append(addresses, n.settings.Metrics)
+	}
+	listeners, err := listenAll(addresses...)
 	if err != nil {
 		n.group.Stop()
 		return nil, err
@@ -118,12 +126,23 @@
 		closed:  ring.New[struct{}]("session-closed", 1, ring.DropOldest),
 		entry:   n.entry.updates, door: n.door.updates,
 	}
-	n.caller = caller.NewServer(n.entry.requests, s.MaxBody)
+	n.measure(answers, submissions)
+	n.caller = caller.NewServer(n.entry.requests, s.MaxBody, metrics.NewRequestMeter(n.registry).Observe)
 	n.announce = upstream.NewServer(n.door.notices).App()
 	n.grpc = peer.NewServer()
 	wirepb.RegisterDoorsServer(n.grpc, &doorServer{fleet: s.Fleet, clock: n.clock, door: submissions})
 }
 
+// measure registers the rings and the figures of the duties.
+func (n *Node) measure(answers *ring.Ring[inboundAnswer], submissions *ring.Ring[submission]) {
+	n.registry.Rings(n.events.Ring(), n.entry.requests, answers, submissions, n.entry.updates,
+		n.door.outcomes, n.door.updates, n.door.notices, n.door.runs, n.door.aborts, n.door.releases, n.door.registered)
+	n.entry.registry = n.registry
+	n.door.meter = metrics.NewDoorMeter(n.registry)
+	n.session.meter = metrics.NewSessionMeter(n.registry, n.clock)
+	n.metrics = metrics.NewServer(n.registry)
+}
+
 func (n *Node) run(listeners []net.Listener) {
 	client := upstream.NewClient(n.clock, n.settings.MaxBody)
 	n.door.startSender = func() {
@@ -139,6 +158,9 @@
 	n.group.Go("caller-server", func(context.Context) error { return n.caller.App().Listener(listeners[0]) })
 	n.group.Go("announce-server", func(context.Context) error { return n.announce.Listener(listeners[1]) })
 	n.group.Go("peer-server", func(context.Context) error { return n.grpc.Serve(listeners[2]) })
+	if len(listeners) > 3 {
+		n.group.Go("metrics-server", func(context.Context) error { return n.metrics.Listener(listeners[3]) })
+	}
 }
 
 // Stop hands shards over, finishes what runs, ends the session and stops the
@@ -162,6 +184,7 @@
 	n.group.Stop()
 	n.grpc.Stop()
 	_ = n.announce.Shutdown()
+	_ = n.metrics.Shutdown()
 	_ = n.caller.App().Shutdown()
 }
 
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -8,6 +8,7 @@
 	"endivespring/internal/clock"
 	"endivespring/internal/control"
 	"endivespring/internal/event"
+	"endivespring/internal/metrics"
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/session"
@@ -32,6 +33,8 @@
 	entry      *ring.Ring[session.Update]
 	door       *ring.Ring[session.Update]
 
+	meter *metrics.SessionMeter
+
 	next   int
 	leader string
 }
@@ -174,6 +177,10 @@
 }
 
 func (d *sessionDuty) spread(ctx context.Context, update session.Update) {
+	d.meter.Leases(update.OwnUntil, update.ViewUntil)
+	if update.Change != nil {
+		d.meter.View(update.Change.To)
+	}
 	_ = d.entry.Put(ctx, update)
 	_ = d.door.Put(ctx, update)
 }
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -10,6 +10,7 @@
 	DataFolder string        `json:"dataFolder" required:"true" doc:"Existing folder for this process's durable state."`
 	TokenFile  string        `json:"tokenFile" required:"true" doc:"File with the operators' token."`
 	Peers      []ControlPeer `json:"peers" min:"1" required:"true" doc:"All control processes of the fleet, this one included."`
+	Metrics    string        `json:"metrics" kind:"address" doc:"Address where metrics are served at /metrics; none if not given."`
 	Timing     Timing        `json:"timing" doc:"Time spans; the same at every control process."`
 	// SnapshotEntries is the number of log entries between snapshots.
 	SnapshotEntries int `json:"snapshotEntries" default:"4096" min:"16" max:"1000000" doc:"Log entries between snapshots."`
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -9,6 +9,7 @@
 	Announce   string   `json:"announce" required:"true" kind:"address" doc:"Address where the upstream beside this router announces itself."`
 	Peer       string   `json:"peer" required:"true" kind:"address" doc:"Address for other routers."`
 	Control    []string `json:"control" min:"1" required:"true" kind:"address" doc:"Peer addresses of the control processes."`
+	Metrics    string   `json:"metrics" kind:"address" doc:"Address where metrics are served at /metrics; none if not given."`
 	MaxBody    int      `json:"maxBody" default:"1048576" min:"1024" max:"67108864" doc:"Largest request or answer body, in bytes."`
 	Entries    int      `json:"maxRequests" default:"4096" min:"16" max:"65536" doc:"Largest number of callers' requests under way."`
 	Renewal    Duration `json:"renewal" default:"300ms" min:"20ms" max:"10s" doc:"Time between renewals; the same as timing.renewal at control."`
