--- /dev/null
+++ b/internal/door/admitting.go
@@ -0,0 +1,178 @@
+package door
+
+import (
+	"time"
+
+	"endivespring/internal/call"
+	"endivespring/internal/clock"
+	"endivespring/internal/event"
+	"endivespring/internal/verdict"
+)
+
+// Submit takes a call from an entry.
+func (c *Core) Submit(now clock.Instant, ticket Ticket, request call.Call) {
+	once := !request.Idempotent && !request.Recorded
+	if once && c.recorded(now, ticket, &request) {
+		return
+	}
+	if reason := c.refusal(now, &request); reason != verdict.ReasonNone {
+		c.refuse(ticket, &request, verdict.NotRun, reason)
+		return
+	}
+	if !once {
+		c.enqueue(now, ticket, request, nil)
+		return
+	}
+	c.submitOnce(now, ticket, request)
+}
+
+// refusal returns why a call must not be admitted, or no reason.
+func (c *Core) refusal(now clock.Instant, request *call.Call) verdict.Reason {
+	switch {
+	case c.stopping:
+		return verdict.ReasonStopping
+	case now >= c.viewUntil:
+		return verdict.ReasonViewStale
+	case now >= request.Deadline:
+		return verdict.ReasonDeadline
+	case !request.Sharded && c.unfit(request.Service):
+		return verdict.ReasonNoUpstream
+	case request.Sharded:
+		return c.shardRefusal(now, request)
+	default:
+		return verdict.ReasonNone
+	}
+}
+
+func (c *Core) shardRefusal(now clock.Instant, request *call.Call) verdict.Reason {
+	switch {
+	case c.holdings.granted(request.ShardID()) == nil:
+		return verdict.ReasonNotOwner
+	case now >= c.ownUntil:
+		return verdict.ReasonLeaseExpired
+	case c.unfit(request.Service) && !c.mayDelegate(request):
+		return verdict.ReasonNoUpstream
+	default:
+		return verdict.ReasonNone
+	}
+}
+
+// unfit reports whether the upstream beside the door must get no new work of a
+// service.
+func (c *Core) unfit(service string) bool {
+	return c.upstream.Name == "" || c.leaving || c.upstream.Service != service ||
+		c.view.DataCentresOut[c.centre] || c.view.UpstreamsOut[c.upstream.Name]
+}
+
+// mayDelegate reports whether another door may run a call while this one keeps
+// its record: only keyed work is bound to its owner's upstream.
+func (c *Core) mayDelegate(request *call.Call) bool {
+	s := c.view.Preset.Service(request.Service)
+	return s != nil && !s.Keyed && c.others && request.Sharded && !request.Idempotent && c.delegated < maxDelegated
+}
+
+// recorded answers a request whose id was seen before: with the same answer,
+// or by waiting for the run under way. It reports whether it did.
+func (c *Core) recorded(now clock.Instant, ticket Ticket, request *call.Call) bool {
+	c.records.expire(now)
+	r := c.records.find(keyOf(request))
+	if r == nil {
+		return false
+	}
+	answer := call.Refusal(request, verdict.MayHaveRun, verdict.ReasonDuplicate)
+	switch {
+	case r.fingerprint != fingerprint(request):
+	case r.job != nil && !r.job.timedOut:
+		r.job.tickets = append(r.job.tickets, ticket)
+		c.tickets[ticket] = r.job
+		return true
+	case r.answer != nil:
+		answer = *r.answer
+	}
+	c.reply(ticket, answer)
+	return true
+}
+
+// submitOnce admits a non-idempotent call unless its id may have been seen by
+// a door whose records are gone.
+func (c *Core) submitOnce(now clock.Instant, ticket Ticket, request call.Call) {
+	window := c.recordWindow(request.Service)
+	if h := c.holdings.granted(request.ShardID()); request.Resend && (h == nil || now < h.since.Add(window)) {
+		c.refuse(ticket, &request, verdict.MayHaveRun, verdict.ReasonRecordLost)
+		return
+	}
+	if c.records.full() {
+		c.refuse(ticket, &request, verdict.NotRun, verdict.ReasonOverloaded)
+		return
+	}
+	c.enqueue(now, ticket, request, c.records.add(now, &request, window))
+}
+
+func (c *Core) recordWindow(service string) time.Duration {
+	if s := c.view.Preset.Service(service); s != nil {
+		return s.RecordWindow
+	}
+	return 0
+}
+
+// enqueue gives an admitted call to the upstream, to another door or into the
+// queue, or refuses it if it could not finish in time.
+func (c *Core) enqueue(now clock.Instant, ticket Ticket, request call.Call, r *record) {
+	busy := c.unfit(request.Service) || c.limiter.Running() >= c.limiter.Limit()
+	away := r != nil && busy && c.mayDelegate(&request)
+	if !away && !c.inTime(now, &request) {
+		if r != nil {
+			c.records.forget(r)
+		}
+		c.refuse(ticket, &request, verdict.NotRun, verdict.ReasonOverloaded)
+		return
+	}
+	j := c.admit(ticket, request, r)
+	if away {
+		c.delegate(j)
+		return
+	}
+	c.queue.add(j)
+	c.fill(now)
+}
+
+// admit makes a job of a call.
+func (c *Core) admit(ticket Ticket, request call.Call, r *record) *job {
+	c.nextRun++
+	j := &job{run: c.nextRun, call: request, tickets: []Ticket{ticket}, record: r, timer: request.Deadline, index: noIndex}
+	if r != nil {
+		r.job = j
+	}
+	if request.Sharded {
+		id := request.ShardID()
+		j.epoch = c.holdings.granted(id).shard.Epoch
+		c.holdings.begin(id)
+	}
+	c.jobs[j.run] = j
+	c.tickets[ticket] = j
+	return j
+}
+
+// inTime estimates whether a call that joins the queue can finish in time.
+func (c *Core) inTime(now clock.Instant, request *call.Call) bool {
+	limit := max(1, c.limiter.Limit())
+	if c.limiter.Running() < limit && len(c.queue) == 0 {
+		return true
+	}
+	bound := 0
+	if s := c.view.Preset.Service(request.Service); s != nil {
+		bound = s.QueueLimit
+	}
+	if len(c.queue) >= bound {
+		return false
+	}
+	rounds := time.Duration(len(c.queue)/limit + 1)
+	return now.Add(rounds*c.limiter.Latency()) < request.Deadline
+}
+
+func (c *Core) refuse(ticket Ticket, request *call.Call, v verdict.Verdict, reason verdict.Reason) {
+	c.output.Decisions = append(c.output.Decisions, call.Decide(event.RequestRefused,
+		event.F("request", request.RequestID), event.F("service", request.Service), event.F("operation", request.Operation),
+		event.F("verdict", v.String()), event.F("reason", string(reason)), event.F("shard", request.Shard)))
+	c.reply(ticket, call.Refusal(request, v, reason))
+}
--- a/internal/door/core.go
+++ b/internal/door/core.go
@@ -14,33 +14,41 @@
 	"endivespring/internal/verdict"
 )
 
+const (
+	maxDelegated  = 1024        // calls at other doors at once
+	delegateGrace = time.Second // time beyond its deadline that a delegated call's outcome may take
+)
+
 // Core is one router's door. It is owned by one duty.
 type Core struct {
-	self    fleet.RouterID
-	session fleet.Session
-	centre  fleet.DataCentre
-	view    *fleet.View
+	self   fleet.RouterID
+	centre fleet.DataCentre
+	view   *fleet.View
 
 	ownUntil  clock.Instant
 	viewUntil clock.Instant
 	upstream  fleet.Upstream
-	leaving   bool
-	stopping  bool
-
-	holdings map[fleet.ShardID]*holding
-	limiter  *admission.Limiter
-	queue    []*job
-	jobs     map[uint64]*job
-	tickets  map[Ticket]*job
-	records  *recordBook
-	nextRun  uint64
-	output   Output
+	// others is set if another door may run the same service's calls.
+	others   bool
+	leaving  bool
+	stopping bool
+
+	holdings  *holdings
+	limiter   *admission.Limiter
+	queue     jobHeap
+	timers    jobHeap
+	jobs      map[uint64]*job
+	delegated int
+	tickets   map[Ticket]*job
+	records   *recordBook
+	nextRun   uint64
+	output    Output
 }
 
 // New returns a door without an upstream, a lease or a view.
 func New(self fleet.RouterID, centre fleet.DataCentre) *Core {
 	return &Core{
-		self: self, centre: centre, view: fleet.NewView(), holdings: map[fleet.ShardID]*holding{},
+		self: self, centre: centre, view: fleet.NewView(), holdings: newHoldings(),
 		limiter: admission.NewLimiter(), jobs: map[uint64]*job{}, tickets: map[Ticket]*job{}, records: newRecordBook(),
 	}
 }
@@ -56,80 +64,107 @@
 func (c *Core) Idle() bool { return len(c.jobs) == 0 }
 
 // Held returns the number of shards that this door owns and has not released.
-func (c *Core) Held() int {
-	held := 0
-	for _, h := range c.holdings {
-		if !h.released {
-			held++
-		}
+// Without a lease it owns none.
+func (c *Core) Held(now clock.Instant) int {
+	if now >= c.ownUntil {
+		return 0
 	}
-	return held
+	return c.holdings.held()
 }
 
 // Deadline returns when Tick must be called next.
-func (c *Core) Deadline(now clock.Instant) clock.Instant {
-	if len(c.jobs) == 0 {
-		return clock.Never
-	}
-	deadline := clock.Never
-	for _, j := range c.jobs {
-		if len(j.tickets) > 0 || !j.running {
-			deadline = min(deadline, c.jobDeadline(j))
-		}
+func (c *Core) Deadline() clock.Instant {
+	deadline := min(c.queue.first(), c.timers.first())
+	if (len(c.queue) > 0 || len(c.timers) > 0) && c.keyed() {
+		deadline = min(deadline, c.ownUntil)
 	}
-	return max(deadline, now.Add(time.Millisecond))
+	return deadline
 }
 
+// OwnUntil returns when the ownership lease ends.
+func (c *Core) OwnUntil() clock.Instant { return c.ownUntil }
+
 // SetLease sets the session and the instants at which its leases end.
 func (c *Core) SetLease(now clock.Instant, session fleet.Session, ownUntil, viewUntil clock.Instant) {
-	if session != c.session {
-		c.session = session
-		clear(c.holdings)
-		c.adoptShards(now)
+	if session != c.holdings.session {
+		c.holdings.session = session
+		c.holdings.rebuild(now, c.view)
 	}
 	c.ownUntil, c.viewUntil = ownUntil, viewUntil
 }
 
-// SetView applies a change of the view and reports whether it fitted.
+// SetView applies a change of the view and reports whether it fitted. The work
+// is proportional to the change.
 func (c *Core) SetView(now clock.Instant, change *fleet.Change) bool {
 	if !c.view.Apply(change) {
 		return false
 	}
-	c.adoptShards(now)
-	c.releaseIdle()
+	if change.Full || len(change.Routers)+len(change.Removed)+len(change.DataCentres)+len(change.Upstreams) > 0 {
+		c.lookForOthers()
+	}
+	if change.Full {
+		c.holdings.rebuild(now, c.view)
+		c.refuseMoved(now)
+		for id := range c.holdings.shards {
+			c.release(id)
+		}
+		return true
+	}
+	for _, shard := range change.Shards {
+		c.holdings.adopt(now, shard)
+	}
+	c.refuseMoved(now)
+	for _, shard := range change.Shards {
+		c.release(shard.ID)
+	}
 	return true
 }
 
-// adoptShards makes the holdings follow the view.
-func (c *Core) adoptShards(now clock.Instant) {
-	for shard := range c.view.Shards.All() {
-		id := shard.ID
-		h := c.holdings[id]
-		switch {
-		case c.session == 0 || !shard.OwnedBy(c.session):
-			delete(c.holdings, id)
-		case h == nil || h.shard.Epoch != shard.Epoch:
-			c.holdings[id] = &holding{shard: shard, since: now}
-		default:
-			h.shard = shard
+// lookForOthers notes whether there is another door for the upstream's service.
+func (c *Core) lookForOthers() {
+	c.others = false
+	for id, router := range c.view.Routers {
+		if id != c.self && router.Serves(c.upstream.Service) && c.view.Eligible(router) {
+			c.others = true
+			return
 		}
 	}
 }
 
-// releaseIdle gives back shards asked back on which nothing runs any more.
-func (c *Core) releaseIdle() {
-	for _, h := range c.holdings {
-		if h.shard.Phase == fleet.ShardRevoking && h.jobs == 0 && !h.released {
-			h.released = true
-			c.output.Releases = append(c.output.Releases, release(h.shard))
+// refuseMoved refuses queued calls whose shard is asked back or gone, so that
+// their entries ask the next owner.
+func (c *Core) refuseMoved(now clock.Instant) {
+	var moved []*job
+	for _, j := range c.queue {
+		if j.call.Sharded && !c.owns(j) {
+			moved = append(moved, j)
 		}
 	}
+	for _, j := range moved {
+		c.end(j, call.Refusal(&j.call, verdict.NotRun, verdict.ReasonNotOwner))
+	}
+	if len(moved) > 0 {
+		c.fill(now)
+	}
+}
+
+func (c *Core) owns(j *job) bool {
+	h := c.holdings.granted(j.call.ShardID())
+	return h != nil && h.shard.Epoch == j.epoch
+}
+
+// release gives a shard back if it was asked back and nothing of it runs.
+func (c *Core) release(id fleet.ShardID) {
+	if r, ok := c.holdings.release(id); ok {
+		c.output.Releases = append(c.output.Releases, r)
+	}
 }
 
 // Announce takes what the upstream beside the door says of itself.
 func (c *Core) Announce(now clock.Instant, u fleet.Upstream) {
 	c.upstream = u
 	c.leaving = false
+	c.lookForOthers()
 	if c.limiter.Announce(u) {
 		c.decideLimit("cold")
 	}
@@ -139,310 +174,46 @@
 // Leave stops new work because the upstream leaves or is lost.
 func (c *Core) Leave(now clock.Instant) {
 	c.leaving = true
-	c.refuseQueue(now, verdict.ReasonNoUpstream)
+	c.fill(now)
 }
 
 // Stop stops new work because the router stops.
 func (c *Core) Stop() { c.stopping = true }
 
-// Submit takes a call from an entry.
-func (c *Core) Submit(now clock.Instant, ticket Ticket, request call.Call) {
-	if reason := c.refusal(now, &request); reason != verdict.ReasonNone {
-		c.refuse(ticket, &request, verdict.NotRun, reason)
-		return
-	}
-	if request.Idempotent || request.Recorded {
-		c.enqueue(now, ticket, request, nil)
-		return
-	}
-	c.submitOnce(now, ticket, request)
-}
-
-// refusal returns why a call must not be admitted, or no reason.
-func (c *Core) refusal(now clock.Instant, request *call.Call) verdict.Reason {
-	switch {
-	case c.stopping:
-		return verdict.ReasonStopping
-	case now >= c.viewUntil:
-		return verdict.ReasonViewStale
-	case c.upstream.Name == "" || c.leaving || c.upstream.Service != request.Service:
-		return verdict.ReasonNoUpstream
-	case now >= request.Deadline:
-		return verdict.ReasonDeadline
-	case request.Sharded:
-		return c.shardRefusal(now, request)
-	case c.view.DataCentresOut[c.centre] || c.view.UpstreamsOut[c.upstream.Name]:
-		return verdict.ReasonNoUpstream
-	default:
-		return verdict.ReasonNone
-	}
-}
-
-func (c *Core) shardRefusal(now clock.Instant, request *call.Call) verdict.Reason {
-	h := c.holdings[request.ShardID()]
-	switch {
-	case h == nil || h.shard.Phase != fleet.ShardGranted:
-		return verdict.ReasonNotOwner
-	case now >= c.ownUntil:
-		return verdict.ReasonLeaseExpired
-	default:
-		return verdict.ReasonNone
-	}
-}
-
-// submitOnce admits a non-idempotent call unless its id was seen before or
-// may have been seen by a door whose records are gone.
-func (c *Core) submitOnce(now clock.Instant, ticket Ticket, request call.Call) {
-	c.records.expire(now)
-	key := keyOf(&request)
-	if r := c.records.find(key); r != nil {
-		c.repeat(ticket, &request, r)
-		return
-	}
-	window := c.recordWindow(request.Service)
-	if h := c.holdings[request.ShardID()]; request.Resend && now < h.since.Add(window) {
-		c.refuse(ticket, &request, verdict.MayHaveRun, verdict.ReasonRecordLost)
-		return
-	}
-	if c.records.full() {
-		c.refuse(ticket, &request, verdict.NotRun, verdict.ReasonOverloaded)
-		return
-	}
-	c.enqueue(now, ticket, request, c.records.add(now, key, nil, window))
-}
-
-func (c *Core) recordWindow(service string) time.Duration {
-	if s := c.view.Preset.Service(service); s != nil {
-		return s.RecordWindow
-	}
-	return 0
-}
-
-// repeat answers a request whose record exists: with the same answer, or by
-// waiting for the run under way.
-func (c *Core) repeat(ticket Ticket, request *call.Call, r *record) {
-	if r.job != nil {
-		r.job.tickets = append(r.job.tickets, ticket)
-		c.tickets[ticket] = r.job
-		return
-	}
-	answer := call.Refusal(request, verdict.MayHaveRun, verdict.ReasonDuplicate)
-	if r.answer != nil {
-		answer = *r.answer
-		answer.Number = request.Number
-	}
-	c.reply(ticket, answer)
-}
-
-// enqueue puts an admitted call in the queue, or refuses it if it could not
-// finish in time.
-func (c *Core) enqueue(now clock.Instant, ticket Ticket, request call.Call, r *record) {
-	if !c.inTime(now, &request) {
-		if r != nil {
-			c.records.forget(r)
-		}
-		c.refuse(ticket, &request, verdict.NotRun, verdict.ReasonOverloaded)
-		return
-	}
-	c.nextRun++
-	j := &job{run: c.nextRun, call: request, tickets: []Ticket{ticket}, record: r}
-	if r != nil {
-		r.job = j
-	}
-	if h := c.holdings[request.ShardID()]; request.Sharded {
-		h.jobs++
-		j.epoch = h.shard.Epoch
-	}
-	c.jobs[j.run] = j
-	c.tickets[ticket] = j
-	c.queue = append(c.queue, j)
+// Tick refuses queued calls that can no longer run and answers calls whose
+// deadline has passed.
+func (c *Core) Tick(now clock.Instant) {
 	c.fill(now)
-}
-
-// inTime estimates whether a call that joins the queue can finish in time.
-func (c *Core) inTime(now clock.Instant, request *call.Call) bool {
-	limit := max(1, c.limiter.Limit())
-	if c.limiter.Running() < limit && len(c.queue) == 0 {
-		return true
-	}
-	bound := 0
-	if s := c.view.Preset.Service(request.Service); s != nil {
-		bound = s.QueueLimit
-	}
-	if len(c.queue) >= bound {
-		return false
-	}
-	rounds := time.Duration(len(c.queue)/limit + 1)
-	return now.Add(rounds*c.limiter.Latency()) < request.Deadline
-}
-
-// fill hands queued calls to the upstream as long as the limit allows. Calls
-// that can no longer run are refused.
-func (c *Core) fill(now clock.Instant) {
-	for len(c.queue) > 0 {
-		j := c.queue[0]
-		if reason := c.stale(now, j); reason != verdict.ReasonNone {
-			c.queue = c.queue[1:]
-			c.end(j, call.Refusal(&j.call, verdict.NotRun, reason))
-			continue
-		}
-		if c.leaving || !c.limiter.Start() {
-			return
+	if now >= c.ownUntil && c.keyed() {
+		for _, j := range append(jobHeap(nil), c.timers...) {
+			c.timeOut(now, j)
 		}
-		c.queue = c.queue[1:]
-		c.start(now, j)
-	}
-}
-
-// stale returns why a queued call must not run any more, or no reason.
-func (c *Core) stale(now clock.Instant, j *job) verdict.Reason {
-	if len(j.tickets) == 0 {
-		return verdict.ReasonCancelled
-	}
-	if now >= j.call.Deadline {
-		return verdict.ReasonDeadline
-	}
-	if !j.call.Sharded {
-		return verdict.ReasonNone
 	}
-	h := c.holdings[j.call.ShardID()]
-	if h == nil || h.shard.Epoch != j.epoch {
-		return verdict.ReasonNotOwner
+	for c.timers.first() <= now {
+		c.timeOut(now, c.timers[0])
 	}
-	if now >= c.ownUntil {
-		return verdict.ReasonLeaseExpired
-	}
-	return verdict.ReasonNone
 }
 
-func (c *Core) start(now clock.Instant, j *job) {
-	j.running = true
-	j.started = now
-	run := Run{ID: j.run, Upstream: c.upstream, Call: j.call, Epoch: j.epoch, Deadline: c.jobDeadline(j), Fence: j.call.Deadline}
-	if j.call.Sharded {
-		run.Fence = min(run.Fence, c.ownUntil)
-	}
-	c.output.Runs = append(c.output.Runs, run)
-}
-
-// jobDeadline is when a run must end: keyed work must not outlast the lease.
-func (c *Core) jobDeadline(j *job) clock.Instant {
-	if s := c.view.Preset.Service(j.call.Service); j.call.Sharded && s != nil && s.Keyed {
-		return min(j.call.Deadline, c.ownUntil)
-	}
-	return j.call.Deadline
-}
-
-// Complete takes the outcome of a run.
-func (c *Core) Complete(now clock.Instant, outcome Outcome) {
-	j, ok := c.jobs[outcome.Run]
-	if !ok || !j.running {
+// timeOut tells the callers of a run that its outcome is unknown. A delegated
+// call without an outcome ends after a grace; others end with their run.
+func (c *Core) timeOut(now clock.Instant, j *job) {
+	c.timers.remove(j)
+	if j.timedOut {
+		c.end(j, call.Refusal(&j.call, verdict.MayHaveRun, verdict.ReasonDeadline))
 		return
 	}
-	if c.limiter.Finish(now, outcome.Health, now.Sub(j.started)) {
-		c.decideLimit("completion")
-	}
-	answer := outcome.Answer
-	answer.RequestID = j.call.RequestID
-	answer.Upstream = c.upstream.Name
-	answer.Epoch = j.epoch
-	c.end(j, answer)
-	c.fill(now)
-	c.releaseIdle()
-}
-
-// end answers everybody who waits for a job and settles its record.
-func (c *Core) end(j *job, answer call.Answer) {
-	for _, ticket := range j.tickets {
-		delete(c.tickets, ticket)
-		c.reply(ticket, answer)
-	}
-	delete(c.jobs, j.run)
-	if h := c.holdings[j.call.ShardID()]; j.call.Sharded && h != nil && h.shard.Epoch == j.epoch {
-		h.jobs--
-	}
-	if j.record == nil {
-		return
-	}
-	j.record.job = nil
-	if answer.Verdict == verdict.NotRun {
-		c.records.forget(j.record)
-		return
-	}
-	j.record.answer = &answer
-}
-
-// Cancel drops one caller's interest in a call. A queued idempotent call is
-// dropped; one that runs is cancelled at the upstream. Non-idempotent runs go
-// on, so that a resend finds their answer.
-func (c *Core) Cancel(now clock.Instant, ticket Ticket) {
-	j, ok := c.tickets[ticket]
-	if !ok {
-		return
-	}
-	delete(c.tickets, ticket)
-	for i, other := range j.tickets {
-		if other == ticket {
-			j.tickets = append(j.tickets[:i], j.tickets[i+1:]...)
-			break
-		}
-	}
-	if len(j.tickets) > 0 || j.record != nil || !j.running {
-		return
-	}
-	c.output.Aborts = append(c.output.Aborts, Abort{Run: j.run, Upstream: c.upstream, RequestID: j.call.RequestID})
-}
-
-// CancelLink drops the interest of every call that came on a link.
-func (c *Core) CancelLink(now clock.Instant, link uint64) {
-	for ticket := range c.tickets {
-		if ticket.Link == link {
-			c.Cancel(now, ticket)
-		}
-	}
-}
-
-// Tick answers calls whose deadline has passed.
-func (c *Core) Tick(now clock.Instant) {
-	c.fill(now)
-	for _, j := range c.jobs {
-		if j.running && len(j.tickets) > 0 && now >= c.jobDeadline(j) {
-			c.timeOut(j)
-		}
-	}
-}
-
-// timeOut tells the callers of a run that its outcome is unknown.
-func (c *Core) timeOut(j *job) {
+	j.timedOut = true
 	for _, ticket := range j.tickets {
 		delete(c.tickets, ticket)
 		c.reply(ticket, call.Refusal(&j.call, verdict.MayHaveRun, verdict.ReasonDeadline))
 	}
 	j.tickets = nil
-	c.output.Aborts = append(c.output.Aborts, Abort{Run: j.run, Upstream: c.upstream, RequestID: j.call.RequestID})
-}
-
-func (c *Core) refuseQueue(now clock.Instant, reason verdict.Reason) {
-	queue := c.queue
-	c.queue = nil
-	for _, j := range queue {
-		c.end(j, call.Refusal(&j.call, verdict.NotRun, reason))
+	if j.phase == jobDelegated {
+		j.timer = now.Add(delegateGrace)
+		c.timers.add(j)
+		return
 	}
-	c.releaseIdle()
-}
-
-func (c *Core) refuse(ticket Ticket, request *call.Call, v verdict.Verdict, reason verdict.Reason) {
-	c.output.Decisions = append(c.output.Decisions, call.Decide(event.RequestRefused,
-		event.F("request", request.RequestID), event.F("service", request.Service), event.F("operation", request.Operation),
-		event.F("verdict", v.String()), event.F("reason", string(reason)), event.F("shard", request.Shard)))
-	c.reply(ticket, call.Refusal(request, v, reason))
-}
-
-// reply addresses an answer to one caller of a call.
-func (c *Core) reply(ticket Ticket, answer call.Answer) {
-	answer.Number = ticket.Number
-	answer.Load = c.Load()
-	c.output.Replies = append(c.output.Replies, Reply{Ticket: ticket, Answer: answer})
+	c.abort(j)
 }
 
 // Load returns the door's present load.
@@ -450,6 +221,12 @@
 	return call.Load{InFlight: c.limiter.Running(), Queued: len(c.queue), Limit: c.limiter.Limit(), Latency: c.limiter.Latency()}
 }
 
+// keyed reports whether work of the upstream must not outlast the lease.
+func (c *Core) keyed() bool {
+	s := c.view.Preset.Service(c.upstream.Service)
+	return s != nil && s.Keyed
+}
+
 func (c *Core) decideLimit(cause string) {
 	c.output.Decisions = append(c.output.Decisions, call.Decide(event.LimitChanged,
 		event.F("upstream", c.upstream.Name), event.F("limit", c.limiter.Limit()), event.F("cause", cause)))
--- a/internal/door/holding.go
+++ b/internal/door/holding.go
@@ -10,7 +10,6 @@
 	shard fleet.Shard
 	// since is when the door learned of the grant.
 	since clock.Instant
-	jobs  int
 	// released is set once the shard was given back.
 	released bool
 }
--- a/internal/door/output.go
+++ b/internal/door/output.go
@@ -9,7 +9,9 @@
 type Output struct {
 	Replies []Reply
 	Runs    []Run
-	Aborts  []Abort
+	// Delegations are runs for other doors.
+	Delegations []Delegation
+	Aborts      []Abort
 	// Releases are shards asked back whose work is finished.
 	Releases  []control.Release
 	Decisions []call.Decision
--- a/internal/door/record.go
+++ b/internal/door/record.go
@@ -8,8 +8,10 @@
 // record remembers a non-idempotent request, so that it runs at most once.
 type record struct {
 	key recordKey
-	job *job
-	// answer is set once the outcome is known; it stays MayHaveRun if it is not.
+	// fingerprint tells another request under the same id.
+	fingerprint uint64
+	job         *job
+	// answer is set once the outcome is known.
 	answer  *call.Answer
 	expires clock.Instant
 }
--- a/internal/door/record_book.go
+++ b/internal/door/record_book.go
@@ -3,37 +3,95 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
 )
 
-// maxRecords bounds the memory of a door's records.
-const maxRecords = 1 << 16
+const (
+	maxRecords     = 1 << 16 // ids that a door remembers
+	maxRecordBytes = 4 << 20 // bytes of answers' bodies that a door remembers
+	compactSlack   = 64      // forgotten records that order may hold beyond the live ones
+)
 
 // recordBook holds records until their window has passed, in order of arrival.
 type recordBook struct {
 	records map[recordKey]*record
 	order   []*record
+	// settled are records whose answer has a body, the oldest first.
+	settled []*record
+	bytes   int
 }
 
 func newRecordBook() *recordBook { return &recordBook{records: map[recordKey]*record{}} }
 
 func keyOf(c *call.Call) recordKey { return recordKey{service: c.Service, requestID: c.RequestID} }
 
+// fingerprint returns a hash of what makes a request the same as another.
+func fingerprint(c *call.Call) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{c.Operation, c.Key} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(c.Body)
+	return d.Sum64()
+}
+
 func (b *recordBook) find(key recordKey) *record { return b.records[key] }
 
 // full reports whether no record can be added without forgetting one early.
 func (b *recordBook) full() bool { return len(b.records) >= maxRecords }
 
-func (b *recordBook) add(now clock.Instant, key recordKey, j *job, window time.Duration) *record {
-	r := &record{key: key, job: j, expires: now.Add(window)}
-	b.records[key] = r
+func (b *recordBook) add(now clock.Instant, c *call.Call, window time.Duration) *record {
+	r := &record{key: keyOf(c), fingerprint: fingerprint(c), expires: now.Add(window)}
+	b.records[r.key] = r
 	b.order = append(b.order, r)
 	return r
 }
 
+// settle keeps the outcome of a request. Beyond maxRecordBytes the oldest
+// bodies are dropped; their ids stay.
+func (b *recordBook) settle(r *record, answer call.Answer) {
+	r.job, r.answer = nil, &answer
+	if len(answer.Body) == 0 {
+		return
+	}
+	b.bytes += len(answer.Body)
+	b.settled = append(b.settled, r)
+	for b.bytes > maxRecordBytes {
+		b.dropBody(b.settled[0])
+		b.settled = b.settled[1:]
+	}
+}
+
+func (b *recordBook) dropBody(r *record) {
+	if r.answer != nil {
+		b.bytes -= len(r.answer.Body)
+		r.answer = nil
+	}
+}
+
 // forget drops the record of a request that is proved not to have run.
-func (b *recordBook) forget(r *record) { delete(b.records, r.key) }
+func (b *recordBook) forget(r *record) {
+	delete(b.records, r.key)
+	if len(b.order) > 2*len(b.records)+compactSlack {
+		b.compact()
+	}
+}
+
+func (b *recordBook) compact() {
+	kept := b.order[:0]
+	for _, r := range b.order {
+		if b.records[r.key] == r {
+			kept = append(kept, r)
+		}
+	}
+	clear(b.order[len(kept):])
+	b.order = kept
+}
 
 // expire drops records whose window has passed and whose run has ended.
 func (b *recordBook) expire(now clock.Instant) {
@@ -43,5 +101,9 @@
 		if b.records[r.key] == r {
 			delete(b.records, r.key)
 		}
+		b.dropBody(r)
+	}
+	for len(b.settled) > 0 && b.settled[0].answer == nil {
+		b.settled = b.settled[1:]
 	}
 }
--- /dev/null
+++ b/internal/door/world_test.go
@@ -0,0 +1,524 @@
+package door
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"endivespring/internal/admission"
+	"endivespring/internal/call"
+	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
+	"endivespring/internal/verdict"
+)
+
+const (
+	worldShards  = 3
+	worldWindow  = 20 * time.Second
+	worldLease   = time.Second
+	worldMargin  = 50 * time.Millisecond
+	worldCallers = 12
+)
+
+// message is a call or a cancellation on the way to a door.
+type message struct {
+	request *call.Call
+	cancel  uint64
+	timeout time.Duration
+}
+
+// request is one caller's non-idempotent request and what is known of it.
+type request struct {
+	id      string
+	shard   uint32
+	first   clock.Instant
+	ran     int
+	proved  bool // every attempt so far ended with a true NotRun
+	done    bool
+	open    uint64 // number of the attempt under way
+	attempt int
+}
+
+// written is a run that the upstream has received.
+type written struct {
+	run Run
+	// orphan is set once nobody waits for its outcome.
+	orphan bool
+}
+
+// member is a router: its door, its upstream and what it knows of control.
+type member struct {
+	id       fleet.RouterID
+	core     *Core
+	session  fleet.Session
+	expires  clock.Instant // at control
+	applied  fleet.Version
+	pending  []fleet.Change
+	links    map[uint64][]message
+	link     uint64
+	sending  []Run
+	upstream []*written
+	frozen   bool
+}
+
+// world drives doors, a fake control, fake upstreams and callers in virtual time.
+type world struct {
+	t        *testing.T
+	seed     uint64
+	random   *rand.Rand
+	now      clock.Instant
+	members  []*member
+	shards   [worldShards]fleet.Shard
+	version  fleet.Version
+	sessions fleet.Session
+	links    uint64
+	requests []*request
+	byID     map[string]*request
+	calls    map[uint64]*request
+	number   uint64
+	outcomes map[string]int
+	delegate map[uint64]delegated
+}
+
+// delegated is a call that a coordinator handed to another door.
+type delegated struct {
+	from  *member
+	core  *Core
+	run   uint64
+	call  call.Call
+	tries int
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{
+		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: clock.Instant(time.Hour), version: 1,
+		calls: map[uint64]*request{}, byID: map[string]*request{}, outcomes: map[string]int{}, delegate: map[uint64]delegated{},
+	}
+	for i := range w.shards {
+		w.shards[i] = fleet.Shard{ID: fleet.ShardID{Service: "pay", Number: uint32(i)}}
+	}
+	for i := range 3 {
+		m := &member{id: fleet.RouterID(fmt.Sprint("r", i))}
+		w.members = append(w.members, m)
+		w.restart(m)
+	}
+	return w
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.t.Helper()
+	w.t.Fatalf("seed %d: %s", w.seed, fmt.Sprintf(format, args...))
+}
+
+func (w *world) preset() *fleet.Preset {
+	return &fleet.Preset{Services: []fleet.Service{{
+		Name: "pay", Keyed: w.seed%3 == 0, Shards: worldShards, QueueLimit: 3, RecordWindow: worldWindow,
+		Operations: []fleet.Operation{{Name: "charge"}},
+	}}}
+}
+
+// restart replaces a router's process: records, links and runs to send are gone.
+func (w *world) restart(m *member) {
+	m.core = New(m.id, "dc")
+	m.sending, m.pending, m.applied, m.frozen = nil, nil, 0, false
+	for _, u := range m.upstream {
+		u.orphan = true
+	}
+	w.expire(m)
+	w.cutLinks(m)
+	w.announce(m)
+}
+
+func (w *world) announce(m *member) {
+	m.core.Announce(w.now, fleet.Upstream{Name: "u-" + string(m.id), Service: "pay", Address: "a", Boot: fmt.Sprint(w.random.IntN(2)), Slots: 2, ColdSlots: 1})
+}
+
+// cutLinks loses what was on the way; callers learn nothing of their calls.
+func (w *world) cutLinks(m *member) {
+	m.links = map[uint64][]message{}
+	w.links++
+	m.link = w.links
+}
+
+// expire ends a router's session at control.
+func (w *world) expire(m *member) {
+	var changed []fleet.Shard
+	for i := range w.shards {
+		if s := &w.shards[i]; s.Phase != fleet.ShardFree && s.Session == m.session {
+			s.Phase, s.Session, s.Owner = fleet.ShardFree, 0, ""
+			changed = append(changed, *s)
+		}
+	}
+	m.session = 0
+	w.publish(changed...)
+}
+
+func (w *world) publish(changed ...fleet.Shard) {
+	if len(changed) == 0 {
+		return
+	}
+	change := fleet.Change{From: w.version, To: w.version + 1, Shards: changed}
+	w.version++
+	for _, m := range w.members {
+		m.pending = append(m.pending, change)
+	}
+}
+
+// renew answers a renewal: a lease and the changes since the last one. The
+// answer may come late; the lease counts from when the renewal was sent.
+func (w *world) renew(m *member) {
+	if m.session != 0 && w.now >= m.expires {
+		w.expire(m)
+	}
+	if m.session == 0 {
+		w.sessions++
+		m.session, m.applied = w.sessions, 0
+	}
+	sent := w.now
+	w.now = w.now.Add(time.Duration(w.random.IntN(30)) * time.Millisecond)
+	m.expires = w.now.Add(worldLease + worldMargin)
+	if m.applied == 0 {
+		full := &fleet.Change{Full: true, To: w.version, Preset: w.preset()}
+		for _, other := range w.members {
+			full.Routers = append(full.Routers, fleet.Router{ID: other.id, Upstream: fleet.Upstream{Name: "u", Service: "pay"}})
+		}
+		for _, s := range w.shards {
+			if s.Epoch > 0 {
+				full.Shards = append(full.Shards, s)
+			}
+		}
+		m.core.SetView(w.now, full)
+		m.pending = nil
+	}
+	for ; len(m.pending) > 0 && w.random.IntN(4) > 0; m.pending = m.pending[1:] {
+		change := m.pending[0]
+		m.core.SetView(w.now, &change)
+	}
+	m.applied = 1
+	m.core.SetLease(w.now, m.session, sent.Add(worldLease), sent.Add(3*worldLease))
+}
+
+// move lets control expire, grant or ask back a shard.
+func (w *world) move() {
+	for _, m := range w.members {
+		if m.session != 0 && w.now >= m.expires {
+			w.expire(m)
+		}
+	}
+	s := &w.shards[w.random.IntN(worldShards)]
+	m := w.members[w.random.IntN(len(w.members))]
+	switch {
+	case s.Phase == fleet.ShardFree && m.session != 0:
+		s.Phase, s.Owner, s.Session, s.Epoch = fleet.ShardGranted, m.id, m.session, s.Epoch+1
+	case s.Phase == fleet.ShardGranted && w.random.IntN(6) == 0:
+		s.Phase = fleet.ShardRevoking
+	default:
+		return
+	}
+	w.publish(*s)
+}
+
+// attempt sends a request, marked if an earlier attempt may have run.
+func (w *world) attempt(r *request) {
+	shard := w.shards[r.shard]
+	to := w.members[w.random.IntN(len(w.members))]
+	for _, m := range w.members {
+		if m.id == shard.Owner && w.random.IntN(8) > 0 {
+			to = m
+		}
+	}
+	w.number++
+	r.open = w.number
+	r.attempt++
+	w.calls[w.number] = r
+	w.put(to, message{
+		request: &call.Call{Number: w.number, RequestID: r.id, Service: "pay", Operation: "charge", Key: r.id, Sharded: true, Shard: r.shard, Resend: !r.proved, Body: []byte(r.id)},
+		timeout: time.Duration(50+w.random.IntN(600)) * time.Millisecond,
+	})
+}
+
+func (w *world) put(m *member, msg message) { m.links[m.link] = append(m.links[m.link], msg) }
+
+// callerStep starts, resends, cancels or gives up a request.
+func (w *world) callerStep() {
+	if w.random.IntN(2) == 0 {
+		r := &request{id: fmt.Sprint("id-", len(w.requests)), shard: uint32(w.random.IntN(worldShards)), first: w.now, proved: true}
+		w.requests = append(w.requests, r)
+		w.byID[r.id] = r
+		w.attempt(r)
+		return
+	}
+	recent := w.requests[max(0, len(w.requests)-worldCallers):]
+	if len(recent) == 0 {
+		return
+	}
+	r := recent[w.random.IntN(len(recent))]
+	if r.done || w.now.Sub(r.first) > worldWindow-2*time.Second {
+		return
+	}
+	if r.open != 0 { // the answer is lost or the caller is impatient
+		if m := w.members[w.random.IntN(len(w.members))]; w.random.IntN(2) == 0 {
+			w.put(m, message{cancel: r.open})
+		}
+		r.proved = false
+	}
+	w.attempt(r)
+}
+
+// deliver brings the next message of a link to its door.
+func (w *world) deliver(m *member) {
+	queue := m.links[m.link]
+	if len(queue) == 0 {
+		return
+	}
+	msg := queue[0]
+	m.links[m.link] = queue[1:]
+	if msg.request == nil {
+		m.core.Cancel(w.now, Ticket{Link: m.link, Number: msg.cancel})
+		return
+	}
+	msg.request.Deadline = w.now.Add(msg.timeout)
+	m.core.Submit(w.now, Ticket{Link: m.link, Number: msg.request.Number}, *msg.request)
+}
+
+// collect carries out what a door asks for.
+func (w *world) collect(m *member) {
+	out := m.core.Take()
+	m.sending = append(m.sending, out.Runs...)
+	for _, d := range out.Delegations {
+		w.handOver(delegated{from: m, core: m.core, run: d.Run, call: d.Call})
+	}
+	for _, reply := range out.Replies {
+		if reply.Ticket.Link == m.link {
+			w.answered(m, reply.Answer)
+		}
+	}
+	for _, release := range out.Releases {
+		w.release(m, release.Shard.Number, release.Epoch)
+	}
+}
+
+// release gives a shard back to control: nothing of it may run at this door.
+func (w *world) release(m *member, number uint32, epoch fleet.Epoch) {
+	for _, u := range m.upstream {
+		if !u.orphan && u.run.Call.Sharded && u.run.Call.Shard == number {
+			w.fail("shard %d released by %s while %s runs", number, m.id, u.run.Call.RequestID)
+		}
+	}
+	for _, run := range m.sending {
+		if run.Call.Sharded && run.Call.Shard == number {
+			w.fail("shard %d released by %s while %s is being sent", number, m.id, run.Call.RequestID)
+		}
+	}
+	if s := &w.shards[number]; s.Epoch == epoch && s.Session == m.session && s.Phase == fleet.ShardRevoking {
+		s.Phase, s.Session, s.Owner = fleet.ShardFree, 0, ""
+		w.publish(*s)
+	}
+}
+
+func (w *world) answered(m *member, answer call.Answer) {
+	if d, ok := w.delegate[answer.Number]; ok {
+		w.delegatedAnswer(d, answer)
+		return
+	}
+	r := w.calls[answer.Number]
+	if r == nil {
+		w.fail("answer for unknown call %d", answer.Number)
+	}
+	w.outcomes[answer.Verdict.String()+" "+string(answer.Reason)]++
+	delete(w.calls, answer.Number)
+	if answer.RequestID != r.id {
+		w.fail("%s got the answer of %s", r.id, answer.RequestID)
+	}
+	if answer.Verdict == verdict.Ran && (string(answer.Body) != r.id || r.ran != 1) {
+		w.fail("%s got body %q and ran %d times", r.id, answer.Body, r.ran)
+	}
+	if answer.Verdict == verdict.NotRun && r.ran > 0 && r.attempt == 1 {
+		w.fail("%s was told not-run (%s) but ran", r.id, answer.Reason)
+	}
+	if answer.Verdict == verdict.NotRun && r.ran > 0 && answer.Reason != verdict.ReasonNotOwner && answer.Reason != verdict.ReasonLeaseExpired && answer.Reason != verdict.ReasonViewStale && answer.Reason != verdict.ReasonNoUpstream {
+		w.fail("a resend of %s was told not-run (%s) but ran", r.id, answer.Reason)
+	}
+	if answer.Number != r.open {
+		return
+	}
+	r.open = 0
+	r.done = answer.Verdict == verdict.Ran
+	if answer.Verdict == verdict.MayHaveRun {
+		r.proved = false
+	}
+}
+
+// send lets a sender hand its run to the upstream, checking the fence.
+func (w *world) send(m *member) {
+	if len(m.sending) == 0 {
+		return
+	}
+	run := m.sending[0]
+	m.sending = m.sending[1:]
+	if w.now >= run.Fence || w.random.IntN(20) == 0 {
+		w.complete(m, &run, verdict.NotRun, verdict.ReasonConnection)
+		return
+	}
+	if s := w.shards[run.Call.Shard]; run.Call.Sharded && (s.Epoch != run.Epoch || s.Session != m.session) {
+		w.fail("%s is handed over by %s under epoch %d, control is at %d", run.Call.RequestID, m.id, run.Epoch, s.Epoch)
+	}
+	m.upstream = append(m.upstream, &written{run: run})
+	running := 0
+	for _, u := range m.upstream {
+		if !u.orphan {
+			running++
+		}
+	}
+	if running > 2 {
+		w.fail("%d runs at once at %s", running, m.id)
+	}
+}
+
+// work lets an upstream end a run: it runs and answers, it runs and the answer
+// is lost, it sheds, or the connection breaks first and it runs later or never.
+func (w *world) work(m *member) {
+	if len(m.upstream) == 0 {
+		return
+	}
+	i := w.random.IntN(len(m.upstream))
+	u := m.upstream[i]
+	if !u.orphan && w.random.IntN(6) == 0 {
+		u.orphan = true
+		w.complete(m, &u.run, verdict.MayHaveRun, verdict.ReasonConnection)
+		return
+	}
+	m.upstream = append(m.upstream[:i], m.upstream[i+1:]...)
+	shed := w.random.IntN(8) == 0
+	if !shed {
+		w.execute(&u.run)
+	}
+	switch {
+	case u.orphan:
+	case shed:
+		w.complete(m, &u.run, verdict.NotRun, verdict.ReasonShed)
+	default:
+		w.complete(m, &u.run, verdict.Ran, verdict.ReasonNone)
+	}
+}
+
+func (w *world) execute(run *Run) {
+	r := w.byID[run.Call.RequestID]
+	r.ran++
+	if r.ran > 1 {
+		w.fail("%s ran twice", r.id)
+	}
+}
+
+func (w *world) complete(m *member, run *Run, v verdict.Verdict, reason verdict.Reason) {
+	answer := call.Refusal(&run.Call, v, reason)
+	if v == verdict.Ran {
+		answer.Status, answer.Body = 200, run.Call.Body
+	}
+	health := admission.Good
+	if v != verdict.Ran {
+		health = admission.Outcome(w.random.IntN(3))
+	}
+	m.core.Complete(w.now, Outcome{Run: run.ID, Answer: answer, Health: health})
+}
+
+// step does one random thing at one random place.
+func (w *world) step() {
+	w.now = w.now.Add(time.Duration(w.random.IntN(5)) * time.Millisecond)
+	m := w.members[w.random.IntN(len(w.members))]
+	switch w.random.IntN(40) {
+	case 0:
+		m.frozen = !m.frozen && w.random.IntN(4) == 0
+	case 1:
+		if w.random.IntN(10) == 0 {
+			w.restart(m)
+		}
+	case 2:
+		if w.random.IntN(4) == 0 {
+			link := m.link
+			w.cutLinks(m)
+			m.core.CancelLink(w.now, link)
+		}
+	case 3, 4, 5:
+		w.move()
+	case 6, 7, 8, 9, 10, 11:
+		w.callerStep()
+	case 12:
+		if w.random.IntN(4) == 0 {
+			w.now = w.now.Add(time.Duration(w.random.IntN(800)) * time.Millisecond)
+		}
+	default:
+		if !m.frozen {
+			w.memberStep(m)
+		}
+	}
+	w.collect(m)
+}
+
+func (w *world) memberStep(m *member) {
+	switch w.random.IntN(14) {
+	case 0, 1, 2:
+		w.renew(m)
+	case 3:
+		w.announce(m)
+	case 4:
+		if w.random.IntN(20) == 0 {
+			m.core.Leave(w.now)
+		}
+	case 5, 6, 7:
+		w.deliver(m)
+	case 8, 9:
+		w.send(m)
+	case 10, 11, 12:
+		w.work(m)
+	default:
+		if m.core.Deadline() <= w.now {
+			m.core.Tick(w.now)
+		}
+	}
+}
+
+// settle ends every run; afterwards each door must be idle and bounded.
+func (w *world) settle() {
+	for _, m := range w.members {
+		m.frozen = false
+		for range 200 {
+			w.now = w.now.Add(20 * time.Millisecond)
+			w.send(m)
+			w.work(m)
+			m.core.Tick(w.now)
+			w.collect(m)
+		}
+		if !m.core.Idle() || len(m.core.tickets) != 0 || m.core.limiter.Running() != 0 {
+			w.fail("%s is not idle: %d jobs, %d tickets, %d running", m.id, len(m.core.jobs), len(m.core.tickets), m.core.limiter.Running())
+		}
+	}
+}
+
+// handOver sends a delegated call to another door.
+func (w *world) handOver(d delegated) {
+	to := w.members[w.random.IntN(len(w.members))]
+	if to == d.from {
+		to = w.members[(w.random.IntN(2)+1)%len(w.members)]
+	}
+	w.number++
+	d.tries++
+	w.delegate[w.number] = d
+	request := d.call
+	request.Number, request.Sharded, request.Recorded = w.number, false, true
+	w.put(to, message{request: &request, timeout: d.call.Deadline.Sub(w.now)})
+}
+
+// delegatedAnswer brings the outcome back, tries another door after a proved
+// refusal, or loses the answer.
+func (w *world) delegatedAnswer(d delegated, answer call.Answer) {
+	if answer.Verdict == verdict.NotRun && d.tries < 3 && w.now < d.call.Deadline {
+		w.handOver(d)
+		return
+	}
+	w.outcomes["delegated "+answer.Verdict.String()]++
+	if d.from.core == d.core && w.random.IntN(8) > 0 {
+		d.core.Complete(w.now, Outcome{Run: d.run, Answer: answer})
+	}
+}
--- a/internal/router/abort_duty.go
+++ b/internal/router/abort_duty.go
@@ -10,8 +10,8 @@
 
 // abortDuty tells the upstream which runs are no longer wanted.
 type abortDuty struct {
-	client *upstream.Client
-	aborts *ring.Ring[door.Abort]
+	canceller *upstream.Canceller
+	aborts    *ring.Ring[door.Abort]
 }
 
 // Run sends cancellations until the context ends.
@@ -21,6 +21,6 @@
 		if err != nil {
 			return nil
 		}
-		d.client.Cancel(abort.Upstream.Address, abort.RequestID)
+		d.canceller.Cancel(abort.Upstream.Address, abort.RequestID)
 	}
 }
--- a/internal/router/door_duty.go
+++ b/internal/router/door_duty.go
@@ -17,6 +17,8 @@
 	"endivespring/internal/verdict"
 )
 
+const releaseRetry = 10 * time.Millisecond // wait before releases are handed over again
+
 // doorDuty owns the door core and the links that calls come on.
 type doorDuty struct {
 	core        *door.Core
@@ -27,7 +29,8 @@
 	updates     *ring.Ring[session.Update]
 	notices     *ring.Ring[upstream.Notice]
 	stop        *ring.Ring[struct{}]
-	runs        *ring.Ring[door.Run]
+	runs        *ring.Ring[outboundRun]
+	delegations *ring.Ring[door.Delegation]
 	aborts      *ring.Ring[door.Abort]
 	releases    *ring.Ring[[]control.Release]
 	registered  *ring.Ring[registration]
@@ -41,7 +44,11 @@
 	// startSender starts one more sender duty.
 	startSender func()
 
-	senders  int
+	senders int
+	// cancels end the wait for runs under way; releases not yet handed to the
+	// session are in unsent.
+	cancels  map[uint64]context.CancelFunc
+	unsent   []control.Release
 	sinks    map[uint64]answerSink
 	upstream fleet.Upstream
 	heardAt  clock.Instant
@@ -62,7 +69,7 @@
 		case s := <-d.submissions.Out():
 			d.submit(&s)
 		case outcome := <-d.outcomes.Out():
-			d.core.Complete(d.clock.Now(), outcome)
+			d.complete(outcome)
 		case update := <-d.updates.Out():
 			d.update(&update)
 		case notice := <-d.notices.Out():
@@ -77,12 +84,19 @@
 	}
 }
 
+// sleep returns how long the duty may wait.
 func (d *doorDuty) sleep() time.Duration {
-	now := d.clock.Now()
-	deadline := d.core.Deadline(now)
+	deadline := d.core.Deadline()
 	if d.upstream.Name != "" && !d.gone {
 		deadline = min(deadline, d.heardAt.Add(d.lostAfter))
 	}
+	now := d.clock.Now()
+	if d.stopping && d.core.Held(now) > 0 {
+		deadline = min(deadline, d.core.OwnUntil())
+	}
+	if len(d.unsent) > 0 {
+		deadline = min(deadline, now.Add(releaseRetry))
+	}
 	if deadline == clock.Never {
 		return time.Hour
 	}
@@ -106,6 +120,8 @@
 
 func (d *doorDuty) submit(s *submission) {
 	switch {
+	case s.outcome != nil:
+		d.complete(*s.outcome)
 	case s.open != nil:
 		d.sinks[s.link] = s.open
 	case s.closed:
@@ -148,35 +164,71 @@
 	_ = d.registered.Put(ctx, registration{upstream: notice.Upstream})
 }
 
+// complete ends a run and the wait for it.
+func (d *doorDuty) complete(outcome door.Outcome) {
+	if cancel := d.cancels[outcome.Run]; cancel != nil {
+		cancel()
+		delete(d.cancels, outcome.Run)
+	}
+	d.core.Complete(d.clock.Now(), outcome)
+}
+
+// dispatch carries out what the core asks for until it asks for nothing more.
 func (d *doorDuty) dispatch(ctx context.Context) {
-	out := d.core.Take()
+	for again := true; again; {
+		out := d.core.Take()
+		again = d.start(ctx, &out)
+		d.tell(ctx, &out)
+	}
+	d.sendReleases(ctx)
+	if d.stopping && d.core.Idle() && d.core.Held(d.clock.Now()) == 0 {
+		d.core.Stop()
+		_ = d.drained.Put(ctx, struct{}{})
+	}
+}
+
+// start hands runs to the senders and to other doors. It reports whether some
+// were refused, which the core has been told.
+func (d *doorDuty) start(ctx context.Context, out *door.Output) (refused bool) {
 	for _, run := range out.Runs {
-		if d.runs.Put(ctx, run) != nil {
-			d.refuseRun(ctx, &run)
+		runCtx, cancel := context.WithCancel(ctx)
+		d.cancels[run.ID] = cancel
+		if d.runs.Put(ctx, outboundRun{ctx: runCtx, run: run}) != nil {
+			refused = true
+			d.complete(door.Outcome{Run: run.ID, Answer: call.Refusal(&run.Call, verdict.NotRun, verdict.ReasonOverloaded)})
+		}
+	}
+	for _, delegation := range out.Delegations {
+		if d.delegations.Put(ctx, delegation) != nil {
+			refused = true
+			d.complete(door.Outcome{Run: delegation.Run, Answer: call.Refusal(&delegation.Call, verdict.NotRun, verdict.ReasonOverloaded)})
 		}
 	}
+	return refused
+}
+
+// tell passes on cancellations, answers, releases and decisions.
+func (d *doorDuty) tell(ctx context.Context, out *door.Output) {
 	for _, abort := range out.Aborts {
 		_ = d.aborts.Put(ctx, abort)
+		if cancel := d.cancels[abort.Run]; cancel != nil {
+			cancel()
+		}
 	}
 	for _, reply := range out.Replies {
 		if sink := d.sinks[reply.Ticket.Link]; sink != nil && !sink.answer(ctx, reply.Answer) {
 			delete(d.sinks, reply.Ticket.Link)
 		}
 	}
-	if len(out.Releases) > 0 {
-		_ = d.releases.Put(ctx, out.Releases)
-	}
+	d.unsent = append(d.unsent, out.Releases...)
 	for _, decision := range out.Decisions {
 		d.events.Record(decision.Event, decision.Fields...)
 	}
-	if d.stopping && d.core.Idle() && d.core.Held() == 0 {
-		d.core.Stop()
-		_ = d.drained.Put(ctx, struct{}{})
-	}
 }
 
-// refuseRun ends a run that could not be handed to a sender.
-func (d *doorDuty) refuseRun(ctx context.Context, run *door.Run) {
-	outcome := door.Outcome{Run: run.ID, Answer: call.Refusal(&run.Call, verdict.NotRun, verdict.ReasonOverloaded)}
-	_ = d.outcomes.Put(ctx, outcome)
+// sendReleases hands releases to the session; a full ring is tried again.
+func (d *doorDuty) sendReleases(ctx context.Context) {
+	if len(d.unsent) > 0 && d.releases.Put(ctx, d.unsent) == nil {
+		d.unsent = nil
+	}
 }
--- a/internal/router/entry_duty.go
+++ b/internal/router/entry_duty.go
@@ -8,6 +8,7 @@
 	"endivespring/internal/call"
 	"endivespring/internal/caller"
 	"endivespring/internal/clock"
+	"endivespring/internal/door"
 	"endivespring/internal/duty"
 	"endivespring/internal/event"
 	"endivespring/internal/fleet"
@@ -33,6 +34,11 @@
 
 	registry *metrics.Registry
 
+	// delegations are calls of the door beside this entry that other doors are
+	// to run; delegated holds their runs by token.
+	delegations *ring.Ring[door.Delegation]
+	delegated   map[uint64]uint64
+
 	token   uint64
 	waiting map[uint64]caller.Request
 	links   map[fleet.RouterID]*link
@@ -50,6 +56,8 @@
 			d.core.Tick(d.clock.Now())
 		case request := <-d.requests.Out():
 			d.start(request)
+		case delegation := <-d.delegations.Out():
+			d.delegate(&delegation)
 		case answer := <-d.answers.Out():
 			d.answered(&answer)
 		case update := <-d.updates.Out():
@@ -78,6 +86,18 @@
 	d.core.Start(d.clock.Now(), request.Request)
 }
 
+// delegate starts a call that the door beside this entry keeps the record of.
+func (d *entryDuty) delegate(delegation *door.Delegation) {
+	d.token++
+	d.delegated[d.token] = delegation.Run
+	now := d.clock.Now()
+	c := &delegation.Call
+	d.core.Start(now, attempt.Request{
+		Token: d.token, ID: c.RequestID, Service: c.Service, Operation: c.Operation, Key: c.Key, Body: c.Body,
+		Timeout: max(1, c.Deadline.Sub(now)), Delegated: true, Exclude: d.self,
+	})
+}
+
 func (d *entryDuty) answered(in *inboundAnswer) {
 	now := d.clock.Now()
 	switch {
@@ -99,7 +119,7 @@
 	for {
 		out := d.core.Take()
 		for _, finish := range out.Finishes {
-			d.finish(finish)
+			d.finish(ctx, finish)
 		}
 		for _, cancel := range out.Cancels {
 			d.cancel(ctx, cancel)
@@ -116,7 +136,14 @@
 	}
 }
 
-func (d *entryDuty) finish(finish attempt.Finish) {
+// finish answers the caller, or the door beside this entry. If the door's ring
+// is full, the door takes the outcome as unknown after a grace.
+func (d *entryDuty) finish(ctx context.Context, finish attempt.Finish) {
+	if run, ok := d.delegated[finish.Token]; ok {
+		delete(d.delegated, finish.Token)
+		_ = d.door.Put(ctx, submission{outcome: &door.Outcome{Run: run, Answer: finish.Answer}})
+		return
+	}
 	if request, ok := d.waiting[finish.Token]; ok {
 		delete(d.waiting, finish.Token)
 		request.Reply.Send(finish.Answer)
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -31,11 +31,12 @@
 )
 
 const (
-	runCapacity      = 256  // runs waiting for a sender
-	updateCapacity   = 64   // view and lease updates
-	noticeCapacity   = 16   // announcements
-	doorCapacity     = 8192 // calls waiting for the door duty
-	answerRingLength = 8192 // answers waiting for the entry duty
+	runCapacity        = 256  // runs waiting for a sender
+	delegationCapacity = 256  // runs waiting for the entry
+	updateCapacity     = 64   // view and lease updates
+	noticeCapacity     = 16   // announcements
+	doorCapacity       = 8192 // calls waiting for the door duty
+	answerRingLength   = 8192 // answers waiting for the entry duty
 
 	closeTimeout = time.Second // longest wait for the session's end
 )
@@ -100,19 +101,22 @@
 	self := fleet.Router{ID: fleet.RouterID(s.Name), DataCentre: fleet.DataCentre(s.DataCentre), Address: s.Reached()}
 	answers := ring.New[inboundAnswer]("answers", answerRingLength, ring.Wait)
 	submissions := ring.New[submission]("submissions", doorCapacity, ring.Refuse)
+	delegations := ring.New[door.Delegation]("delegations", delegationCapacity, ring.Refuse)
 	n.entry = &entryDuty{
 		self: self.ID, fleet: s.Fleet, core: attempt.New(randomSeed()), clock: n.clock, events: n.events, group: n.group,
 		requests: ring.New[caller.Request]("requests", s.Entries, ring.Refuse), answers: answers, door: submissions,
 		updates: ring.New[session.Update]("entry-updates", updateCapacity, ring.Wait),
 		waiting: map[uint64]caller.Request{}, links: map[fleet.RouterID]*link{},
+		delegations: delegations, delegated: map[uint64]uint64{},
 	}
 	n.door = &doorDuty{
 		core: door.New(self.ID, self.DataCentre), clock: n.clock, events: n.events, submissions: submissions,
-		outcomes:   ring.New[door.Outcome]("outcomes", runCapacity, ring.Wait),
-		updates:    ring.New[session.Update]("door-updates", updateCapacity, ring.Wait),
-		notices:    ring.New[upstream.Notice]("notices", noticeCapacity, ring.Refuse),
-		stop:       ring.New[struct{}]("door-stop", 1, ring.Refuse),
-		runs:       ring.New[door.Run]("runs", runCapacity, ring.Refuse),
+		outcomes:    ring.New[door.Outcome]("outcomes", runCapacity, ring.Wait),
+		updates:     ring.New[session.Update]("door-updates", updateCapacity, ring.Wait),
+		notices:     ring.New[upstream.Notice]("notices", noticeCapacity, ring.Refuse),
+		stop:        ring.New[struct{}]("door-stop", 1, ring.Refuse),
+		runs:        ring.New[outboundRun]("runs", runCapacity, ring.Refuse),
+		delegations: delegations, cancels: map[uint64]context.CancelFunc{},
 		aborts:     ring.New[door.Abort]("aborts", runCapacity, ring.DropOldest),
 		releases:   ring.New[[]control.Release]("releases", updateCapacity, ring.Refuse),
 		registered: ring.New[registration]("registrations", noticeCapacity, ring.DropOldest),
@@ -136,7 +140,7 @@
 // measure registers the rings and the figures of the duties.
 func (n *Node) measure(answers *ring.Ring[inboundAnswer], submissions *ring.Ring[submission]) {
 	n.registry.Rings(n.events.Ring(), n.entry.requests, answers, submissions, n.entry.updates,
-		n.door.outcomes, n.door.updates, n.door.notices, n.door.runs, n.door.aborts, n.door.releases, n.door.registered)
+		n.door.outcomes, n.door.delegations, n.door.updates, n.door.notices, n.door.runs, n.door.aborts, n.door.releases, n.door.registered)
 	n.entry.registry = n.registry
 	n.door.meter = metrics.NewDoorMeter(n.registry)
 	n.session.meter = metrics.NewSessionMeter(n.registry, n.clock)
@@ -144,16 +148,15 @@
 }
 
 func (n *Node) run(listeners []net.Listener) {
-	client := upstream.NewClient(n.clock, n.settings.MaxBody)
 	n.door.startSender = func() {
-		sender := &senderDuty{client: client, runs: n.door.runs, outcomes: n.door.outcomes}
+		sender := &senderDuty{sender: upstream.NewSender(n.clock, n.events, n.settings.MaxBody), runs: n.door.runs, outcomes: n.door.outcomes}
 		n.group.Go("sender", sender.Run)
 	}
 	n.group.Go("event-log", n.events.Run)
 	n.group.Go("entry", n.entry.Run)
 	n.group.Go("door", n.door.Run)
 	n.group.Go("session", n.session.Run)
-	aborts := &abortDuty{client: client, aborts: n.door.aborts}
+	aborts := &abortDuty{canceller: upstream.NewCanceller(), aborts: n.door.aborts}
 	n.group.Go("aborts", aborts.Run)
 	n.group.Go("caller-server", func(context.Context) error { return n.caller.App().Listener(listeners[0]) })
 	n.group.Go("announce-server", func(context.Context) error { return n.announce.Listener(listeners[1]) })
--- a/internal/router/sender_duty.go
+++ b/internal/router/sender_duty.go
@@ -8,22 +8,23 @@
 	"endivespring/internal/upstream"
 )
 
-// senderDuty makes the blocking calls to the upstream, one at a time. As many
-// run as the upstream has slots at most.
+// senderDuty makes the blocking calls to the upstream, one at a time, over one
+// connection. As many run as the upstream has slots at most.
 type senderDuty struct {
-	client   *upstream.Client
-	runs     *ring.Ring[door.Run]
+	sender   *upstream.Sender
+	runs     *ring.Ring[outboundRun]
 	outcomes *ring.Ring[door.Outcome]
 }
 
 // Run sends until the context ends.
 func (d *senderDuty) Run(ctx context.Context) error {
+	defer d.sender.Close()
 	for {
-		run, err := d.runs.Take(ctx)
+		out, err := d.runs.Take(ctx)
 		if err != nil {
 			return nil
 		}
-		if err := d.outcomes.Put(ctx, d.client.Run(&run)); err != nil {
+		if err := d.outcomes.Put(ctx, d.sender.Run(out.ctx, &out.run)); err != nil {
 			return nil
 		}
 	}
--- a/internal/router/submission.go
+++ b/internal/router/submission.go
@@ -1,6 +1,9 @@
 package router
 
-import "endivespring/internal/call"
+import (
+	"endivespring/internal/call"
+	"endivespring/internal/door"
+)
 
 // localLink is the link number of the entry in the same process.
 const localLink = 0
@@ -10,6 +13,8 @@
 	link   uint64
 	call   call.Call
 	cancel uint64
+	// outcome is that of a call that the door delegated.
+	outcome *door.Outcome
 	// open registers the link's answers; closed forgets the link.
 	open   answerSink
 	closed bool
--- /dev/null
+++ b/internal/upstream/connection.go
@@ -0,0 +1,113 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"endivespring/internal/clock"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// idleLimit is the unused time after which a connection is given up. It is
+	// below the idle time-outs that HTTP servers commonly have.
+	idleLimit   = 4 * time.Second
+	maxInterim  = 4       // interim answers (1xx) before the real one
+	readBuffer  = 4 << 10 // bytes read at once; also the longest header
+	unboundedly = -2      // fasthttp's length of a body that ends with its connection
+)
+
+var (
+	errUnbounded = eris.New("answer ends with its connection")
+	errInterim   = eris.New("too many interim answers")
+)
+
+// connection is one connection to an upstream. It carries one request at a time.
+type connection struct {
+	address string
+	net     net.Conn
+	reader  *bufio.Reader
+	used    clock.Instant
+}
+
+func dial(address string) (net.Conn, error) { return fasthttp.DialTimeout(address, dialTimeout) }
+
+func connect(address string, now clock.Instant) (*connection, error) {
+	c, err := dial(address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "connect to %s", address)
+	}
+	return &connection{address: address, net: c, reader: bufio.NewReaderSize(c, readBuffer), used: now}, nil
+}
+
+// reusable reports whether another request may be sent: the connection is
+// fresh, not closed by the upstream, and no stray bytes wait on it.
+func (c *connection) reusable(address string, now clock.Instant) bool {
+	return c.address == address && now.Sub(c.used) < idleLimit && c.reader.Buffered() == 0 && c.quiet()
+}
+
+// quiet looks at the socket without taking anything: an end of stream or
+// unasked bytes are both visible before the next request is written.
+func (c *connection) quiet() bool {
+	tcp, ok := c.net.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var buffer [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
+
+// read takes one whole answer of up to maxBody bytes.
+func (c *connection) read(response *fasthttp.Response, maxBody int) error {
+	if err := c.readHeader(response); err != nil {
+		return err
+	}
+	status := response.StatusCode()
+	if status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return nil
+	}
+	length := response.Header.ContentLength()
+	if length == unboundedly {
+		return errUnbounded
+	}
+	if err := response.ReadBody(c.reader, maxBody); err != nil {
+		return err
+	}
+	if length >= 0 {
+		return nil
+	}
+	return response.Header.ReadTrailer(c.reader)
+}
+
+func (c *connection) readHeader(response *fasthttp.Response) error {
+	for range maxInterim {
+		if err := response.Header.Read(c.reader); err != nil {
+			return err
+		}
+		if status := response.StatusCode(); status < 100 || status > 199 {
+			return nil
+		}
+	}
+	return errInterim
+}
+
+// expire makes what is under way fail no later than a grace from now. It may
+// be called while another goroutine uses the connection.
+func (c *connection) expire(grace time.Duration) { _ = c.net.SetDeadline(time.Now().Add(grace)) }
+
+func (c *connection) close() { _ = c.net.Close() }
--- /dev/null
+++ b/internal/upstream/sender.go
@@ -0,0 +1,224 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"endivespring/internal/admission"
+	"endivespring/internal/call"
+	"endivespring/internal/clock"
+	"endivespring/internal/door"
+	"endivespring/internal/event"
+	"endivespring/internal/verdict"
+)
+
+const (
+	deadlineGrace = 20 * time.Millisecond  // time an answer may take beyond the run's deadline
+	abortGrace    = 100 * time.Millisecond // time an answer may take after the run was cancelled
+)
+
+// Sender carries runs to an upstream, each once, over a connection of its own.
+// It is owned by one duty.
+type Sender struct {
+	clock      clock.Clock
+	events     event.Recorder
+	maxBody    int
+	connection *connection
+	buffer     bytes.Buffer
+	writer     *bufio.Writer
+}
+
+// NewSender returns a sender without a connection that accepts answers of up
+// to maxBody bytes.
+func NewSender(c clock.Clock, events event.Recorder, maxBody int) *Sender {
+	s := &Sender{clock: c, events: events, maxBody: maxBody}
+	s.writer = bufio.NewWriter(&s.buffer)
+	return s
+}
+
+// Run hands one run to the upstream and returns how it ended. When ctx ends,
+// the answer has abortGrace left to arrive.
+func (s *Sender) Run(ctx context.Context, run *door.Run) door.Outcome {
+	if reason := s.expired(run); reason != verdict.ReasonNone {
+		return outcome(run, verdict.NotRun, reason, admission.Good)
+	}
+	if err := s.connect(run.Upstream.Address); err != nil {
+		return outcome(run, verdict.NotRun, verdict.ReasonConnection, admission.Failed)
+	}
+	if err := s.encode(run); err != nil {
+		return outcome(run, verdict.NotRun, verdict.ReasonBadRequest, admission.Good)
+	}
+	used := s.connection
+	used.expire(run.Deadline.Sub(s.clock.Now()) + deadlineGrace)
+	stop := context.AfterFunc(ctx, func() { used.expire(abortGrace) })
+	out := s.exchange(run)
+	if stop() {
+		return out
+	}
+	if s.connection != nil {
+		s.retire("cancelled")
+	}
+	if out.Answer.Reason == verdict.ReasonDeadline {
+		return outcome(run, verdict.MayHaveRun, verdict.ReasonCancelled, admission.Good)
+	}
+	return out
+}
+
+// Close closes the connection, if there is one.
+func (s *Sender) Close() {
+	if s.connection != nil {
+		s.connection.close()
+		s.connection = nil
+	}
+}
+
+// expired returns why a run must not be handed over any more, or no reason.
+func (s *Sender) expired(run *door.Run) verdict.Reason {
+	switch now := s.clock.Now(); {
+	case now >= run.Fence && run.Fence < run.Call.Deadline:
+		return verdict.ReasonLeaseExpired
+	case now >= run.Fence, now >= run.Deadline:
+		return verdict.ReasonDeadline
+	default:
+		return verdict.ReasonNone
+	}
+}
+
+// connect makes sure that there is a connection fit for another request.
+func (s *Sender) connect(address string) error {
+	now := s.clock.Now()
+	if s.connection != nil && s.connection.reusable(address, now) {
+		return nil
+	}
+	s.Close()
+	var err error
+	s.connection, err = connect(address, now)
+	return err
+}
+
+// encode writes the request into the buffer.
+func (s *Sender) encode(run *door.Run) error {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	// The wall clock is read first: a pause between the two readings makes the
+	// grant's end earlier, never later.
+	wall := time.Now()
+	now := s.clock.Now()
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + run.Upstream.Address + "/run/" + url.PathEscape(run.Call.Operation))
+	request.Header.Set(HeaderRequestID, run.Call.RequestID)
+	request.Header.Set(HeaderDeadline, strconv.FormatInt(run.Deadline.Sub(now).Milliseconds(), 10))
+	if run.Call.Key != "" {
+		request.Header.Set(HeaderKey, run.Call.Key)
+	}
+	if run.Epoch > 0 {
+		request.Header.Set(HeaderShard, strconv.FormatUint(uint64(run.Call.Shard), 10))
+		request.Header.Set(HeaderEpoch, strconv.FormatUint(uint64(run.Epoch), 10))
+		request.Header.Set(HeaderGrantEnd, strconv.FormatInt(wall.Add(run.Fence.Sub(now)).UnixNano(), 10))
+	}
+	request.SetBody(run.Call.Body)
+	s.buffer.Reset()
+	s.writer.Reset(&s.buffer)
+	if err := request.Write(s.writer); err != nil {
+		return eris.Wrap(err, "encode request")
+	}
+	return eris.Wrap(s.writer.Flush(), "encode request")
+}
+
+// exchange writes the request and reads the answer. Only a request of which
+// nothing was written is proved not to have run.
+func (s *Sender) exchange(run *door.Run) door.Outcome {
+	if reason := s.expired(run); reason != verdict.ReasonNone {
+		return outcome(run, verdict.NotRun, reason, admission.Good)
+	}
+	if n, err := s.connection.net.Write(s.buffer.Bytes()); err != nil {
+		s.retire("write")
+		if n == 0 {
+			return outcome(run, verdict.NotRun, verdict.ReasonConnection, admission.Failed)
+		}
+		return outcome(run, verdict.MayHaveRun, verdict.ReasonConnection, admission.Failed)
+	}
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	if err := s.connection.read(response, s.maxBody); err != nil {
+		s.retire("read")
+		return failed(run, err)
+	}
+	s.connection.used = s.clock.Now()
+	out := answered(run, response)
+	switch {
+	case out.Answer.Reason == verdict.ReasonTruncated:
+		s.events.Record(event.AnswerDropped, event.F("request", run.Call.RequestID), event.F("upstream", run.Upstream.Name))
+		s.retire("answer")
+	case response.ConnectionClose():
+		s.Close()
+	}
+	return out
+}
+
+// retire gives up the connection: what else may arrive on it is not read.
+func (s *Sender) retire(cause string) {
+	s.events.Record(event.ConnectionRetired, event.F("address", s.connection.address), event.F("cause", cause))
+	s.Close()
+}
+
+// failed classifies a failure after the request was written.
+func failed(run *door.Run, err error) door.Outcome {
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return outcome(run, verdict.MayHaveRun, verdict.ReasonDeadline, admission.Failed)
+	case eris.Is(err, fasthttp.ErrBodyTooLarge):
+		return outcome(run, verdict.MayHaveRun, verdict.ReasonBodyTooLarge, admission.Good)
+	case eris.Is(err, errUnbounded):
+		return outcome(run, verdict.MayHaveRun, verdict.ReasonTruncated, admission.Good)
+	default:
+		return outcome(run, verdict.MayHaveRun, verdict.ReasonConnection, admission.Failed)
+	}
+}
+
+// answered checks that the answer is whole and belongs to the request.
+func answered(run *door.Run, response *fasthttp.Response) door.Outcome {
+	body := response.Body()
+	if string(response.Header.Peek(HeaderRequestID)) != run.Call.RequestID || !whole(response, body) {
+		return outcome(run, verdict.MayHaveRun, verdict.ReasonTruncated, admission.Failed)
+	}
+	switch string(response.Header.Peek(HeaderRan)) {
+	case "":
+	case RanNo:
+		return refused(run, response)
+	default:
+		return outcome(run, verdict.MayHaveRun, verdict.ReasonCancelled, admission.Good)
+	}
+	out := outcome(run, verdict.Ran, verdict.ReasonNone, admission.Good)
+	out.Answer.Status = response.StatusCode()
+	out.Answer.Body = bytes.Clone(body)
+	out.Answer.ContentType = string(response.Header.ContentType())
+	return out
+}
+
+func refused(run *door.Run, response *fasthttp.Response) door.Outcome {
+	if response.StatusCode() == fasthttp.StatusPreconditionFailed {
+		return outcome(run, verdict.NotRun, verdict.ReasonFenced, admission.Good)
+	}
+	return outcome(run, verdict.NotRun, verdict.ReasonShed, admission.Shed)
+}
+
+// whole checks the body against the checksum, if the upstream sent one.
+func whole(response *fasthttp.Response, body []byte) bool {
+	checksum := string(response.Header.Peek(HeaderChecksum))
+	return checksum == "" || checksum == strconv.FormatUint(xxhash.Sum64(body), 16)
+}
+
+func outcome(run *door.Run, v verdict.Verdict, reason verdict.Reason, health admission.Outcome) door.Outcome {
+	return door.Outcome{Run: run.ID, Answer: call.Refusal(&run.Call, v, reason), Health: health}
+}
