Choose doors by estimated finish time, hedge lookups, prove the attempt core

Cause: the routing table was rebuilt from all routers with each change of the view and copied the list of doors for each request; a fast refusal counted as a low latency and drew more calls; a target that had been slow counted as fast again for everybody at once after 500 ms; a call that was cancelled stayed in the count of calls under way; a door whose view was behind was asked every 15 ms (34 calls in half a second, TestRedirectsAreFewUntilTheOwnerAnswers); retries were paid for while another call was still under way; nothing hedged.

Ruled out: a fixed quiet time after which a slow target is forgotten (all entries return at once), choosing by the load report alone (it lags), and remembering each door's state by service (an upstream has one service).

Change: the table follows a change of the view by the routers it names, keeps a subset of at most 20 doors a service by rendezvous hashing (own data centre first), and scores doors by observed latency with the link, the age of the oldest call under way and the door's load, which fades with age. Bad estimates fade towards the least latency known, slower after each bad sample. The attempt core hedges idempotent unsharded lookups once after the preset's quantile within the preset's budget, parks requests without a door and wakes them by the change that concerns them. Requests that doors delegate earn no budget. Calls put on a link after it stopped sending are reported as not run.

--- a/internal/attempt/output.go
+++ b/internal/attempt/output.go
@@ -1,16 +1,11 @@
 package attempt
 
-import (
-	"endivespring/internal/call"
-	"endivespring/internal/fleet"
-)
+import "endivespring/internal/call"
 
 // Output is what a step asks its caller to do.
 type Output struct {
-	Sends    []Send
-	Cancels  []Cancel
-	Finishes []Finish
-	// Suspects are routers whose link missed a deadline: it must be replaced.
-	Suspects  []fleet.RouterID
+	Sends     []Send
+	Cancels   []Cancel
+	Finishes  []Finish
 	Decisions []call.Decision
 }
--- /dev/null
+++ b/internal/attempt/settings.go
@@ -0,0 +1,10 @@
+package attempt
+
+import "endivespring/internal/routing"
+
+// Settings says whose requests a core holds.
+type Settings struct {
+	Routing routing.Settings
+	// Hedging is off for baselines of measurements.
+	NoHedging bool
+}
--- a/internal/attempt/task.go
+++ b/internal/attempt/task.go
@@ -1,6 +1,8 @@
 package attempt
 
 import (
+	"slices"
+
 	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
 	"endivespring/internal/verdict"
@@ -13,14 +15,25 @@
 	sharded    bool
 	shard      fleet.ShardID
 	deadline   clock.Instant
-	// wake is when a task without a call is tried again.
-	wake  clock.Instant
-	timer clock.Instant
-	calls []uint64
-	tried []fleet.RouterID
-	tries int
+	service    *serviceState
+	// hedgeQuantile is zero for requests that are never hedged.
+	hedgeQuantile float64
+	hedges        int
+	timer         clock.Instant
+	calls         []uint64
+	tried         []fleet.RouterID
+	tries         int
+	waits         int
 	// mayHaveRun is set once a call of the request ended without proof.
 	mayHaveRun bool
 	reason     verdict.Reason
-	index      int
+	// index is the place in the heap of timers, parkedAt that among the parked.
+	index    int
+	parkedAt int
+}
+
+func (t *task) drop(number uint64) {
+	if i := slices.Index(t.calls, number); i >= 0 {
+		t.calls = slices.Delete(t.calls, i, i+1)
+	}
 }
--- a/internal/router/entry_duty.go
+++ b/internal/router/entry_duty.go
@@ -79,11 +79,7 @@
 	now := d.clock.Now()
 	switch {
 	case in.ended != nil:
-		if d.links[in.from] == in.ended {
-			delete(d.links, in.from)
-		}
-		d.core.LostRouter(now, in.from)
-		d.events.Record(event.PeerLost, event.F("router", string(in.from)))
+		d.ended(now, in)
 	case in.lost:
 		d.core.Lost(now, in.answer.Number, in.verdict)
 	default:
@@ -91,6 +87,21 @@
 	}
 }
 
+// ended takes the end of a link. Calls that were put on its ring after it had
+// stopped sending were never written; the outcome of the others is unknown.
+func (d *entryDuty) ended(now clock.Instant, in *inboundAnswer) {
+	if d.links[in.from] == in.ended {
+		delete(d.links, in.from)
+	}
+	for in.ended.calls.Depth() > 0 {
+		if out := <-in.ended.calls.Out(); !out.cancel {
+			d.core.Lost(now, out.call.Number, verdict.NotRun)
+		}
+	}
+	d.core.LostRouter(now, in.from)
+	d.events.Record(event.PeerLost, event.F("router", string(in.from)))
+}
+
 // dispatch carries out what the core asks for until it asks for nothing more.
 func (d *entryDuty) dispatch(ctx context.Context) {
 	for {
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -23,6 +23,7 @@
 	"endivespring/internal/fleet"
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
+	"endivespring/internal/routing"
 	"endivespring/internal/session"
 	"endivespring/internal/settings"
 	"endivespring/internal/upstream"
@@ -93,7 +94,7 @@
 	answers := ring.New[inboundAnswer]("answers", answerRingLength, ring.Wait)
 	submissions := ring.New[submission]("submissions", doorCapacity, ring.Refuse)
 	n.entry = &entryDuty{
-		self: self.ID, fleet: s.Fleet, core: attempt.New(randomSeed()), clock: n.clock, events: n.events, group: n.group,
+		self: self.ID, fleet: s.Fleet, core: attempt.New(attemptSettings(s, self)), clock: n.clock, events: n.events, group: n.group,
 		requests: ring.New[caller.Request]("requests", s.Entries, ring.Refuse), answers: answers, door: submissions,
 		updates: ring.New[session.Update]("entry-updates", updateCapacity, ring.Wait),
 		waiting: map[uint64]caller.Request{}, links: map[fleet.RouterID]*link{},
@@ -124,6 +125,14 @@
 	wirepb.RegisterDoorsServer(n.grpc, &doorServer{fleet: s.Fleet, clock: n.clock, door: submissions})
 }
 
+func attemptSettings(s *settings.Router, self fleet.Router) attempt.Settings {
+	policy, _ := routing.ParsePolicy(s.RoutingPolicy)
+	return attempt.Settings{
+		Routing:   routing.Settings{Seed: randomSeed(), Self: self.ID, DataCentre: self.DataCentre, Policy: policy},
+		NoHedging: policy != routing.Estimated,
+	}
+}
+
 func (n *Node) run(listeners []net.Listener) {
 	client := upstream.NewClient(n.clock, n.settings.MaxBody)
 	n.door.startSender = func() {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -3,11 +3,11 @@
 package routing
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
@@ -15,46 +15,79 @@
 
 // Table holds the doors of every service. It is owned by one duty.
 type Table struct {
-	random    *rand.Rand
-	targets   map[fleet.RouterID]*target
-	byService map[string][]*target
-	view      *fleet.View
+	settings Settings
+	random   *rand.Rand
+	targets  map[fleet.RouterID]*target
+	pools    map[string]*pool
+	view     *fleet.View
+	free     *Outstanding
 }
 
-// NewTable returns an empty table with a seeded source of random choices.
-func NewTable(seed uint64) *Table {
+// NewTable returns an empty table.
+func NewTable(s Settings) *Table {
 	return &Table{
-		random:    rand.New(rand.NewPCG(seed, ^seed)),
-		targets:   map[fleet.RouterID]*target{},
-		byService: map[string][]*target{},
-		view:      fleet.NewView(),
+		settings: s, random: rand.New(rand.NewPCG(s.Seed, ^s.Seed)),
+		targets: map[fleet.RouterID]*target{}, pools: map[string]*pool{}, view: fleet.NewView(),
 	}
 }
 
-// Update takes a newer view. What was observed of routers that stay is kept.
-func (t *Table) Update(view *fleet.View) {
+// Update takes a view to which a change was just applied. What was observed of
+// routers that stay is kept. A change of operators' settings, or a full one,
+// looks at every router, another one only at the routers it names.
+func (t *Table) Update(view *fleet.View, change *fleet.Change) {
 	t.view = view
-	for id := range t.targets {
-		if _, ok := view.Routers[id]; !ok {
-			delete(t.targets, id)
+	if !change.Full && len(change.DataCentres) == 0 && len(change.Upstreams) == 0 {
+		for _, router := range change.Routers {
+			t.place(router.ID)
 		}
-	}
-	clear(t.byService)
-	for id, router := range view.Routers {
-		known := t.targets[id]
-		if known == nil || known.router.Session != router.Session || known.router.Upstream.Boot != router.Upstream.Boot {
-			known = &target{}
-			t.targets[id] = known
-		}
-		known.router = router
-		if view.Eligible(router) {
-			service := router.Upstream.Service
-			t.byService[service] = append(t.byService[service], known)
+		for _, id := range change.Removed {
+			t.place(id)
 		}
+		return
 	}
-	for _, targets := range t.byService {
-		slices.SortFunc(targets, func(a, b *target) int { return cmp.Compare(a.router.ID, b.router.ID) })
+	for id := range t.targets {
+		t.place(id)
+	}
+	for id := range view.Routers {
+		t.place(id)
+	}
+}
+
+// place makes one router's target follow the view.
+func (t *Table) place(id fleet.RouterID) {
+	known := t.targets[id]
+	if known != nil {
+		t.pool(known.router.Upstream.Service).remove(known)
+	}
+	router, ok := t.view.Routers[id]
+	if !ok {
+		delete(t.targets, id)
+		return
+	}
+	if known == nil || known.router.Session != router.Session || known.router.Upstream.Boot != router.Upstream.Boot {
+		known = &target{weight: xxhash.Sum64String(string(t.settings.Self) + "/" + string(id))}
+		t.targets[id] = known
+	}
+	known.router = router
+	if t.view.Eligible(router) {
+		t.pool(router.Upstream.Service).insert(t.side(router), known)
+	}
+}
+
+func (t *Table) side(router fleet.Router) int {
+	if router.DataCentre == t.settings.DataCentre {
+		return doorsLocal
+	}
+	return doorsRemote
+}
+
+func (t *Table) pool(service string) *pool {
+	p := t.pools[service]
+	if p == nil {
+		p = &pool{typical: firstLatency}
+		t.pools[service] = p
 	}
+	return p
 }
 
 // Owner returns the router that owns a shard and may get new work for it.
@@ -67,48 +100,82 @@
 	return router, ok && router.Session == shard.Session
 }
 
-// Choose returns the better of two random doors of a service that are not
-// excluded, or false if there is none.
-func (t *Table) Choose(service string, now clock.Instant, exclude []fleet.RouterID) (fleet.Router, bool) {
-	var open []*target
-	for _, candidate := range t.byService[service] {
-		if !slices.Contains(exclude, candidate.router.ID) {
-			open = append(open, candidate)
-		}
+// InFlight returns the number of calls under way at a router's door.
+func (t *Table) InFlight(id fleet.RouterID) int {
+	if known := t.targets[id]; known != nil {
+		return known.inFlight
 	}
-	switch len(open) {
-	case 0:
-		return fleet.Router{}, false
-	case 1:
-		return open[0].router, true
+	return 0
+}
+
+// Sent counts a call as under way. The result must be given to Answered,
+// Failed or Dropped exactly once; it is nil for an unknown router.
+func (t *Table) Sent(id fleet.RouterID, now clock.Instant) *Outstanding {
+	known := t.targets[id]
+	if known == nil {
+		return nil
 	}
-	i := t.random.IntN(len(open))
-	j := (i + 1 + t.random.IntN(len(open)-1)) % len(open)
-	if open[j].score(now) < open[i].score(now) {
-		i = j
+	o := t.free
+	if o == nil {
+		o = &Outstanding{}
+	} else {
+		t.free = o.next
 	}
-	return open[i].router, true
+	o.sent = now
+	known.add(o)
+	return o
 }
 
-// Sent counts a call as under way.
-func (t *Table) Sent(id fleet.RouterID) {
-	if known := t.targets[id]; known != nil {
-		known.inFlight++
+// Dropped counts a call as ended without having learned anything.
+func (t *Table) Dropped(o *Outstanding) {
+	if o == nil {
+		return
 	}
+	o.target.remove(o)
+	o.target = nil
+	o.next, t.free = t.free, o
 }
 
-// Done counts a call as ended without an answer that tells anything.
-func (t *Table) Done(id fleet.RouterID) {
-	if known := t.targets[id]; known != nil {
-		known.inFlight = max(0, known.inFlight-1)
+// Answered counts a call as ended by an answer from the upstream.
+func (t *Table) Answered(o *Outstanding, now clock.Instant, load call.Load) {
+	if o == nil {
+		return
 	}
+	pool := t.pool(o.target.router.Upstream.Service)
+	o.target.report(now, load)
+	o.target.observe(now, now.Sub(o.sent), pool.typical)
+	pool.observe(now.Sub(o.sent))
+	t.Dropped(o)
 }
 
-// Answered counts a call as ended and takes its latency and the door's load.
-func (t *Table) Answered(id fleet.RouterID, now clock.Instant, latency time.Duration, load call.Load) {
-	t.Done(id)
-	if known := t.targets[id]; known != nil {
-		known.load = load
-		known.observe(now, latency)
+// Refused counts a call as ended by a door that is too busy. How long a
+// refusal takes says nothing of how long a run takes.
+func (t *Table) Refused(o *Outstanding, now clock.Instant, load call.Load) {
+	if o != nil {
+		o.target.report(now, load)
 	}
+	t.Dropped(o)
 }
+
+// Outlived counts a call as ended by its caller before it was answered: its
+// latency is at least the time so far.
+func (t *Table) Outlived(o *Outstanding, now clock.Instant) {
+	if o == nil {
+		return
+	}
+	if elapsed := now.Sub(o.sent); elapsed > o.target.latency {
+		o.target.observe(now, elapsed, t.pool(o.target.router.Upstream.Service).typical)
+	}
+	t.Dropped(o)
+}
+
+// Failed counts a call as ended by a lost link or by a door that cannot serve.
+func (t *Table) Failed(o *Outstanding, now clock.Instant) {
+	if o == nil {
+		return
+	}
+	o.target.failed(now, t.typical(o.target.router.Upstream.Service))
+	t.Dropped(o)
+}
+
+func (t *Table) typical(service string) time.Duration { return t.pool(service).typical }
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -1,5 +1,7 @@
 package settings
 
+import "github.com/samber/lo"
+
 // Router holds the settings of a router.
 type Router struct {
 	Fleet      string   `json:"fleet" required:"true" doc:"Name of the fleet. Processes of other fleets are refused."`
@@ -13,5 +15,15 @@
 	Entries    int      `json:"maxRequests" default:"4096" min:"16" max:"65536" doc:"Largest number of callers' requests under way."`
 	Renewal    Duration `json:"renewal" default:"300ms" min:"20ms" max:"10s" doc:"Time between renewals; the same as timing.renewal at control."`
 	Grace      Duration `json:"grace" default:"20s" min:"100ms" max:"10m" doc:"Longest time to finish work after a request to stop."`
-	Announced  Duration `json:"announceTimeout" default:"3s" min:"100ms" max:"1m" doc:"An upstream that has not announced itself for this long is lost."`
+	// RoutingPolicy names a baseline for measurements, or is empty.
+	RoutingPolicy string   `json:"routingPolicy" doc:"Baseline for measurements: round-robin or two-choices, both without hedging; empty for the usual policy."`
+	Announced     Duration `json:"announceTimeout" default:"3s" min:"100ms" max:"1m" doc:"An upstream that has not announced itself for this long is lost."`
+}
+
+// Check reports problems across fields.
+func (r *Router) Check() Problems {
+	if lo.Contains([]string{"", "round-robin", "two-choices"}, r.RoutingPolicy) {
+		return nil
+	}
+	return Problems{{Field: "routingPolicy", Value: r.RoutingPolicy, Message: "is neither round-robin nor two-choices"}}
 }
