--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"crypto/rand"
+	"slices"
 	"time"
 
 	"endivespring/internal/clock"
 	"endivespring/internal/control"
 	"endivespring/internal/event"
+	"endivespring/internal/metrics"
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/session"
@@ -32,6 +34,8 @@
 	entry      *ring.Ring[session.Update]
 	door       *ring.Ring[session.Update]
 
+	meter *metrics.SessionMeter
+
 	next   int
 	leader string
 }
@@ -158,7 +162,9 @@
 // receive takes a message and reports whether the stream is still of use.
 func (d *sessionDuty) receive(ctx context.Context, down *session.Down) bool {
 	if down.Redirect {
-		d.leader = down.Leader
+		if slices.Contains(d.addresses, down.Leader) {
+			d.leader = down.Leader
+		}
 		return false
 	}
 	if down.Rejected && !down.Closed {
@@ -174,6 +180,10 @@
 }
 
 func (d *sessionDuty) spread(ctx context.Context, update session.Update) {
+	d.meter.Leases(update.OwnUntil, update.ViewUntil)
+	if update.Change != nil {
+		d.meter.View(update.Change.To)
+	}
 	_ = d.entry.Put(ctx, update)
 	_ = d.door.Put(ctx, update)
 }
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -112,8 +112,10 @@
 
 func TestFastRefusalsAndFailuresDoNotAttract(t *testing.T) {
 	for name, end := range map[string]func(*Table, *Outstanding, clock.Instant){
-		"failed":  func(t *Table, o *Outstanding, now clock.Instant) { t.Failed(o, now) },
-		"refused": func(t *Table, o *Outstanding, now clock.Instant) { t.Refused(o, now, call.Load{Queued: 60, InFlight: 2, Limit: 2}) },
+		"failed": func(t *Table, o *Outstanding, now clock.Instant) { t.Failed(o, now) },
+		"refused": func(t *Table, o *Outstanding, now clock.Instant) {
+			t.Refused(o, now, call.Load{Queued: 60, InFlight: 2, Limit: 2})
+		},
 	} {
 		b := newBench(1, "e", "dc0", doors(3, 1)...)
 		got := map[fleet.RouterID]int{}
