Raise the admission limit by proof and pace, lower it on every sign of a cold turn

Cause: with the limiter as it was, a cold upstream that warms with time was over-driven and fell over (TestColdUpstreamIsNeverOverDriven), three slow answers in a row changed nothing, a single timeout made a warm upstream cold, and the limit never fell below the cold limit on shedding.

Ruled out: growth only while the limit is in use at each completion (a limit that is reached in bursts never grows); growth by a share of the limit (two steps ahead of what is proved); a moving average as the measure of slow (a service with short lookups and long payments is never steady).

Change: the limit grows by one after 4 good completions for each of its places, if it was reached since the last step, and at most every 100 ms. A reset makes the upstream cold at once, a timeout halves the limit and a second one without a good answer between makes it cold; so do three answers in a row that took four times the usual upper latency. A run that was given less time than runs usually take proves nothing when it times out. The client reports timeouts apart (internal/upstream).

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -11,11 +11,15 @@
 
 const (
 	coldFloor      = 1                      // requests at once if the upstream does not say what it bears
-	growEvery      = 4                      // good completions at full use per step, in multiples of the limit
-	slowFactor     = 4                      // times the moving average that counts as slow
+	growEvery      = 4                      // good completions per step, in multiples of the limit
+	growPause      = 100 * time.Millisecond // shortest time between steps up
+	cutPause       = 100 * time.Millisecond // shortest time between cuts for shedding
+	maxTimeouts    = 2                      // timeouts without a good answer between that count as a cold turn
+	slowInARow     = 3                      // slow answers without a healthy one between that count as a cold turn
+	slowFactor     = 4                      // times the usual upper latency that counts as slow
+	upperDecay     = 0.01                   // share by which the usual upper latency follows lower samples
 	latencyWeight  = 0.1                    // weight of a new sample in the moving average
 	minimumLatency = time.Millisecond       // latencies below count as equal
-	shrinkEvery    = 100 * time.Millisecond // shortest time between cuts of the limit
 )
 
 // Limiter decides how many requests an upstream runs at once.
@@ -24,10 +28,20 @@
 	cold    int
 	limit   int
 	running int
-	good    int
-	latency time.Duration
-	boot    string
-	cutAt   clock.Instant
+	// peak is the most that ran at once and good the number of healthy
+	// completions since the limit last changed.
+	peak int
+	good int
+	// latency is a moving average, upper a decaying maximum of healthy run times.
+	latency  time.Duration
+	upper    time.Duration
+	slow     int
+	timeouts int
+	boot     string
+	// raisedAt is when the limit last grew, or when the first answer after a
+	// cold turn came.
+	raisedAt clock.Instant
+	cutAt    clock.Instant
 }
 
 // NewLimiter returns a limiter that admits nothing until Announce.
@@ -42,14 +56,26 @@
 		l.turnCold()
 		return true
 	}
-	l.limit = min(l.limit, l.slots)
+	l.set(min(l.limit, l.slots))
 	return false
 }
 
+// turnCold falls back to what a started upstream bears, or stays below it, and
+// learns latencies anew.
 func (l *Limiter) turnCold() {
-	l.limit = l.cold
-	l.good = 0
-	l.latency = 0
+	target := l.cold
+	if l.limit > 0 {
+		target = min(l.limit, l.cold)
+	}
+	l.set(target)
+	l.good, l.slow, l.timeouts = 0, 0, 0
+	l.latency, l.upper, l.raisedAt = 0, 0, 0
+}
+
+func (l *Limiter) set(limit int) {
+	if limit != l.limit {
+		l.limit, l.good, l.peak = limit, 0, l.running
+	}
 }
 
 // Limit returns how many requests may run at once.
@@ -67,6 +93,7 @@
 		return false
 	}
 	l.running++
+	l.peak = max(l.peak, l.running)
 	return true
 }
 
@@ -74,51 +101,89 @@
 // changed.
 func (l *Limiter) Finish(now clock.Instant, outcome Outcome, latency time.Duration) bool {
 	before := l.limit
-	full := l.running >= l.limit
 	l.running--
-	switch {
-	case outcome == Failed:
+	switch outcome {
+	case Failed:
 		l.turnCold()
-	case outcome == Shed:
+	case TimedOut:
+		l.timedOut(latency)
+	case Shed:
 		l.cut(now)
-	case l.slow(latency):
-		l.observe(latency)
-		l.good = 0
 	default:
-		l.observe(latency)
-		l.grow(full)
+		l.answered(now, latency)
 	}
 	return l.limit != before
 }
 
-func (l *Limiter) slow(latency time.Duration) bool {
-	return l.latency > 0 && latency > slowFactor*max(l.latency, minimumLatency)
+// timedOut takes a run that ended without an answer. A run that was given less
+// time than runs usually take proves nothing.
+func (l *Limiter) timedOut(latency time.Duration) {
+	if l.upper > 0 && !l.isSlow(latency) {
+		return
+	}
+	l.timeouts++
+	if l.timeouts >= maxTimeouts {
+		l.turnCold()
+		return
+	}
+	l.set(max(min(l.cold, l.limit), l.limit/2))
+	l.good = 0
+}
+
+// cut takes a shed request as proof that the limit is too high.
+func (l *Limiter) cut(now clock.Instant) {
+	l.good = 0
+	if l.cutAt != 0 && now.Sub(l.cutAt) < cutPause {
+		return
+	}
+	l.cutAt = now
+	l.set(max(coldFloor, l.limit*3/4))
+}
+
+func (l *Limiter) answered(now clock.Instant, latency time.Duration) {
+	l.timeouts = 0
+	if l.isSlow(latency) {
+		l.slow++
+		l.good = 0
+		if l.slow >= slowInARow {
+			l.turnCold()
+		}
+		return
+	}
+	l.slow = 0
+	l.observe(latency)
+	l.grow(now)
+}
+
+func (l *Limiter) isSlow(latency time.Duration) bool {
+	return l.upper > 0 && latency > slowFactor*max(l.upper, minimumLatency)
 }
 
 func (l *Limiter) observe(latency time.Duration) {
 	if l.latency == 0 {
 		l.latency = latency
-		return
 	}
 	l.latency += time.Duration(latencyWeight * float64(latency-l.latency))
+	if latency >= l.upper {
+		l.upper = latency
+		return
+	}
+	l.upper -= time.Duration(upperDecay * float64(l.upper-latency))
 }
 
-func (l *Limiter) grow(full bool) {
-	if !full || l.limit >= l.slots {
-		return
+// grow raises the limit by one after enough healthy completions, if the limit
+// was reached meanwhile: what was never tried proves nothing.
+func (l *Limiter) grow(now clock.Instant) {
+	if l.raisedAt == 0 {
+		l.raisedAt = now
 	}
 	l.good++
-	if l.good >= growEvery*l.limit {
-		l.good = 0
-		l.limit++
+	if l.limit >= l.slots || l.peak < l.limit || l.good < growEvery*l.limit {
+		return
 	}
-}
-
-func (l *Limiter) cut(now clock.Instant) {
-	l.good = 0
-	if now.Sub(l.cutAt) < shrinkEvery {
+	if now.Sub(l.raisedAt) < growPause {
 		return
 	}
-	l.cutAt = now
-	l.limit = max(min(l.cold, l.limit), l.limit*3/4)
+	l.raisedAt = now
+	l.set(l.limit + 1)
 }
--- /dev/null
+++ b/internal/admission/limiter_test.go
@@ -0,0 +1,220 @@
+package admission
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
+)
+
+const (
+	slots   = 10
+	runTime = 2 * time.Millisecond
+)
+
+// warmth says when an upstream bears one more request at once: after a number
+// of completions and not before a time has passed.
+type warmth struct {
+	completions int
+	pause       time.Duration
+}
+
+// run is a request under way.
+type run struct{ began, ends clock.Instant }
+
+// fake is an upstream in virtual time that falls over when it is over-driven
+// and otherwise warms up.
+type fake struct {
+	limiter *Limiter
+	random  *rand.Rand
+	now     clock.Instant
+	warm    warmth
+	cold    int
+	bears   int
+	good    int
+	warmed  clock.Instant
+	runs    []run
+	fallen  int
+	// slowness multiplies run times.
+	slowness time.Duration
+	// old is the number of runs that were under way when it turned cold.
+	old int
+}
+
+func newFake(seed uint64, cold int, warm warmth) *fake {
+	f := &fake{limiter: NewLimiter(), random: rand.New(rand.NewPCG(seed, 5)), now: 1, warm: warm, cold: cold, bears: cold, slowness: 1}
+	f.limiter.Announce(fleet.Upstream{Name: "u", Boot: "1", Slots: slots, ColdSlots: cold})
+	return f
+}
+
+// step starts whatever the limiter allows up to demand and ends the oldest run.
+func (f *fake) step(demand int) {
+	for f.limiter.Running() < demand && f.limiter.Start() {
+		takes := f.slowness * (runTime/2 + time.Duration(f.random.Int64N(int64(runTime))))
+		f.runs = append(f.runs, run{began: f.now, ends: f.now.Add(takes)})
+		slices.SortFunc(f.runs, func(a, b run) int { return cmp.Compare(a.ends, b.ends) })
+		if len(f.runs)-f.old > f.bears {
+			f.fall()
+		}
+	}
+	if len(f.runs) == 0 {
+		f.now = f.now.Add(time.Millisecond)
+		return
+	}
+	ended := f.runs[0]
+	f.now, f.runs = max(f.now, ended.ends), f.runs[1:]
+	f.old = max(0, f.old-1)
+	f.limiter.Finish(f.now, Good, f.now.Sub(ended.began))
+	f.good++
+	if f.good >= f.warm.completions && f.now.Sub(f.warmed) >= f.warm.pause && f.bears < slots {
+		f.good, f.warmed = 0, f.now
+		f.bears++
+	}
+}
+
+// fall loses everything under way.
+func (f *fake) fall() {
+	f.fallen++
+	f.bears, f.good, f.old = f.cold, 0, 0
+	for range f.runs {
+		f.limiter.Finish(f.now, Failed, runTime)
+	}
+	f.runs = nil
+}
+
+func (f *fake) runUntil(end clock.Instant, demand func() int) {
+	for f.now < end {
+		f.step(demand())
+	}
+}
+
+func full() int { return 2 * slots }
+
+// TestColdUpstreamIsNeverOverDriven covers upstreams that warm up no slower
+// than the limiter assumes: one more request for 4 completions for each that it
+// bears, or for 100 ms.
+func TestColdUpstreamIsNeverOverDriven(t *testing.T) {
+	for seed := range uint64(1000) {
+		random := rand.New(rand.NewPCG(seed, 9))
+		cold := 1 + random.IntN(4)
+		warm := warmth{completions: 1 + random.IntN(4)}
+		if random.IntN(2) == 0 {
+			warm = warmth{pause: time.Duration(1+random.IntN(100)) * time.Millisecond}
+		}
+		f := newFake(seed, cold, warm)
+		f.runUntil(clock.Instant(2*time.Second), func() int { return random.IntN(2 * slots) })
+		assert.Equal(t, f.fallen, 0, "seed %d: cold %d, warmth %+v", seed, cold, warm)
+	}
+}
+
+func TestTimeToFullShareIsBounded(t *testing.T) {
+	for seed := range uint64(100) {
+		f := newFake(seed, 2, warmth{completions: 4})
+		f.runUntil(clock.Instant(1200*time.Millisecond), full)
+		assert.Equal(t, f.limiter.Limit(), slots, "seed %d", seed)
+		f.runUntil(clock.Instant(3*time.Second), full)
+		assert.Equal(t, f.limiter.Limit(), slots, "seed %d", seed)
+	}
+}
+
+// TestColdTurnCostsWhatWasUnderWay lets a warm upstream turn cold without a
+// word: beyond the runs already under way, it is over-driven at most once.
+func TestColdTurnCostsWhatWasUnderWay(t *testing.T) {
+	for seed := range uint64(200) {
+		f := newFake(seed, 2, warmth{completions: 4})
+		f.runUntil(clock.Instant(2*time.Second), full)
+		f.bears, f.good = 2, 0
+		f.runUntil(clock.Instant(6*time.Second), full)
+		assert.Equal(t, f.fallen, 1, "seed %d", seed)
+		assert.Equal(t, f.limiter.Limit(), slots, "seed %d", seed)
+	}
+}
+
+// TestColdTurnShownByLatency lets a warm upstream turn cold and slow: it gets
+// nothing new beyond what it bears once three answers have shown it.
+func TestColdTurnShownByLatency(t *testing.T) {
+	for seed := range uint64(200) {
+		f := newFake(seed, 2, warmth{completions: 4})
+		f.runUntil(clock.Instant(2*time.Second), full)
+		f.slowness = 20
+		seen := 0
+		for ; f.limiter.Limit() > 2 && seen < 2*slots; seen++ {
+			f.step(full())
+		}
+		assert.Assert(t, seen <= slots+slowInARow, "seed %d: %d answers", seed, seen)
+		f.slowness = 1
+		f.runUntil(f.now.Add(2*time.Second), full)
+		assert.Equal(t, f.limiter.Limit(), slots, "seed %d: does not recover", seed)
+	}
+}
+
+func TestFallsAtOnceAndStaysWithinSlots(t *testing.T) {
+	warm := func() *fake {
+		f := newFake(1, 2, warmth{completions: 4})
+		f.runUntil(clock.Instant(2*time.Second), full)
+		assert.Equal(t, f.limiter.Limit(), slots)
+		for f.limiter.Start() {
+		}
+		return f
+	}
+	for _, c := range []struct {
+		name     string
+		outcomes []Outcome
+		latency  time.Duration
+		limit    int
+	}{
+		{"one reset", []Outcome{Failed}, 20 * runTime, 2},
+		{"one timeout", []Outcome{TimedOut}, 20 * runTime, 5},
+		{"two timeouts", []Outcome{TimedOut, TimedOut}, 20 * runTime, 2},
+		{"timeouts of hasty callers", []Outcome{TimedOut, TimedOut, TimedOut}, runTime, 10},
+		{"three slow", []Outcome{Good, Good, Good}, 20 * runTime, 2},
+		{"two slow", []Outcome{Good, Good}, 20 * runTime, 10},
+		{"one shed", []Outcome{Shed}, 20 * runTime, 7},
+		{"sheds at once", []Outcome{Shed, Shed, Shed}, 20 * runTime, 7},
+	} {
+		f := warm()
+		for _, outcome := range c.outcomes {
+			f.limiter.Finish(f.now, outcome, c.latency)
+		}
+		assert.Equal(t, f.limiter.Limit(), c.limit, c.name)
+	}
+	f := warm()
+	f.limiter.Announce(fleet.Upstream{Name: "u", Boot: "1", Slots: 4, ColdSlots: 2})
+	assert.Equal(t, f.limiter.Limit(), 4, "fewer slots")
+	f.limiter.Announce(fleet.Upstream{Name: "u", Boot: "2", Slots: 10, ColdSlots: 2})
+	assert.Equal(t, f.limiter.Limit(), 2, "new boot")
+	assert.Assert(t, !f.limiter.Start(), "runs of the old boot count until they end")
+}
+
+// TestLimitStaysInBounds feeds random outcomes.
+func TestLimitStaysInBounds(t *testing.T) {
+	for seed := range uint64(500) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		l, now := NewLimiter(), clock.Instant(1)
+		assert.Assert(t, !l.Start())
+		l.Announce(fleet.Upstream{Boot: "0", Slots: slots, ColdSlots: random.IntN(4)})
+		for i := range 2000 {
+			now = now.Add(time.Duration(random.IntN(5)) * time.Millisecond)
+			switch {
+			case random.IntN(500) == 0:
+				l.Announce(fleet.Upstream{Boot: strconv.Itoa(i), Slots: 1 + random.IntN(slots), ColdSlots: random.IntN(4)})
+			case l.Running() > 0 && random.IntN(2) == 0:
+				outcome := Good
+				if random.IntN(20) == 0 {
+					outcome = Outcome(random.IntN(4))
+				}
+				l.Finish(now, outcome, time.Duration(random.IntN(10))*time.Millisecond)
+			case l.Start():
+				assert.Assert(t, l.Running() <= l.Limit(), "seed %d", seed)
+			}
+			assert.Assert(t, l.Limit() >= 1 && l.Limit() <= l.slots, "seed %d: limit %d of %d", seed, l.Limit(), l.slots)
+		}
+	}
+}
--- a/internal/admission/outcome.go
+++ b/internal/admission/outcome.go
@@ -4,10 +4,13 @@
 type Outcome uint8
 
 const (
-	// Good is a whole answer at a healthy latency.
+	// Good is a whole answer, or a refusal that says nothing of the load.
 	Good Outcome = iota
 	// Shed is a refusal by the upstream because of its load.
 	Shed
-	// Failed is a timeout, a reset connection or a server error.
+	// TimedOut is a run without an answer at its deadline.
+	TimedOut
+	// Failed is a reset or refused connection or a broken answer: the upstream
+	// may have started anew.
 	Failed
 )
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -100,7 +100,7 @@
 	case eris.Is(err, errDial), eris.Is(err, fasthttp.ErrNoFreeConns):
 		return outcome(run, verdict.NotRun, verdict.ReasonConnection, admission.Failed)
 	case eris.Is(err, fasthttp.ErrTimeout):
-		return outcome(run, verdict.MayHaveRun, verdict.ReasonDeadline, admission.Failed)
+		return outcome(run, verdict.MayHaveRun, verdict.ReasonDeadline, admission.TimedOut)
 	case eris.Is(err, fasthttp.ErrBodyTooLarge):
 		return outcome(run, verdict.MayHaveRun, verdict.ReasonBodyTooLarge, admission.Good)
 	default:
