--- a/internal/capacity/view_test.go
+++ b/internal/capacity/view_test.go
@@ -26,12 +26,12 @@
 			data, err := proto.Marshal(wire.FromChange(full))
 			assert.NilError(b, err)
 			heap := heapOf(func() *attempt.Core {
-				core := attempt.New(1)
+				core := attempt.New(attempt.Settings{})
 				core.SetView(0, wire.ToChange(wire.FromChange(full)))
 				return core
 			})
 			for b.Loop() {
-				attempt.New(1).SetView(0, full)
+				attempt.New(attempt.Settings{}).SetView(0, full)
 			}
 			b.ReportMetric(float64(len(data)), "wire-B")
 			b.ReportMetric(float64(heap), "heap-B")
@@ -45,7 +45,7 @@
 	for _, size := range sizes {
 		b.Run(fmt.Sprintf("routers=%d/shards=%d", size[0], size[1]), func(b *testing.B) {
 			state := fleetOf(size[0], size[1])
-			core := attempt.New(1)
+			core := attempt.New(attempt.Settings{})
 			assert.Assert(b, core.SetView(0, state.View.Full()))
 			var bytes, changes int
 			for b.Loop() {
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -176,7 +176,7 @@
 	var timeout interface{ Timeout() bool }
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
-		return outcome(run, verdict.MayHaveRun, verdict.ReasonDeadline, admission.Failed)
+		return outcome(run, verdict.MayHaveRun, verdict.ReasonDeadline, admission.TimedOut)
 	case eris.Is(err, fasthttp.ErrBodyTooLarge):
 		return outcome(run, verdict.MayHaveRun, verdict.ReasonBodyTooLarge, admission.Good)
 	case eris.Is(err, errUnbounded):
