Let not-run speak for earlier sends of the same request

Cause: a marked resend whose owner could not be found, or whose entry or door was overloaded before it looked, was told not-run although the first send may have run. A run that was never handed over, fenced or cancelled counted as a good completion and raised the admission limit.

Ruled out: not-run for each call by itself (a caller acts on the request, not on our call); asking every door for its records.

Change: a refusal stays not-run for a resend only if it comes from the door that has owned the request's shard for the whole record window. Neutral is the admission outcome of a run that says nothing of the upstream.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -103,6 +103,7 @@
 	before := l.limit
 	l.running--
 	switch outcome {
+	case Neutral:
 	case Failed:
 		l.turnCold()
 	case TimedOut:
--- a/internal/admission/outcome.go
+++ b/internal/admission/outcome.go
@@ -4,8 +4,11 @@
 type Outcome uint8
 
 const (
-	// Good is a whole answer, or a refusal that says nothing of the load.
+	// Good is a whole answer.
 	Good Outcome = iota
+	// Neutral is a run that says nothing of the upstream: never handed over,
+	// fenced or cancelled.
+	Neutral
 	// Shed is a refusal by the upstream because of its load.
 	Shed
 	// TimedOut is a run without an answer at its deadline.
--- a/internal/attempt/finishing.go
+++ b/internal/attempt/finishing.go
@@ -19,9 +19,11 @@
 }
 
 // finish answers the request and cancels its other calls. A refusal is a true
-// NotRun only if none of the request's calls may have run.
+// NotRun only if none of the request's calls may have run, nor what the caller
+// sent before.
 func (c *Core) finish(now clock.Instant, t *task, answer *call.Answer) {
-	if t.mayHaveRun && answer.Verdict == verdict.NotRun {
+	unproved := t.request.Resend && !t.idempotent && !ownersRefusal(answer.Reason)
+	if answer.Verdict == verdict.NotRun && (t.mayHaveRun || unproved) {
 		answer.Verdict = verdict.MayHaveRun
 	}
 	for _, number := range t.calls {
@@ -38,3 +40,14 @@
 	c.output.Finishes = append(c.output.Finishes, Finish{Token: t.request.Token, Answer: *answer})
 	c.decide(event.RequestFinished, &t.request, answer)
 }
+
+// ownersRefusal reports whether a refusal comes from the door that keeps the
+// request's record, so that it speaks for earlier sends of the request too.
+func ownersRefusal(reason verdict.Reason) bool {
+	switch reason {
+	case verdict.ReasonOverloaded, verdict.ReasonShed, verdict.ReasonFenced, verdict.ReasonDeadline:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/attempt/start.go
+++ b/internal/attempt/start.go
@@ -10,11 +10,15 @@
 	"endivespring/internal/verdict"
 )
 
-// Start takes a caller's request.
+// Start takes a caller's request. A refusal here proves nothing of what the
+// caller sent before.
 func (c *Core) Start(now clock.Instant, r Request) {
 	t, reason := c.admit(now, r)
 	if reason != verdict.ReasonNone {
 		answer := call.Answer{RequestID: r.ID, Verdict: verdict.NotRun, Reason: reason}
+		if r.Resend {
+			answer.Verdict = verdict.MayHaveRun
+		}
 		c.output.Finishes = append(c.output.Finishes, Finish{Token: r.Token, Answer: answer})
 		c.decide(event.RequestFinished, &r, &answer)
 		return
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -87,7 +87,11 @@
 func (s *Server) ask(ctx context.Context, request attempt.Request) call.Answer {
 	reply := ring.NewReply[call.Answer]()
 	if err := s.requests.Put(ctx, Request{Request: request, Reply: reply}); err != nil {
-		return refusal(request.ID, verdict.ReasonOverloaded)
+		answer := refusal(request.ID, verdict.ReasonOverloaded)
+		if request.Resend { // what was sent before may have run
+			answer.Verdict = verdict.MayHaveRun
+		}
+		return answer
 	}
 	patience := time.NewTimer(answerPatience)
 	defer patience.Stop()
--- a/internal/door/admitting.go
+++ b/internal/door/admitting.go
@@ -15,7 +15,12 @@
 	if once && c.recorded(now, ticket, &request) {
 		return
 	}
-	if reason := c.refusal(now, &request); reason != verdict.ReasonNone {
+	reason := c.refusal(now, &request)
+	if once && request.Resend && !moves(reason) && !c.remembers(now, &request) {
+		c.refuse(ticket, &request, verdict.MayHaveRun, verdict.ReasonRecordLost)
+		return
+	}
+	if reason != verdict.ReasonNone {
 		c.refuse(ticket, &request, verdict.NotRun, reason)
 		return
 	}
@@ -93,19 +98,31 @@
 	return true
 }
 
-// submitOnce admits a non-idempotent call unless its id may have been seen by
-// a door whose records are gone.
-func (c *Core) submitOnce(now clock.Instant, ticket Ticket, request call.Call) {
-	window := c.recordWindow(request.Service)
-	if h := c.holdings.granted(request.ShardID()); request.Resend && (h == nil || now < h.since.Add(window)) {
-		c.refuse(ticket, &request, verdict.MayHaveRun, verdict.ReasonRecordLost)
-		return
+// remembers reports whether this door would hold the record of a request that
+// was sent before: it has owned the request's shard for the whole window.
+func (c *Core) remembers(now clock.Instant, request *call.Call) bool {
+	h := c.holdings.granted(request.ShardID())
+	return h != nil && now < c.ownUntil && now >= h.since.Add(c.recordWindow(request.Service))
+}
+
+// moves reports whether a refusal sends the entry to another door, which knows
+// the request's record or not.
+func moves(reason verdict.Reason) bool {
+	switch reason {
+	case verdict.ReasonStopping, verdict.ReasonViewStale, verdict.ReasonNotOwner, verdict.ReasonLeaseExpired, verdict.ReasonNoUpstream:
+		return true
+	default:
+		return false
 	}
+}
+
+// submitOnce records and admits a non-idempotent call.
+func (c *Core) submitOnce(now clock.Instant, ticket Ticket, request call.Call) {
 	if c.records.full() {
 		c.refuse(ticket, &request, verdict.NotRun, verdict.ReasonOverloaded)
 		return
 	}
-	c.enqueue(now, ticket, request, c.records.add(now, &request, window))
+	c.enqueue(now, ticket, request, c.records.add(now, &request, c.recordWindow(request.Service)))
 }
 
 func (c *Core) recordWindow(service string) time.Duration {
--- a/internal/door/world_test.go
+++ b/internal/door/world_test.go
@@ -418,7 +418,7 @@
 	}
 	health := admission.Good
 	if v != verdict.Ran {
-		health = admission.Outcome(w.random.IntN(3))
+		health = admission.Outcome(w.random.IntN(5))
 	}
 	m.core.Complete(w.now, Outcome{Run: run.ID, Answer: answer, Health: health})
 }
--- a/internal/router/door_duty.go
+++ b/internal/router/door_duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"endivespring/internal/admission"
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/control"
@@ -195,13 +196,13 @@
 		d.cancels[run.ID] = cancel
 		if d.runs.Put(ctx, outboundRun{ctx: runCtx, run: run}) != nil {
 			refused = true
-			d.complete(door.Outcome{Run: run.ID, Answer: call.Refusal(&run.Call, verdict.NotRun, verdict.ReasonOverloaded)})
+			d.complete(door.Outcome{Run: run.ID, Answer: call.Refusal(&run.Call, verdict.NotRun, verdict.ReasonOverloaded), Health: admission.Neutral})
 		}
 	}
 	for _, delegation := range out.Delegations {
 		if d.delegations.Put(ctx, delegation) != nil {
 			refused = true
-			d.complete(door.Outcome{Run: delegation.Run, Answer: call.Refusal(&delegation.Call, verdict.NotRun, verdict.ReasonOverloaded)})
+			d.complete(door.Outcome{Run: delegation.Run, Answer: call.Refusal(&delegation.Call, verdict.NotRun, verdict.ReasonOverloaded), Health: admission.Neutral})
 		}
 	}
 	return refused
--- a/internal/router/door_server.go
+++ b/internal/router/door_server.go
@@ -87,6 +87,15 @@
 	}
 	request := wire.ToCall(up.GetCall(), s.clock.Now())
 	if s.door.Put(ctx, submission{link: id, call: request}) != nil {
-		sink.answer(ctx, call.Refusal(&request, verdict.NotRun, verdict.ReasonOverloaded))
+		sink.answer(ctx, call.Refusal(&request, unseen(&request), verdict.ReasonOverloaded))
 	}
 }
+
+// unseen returns the verdict of a call that the door did not look at: a resend
+// may have run before.
+func unseen(request *call.Call) verdict.Verdict {
+	if request.Resend && !request.Idempotent {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -49,13 +49,13 @@
 // the answer has abortGrace left to arrive.
 func (s *Sender) Run(ctx context.Context, run *door.Run) door.Outcome {
 	if reason := s.expired(run); reason != verdict.ReasonNone {
-		return outcome(run, verdict.NotRun, reason, admission.Good)
+		return outcome(run, verdict.NotRun, reason, admission.Neutral)
 	}
 	if err := s.connect(run.Upstream.Address); err != nil {
 		return outcome(run, verdict.NotRun, verdict.ReasonConnection, admission.Failed)
 	}
 	if err := s.encode(run); err != nil {
-		return outcome(run, verdict.NotRun, verdict.ReasonBadRequest, admission.Good)
+		return outcome(run, verdict.NotRun, verdict.ReasonBadRequest, admission.Neutral)
 	}
 	used := s.connection
 	used.expire(run.Deadline.Sub(s.clock.Now()) + deadlineGrace)
@@ -68,7 +68,7 @@
 		s.retire("cancelled")
 	}
 	if out.Answer.Reason == verdict.ReasonDeadline {
-		return outcome(run, verdict.MayHaveRun, verdict.ReasonCancelled, admission.Good)
+		return outcome(run, verdict.MayHaveRun, verdict.ReasonCancelled, admission.Neutral)
 	}
 	return out
 }
@@ -138,7 +138,7 @@
 // nothing was written is proved not to have run.
 func (s *Sender) exchange(run *door.Run) door.Outcome {
 	if reason := s.expired(run); reason != verdict.ReasonNone {
-		return outcome(run, verdict.NotRun, reason, admission.Good)
+		return outcome(run, verdict.NotRun, reason, admission.Neutral)
 	}
 	if n, err := s.connection.net.Write(s.buffer.Bytes()); err != nil {
 		s.retire("write")
@@ -197,7 +197,7 @@
 	case RanNo:
 		return refused(run, response)
 	default:
-		return outcome(run, verdict.MayHaveRun, verdict.ReasonCancelled, admission.Good)
+		return outcome(run, verdict.MayHaveRun, verdict.ReasonCancelled, admission.Neutral)
 	}
 	out := outcome(run, verdict.Ran, verdict.ReasonNone, admission.Good)
 	out.Answer.Status = response.StatusCode()
@@ -208,7 +208,7 @@
 
 func refused(run *door.Run, response *fasthttp.Response) door.Outcome {
 	if response.StatusCode() == fasthttp.StatusPreconditionFailed {
-		return outcome(run, verdict.NotRun, verdict.ReasonFenced, admission.Good)
+		return outcome(run, verdict.NotRun, verdict.ReasonFenced, admission.Neutral)
 	}
 	return outcome(run, verdict.NotRun, verdict.ReasonShed, admission.Shed)
 }
