State what the door needs to take, start, repeat and delegate a call

Cause: the randomized test shows that promises hold, not which guard holds which.

Change: tables over missing lease, view lease, session, ownership, upstream, time and memory at admission and at the start from the queue; duplicates, late answers, bounds of records, releases over epochs, delegation, order of the queue.

--- /dev/null
+++ b/internal/door/admitting_test.go
@@ -0,0 +1,384 @@
+package door
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/admission"
+	"endivespring/internal/call"
+	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
+	"endivespring/internal/verdict"
+)
+
+const testWindow = time.Minute
+
+// stage is a door that owns all shards of one service and is fit for work.
+type stage struct {
+	t       *testing.T
+	core    *Core
+	now     clock.Instant
+	version fleet.Version
+	number  uint64
+	out     Output
+}
+
+func newStage(t *testing.T, keyed bool) *stage {
+	s := &stage{t: t, core: New("self", "dc"), now: clock.Instant(time.Hour)}
+	s.core.Announce(s.now, fleet.Upstream{Name: "u", Service: "s", Address: "a", Boot: "1", Slots: 2, ColdSlots: 2})
+	s.change(fleet.Change{Preset: &fleet.Preset{Services: []fleet.Service{{
+		Name: "s", Keyed: keyed, Shards: 4, QueueLimit: 4, RecordWindow: testWindow,
+		Operations: []fleet.Operation{{Name: "do"}, {Name: "look", Idempotent: true}},
+	}}}})
+	for n := range uint32(4) {
+		s.shard(n, fleet.ShardGranted, 1)
+	}
+	s.lease(time.Hour)
+	return s
+}
+
+func (s *stage) lease(d time.Duration) { s.core.SetLease(s.now, 1, s.now.Add(d), s.now.Add(d)) }
+
+func (s *stage) change(c fleet.Change) {
+	s.version++
+	c.From, c.To = s.version-1, s.version
+	assert.Assert(s.t, s.core.SetView(s.now, &c))
+}
+
+func (s *stage) shard(number uint32, phase fleet.ShardPhase, epoch fleet.Epoch) {
+	s.change(fleet.Change{Shards: []fleet.Shard{{ID: fleet.ShardID{Service: "s", Number: number}, Phase: phase, Owner: "self", Session: 1, Epoch: epoch}}})
+}
+
+func (s *stage) other() {
+	s.change(fleet.Change{Routers: []fleet.Router{{ID: "other", Upstream: fleet.Upstream{Name: "v", Service: "s"}}}})
+}
+
+// submit hands in a call and returns its number; change may alter the call.
+func (s *stage) submit(id string, change func(*call.Call)) uint64 {
+	s.number++
+	c := call.Call{Number: s.number, RequestID: id, Service: "s", Operation: "do", Sharded: true, Body: []byte(id), Deadline: s.now.Add(time.Second)}
+	if change != nil {
+		change(&c)
+	}
+	s.core.Submit(s.now, Ticket{Link: 1, Number: s.number}, c)
+	return s.number
+}
+
+// take returns what the door asks for now.
+func (s *stage) take() Output {
+	s.out = s.core.Take()
+	return s.out
+}
+
+// answer returns the only answer of the door now.
+func (s *stage) answer() call.Answer {
+	s.t.Helper()
+	replies := s.take().Replies
+	assert.Equal(s.t, len(replies), 1)
+	return replies[0].Answer
+}
+
+func (s *stage) complete(run Run, v verdict.Verdict, body string) {
+	answer := call.Refusal(&run.Call, v, verdict.ReasonNone)
+	answer.Body = []byte(body)
+	s.core.Complete(s.now, Outcome{Run: run.ID, Answer: answer, Health: admission.Neutral})
+}
+
+// TestNothingIsAdmittedWithout states what a door needs to take a call.
+func TestNothingIsAdmittedWithout(t *testing.T) {
+	young := func(c *call.Call) { c.Resend = true }
+	unsharded := func(c *call.Call) { c.Sharded, c.Idempotent = false, true }
+	for name, c := range map[string]struct {
+		spoil   func(*stage)
+		call    func(*call.Call)
+		verdict verdict.Verdict
+		reason  verdict.Reason
+	}{
+		"lease":          {func(s *stage) { s.core.SetLease(s.now, 1, s.now, s.now.Add(time.Hour)) }, nil, verdict.NotRun, verdict.ReasonLeaseExpired},
+		"view lease":     {func(s *stage) { s.core.SetLease(s.now, 1, s.now.Add(time.Hour), s.now) }, nil, verdict.NotRun, verdict.ReasonViewStale},
+		"session":        {func(s *stage) { s.core.SetLease(s.now, 2, s.now.Add(time.Hour), s.now.Add(time.Hour)) }, nil, verdict.NotRun, verdict.ReasonNotOwner},
+		"ownership":      {func(s *stage) { s.shard(0, fleet.ShardFree, 1) }, nil, verdict.NotRun, verdict.ReasonNotOwner},
+		"being asked":    {func(s *stage) { s.shard(0, fleet.ShardRevoking, 1) }, nil, verdict.NotRun, verdict.ReasonNotOwner},
+		"the whole view": {func(s *stage) { s.change(fleet.Change{Full: true}) }, nil, verdict.NotRun, verdict.ReasonNotOwner},
+		"an upstream":    {func(s *stage) { s.core.Leave(s.now) }, nil, verdict.NotRun, verdict.ReasonNoUpstream},
+		"upstream in":    {func(s *stage) { s.change(fleet.Change{Upstreams: []fleet.UpstreamSetting{{Name: "u", Out: true}}}) }, unsharded, verdict.NotRun, verdict.ReasonNoUpstream},
+		"data centre in": {func(s *stage) {
+			s.change(fleet.Change{DataCentres: []fleet.DataCentreSetting{{Name: "dc", Out: true}}})
+		}, unsharded, verdict.NotRun, verdict.ReasonNoUpstream},
+		"time left":       {func(s *stage) { s.now = s.now.Add(time.Second) }, func(c *call.Call) { c.Deadline = clock.Instant(time.Hour) }, verdict.NotRun, verdict.ReasonDeadline},
+		"running process": {func(s *stage) { s.core.Stop() }, nil, verdict.NotRun, verdict.ReasonStopping},
+		"old enough":      {func(*stage) {}, young, verdict.MayHaveRun, verdict.ReasonRecordLost},
+		"old, overloaded": {func(s *stage) { s.now = s.now.Add(time.Second) }, func(c *call.Call) { c.Resend, c.Deadline = true, 1 }, verdict.MayHaveRun, verdict.ReasonRecordLost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStage(t, true)
+			c.spoil(s)
+			s.submit("id", c.call)
+			answer := s.answer()
+			assert.Equal(t, answer.Verdict, c.verdict)
+			assert.Equal(t, answer.Reason, c.reason)
+			assert.Equal(t, len(s.out.Runs), 0)
+		})
+	}
+	s := newStage(t, true)
+	s.now = s.now.Add(testWindow)
+	s.submit("id", young)
+	assert.Equal(t, len(s.take().Runs), 1, "a resend to a door that remembers the whole window")
+}
+
+// TestQueuedCallsLoseTheirRight checks that what a call needs to be admitted it
+// needs to start too.
+func TestQueuedCallsLoseTheirRight(t *testing.T) {
+	for name, c := range map[string]struct {
+		spoil  func(*stage)
+		reason verdict.Reason
+	}{
+		"lease":      {func(s *stage) { s.core.SetLease(s.now, 1, s.now, s.now.Add(time.Hour)) }, verdict.ReasonLeaseExpired},
+		"view lease": {func(s *stage) { s.core.SetLease(s.now, 1, s.now.Add(time.Hour), s.now) }, verdict.ReasonViewStale},
+		"shard":      {func(s *stage) { s.shard(0, fleet.ShardRevoking, 1) }, verdict.ReasonNotOwner},
+		"epoch":      {func(s *stage) { s.shard(0, fleet.ShardGranted, 2) }, verdict.ReasonNotOwner},
+		"upstream":   {func(s *stage) { s.core.Leave(s.now) }, verdict.ReasonNoUpstream},
+		"service": {func(s *stage) {
+			s.core.Announce(s.now, fleet.Upstream{Name: "u", Service: "z", Boot: "1", Slots: 2, ColdSlots: 2})
+		}, verdict.ReasonNoUpstream},
+		"time":   {func(s *stage) { s.now = s.now.Add(time.Second) }, verdict.ReasonDeadline},
+		"caller": {func(s *stage) { s.core.Cancel(s.now, Ticket{Link: 1, Number: 3}) }, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStage(t, false)
+			for _, id := range []string{"a", "b", "queued"} {
+				s.submit(id, nil)
+			}
+			runs := s.take().Runs
+			assert.Equal(t, len(runs), 2)
+			c.spoil(s)
+			s.core.Tick(s.now)
+			replies := 0
+			for _, reply := range s.take().Replies {
+				if reply.Answer.RequestID == "queued" {
+					replies++
+					assert.Equal(t, reply.Answer.Verdict, verdict.NotRun)
+					assert.Equal(t, reply.Answer.Reason, c.reason)
+				}
+			}
+			assert.Equal(t, replies == 0, c.reason == "")
+			s.complete(runs[0], verdict.Ran, "")
+			assert.Equal(t, len(s.take().Runs), 0)
+		})
+	}
+}
+
+// TestDuplicatesAreAnsweredFromTheRecord checks the answers of one id, also
+// while the upstream leaves and the shard is asked back.
+func TestDuplicatesAreAnsweredFromTheRecord(t *testing.T) {
+	s := newStage(t, false)
+	s.submit("id", nil)
+	run := s.take().Runs[0]
+	second := s.submit("id", func(c *call.Call) { c.Resend = true })
+	s.submit("id", func(c *call.Call) { c.Operation = "else" })
+	stranger := s.answer()
+	assert.Equal(t, stranger.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, stranger.Reason, verdict.ReasonDuplicate)
+	s.complete(run, verdict.Ran, "body")
+	replies := s.take().Replies
+	assert.Equal(t, len(replies), 2)
+	assert.Equal(t, replies[1].Answer.Number, second)
+
+	s.core.Leave(s.now)
+	s.shard(0, fleet.ShardRevoking, 1)
+	assert.Equal(t, len(s.take().Releases), 1)
+	s.submit("id", func(c *call.Call) { c.Resend = true })
+	answer := s.answer()
+	assert.Equal(t, answer.Verdict, verdict.Ran)
+	assert.Equal(t, string(answer.Body), "body")
+}
+
+// TestTimedOutRunKeepsItsRecord checks that nobody waits for a run past its
+// deadline, that its late answer is kept, and that the record outlives it.
+func TestTimedOutRunKeepsItsRecord(t *testing.T) {
+	s := newStage(t, false)
+	s.submit("id", nil)
+	run := s.take().Runs[0]
+	s.now = s.now.Add(time.Second)
+	assert.Equal(t, s.core.Deadline(), s.now)
+	s.core.Tick(s.now)
+	answer := s.answer()
+	assert.Equal(t, answer.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, len(s.out.Aborts), 1)
+	s.submit("id", func(c *call.Call) { c.Resend = true })
+	assert.Equal(t, s.answer().Reason, verdict.ReasonDuplicate)
+	s.complete(run, verdict.Ran, "late")
+	assert.Equal(t, len(s.take().Replies), 0)
+	s.submit("id", func(c *call.Call) { c.Resend = true })
+	assert.Equal(t, string(s.answer().Body), "late")
+	assert.Assert(t, s.core.Idle())
+}
+
+// TestKeyedRunsEndWithTheLease checks both ends: the run's own deadline, and
+// what callers are told when the lease lapses.
+func TestKeyedRunsEndWithTheLease(t *testing.T) {
+	for _, keyed := range []bool{true, false} {
+		s := newStage(t, keyed)
+		s.lease(100 * time.Millisecond)
+		s.submit("id", nil)
+		run := s.take().Runs[0]
+		assert.Equal(t, run.Fence, s.now.Add(100*time.Millisecond))
+		assert.Equal(t, run.Deadline == run.Fence, keyed)
+		s.now = s.now.Add(100 * time.Millisecond)
+		assert.Equal(t, s.core.Deadline() <= s.now, keyed)
+		s.core.Tick(s.now)
+		out := s.take()
+		assert.Equal(t, len(out.Replies) == 1 && len(out.Aborts) == 1, keyed)
+		if keyed {
+			assert.Equal(t, out.Replies[0].Answer.Verdict, verdict.MayHaveRun)
+		}
+		assert.Equal(t, s.core.Held(s.now), 0)
+	}
+}
+
+// TestReleaseWaitsForEveryEpoch checks that a shard that left and came back is
+// not given back while a run of its former epoch is under way.
+func TestReleaseWaitsForEveryEpoch(t *testing.T) {
+	s := newStage(t, true)
+	s.submit("id", nil)
+	run := s.take().Runs[0]
+	s.shard(0, fleet.ShardFree, 1)
+	s.shard(0, fleet.ShardGranted, 2)
+	s.shard(0, fleet.ShardRevoking, 2)
+	assert.Equal(t, len(s.take().Releases), 0)
+	s.complete(run, verdict.MayHaveRun, "")
+	releases := s.take().Releases
+	assert.Equal(t, len(releases), 1)
+	assert.Equal(t, releases[0].Epoch, fleet.Epoch(2))
+	assert.Equal(t, s.core.Held(s.now), 3)
+}
+
+// TestRecordsAreBounded checks number and bytes, and that a window is kept.
+func TestRecordsAreBounded(t *testing.T) {
+	s := newStage(t, false)
+	body := string(make([]byte, 1<<20))
+	for i := range 8 {
+		s.submit(fmt.Sprint("big-", i), nil)
+		s.complete(s.take().Runs[0], verdict.Ran, body)
+	}
+	s.take()
+	assert.Assert(t, s.core.records.bytes <= maxRecordBytes)
+	s.submit("big-0", func(c *call.Call) { c.Resend = true })
+	assert.Equal(t, s.answer().Verdict, verdict.MayHaveRun)
+	s.submit("big-7", func(c *call.Call) { c.Resend = true })
+	assert.Equal(t, s.answer().Verdict, verdict.Ran)
+
+	for i := range 1000 {
+		s.submit(fmt.Sprint("refused-", i), nil)
+		s.complete(s.take().Runs[0], verdict.NotRun, "")
+	}
+	assert.Assert(t, len(s.core.records.order) < 200, "%d", len(s.core.records.order))
+	for i := len(s.core.records.records); i < maxRecords; i++ {
+		s.core.records.settle(s.core.records.add(s.now, &call.Call{RequestID: fmt.Sprint("fill-", i)}, testWindow), call.Answer{})
+	}
+	s.take()
+	s.submit("over", nil)
+	answer := s.answer()
+	assert.Equal(t, answer.Verdict, verdict.NotRun)
+	assert.Equal(t, answer.Reason, verdict.ReasonOverloaded)
+	s.now = s.now.Add(testWindow)
+	s.lease(time.Hour)
+	s.submit("after", nil)
+	assert.Equal(t, len(s.take().Runs), 1)
+	assert.Equal(t, len(s.core.records.records), 1)
+	assert.Equal(t, s.core.records.bytes, 0)
+}
+
+// TestDelegation checks when the record's door hands a call to another one, and
+// what becomes of the outcome.
+func TestDelegation(t *testing.T) {
+	unfit := map[string]func(*stage){
+		"busy":    func(s *stage) { s.submit("x", nil); s.submit("y", nil) },
+		"leaving": func(s *stage) { s.core.Leave(s.now) },
+		"out":     func(s *stage) { s.change(fleet.Change{Upstreams: []fleet.UpstreamSetting{{Name: "u", Out: true}}}) },
+		"shed": func(s *stage) {
+			s.submit("id", nil)
+			s.complete(s.take().Runs[0], verdict.NotRun, "")
+		},
+	}
+	for name, spoil := range unfit {
+		t.Run(name, func(t *testing.T) {
+			s := newStage(t, false)
+			s.other()
+			spoil(s)
+			s.submit("id", nil)
+			delegations := s.take().Delegations
+			assert.Equal(t, len(delegations), 1)
+			s.submit("id", func(c *call.Call) { c.Resend = true })
+			s.core.Complete(s.now, Outcome{Run: delegations[0].Run, Answer: call.Answer{RequestID: "id", Verdict: verdict.Ran, Upstream: "v", Body: []byte("theirs")}})
+			for _, reply := range s.take().Replies {
+				assert.Equal(t, string(reply.Answer.Body), "theirs")
+				assert.Equal(t, reply.Answer.Upstream, "v")
+			}
+			assert.Assert(t, len(s.out.Replies) >= 2)
+			assert.Equal(t, len(s.out.Runs), 0)
+		})
+	}
+	t.Run("keyed work stays", func(t *testing.T) {
+		s := newStage(t, true)
+		s.other()
+		s.core.Leave(s.now)
+		s.submit("id", nil)
+		assert.Equal(t, s.answer().Reason, verdict.ReasonNoUpstream)
+	})
+	t.Run("no other door", func(t *testing.T) {
+		s := newStage(t, false)
+		for _, id := range []string{"x", "y", "id"} {
+			s.submit(id, nil)
+		}
+		assert.Equal(t, len(s.take().Delegations), 0)
+	})
+	t.Run("refused there", func(t *testing.T) {
+		s := newStage(t, false)
+		s.other()
+		for _, id := range []string{"x", "y", "id"} {
+			s.submit(id, nil)
+		}
+		out := s.take()
+		s.core.Complete(s.now, Outcome{Run: out.Delegations[0].Run, Answer: call.Answer{Verdict: verdict.NotRun}})
+		s.complete(out.Runs[0], verdict.Ran, "")
+		assert.Equal(t, len(s.take().Runs), 1, "it goes back into the queue")
+	})
+	t.Run("no outcome", func(t *testing.T) {
+		s := newStage(t, false)
+		s.other()
+		s.core.Leave(s.now)
+		s.submit("id", nil)
+		s.take()
+		s.now = s.core.Deadline()
+		s.core.Tick(s.now)
+		assert.Equal(t, s.answer().Verdict, verdict.MayHaveRun)
+		s.now = s.core.Deadline()
+		s.core.Tick(s.now)
+		assert.Assert(t, s.core.Idle())
+		s.submit("id", func(c *call.Call) { c.Resend = true })
+		assert.Equal(t, s.answer().Verdict, verdict.MayHaveRun)
+	})
+}
+
+// TestEarliestDeadlineFirst checks the order of the queue.
+func TestEarliestDeadlineFirst(t *testing.T) {
+	s := newStage(t, false)
+	for i, left := range []time.Duration{9, 9, 5, 3, 4} {
+		s.submit(fmt.Sprint(i), func(c *call.Call) { c.Deadline = s.now.Add(left * time.Second) })
+	}
+	running := s.take().Runs
+	var order []string
+	for len(running) > 0 {
+		s.complete(running[0], verdict.Ran, "")
+		next := s.take().Runs
+		for _, run := range next {
+			order = append(order, run.Call.RequestID)
+		}
+		running = append(running[1:], next...)
+	}
+	assert.DeepEqual(t, order, []string{"3", "4", "2"})
+}
