--- a/internal/router/door_duty.go
+++ b/internal/router/door_duty.go
@@ -53,6 +53,7 @@
 	sinks    map[uint64]answerSink
 	upstream fleet.Upstream
 	heardAt  clock.Instant
+	leftAt   clock.Instant
 	gone     bool
 	stopping bool
 }
@@ -146,11 +147,12 @@
 func (d *doorDuty) notice(ctx context.Context, notice *upstream.Notice) {
 	if notice.Leaving {
 		d.events.Record(event.UpstreamLeft, event.F("upstream", d.upstream.Name))
+		d.leftAt = d.clock.Now()
 		d.leave(ctx)
 		return
 	}
 	now := d.clock.Now()
-	if d.stopping {
+	if d.stopping || d.farewell(now, notice) {
 		return
 	}
 	if d.upstream != notice.Upstream || d.gone {
@@ -165,6 +167,12 @@
 	_ = d.registered.Put(ctx, registration{upstream: notice.Upstream})
 }
 
+// farewell reports whether an announcement may have been sent before the
+// upstream said that it leaves: the same start of it, a short time ago.
+func (d *doorDuty) farewell(now clock.Instant, notice *upstream.Notice) bool {
+	return d.gone && notice.Upstream.Boot == d.upstream.Boot && d.leftAt != 0 && now.Sub(d.leftAt) < d.lostAfter
+}
+
 // complete ends a run and the wait for it.
 func (d *doorDuty) complete(outcome door.Outcome) {
 	if cancel := d.cancels[outcome.Run]; cancel != nil {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -33,8 +33,10 @@
 	cancels  *ring.Ring[string]
 	changes  *ring.Ring[changeRequest]
 	announce *announceDuty
-	app      *fiber.App
-	ledger   *os.File
+	// stopAnnouncing ends the announcements.
+	stopAnnouncing context.CancelFunc
+	app            *fiber.App
+	ledger         *os.File
 }
 
 // Start opens the listener and the ledger and starts the duties.
@@ -68,6 +70,8 @@
 }
 
 func (s *Server) startDuties() {
+	announcing, stop := context.WithCancel(s.group.Context())
+	s.stopAnnouncing = stop
 	lines := ring.New[LedgerLine]("ledger", ledgerCapacity, ring.Wait)
 	slots := ring.New[*job]("slots", s.settings.Slots, ring.Wait)
 	done := ring.New[*job]("done", s.settings.Slots, ring.Wait)
@@ -86,7 +90,7 @@
 		Name: s.settings.Name, Service: s.settings.Service, Address: s.settings.Address, Boot: rand.Text(),
 		Slots: s.settings.Slots, ColdSlots: s.settings.ColdSlots, Connections: s.settings.Connections, ChecksGrants: s.settings.ChecksGrants,
 	}}
-	s.group.Go("announce", s.announce.Run)
+	s.group.Go("announce", func(context.Context) error { return s.announce.Run(announcing) })
 }
 
 func (s *Server) run(c *fiber.Ctx) error {
@@ -139,6 +143,7 @@
 
 // Stop leaves, waits until the router has sent its last request and stops.
 func (s *Server) Stop() {
+	s.stopAnnouncing()
 	_ = s.announce.leave()
 	pause(s.group.Context(), leaveTime)
 	_ = s.app.ShutdownWithTimeout(shutdownTimeout)
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -67,7 +67,7 @@
 	if s.connection != nil {
 		s.retire("cancelled")
 	}
-	if out.Answer.Reason == verdict.ReasonDeadline {
+	if out.Answer.Reason == verdict.ReasonDeadline && s.clock.Now() < run.Deadline {
 		return outcome(run, verdict.MayHaveRun, verdict.ReasonCancelled, admission.Neutral)
 	}
 	return out
--- a/scenarios/door_test.go
+++ b/scenarios/door_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/valyala/fasthttp"
@@ -34,3 +35,17 @@
 	ts.Fatalf("no upstream %s", name)
 	return ""
 }
+
+// cmdEnds waits a limited time for a process to end with exit code 0:
+// ends LIMIT NAME
+func cmdEnds(ts *testscript.TestScript, neg bool, args []string) {
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	p := fleetOf(ts).processes[args[1]]
+	select {
+	case <-p.done:
+		ts.Check(p.err)
+	case <-time.After(limit):
+		ts.Fatalf("%s did not end within %v", args[1], limit)
+	}
+}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -31,6 +31,9 @@
 			"request":    cmdRequest,
 			"ledger":     cmdLedger,
 			"behave":     cmdBehave,
+			"ends":       cmdEnds,
+			"callers":    cmdCallers,
+			"answered":   cmdAnswered,
 		},
 	})
 }
