Cut no request when a router or an upstream stops

Ruled out: the links between routers (no caller was told may-have-run by a link); longer pauses of the stand-in.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -70,9 +70,6 @@
 func (s *Server) Stop() { s.stopping.Store(true) }
 
 func (s *Server) serve(c *fiber.Ctx) error {
-	if s.stopping.Load() {
-		c.Response().SetConnectionClose()
-	}
 	start := time.Now()
 	request, problem := read(c)
 	answer := refusal(request.ID, problem)
@@ -80,6 +77,9 @@
 		answer = s.ask(c.Context(), request)
 	}
 	s.observe(&answer, time.Since(start))
+	if s.stopping.Load() { // looked at last: the stop may have come meanwhile
+		c.Response().SetConnectionClose()
+	}
 	return write(c, &answer)
 }
 
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -40,6 +40,9 @@
 	answerRingLength   = 8192 // answers waiting for the entry duty
 
 	closeTimeout = time.Second // longest wait for the session's end
+	// stopLinger is how long a stopping router takes requests at least, so that
+	// callers with open connections and other entries learn of the stop.
+	stopLinger = 500 * time.Millisecond
 )
 
 // Node is a router process.
@@ -182,8 +185,14 @@
 	ctx, cancel := context.WithTimeout(n.group.Context(), n.settings.Grace.Value())
 	defer cancel()
 	n.caller.Stop()
+	linger := time.NewTimer(stopLinger)
+	defer linger.Stop()
 	_ = n.door.stop.Put(ctx, struct{}{})
 	_, _ = n.door.drained.Take(ctx)
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
 	_ = n.caller.App().ShutdownWithContext(ctx)
 	_ = n.session.closing.Put(ctx, struct{}{})
 	ctx, cancel = context.WithTimeout(ctx, closeTimeout)
--- a/scenarios/callers_test.go
+++ b/scenarios/callers_test.go
@@ -40,6 +40,7 @@
 // fate is what one caller was told.
 type fate struct {
 	last, reason string
+	trail        []string
 	mismatched   bool
 	sends        int
 }
@@ -94,6 +95,7 @@
 		}
 		f.sends++
 		f.last = c.send(i, id, attempt, c.callers[(i+try)%len(c.callers)], f)
+		f.trail = append(f.trail, fmt.Sprintf("%s %s %s by %s", time.Now().Format(time.StampMilli), f.last, f.reason, c.callers[(i+try)%len(c.callers)]))
 		if f.last == "ran" {
 			break
 		}
@@ -154,6 +156,9 @@
 	for id, f := range c.fates {
 		counts[f.last]++
 		counts[f.last+" "+f.reason]++
+		if f.last != "ran" {
+			ts.Logf("%s: %v", id, f.trail)
+		}
 		if problem := f.problem(runs[id], strings.HasSuffix(c.path, "/lookup")); problem != "" {
 			wrong++
 			ts.Logf("%s: %s (last %s %s, %d sends, %d runs)", id, problem, f.last, f.reason, f.sends, runs[id])
