--- a/internal/consensus/following.go
+++ b/internal/consensus/following.go
@@ -91,9 +91,14 @@
 	c.sendAfterSync(Message{Kind: AppendReply, To: m.From, Index: max(last, c.log.snapshot.Index)})
 }
 
+// stepSnapshot takes a snapshot that is ahead of what is committed here. A log
+// that already holds the snapshot's last entry keeps what follows it: those
+// entries may have been acknowledged.
 func (c *Core) stepSnapshot(m *Message) {
 	s := *m.Snapshot
-	if s.Index > c.log.committed {
+	if term, ok := c.log.term(s.Index); ok && term == s.Term {
+		c.commitTo(s.Index)
+	} else if s.Index > c.log.committed {
 		c.log.restore(s)
 		c.output.Entries = nil
 		c.output.Committed = nil
--- a/internal/consensus/leading.go
+++ b/internal/consensus/leading.go
@@ -172,13 +172,16 @@
 
 // Transfer hands leadership to the most advanced voter, for a graceful stop.
 func (c *Core) Transfer() {
+	if c.role != Leader || c.transferring {
+		return
+	}
 	var best NodeID
 	for _, id := range c.membership.Voters {
 		if id != c.config.ID && (best.IsZero() || c.progress[id].match > c.progress[best].match) {
 			best = id
 		}
 	}
-	if c.role != Leader || best.IsZero() || c.progress[best].match < c.log.lastIndex() {
+	if best.IsZero() || c.progress[best].match < c.log.lastIndex() {
 		return
 	}
 	c.transferring = true
--- /dev/null
+++ b/internal/consensus/machine_test.go
@@ -0,0 +1,232 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"time"
+
+	"endivespring/internal/clock"
+)
+
+// machine is a VM with a disk and, while it runs, a process: the consensus
+// core, the storage duty's queue and the controller's view of the lease.
+type machine struct {
+	world  *world
+	number int
+	name   string
+	rate   float64
+	offset int64
+
+	disk   string
+	stored Stored
+
+	core    *Core
+	run     int // counts processes, so that a dead one's steps do nothing
+	timer   int // counts timers, so that an old one does nothing
+	frozen  bool
+	waiting []func()
+	writes  []diskWrite
+	updates []update
+	applied uint64
+	state   uint64
+	compact uint64
+	lease   clock.Instant
+}
+
+type update struct {
+	output Output
+	lease  clock.Instant
+}
+
+type diskWrite struct {
+	output  Output
+	term    uint64
+	compact *Snapshot
+	rest    []Entry
+}
+
+func (m *machine) id() NodeID { return NodeID{Name: m.name, Disk: m.disk} }
+
+func (m *machine) clock() clock.Instant {
+	return clock.Instant(m.offset + int64(float64(m.world.now)*m.rate))
+}
+
+// roster returns the latest membership of the process or its disk.
+func (m *machine) roster() Membership {
+	if m.core != nil {
+		return m.core.Membership()
+	}
+	log := newEntryLog(&m.stored)
+	roster, _ := log.membership()
+	return roster
+}
+
+func (m *machine) loseDisk() {
+	m.kill()
+	m.world.disks++
+	m.disk, m.stored = fmt.Sprintf("d%d", m.world.disks), Stored{}
+}
+
+// kill ends the process. The write under way may reach the disk or not.
+func (m *machine) kill() {
+	if m.core == nil {
+		return
+	}
+	if len(m.writes) > 0 && m.world.random.IntN(2) == 0 {
+		m.store(&m.writes[0])
+	}
+	m.core, m.writes, m.updates, m.waiting, m.frozen, m.lease = nil, nil, nil, nil, false, 0
+	m.run++
+}
+
+func (m *machine) start() {
+	if m.core != nil {
+		return
+	}
+	m.run++
+	config := Config{
+		ID: m.id(), HeartbeatInterval: heartbeat, ElectionTimeout: election, DriftMargin: driftMargin, MaxBatch: 5,
+		Seed: m.world.random.Uint64(),
+	}
+	for _, other := range m.world.machines {
+		config.Peers = append(config.Peers, other.name)
+	}
+	m.applied, m.state, m.compact, m.lease = 0, 0, 0, 0
+	stored := Stored{HardState: m.stored.HardState, Snapshot: m.stored.Snapshot, Entries: slices.Clone(m.stored.Entries)}
+	if stored.Snapshot != nil {
+		m.world.install(m, stored.Snapshot)
+		m.compact = m.applied
+	}
+	m.core = New(config, &stored, m.clock())
+	m.step(func() {})
+}
+
+// later runs a step of this process after d, or when it thaws.
+func (m *machine) later(d time.Duration, run func()) {
+	started := m.run
+	m.world.after(d, func() { m.guard(started, run) })
+}
+
+func (m *machine) guard(started int, run func()) {
+	switch {
+	case m.run != started || m.core == nil:
+	case m.frozen:
+		m.waiting = append(m.waiting, func() { m.guard(started, run) })
+	default:
+		run()
+	}
+}
+
+func (m *machine) freeze() { m.frozen = m.core != nil }
+
+func (m *machine) thaw() {
+	waiting := m.waiting
+	m.frozen, m.waiting = false, nil
+	for _, run := range waiting {
+		m.world.after(0, run)
+	}
+}
+
+func (m *machine) receive(message Message) {
+	m.guard(m.run, func() { m.step(func() { m.core.Step(&message) }) })
+}
+
+// step does what the consensus duty does for one input.
+func (m *machine) step(input func()) {
+	c := m.core
+	if c == nil {
+		return
+	}
+	c.Tick(m.clock())
+	input()
+	m.world.checkLeader(c)
+	m.dispatch()
+	m.armTimer()
+}
+
+func (m *machine) dispatch() {
+	out := m.core.Take()
+	m.world.checkEntries(m.core, out.Entries)
+	m.world.deliver(m, out.Immediate)
+	if out.NeedsStorage() {
+		m.write(diskWrite{output: out, term: m.core.Term()})
+	}
+	lease := m.core.LeaseUntil()
+	m.updates = append(m.updates, update{output: out, lease: lease})
+	if len(m.updates) == 1 {
+		m.later(m.world.jitter(controlLag), m.control)
+	}
+}
+
+// control does what the controller duty does with a log update.
+func (m *machine) control() {
+	out := m.updates[0].output
+	m.lease = m.updates[0].lease
+	m.updates = m.updates[1:]
+	if len(m.updates) > 0 {
+		m.later(m.world.jitter(controlLag), m.control)
+	}
+	if out.Snapshot != nil {
+		m.world.install(m, out.Snapshot)
+		m.compact = m.applied
+	}
+	for i := range out.Committed {
+		m.world.commit(m, &out.Committed[i])
+	}
+	if m.applied >= m.compact+compactEvery {
+		m.compact = m.applied
+		data := binary.LittleEndian.AppendUint64(nil, m.state)
+		if s, ok := m.core.Compact(m.applied, data); ok {
+			m.write(diskWrite{compact: s, rest: m.core.Rest()})
+		}
+	}
+}
+
+// write queues a write; the disk does one at a time.
+func (m *machine) write(w diskWrite) {
+	m.writes = append(m.writes, w)
+	if len(m.writes) == 1 {
+		m.later(m.world.jitter(m.world.faults.sync), m.synced)
+	}
+}
+
+func (m *machine) synced() {
+	w := m.writes[0]
+	m.writes = m.writes[1:]
+	m.store(&w)
+	m.world.deliver(m, w.output.AfterSync)
+	if len(m.writes) > 0 {
+		m.later(m.world.jitter(m.world.faults.sync), m.synced)
+	}
+	if last := w.output.LastIndex(); last > 0 {
+		m.step(func() { m.core.Persisted(last, w.term, m.clock()) })
+	}
+}
+
+func (m *machine) store(w *diskWrite) {
+	if w.output.HardState != nil {
+		m.stored.HardState = *w.output.HardState
+	}
+	switch {
+	case w.compact != nil:
+		m.stored.Snapshot, m.stored.Entries = w.compact, slices.Clone(w.rest)
+	case w.output.Snapshot != nil:
+		m.stored.Snapshot, m.stored.Entries = w.output.Snapshot, slices.Clone(w.output.Entries)
+	case len(w.output.Entries) > 0:
+		log := newEntryLog(&Stored{Snapshot: m.stored.Snapshot, Entries: slices.Clone(m.stored.Entries)})
+		log.append(w.output.Entries)
+		m.stored.Entries = log.entries
+	}
+}
+
+func (m *machine) armTimer() {
+	m.timer++
+	armed := m.timer
+	wait := max(0, m.core.Deadline().Sub(m.clock())) + time.Millisecond
+	m.later(wait, func() {
+		if m.timer == armed {
+			m.step(func() {})
+		}
+	})
+}
--- /dev/null
+++ b/internal/consensus/replication_test.go
@@ -0,0 +1,111 @@
+package consensus
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	seedsOfThree = 300
+	seedsOfFive  = 100
+	rounds       = 8 // fault rounds of one seed
+)
+
+// TestReplicationUnderFaults runs random faults and checks every invariant
+// after every step, and recovery at the end.
+func TestReplicationUnderFaults(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		size, seeds int
+	}{{"three", 3, seedsOfThree}, {"five", 5, seedsOfFive}} {
+		for part := range 4 {
+			t.Run(c.name, func(t *testing.T) {
+				t.Parallel()
+				for seed := part; seed < c.seeds; seed += 4 {
+					w := newWorld(uint64(seed), c.size)
+					w.runFaults()
+					if w.problem != "" {
+						t.Fatalf("%d voters, seed %d: %s", c.size, seed, w.problem)
+					}
+				}
+			})
+		}
+	}
+}
+
+// runFaults starts the machines, lets faults come and go and then settles.
+func (w *world) runFaults() {
+	for _, m := range w.machines {
+		if w.random.IntN(4) > 0 {
+			m.start()
+		}
+	}
+	if w.random.IntN(3) > 0 {
+		w.startAll()
+		w.until(20*election, w.whole)
+	}
+	for range rounds {
+		w.strike()
+		for range 1 + w.random.IntN(6) {
+			w.propose()
+			w.advance(w.jitter(150 * time.Millisecond))
+		}
+	}
+	w.settle()
+}
+
+func (w *world) startAll() {
+	for _, m := range w.machines {
+		m.start()
+	}
+}
+
+// strike begins or ends one fault.
+func (w *world) strike() {
+	m := w.machines[w.random.IntN(len(w.machines))]
+	if leader := w.leader(); leader != nil && w.random.IntN(3) == 0 {
+		m = leader
+	}
+	switch w.random.IntN(12) {
+	case 0:
+		w.faults.drop = w.random.Float64() * 0.4
+	case 1:
+		w.faults.duplicate = w.random.Float64() * 0.4
+	case 2:
+		w.faults.delay = w.jitter(300 * time.Millisecond)
+	case 3:
+		w.faults.sync = w.jitter(300 * time.Millisecond)
+	case 4:
+		w.cut(m)
+	case 5:
+		w.heal()
+	case 6:
+		m.freeze()
+	case 7:
+		m.thaw()
+	case 8:
+		m.kill()
+	case 9:
+		if w.bearsLoss(m) {
+			m.loseDisk()
+			m.start()
+		}
+	case 10:
+		w.startAll()
+	case 11:
+		if m.core != nil && !m.frozen {
+			m.step(m.core.Transfer)
+		}
+	}
+}
+
+// cut separates a machine from some others, in one direction or both.
+func (w *world) cut(m *machine) {
+	for _, other := range w.machines {
+		if other == m || w.random.IntN(4) == 0 {
+			continue
+		}
+		w.faults.cut[[2]int{m.number, other.number}] = w.random.IntN(4) > 0
+		w.faults.cut[[2]int{other.number, m.number}] = w.random.IntN(4) > 0
+	}
+}
--- /dev/null
+++ b/internal/consensus/world_test.go
@@ -0,0 +1,361 @@
+package consensus
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	heartbeat    = 100 * time.Millisecond
+	election     = 400 * time.Millisecond
+	driftMargin  = 40 * time.Millisecond
+	maxDriftPPM  = 30_000 // a clock's rate is off by at most this
+	controlLag   = 5 * time.Millisecond
+	compactEvery = 12 // committed entries between snapshots
+)
+
+// happening is one scheduled step of a world.
+type happening struct {
+	at, order int64
+	run       func()
+}
+
+type schedule []happening
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].order < s[j].order
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *schedule) Push(x any)   { *s = append(*s, x.(happening)) }
+func (s *schedule) Pop() any {
+	old := *s
+	last := old[len(old)-1]
+	*s = old[:len(old)-1]
+	return last
+}
+
+// place is an entry's position in any log.
+type place struct{ index, term uint64 }
+
+// world joins cores over a fake transport with virtual time and checks the
+// invariants after every step.
+type world struct {
+	random   *rand.Rand
+	now      int64
+	order    int64
+	queue    schedule
+	machines []*machine
+	faults   faults
+	problem  string
+
+	leaders   map[uint64]NodeID
+	contents  map[place]uint64
+	previous  map[place]uint64
+	committed []uint64 // hash of the state after each index
+	terms     []uint64 // term of each committed entry
+	roster    Membership
+	rosterAt  uint64
+	changes   int
+	disks     int
+	proposed  uint64
+}
+
+// faults holds what the transport does to messages now.
+type faults struct {
+	drop, duplicate float64
+	delay           time.Duration
+	sync            time.Duration
+	cut             map[[2]int]bool
+}
+
+func newWorld(seed uint64, size int) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 7)), leaders: map[uint64]NodeID{}, contents: map[place]uint64{}, previous: map[place]uint64{},
+		committed: []uint64{0}, terms: []uint64{0},
+	}
+	w.heal()
+	for i := range size {
+		m := &machine{world: w, number: i, name: fmt.Sprintf("c%d", i+1)}
+		m.rate = 1 + float64(w.random.IntN(2*maxDriftPPM)-maxDriftPPM)/1e6
+		m.offset = int64(time.Hour) + w.random.Int64N(int64(time.Hour))
+		w.machines = append(w.machines, m)
+		m.loseDisk()
+	}
+	return w
+}
+
+func (w *world) heal() {
+	w.faults = faults{delay: 3 * time.Millisecond, sync: 2 * time.Millisecond, cut: map[[2]int]bool{}}
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.problem == "" {
+		w.problem = fmt.Sprintf("at %v: ", time.Duration(w.now)) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.order++
+	heap.Push(&w.queue, happening{at: w.now + int64(d), order: w.order, run: run})
+}
+
+// advance runs everything that is due within d and stops at a broken invariant.
+func (w *world) advance(d time.Duration) bool {
+	end := w.now + int64(d)
+	for w.problem == "" && len(w.queue) > 0 && w.queue[0].at <= end {
+		next := heap.Pop(&w.queue).(happening)
+		w.now = next.at
+		next.run()
+		w.checkLeases()
+	}
+	w.now = end
+	return w.problem == ""
+}
+
+// until advances in small steps until the condition holds, for at most limit.
+func (w *world) until(limit time.Duration, condition func() bool) bool {
+	for end := w.now + int64(limit); w.now < end && w.problem == ""; {
+		if condition() {
+			return true
+		}
+		w.advance(20 * time.Millisecond)
+	}
+	return false
+}
+
+func (w *world) jitter(d time.Duration) time.Duration {
+	return time.Duration(w.random.Int64N(int64(d) + 1))
+}
+
+func (w *world) deliver(from *machine, messages []Message) {
+	for _, m := range messages {
+		to := w.machines[slices.IndexFunc(w.machines, func(x *machine) bool { return x.name == m.To.Name })]
+		if w.faults.cut[[2]int{from.number, to.number}] || w.random.Float64() < w.faults.drop {
+			continue
+		}
+		copies := 1
+		if w.random.Float64() < w.faults.duplicate {
+			copies = 2
+		}
+		for range copies {
+			w.after(time.Millisecond+w.jitter(w.faults.delay), func() { to.receive(m) })
+		}
+	}
+}
+
+// leader returns a machine whose node leads with a valid lease, or nil.
+func (w *world) leader() *machine {
+	for _, m := range w.machines {
+		if m.core != nil && m.core.Role() == Leader && m.core.LeaseUntil() > m.clock() {
+			return m
+		}
+	}
+	return nil
+}
+
+func (w *world) checkLeases() {
+	var holder *machine
+	for _, m := range w.machines {
+		if m.core == nil || m.lease <= m.clock() {
+			continue
+		}
+		if holder != nil {
+			w.fail("%s and %s both hold a lease", holder.id(), m.id())
+		}
+		holder = m
+	}
+}
+
+func (w *world) checkLeader(c *Core) {
+	if c.role != Leader {
+		return
+	}
+	if other, ok := w.leaders[c.hard.Term]; ok {
+		if other != c.config.ID {
+			w.fail("%s and %s both lead term %d", other, c.config.ID, c.hard.Term)
+		}
+		return
+	}
+	w.leaders[c.hard.Term] = c.config.ID
+	for index := c.log.snapshot.Index + 1; index < uint64(len(w.committed)); index++ {
+		if term, ok := c.log.term(index); !ok || term != w.terms[index] {
+			w.fail("leader %s of term %d lacks committed entry %d", c.config.ID, c.hard.Term, index)
+			return
+		}
+	}
+}
+
+// checkEntries checks log matching: an index and term name one entry with one
+// predecessor in every log.
+func (w *world) checkEntries(c *Core, entries []Entry) {
+	for _, e := range entries {
+		at := place{e.Index, e.Term}
+		content := contentOf(&e)
+		if known, ok := w.contents[at]; ok && known != content {
+			w.fail("%s holds another entry %d of term %d", c.config.ID, e.Index, e.Term)
+		}
+		w.contents[at] = content
+		before, ok := c.log.term(e.Index - 1)
+		if !ok {
+			continue
+		}
+		if known, seen := w.previous[at]; seen && known != before {
+			w.fail("%s holds entry %d of term %d after term %d, not %d", c.config.ID, e.Index, e.Term, before, known)
+		}
+		w.previous[at] = before
+	}
+}
+
+func contentOf(e *Entry) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, e.Kind, e.Data)
+	if e.Membership != nil {
+		_, _ = fmt.Fprint(h, *e.Membership)
+	}
+	return h.Sum64()
+}
+
+// commit checks one committed entry against what any node committed before.
+func (w *world) commit(m *machine, e *Entry) {
+	if e.Index != m.applied+1 {
+		w.fail("%s applies entry %d after %d", m.id(), e.Index, m.applied)
+		return
+	}
+	state := combine(m.state, contentOf(e)^e.Term)
+	if e.Index < uint64(len(w.committed)) && w.committed[e.Index] != state {
+		w.fail("%s committed another entry %d", m.id(), e.Index)
+	}
+	if e.Index == uint64(len(w.committed)) {
+		w.committed, w.terms = append(w.committed, state), append(w.terms, e.Term)
+		if e.Membership != nil {
+			w.changeRoster(*e.Membership, e.Index)
+		}
+	}
+	m.applied, m.state = e.Index, state
+}
+
+func (w *world) changeRoster(next Membership, index uint64) {
+	moved := len(w.roster.Voters) - len(next.Voters)
+	if w.rosterAt > 0 && (moved > 1 || moved < -1) {
+		w.fail("membership %v follows %v", next, w.roster)
+	}
+	w.roster, w.rosterAt = next, index
+	w.changes++
+}
+
+func combine(state, next uint64) uint64 {
+	var buffer [16]byte
+	binary.LittleEndian.PutUint64(buffer[:], state)
+	binary.LittleEndian.PutUint64(buffer[8:], next)
+	h := fnv.New64a()
+	_, _ = h.Write(buffer[:])
+	return h.Sum64()
+}
+
+// install checks a snapshot that replaces a node's state.
+func (w *world) install(m *machine, s *Snapshot) {
+	m.applied, m.state = s.Index, genesisState(s)
+	if len(s.Data) > 0 {
+		m.state = binary.LittleEndian.Uint64(s.Data)
+	}
+	if s.Index == 1 && len(w.committed) == 1 {
+		w.committed, w.terms = append(w.committed, m.state), append(w.terms, s.Term)
+		w.roster, w.rosterAt = s.Membership, 1
+	}
+	if s.Index == 1 && len(w.committed) == 2 {
+		// Nothing was committed by a vote yet: a later first membership counts.
+		w.committed[1], w.terms[1], w.roster = m.state, s.Term, s.Membership
+	}
+	if s.Index >= uint64(len(w.committed)) || w.committed[s.Index] != m.state {
+		w.fail("%s installs snapshot %d of another log", m.id(), s.Index)
+	}
+}
+
+func genesisState(s *Snapshot) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, s.Membership, s.Term)
+	return h.Sum64()
+}
+
+// bearsLoss reports whether the log is still meant to survive when the
+// machine's disk is lost: a majority of every membership known stays.
+func (w *world) bearsLoss(lost *machine) bool {
+	alive := map[NodeID]bool{}
+	for _, m := range w.machines {
+		alive[m.id()] = m != lost
+	}
+	for _, m := range w.machines {
+		roster := m.roster()
+		live := 0
+		for _, id := range roster.Voters {
+			if alive[id] {
+				live++
+			}
+		}
+		if len(roster.Voters) > 0 && live < roster.Quorum() {
+			return false
+		}
+	}
+	return true
+}
+
+// whole reports whether every machine is a voter with its present disk, and
+// has applied everything.
+func (w *world) whole() bool {
+	for _, m := range w.machines {
+		if m.core == nil || !w.roster.IsVoter(m.id()) || m.applied+1 != uint64(len(w.committed)) {
+			return false
+		}
+	}
+	return w.leader() != nil && len(w.roster.Voters) == len(w.machines) && len(w.roster.Learners) == 0
+}
+
+// settle ends all faults and checks that a leader appears, the log advances
+// and lost disks are replaced within a bounded time.
+func (w *world) settle() {
+	w.heal()
+	for _, m := range w.machines {
+		m.thaw()
+		m.start()
+	}
+	limit := 40 * election
+	if !w.until(limit, w.whole) {
+		w.fail("not whole %v after the last fault: %s", limit, w.describe())
+		return
+	}
+	before := len(w.committed)
+	w.propose()
+	if !w.until(4*election, func() bool { return len(w.committed) > before && w.whole() }) {
+		w.fail("no progress after repair: %s", w.describe())
+	}
+}
+
+func (w *world) propose() {
+	for _, m := range w.machines {
+		if m.core != nil && !m.frozen && m.core.Role() == Leader {
+			w.proposed++
+			m.step(func() { _, _, _ = m.core.Propose(binary.LittleEndian.AppendUint64(nil, w.proposed)) })
+		}
+	}
+}
+
+func (w *world) describe() string {
+	out := fmt.Sprintf("committed %d roster %v\n", len(w.committed)-1, w.roster)
+	for _, m := range w.machines {
+		if m.core == nil {
+			out += m.id().String() + " down\n"
+			continue
+		}
+		c := m.core
+		out += fmt.Sprintf("%s %s term %d leader %s last %d committed %d snapshot %d applied %d membership %v lease %v\n",
+			m.id(), c.role, c.hard.Term, c.leader, c.log.lastIndex(), c.log.committed, c.log.snapshot.Index, m.applied, c.membership,
+			time.Duration(c.LeaseUntil()-m.clock()))
+	}
+	return out
+}
