Give the lease up for good before a leadership transfer

A deposed leader voted at once although its lease counted on its own vote.

Ruled out: taking the lease back after a failed transfer, since the request may arrive late and its votes pass by the promise to the leader; waiting the lease out before the request, which costs a whole election timeout.

Change: Transfer only ends the lease. The consensus duty asks the controller duty, by the log update, to report on the released ring; then the request goes out. A transfer that fails for an election timeout ends the term's leadership. A deposed leader counts as having heard a leader until then.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -36,6 +36,7 @@
 	selfMatch    uint64
 	termStart    uint64
 	transferring bool
+	transferAt   clock.Instant
 	joinAt       clock.Instant
 	joined       map[string]joiner
 	startedEmpty bool
@@ -170,6 +171,10 @@
 	if term > c.hard.Term {
 		c.hard = HardState{Term: term}
 	}
+	if c.role == Leader {
+		// The lease counted on this node's own vote.
+		c.lastContact = c.now
+	}
 	c.role = Follower
 	c.leader = leader
 	c.transferring = false
--- a/internal/consensus/leading.go
+++ b/internal/consensus/leading.go
@@ -33,7 +33,9 @@
 }
 
 func (c *Core) tickLeader() {
-	if c.quorumContact() == 0 || c.now > c.quorumContact()+2*clock.Instant(c.config.ElectionTimeout) {
+	alone := c.now > c.quorumContact()+2*clock.Instant(c.config.ElectionTimeout)
+	failedTransfer := c.transferring && c.now > c.transferAt+clock.Instant(c.config.ElectionTimeout)
+	if alone || failedTransfer {
 		c.becomeFollower(c.hard.Term, NodeID{})
 		return
 	}
@@ -170,20 +172,37 @@
 	c.afterCommit()
 }
 
-// Transfer hands leadership to the most advanced voter, for a graceful stop.
+// Transfer begins to hand leadership over, for a graceful stop: the lease ends.
+// The caller calls LeaseReleased once nobody acts on it any more.
 func (c *Core) Transfer() {
 	if c.role != Leader || c.transferring {
 		return
 	}
+	if best := c.successor(); c.progress[best] == nil || c.progress[best].match < c.log.lastIndex() {
+		return
+	}
+	c.transferring = true
+	c.transferAt = c.now
+}
+
+// Transferring reports whether a lease was given up and LeaseReleased is due.
+func (c *Core) Transferring() bool { return c.role == Leader && c.transferring }
+
+// LeaseReleased asks the successor to campaign at once. The leader never takes
+// its lease back in this term, since the request may arrive late.
+func (c *Core) LeaseReleased() {
+	if c.Transferring() {
+		c.send(Message{Kind: TimeoutNow, To: c.successor()})
+	}
+}
+
+// successor returns the most advanced other voter, or the zero identity.
+func (c *Core) successor() NodeID {
 	var best NodeID
 	for _, id := range c.membership.Voters {
 		if id != c.config.ID && (best.IsZero() || c.progress[id].match > c.progress[best].match) {
 			best = id
 		}
 	}
-	if best.IsZero() || c.progress[best].match < c.log.lastIndex() {
-		return
-	}
-	c.transferring = true
-	c.send(Message{Kind: TimeoutNow, To: best})
+	return best
 }
--- a/internal/consensus/machine_test.go
+++ b/internal/consensus/machine_test.go
@@ -35,8 +35,9 @@
 }
 
 type update struct {
-	output Output
-	lease  clock.Instant
+	output   Output
+	lease    clock.Instant
+	released bool
 }
 
 type diskWrite struct {
@@ -153,7 +154,7 @@
 		m.write(diskWrite{output: out, term: m.core.Term()})
 	}
 	lease := m.core.LeaseUntil()
-	m.updates = append(m.updates, update{output: out, lease: lease})
+	m.updates = append(m.updates, update{output: out, lease: lease, released: m.core.Transferring()})
 	if len(m.updates) == 1 {
 		m.later(m.world.jitter(controlLag), m.control)
 	}
@@ -161,7 +162,7 @@
 
 // control does what the controller duty does with a log update.
 func (m *machine) control() {
-	out := m.updates[0].output
+	out, released := m.updates[0].output, m.updates[0].released
 	m.lease = m.updates[0].lease
 	m.updates = m.updates[1:]
 	if len(m.updates) > 0 {
@@ -181,6 +182,9 @@
 			m.write(diskWrite{compact: s, rest: m.core.Rest()})
 		}
 	}
+	if released {
+		m.later(0, func() { m.step(m.core.LeaseReleased) })
+	}
 }
 
 // write queues a write; the disk does one at a time.
--- a/internal/consensus/replication_test.go
+++ b/internal/consensus/replication_test.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	seedsOfThree = 300
-	seedsOfFive  = 100
+	seedsOfThree = 370
+	seedsOfFive  = 210
 	rounds       = 8 // fault rounds of one seed
 )
 
--- a/internal/controlnode/consensus_duty.go
+++ b/internal/controlnode/consensus_duty.go
@@ -22,6 +22,7 @@
 	persisted *ring.Ring[persisted]
 	compact   *ring.Ring[compaction]
 	transfer  *ring.Ring[struct{}]
+	released  *ring.Ring[struct{}]
 	writes    *ring.Ring[write]
 	updates   *ring.Ring[logUpdate]
 	outbound  *outbound
@@ -52,6 +53,8 @@
 			}
 		case <-d.transfer.Out():
 			d.core.Transfer()
+		case <-d.released.Out():
+			d.core.LeaseReleased()
 		}
 		if err := d.dispatch(ctx); err != nil {
 			return err
@@ -94,6 +97,7 @@
 	if lead := d.leadership(); !sameLeadership(lead, d.last) {
 		d.last = lead
 		update.leadership = &lead
+		update.release = d.core.Transferring()
 	}
 	if update.snapshot == nil && len(update.committed) == 0 && update.leadership == nil {
 		return nil
--- a/internal/controlnode/controller_duty.go
+++ b/internal/controlnode/controller_duty.go
@@ -23,6 +23,8 @@
 	operators *ring.Ring[operator.Request]
 	proposals *ring.Ring[[]byte]
 	compact   *ring.Ring[compaction]
+	// released tells the consensus duty that a given-up lease is not used any more.
+	released *ring.Ring[struct{}]
 	// every is the number of entries between snapshots.
 	every uint64
 
@@ -76,6 +78,9 @@
 	if update.leadership != nil {
 		d.core.Lead(d.clock.Now(), *update.leadership)
 	}
+	if update.release {
+		_ = d.released.Put(ctx, struct{}{})
+	}
 	return d.maybeCompact(ctx)
 }
 
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -148,6 +148,7 @@
 	return &consensusDuty{
 		core: consensus.New(config, stored, timeSource.Now()), clock: timeSource, outbound: out, writes: writes, persisted: done,
 		transfer:  n.transfer,
+		released:  ring.New[struct{}]("released", 1, ring.Refuse),
 		inbound:   ring.New[*consensus.Message]("consensus-in", inboundCapacity, ring.DropOldest),
 		proposals: ring.New[[]byte]("proposals", proposalCapacity, ring.Refuse),
 		compact:   ring.New[compaction]("compactions", 1, ring.Refuse),
@@ -160,7 +161,7 @@
 	leases := lease.Timing{Ownership: timing.Ownership.Value(), View: timing.View.Value(), Margin: timing.Drift.Value()}
 	core := controller.New(leases, placement.Limits{MaxRebalancing: n.settings.MaxRebalancing}, n.peerAddress)
 	d := &controllerDuty{
-		core: core, clock: timeSource, events: n.events, updates: c.updates, proposals: c.proposals, compact: c.compact,
+		core: core, clock: timeSource, events: n.events, updates: c.updates, proposals: c.proposals, compact: c.compact, released: c.released,
 		every:     uint64(n.settings.SnapshotEntries),
 		arrivals:  ring.New[arrival]("renewals", arrivalCapacity, ring.Refuse),
 		operators: ring.New[operator.Request]("operators", operatorCapacity, ring.Refuse),
