Try a refused compaction again

Cause: the controller duty noted a compaction as done before the ring of one slot took it, so a refused one waited for as many entries again.

Change: it counts only once the ring has taken it.

Conclusion: no measured effect; found by reading.

--- a/internal/controlnode/controller_duty.go
+++ b/internal/controlnode/controller_duty.go
@@ -105,8 +105,9 @@
 	if err != nil {
 		return err
 	}
-	d.compacted = d.applied
-	_ = d.compact.Put(ctx, compaction{index: d.applied, data: data})
+	if d.compact.Put(ctx, compaction{index: d.applied, data: data}) == nil {
+		d.compacted = d.applied
+	}
 	return nil
 }
 
