Repair membership without orphans; form the first membership safely

Ruled out: replacing the voter in one step, whose majorities need not meet; counting Joins that do not name the receiver's disk, which may be older than its loss.

Change: a node that hears no leader for two election timeouts announces itself. A Join of a name whose member answers heartbeats is ignored, a learner silent for ten election timeouts goes. The first membership needs, from every peer, a Join that names this very disk and says that its log is empty; its term is above all of theirs; an empty node refuses a first log from a disk that was replaced.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -39,7 +39,6 @@
 	transferAt   clock.Instant
 	joinAt       clock.Instant
 	joined       map[string]joiner
-	startedEmpty bool
 	output       Output
 	storedHard   HardState
 }
@@ -49,16 +48,15 @@
 // output again.
 func New(config Config, stored *Stored, now clock.Instant) *Core {
 	c := &Core{
-		config:       config,
-		random:       rand.New(rand.NewPCG(config.Seed, config.Seed^0x9e3779b97f4a7c15)),
-		now:          now,
-		hard:         stored.HardState,
-		storedHard:   stored.HardState,
-		log:          newEntryLog(stored),
-		lastContact:  now,
-		joinAt:       now,
-		joined:       map[string]joiner{},
-		startedEmpty: stored.Empty(),
+		config:      config,
+		random:      rand.New(rand.NewPCG(config.Seed, config.Seed^0x9e3779b97f4a7c15)),
+		now:         now,
+		hard:        stored.HardState,
+		storedHard:  stored.HardState,
+		log:         newEntryLog(stored),
+		lastContact: now,
+		joinAt:      now,
+		joined:      map[string]joiner{},
 	}
 	c.membership, c.membershipIndex = c.log.membership()
 	c.selfMatch = c.log.lastIndex()
@@ -108,8 +106,11 @@
 	if c.role == Leader {
 		deadline = c.heartbeatAt
 	}
-	if len(c.membership.Voters) == 0 {
+	switch {
+	case len(c.membership.Voters) == 0:
 		deadline = min(deadline, c.joinAt)
+	case c.role != Leader:
+		deadline = min(deadline, max(c.joinAt, c.aloneAt()))
 	}
 	return deadline
 }
@@ -117,8 +118,10 @@
 // Tick advances the clock and does what is due.
 func (c *Core) Tick(now clock.Instant) {
 	c.now = max(c.now, now)
-	if len(c.membership.Voters) == 0 {
+	if c.alone() {
 		c.tickJoin()
+	}
+	if len(c.membership.Voters) == 0 {
 		return
 	}
 	if c.role == Leader {
--- a/internal/consensus/following.go
+++ b/internal/consensus/following.go
@@ -2,7 +2,7 @@
 
 // Step takes a message from another node.
 func (c *Core) Step(m *Message) {
-	if m.To != c.config.ID && m.Kind != Join {
+	if m.To != c.config.ID && m.Kind != Join || c.replacedFounder(m) {
 		return
 	}
 	switch m.Kind {
@@ -19,6 +19,14 @@
 	}
 }
 
+// replacedFounder reports whether the message would give an empty node its
+// first log but comes from a disk that was lost: a later one has announced
+// itself and may count on this node's log being empty.
+func (c *Core) replacedFounder(m *Message) bool {
+	j, ok := c.joined[m.From.Name]
+	return ok && c.isEmpty() && m.Kind == InstallSnapshot && j.id != m.From && c.recent(j, 4)
+}
+
 func (c *Core) stepPreVoteReply(m *Message) {
 	if m.Reject && m.Term > c.hard.Term {
 		c.becomeFollower(m.Term, NodeID{})
--- a/internal/consensus/joiner.go
+++ b/internal/consensus/joiner.go
@@ -6,5 +6,8 @@
 type joiner struct {
 	id    NodeID
 	empty bool
+	term  uint64
+	// heard is the identity that the node knows for the receiver's name.
+	heard NodeID
 	at    clock.Instant
 }
--- a/internal/consensus/joining.go
+++ b/internal/consensus/joining.go
@@ -8,43 +8,60 @@
 
 const joinIntervalFactor = 2 // join interval in heartbeat intervals
 
-// tickJoin announces a node without a membership. The node with the lowest
-// name forms the first membership once every peer says that its disk is empty.
+// alone reports whether the node has to make itself known: it knows no
+// membership, or no leader has sent to it for long, perhaps since the
+// membership does not list it.
+func (c *Core) alone() bool {
+	return len(c.membership.Voters) == 0 || c.role != Leader && c.now >= c.aloneAt()
+}
+
+func (c *Core) aloneAt() clock.Instant {
+	return c.lastContact + 2*clock.Instant(c.config.ElectionTimeout)
+}
+
+// tickJoin announces the node. The one with the lowest name forms the first
+// membership once every peer says that its log is empty.
 func (c *Core) tickJoin() {
 	if c.now < c.joinAt {
 		return
 	}
 	c.joinAt = c.now + joinIntervalFactor*clock.Instant(c.config.HeartbeatInterval)
-	c.joined[c.config.ID.Name] = joiner{id: c.config.ID, empty: c.isEmpty(), at: c.now}
 	for _, name := range c.config.Peers {
 		if name != c.config.ID.Name {
-			c.send(Message{Kind: Join, To: NodeID{Name: name}, Empty: c.isEmpty()})
+			c.send(Message{Kind: Join, To: NodeID{Name: name, Disk: c.joined[name].id.Disk}, Empty: c.isEmpty()})
 		}
 	}
 	c.maybeBootstrap()
 }
 
-func (c *Core) isEmpty() bool {
-	return c.startedEmpty && c.hard == HardState{} && c.log.lastIndex() == 0
+func (c *Core) isEmpty() bool { return c.log.lastIndex() == 0 }
+
+// recent reports whether the joiner announced itself within some intervals.
+func (c *Core) recent(j joiner, intervals clock.Instant) bool {
+	return j.at+intervals*joinIntervalFactor*clock.Instant(c.config.HeartbeatInterval) > c.now
 }
 
+// maybeBootstrap forms the first membership. Every peer must have said, in
+// answer to this very disk, that its log is empty: then no majority of an
+// earlier membership, whose first disk was lost, can hold an entry. The term
+// is above every one in use, so that the first entries of both differ.
 func (c *Core) maybeBootstrap() {
-	names := slices.Clone(c.config.Peers)
-	slices.Sort(names)
+	names := slices.Sorted(slices.Values(c.config.Peers))
 	if !c.isEmpty() || len(names) == 0 || names[0] != c.config.ID.Name {
 		return
 	}
-	fresh := c.now - 2*joinIntervalFactor*clock.Instant(c.config.HeartbeatInterval)
-	var m Membership
-	for _, name := range names {
+	term := c.hard.Term
+	m := Membership{Voters: []NodeID{c.config.ID}}
+	for _, name := range names[1:] {
 		j, ok := c.joined[name]
-		if !ok || !j.empty || j.at < fresh {
+		if !ok || !j.empty || j.heard != c.config.ID || !c.recent(j, 2) {
 			return
 		}
 		m.Voters = append(m.Voters, j.id)
+		term = max(term, j.term)
 	}
-	s := Snapshot{Index: 1, Term: 1, Membership: m}
-	c.hard = HardState{Term: 1}
+	s := Snapshot{Index: 1, Term: term + 1, Membership: m}
+	c.hard = HardState{Term: term + 1}
 	c.log.restore(s)
 	c.output.Snapshot = &s
 	c.adoptMembership()
@@ -52,9 +69,9 @@
 	c.campaign(PreCandidate)
 }
 
-// stepJoin remembers a node without a membership; a leader adds it.
+// stepJoin remembers a node that announced itself; a leader adds it.
 func (c *Core) stepJoin(m *Message) {
-	c.joined[m.From.Name] = joiner{id: m.From, empty: m.Empty, at: c.now}
+	c.joined[m.From.Name] = joiner{id: m.From, empty: m.Empty, term: m.Term, heard: m.To, at: c.now}
 	if c.role == Leader {
 		c.maintainMembership()
 	}
@@ -89,30 +106,47 @@
 		if c.staleLearner(id) {
 			return c.membership.Without(id), true
 		}
-		if c.progress[id].match >= c.log.committed && c.now < c.progress[id].ackedSent+clock.Instant(c.config.ElectionTimeout) {
+		if c.progress[id].match >= c.log.committed && !c.silent(id) {
 			return c.membership.WithVoter(id), true
 		}
 	}
 	for _, name := range c.config.Peers {
 		j, ok := c.joined[name]
-		recent := j.at+4*joinIntervalFactor*clock.Instant(c.config.HeartbeatInterval) > c.now
-		if ok && recent && j.id != c.config.ID && !c.membership.Contains(j.id) {
+		if ok && c.recent(j, 4) && !c.membership.Contains(j.id) && !c.answers(name) {
 			return c.membership.WithLearner(j.id), true
 		}
 	}
 	return Membership{}, false
 }
 
+// silent reports whether the node answered no heartbeat for an election timeout.
+func (c *Core) silent(id NodeID) bool {
+	return c.now >= c.progress[id].ackedSent+clock.Instant(c.config.ElectionTimeout)
+}
+
+// answers reports whether a node with the name is a member and alive, so that
+// another identity of that name is an old one whose message came late.
+func (c *Core) answers(name string) bool {
+	return slices.ContainsFunc(c.membership.Nodes(), func(id NodeID) bool {
+		return id.Name == name && (id == c.config.ID || !c.silent(id))
+	})
+}
+
 // replaced reports whether a later voter has the same name.
 func (c *Core) replaced(id NodeID) bool {
 	at := slices.Index(c.membership.Voters, id)
 	return slices.ContainsFunc(c.membership.Voters[at+1:], func(other NodeID) bool { return other.Name == id.Name })
 }
 
-// staleLearner reports whether the learner's disk was replaced again.
+// staleLearner reports whether the learner is gone: its disk was replaced
+// again, or it has been silent for long. It announces itself if it comes back.
 func (c *Core) staleLearner(id NodeID) bool {
 	j, ok := c.joined[id.Name]
-	return ok && j.id != id && j.at > c.progress[id].ackedSent
+	if ok && j.id != id && c.recent(j, 4) {
+		return c.silent(id)
+	}
+	const timeouts = 10
+	return c.now >= c.progress[id].ackedSent+timeouts*clock.Instant(c.config.ElectionTimeout)
 }
 
 func (c *Core) afterCommit() {
--- a/internal/consensus/message.go
+++ b/internal/consensus/message.go
@@ -17,7 +17,7 @@
 	Reject bool
 	// Sent is the sender's clock on a Heartbeat and is echoed by the reply.
 	Sent clock.Instant
-	// Empty is set on a Join if the node's disk holds nothing.
+	// Empty is set on a Join if the node's log holds nothing.
 	Empty bool
 	// Transfer is set on a Vote that the current leader asked for.
 	Transfer bool
--- a/internal/consensus/replication_test.go
+++ b/internal/consensus/replication_test.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	seedsOfThree = 370
-	seedsOfFive  = 210
+	seedsOfThree = 1600
+	seedsOfFive  = 600
 	rounds       = 8 // fault rounds of one seed
 )
 
--- a/internal/consensus/stored.go
+++ b/internal/consensus/stored.go
@@ -7,8 +7,3 @@
 	// Entries follow the snapshot without a gap.
 	Entries []Entry
 }
-
-// Empty reports whether the disk holds nothing.
-func (s *Stored) Empty() bool {
-	return s.HardState == HardState{} && s.Snapshot == nil && len(s.Entries) == 0
-}
--- a/internal/consensus/world_test.go
+++ b/internal/consensus/world_test.go
@@ -214,7 +214,7 @@
 
 func contentOf(e *Entry) uint64 {
 	h := fnv.New64a()
-	_, _ = fmt.Fprint(h, e.Kind, e.Data)
+	_, _ = h.Write(append([]byte{byte(e.Kind)}, e.Data...))
 	if e.Membership != nil {
 		_, _ = fmt.Fprint(h, *e.Membership)
 	}
