Test disk losses, bootstrap, slow syncs and transfers of consensus

Change: tables for a follower's and the leader's disk, the same disk twice, a second machine right after a repair, two of five at once, no second log while one machine holds one, a late start, a late join, syncs of seconds, transfer.

--- /dev/null
+++ b/internal/consensus/repair_test.go
@@ -0,0 +1,170 @@
+package consensus
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const repairLimit = 20 * election // bound on a repair without faults
+
+// founded returns a world whose machines are all voters.
+func founded(t *testing.T, seed uint64, size int) *world {
+	w := newWorld(seed, size)
+	w.startAll()
+	assert.Assert(t, w.until(repairLimit, w.whole), w.describe())
+	w.propose()
+	return w
+}
+
+func (w *world) follower() *machine {
+	leader := w.leader()
+	for _, m := range w.machines {
+		if m != leader {
+			return m
+		}
+	}
+	return nil
+}
+
+func (m *machine) emptyDisk() {
+	m.loseDisk()
+	m.start()
+}
+
+// TestRepair loses disks one after the other, each as soon as the log may
+// bear it, and expects a repair without an operator.
+func TestRepair(t *testing.T) {
+	for name, strike := range map[string]func(w *world){
+		"follower's disk": func(w *world) { w.follower().emptyDisk() },
+		"leader's disk":   func(w *world) { w.leader().emptyDisk() },
+		"same disk twice": func(w *world) {
+			m := w.follower()
+			m.emptyDisk()
+			w.advance(w.jitter(2 * time.Second))
+			m.emptyDisk()
+		},
+		"second machine right after the repair": func(w *world) {
+			m := w.follower()
+			m.emptyDisk()
+			w.until(repairLimit, func() bool { return w.roster.IsVoter(m.id()) })
+			for _, other := range w.machines {
+				if other != m && other != w.leader() {
+					other.emptyDisk()
+				}
+			}
+		},
+		"leader right after the repair of a follower": func(w *world) {
+			m := w.follower()
+			m.emptyDisk()
+			w.until(repairLimit, func() bool { return w.roster.IsVoter(m.id()) })
+			w.leader().emptyDisk()
+		},
+		"all stopped during the repair": func(w *world) {
+			w.follower().emptyDisk()
+			w.advance(w.jitter(time.Second))
+			for _, m := range w.machines {
+				m.kill()
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(30) {
+				w := founded(t, seed, 3)
+				before := len(w.committed)
+				strike(w)
+				w.settle()
+				assert.Equal(t, w.problem, "", "seed %d", seed)
+				assert.Assert(t, len(w.committed) > before)
+			}
+		})
+	}
+}
+
+// TestTwoOfFiveDisksLostAtOnce loses a minority of five.
+func TestTwoOfFiveDisksLostAtOnce(t *testing.T) {
+	for seed := range uint64(30) {
+		w := founded(t, seed, 5)
+		w.leader().emptyDisk()
+		w.machines[w.random.IntN(5)].emptyDisk()
+		w.settle()
+		assert.Equal(t, w.problem, "", "seed %d", seed)
+	}
+}
+
+// TestNoSecondLog empties one disk and cuts or stops the others, one of which
+// holds the log: no membership may form.
+func TestNoSecondLog(t *testing.T) {
+	for seed := range uint64(30) {
+		w := founded(t, seed, 3)
+		first, second := w.machines[0], w.machines[1]
+		first.loseDisk()
+		second.loseDisk()
+		w.machines[2].kill()
+		first.start()
+		second.start()
+		w.advance(20 * election)
+		assert.Equal(t, len(first.roster().Voters)+len(second.roster().Voters), 0)
+		w.machines[2].start()
+		w.advance(20 * election)
+		assert.Equal(t, len(first.roster().Voters)+len(second.roster().Voters), 0)
+		assert.Assert(t, w.leader() == nil)
+	}
+}
+
+// TestBootstrapWaitsForAll starts the last machine late.
+func TestBootstrapWaitsForAll(t *testing.T) {
+	w := newWorld(1, 3)
+	w.machines[0].start()
+	w.machines[1].start()
+	w.advance(20 * election)
+	assert.Equal(t, len(w.machines[0].roster().Voters), 0)
+	w.machines[2].start()
+	assert.Assert(t, w.until(repairLimit, w.whole), w.describe())
+}
+
+// TestLateJoinFormsNoLog gives the first machine, with a new disk, what the
+// others said to its lost disk.
+func TestLateJoinFormsNoLog(t *testing.T) {
+	w := newWorld(1, 3)
+	first := w.machines[0]
+	lost := first.id()
+	first.loseDisk()
+	first.start()
+	for _, m := range w.machines[1:] {
+		first.receive(Message{Kind: Join, From: m.id(), To: lost, Empty: true})
+	}
+	w.advance(4 * election)
+	assert.Equal(t, len(first.roster().Voters), 0)
+}
+
+// TestSlowSyncKeepsLeadership makes every disk far slower than the election
+// timeout: heartbeats do not wait for it.
+func TestSlowSyncKeepsLeadership(t *testing.T) {
+	w := founded(t, 1, 3)
+	leader, term := w.leader(), w.leader().core.Term()
+	w.faults.sync = 5 * time.Second
+	for range 30 {
+		w.propose()
+		w.advance(election)
+		assert.Assert(t, w.leader() == leader && leader.core.Term() == term, w.describe())
+	}
+	w.heal()
+	w.advance(10 * time.Second) // syncs that are under way
+	w.settle()
+	assert.Equal(t, w.problem, "")
+}
+
+// TestTransferMovesLeadership hands leadership over much faster than an
+// election timeout, and does nothing at a follower.
+func TestTransferMovesLeadership(t *testing.T) {
+	w := founded(t, 1, 3)
+	w.advance(election)
+	old := w.leader()
+	w.follower().step(w.follower().core.Transfer)
+	assert.Assert(t, w.leader() == old)
+	old.step(old.core.Transfer)
+	assert.Assert(t, w.until(election/2, func() bool { return w.leader() != nil && w.leader() != old }), w.describe())
+	assert.Equal(t, w.problem, "")
+}
