Test every guard of consensus directly

Cause: with two guards over one danger the seeded faults stay green when one of them is broken (pre-vote and the promise to a leader), and a lease margin shows only at the last microsecond.

Change: a table or a short story for each guard on one core.

--- /dev/null
+++ b/internal/consensus/guard_test.go
@@ -0,0 +1,273 @@
+package consensus
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/clock"
+)
+
+const origin = clock.Instant(time.Hour)
+
+var (
+	idA, idB, idC = NodeID{"a", "1"}, NodeID{"b", "1"}, NodeID{"c", "1"}
+	idNew         = NodeID{"c", "2"}
+	trio          = Membership{Voters: []NodeID{idA, idB, idC}}
+)
+
+// restored returns node a with entries of the given terms after entry 1.
+func restored(hard HardState, terms ...uint64) *Core {
+	stored := Stored{HardState: hard, Snapshot: &Snapshot{Index: 1, Term: 1, Membership: trio}}
+	for i, term := range terms {
+		stored.Entries = append(stored.Entries, Entry{Index: uint64(i) + 2, Term: term})
+	}
+	return New(Config{
+		ID: idA, Peers: []string{"a", "b", "c"}, HeartbeatInterval: heartbeat, ElectionTimeout: election,
+		DriftMargin: driftMargin, MaxBatch: 5,
+	}, &stored, origin)
+}
+
+// elected returns node a just after it won an election, its clock and the
+// index of its barrier, which is not yet committed.
+func elected(hard HardState, terms ...uint64) (*Core, clock.Instant, uint64) {
+	c := restored(hard, terms...)
+	now := origin.Add(2 * election)
+	c.Tick(now)
+	c.Step(&Message{Kind: PreVoteReply, From: idB, To: idA, Term: c.Term() + 1})
+	c.Step(&Message{Kind: VoteReply, From: idB, To: idA, Term: c.Term()})
+	c.Take()
+	return c, now, c.LastIndex()
+}
+
+// ready returns node a as leader with its barrier committed.
+func ready() (*Core, clock.Instant) {
+	c, now, barrier := elected(HardState{Term: 1})
+	c.Persisted(barrier, c.Term(), now)
+	c.Step(&Message{Kind: AppendReply, From: idB, To: idA, Term: c.Term(), Index: barrier})
+	c.Take()
+	return c, now
+}
+
+func join(id NodeID) *Message { return &Message{Kind: Join, From: id, To: idA, Empty: true} }
+
+func kinds(messages []Message) map[MessageKind]int {
+	out := map[MessageKind]int{}
+	for _, m := range messages {
+		out[m.Kind]++
+	}
+	return out
+}
+
+func TestVotesWaitForTheDisk(t *testing.T) {
+	c := restored(HardState{Term: 1})
+	c.Tick(origin.Add(election))
+	c.Step(&Message{Kind: Vote, From: idB, To: idA, Term: 5, Index: 9, LogTerm: 4})
+	out := c.Take()
+	assert.DeepEqual(t, out.HardState, &HardState{Term: 5, Vote: idB})
+	assert.Equal(t, len(out.Immediate), 0)
+	assert.Equal(t, kinds(out.AfterSync)[VoteReply], 1)
+	assert.Assert(t, !out.AfterSync[0].Reject)
+
+	c = restored(HardState{Term: 1})
+	c.Tick(origin.Add(2 * election))
+	c.Step(&Message{Kind: PreVoteReply, From: idB, To: idA, Term: 2})
+	out = c.Take()
+	assert.Equal(t, kinds(out.Immediate)[Vote], 0)
+	assert.Equal(t, kinds(out.AfterSync)[Vote], 2)
+}
+
+func TestAcknowledgementsWaitForTheDisk(t *testing.T) {
+	c := restored(HardState{Term: 1})
+	c.Step(&Message{Kind: Append, From: idB, To: idA, Term: 2, Index: 1, LogTerm: 1, Entries: []Entry{{Index: 2, Term: 2}}})
+	out := c.Take()
+	assert.Equal(t, len(out.Immediate), 0)
+	assert.Equal(t, kinds(out.AfterSync)[AppendReply], 1)
+}
+
+// TestVotesNeedAnUpToDateLog also covers one vote a term.
+func TestVotesNeedAnUpToDateLog(t *testing.T) {
+	for _, c := range []struct {
+		hard           HardState
+		term, logIndex uint64
+		logTerm        uint64
+		want           bool
+	}{
+		{HardState{Term: 3}, 4, 3, 3, true},
+		{HardState{Term: 3}, 4, 2, 4, true},
+		{HardState{Term: 3}, 4, 2, 3, false},
+		{HardState{Term: 3}, 4, 9, 2, false},
+		{HardState{Term: 4, Vote: idC}, 4, 9, 4, false},
+		{HardState{Term: 4, Vote: idB}, 4, 9, 4, true},
+	} {
+		core := restored(c.hard, 2, 3)
+		core.Tick(origin.Add(election))
+		core.Step(&Message{Kind: Vote, From: idB, To: idA, Term: c.term, Index: c.logIndex, LogTerm: c.logTerm})
+		assert.Equal(t, !core.Take().AfterSync[0].Reject, c.want, "%+v", c)
+	}
+}
+
+// TestNoVoteWhileALeaderMayHoldItsLease covers a heard leader, a restart and a
+// deposed leader.
+func TestNoVoteWhileALeaderMayHoldItsLease(t *testing.T) {
+	heard := restored(HardState{Term: 2})
+	heard.Tick(origin.Add(election))
+	heard.Step(&Message{Kind: Heartbeat, From: idC, To: idA, Term: 2})
+	deposed, at := ready()
+	deposed.Step(&Message{Kind: AppendReply, From: idB, To: idA, Term: 9, Reject: true})
+	for name, c := range map[string]struct {
+		core  *Core
+		since clock.Instant
+	}{
+		"heard":     {heard, origin.Add(election)},
+		"restarted": {restored(HardState{Term: 2}), origin},
+		"deposed":   {deposed, at},
+	} {
+		c.core.Take()
+		term := c.core.Term()
+		c.core.now = c.since.Add(election - 1)
+		c.core.Step(&Message{Kind: Vote, From: idB, To: idA, Term: term + 1, Index: 9, LogTerm: 9})
+		assert.Equal(t, len(c.core.Take().AfterSync), 0, name)
+		c.core.Step(&Message{Kind: PreVote, From: idB, To: idA, Term: term + 1, Index: 9, LogTerm: 9})
+		assert.Assert(t, c.core.Take().AfterSync[0].Reject, name)
+		assert.Equal(t, c.core.Term(), term, name)
+		c.core.now = c.since.Add(election)
+		c.core.Step(&Message{Kind: Vote, From: idB, To: idA, Term: term + 1, Index: 9, LogTerm: 9})
+		assert.Assert(t, !c.core.Take().AfterSync[0].Reject, name)
+	}
+}
+
+// TestCutOffNodeDoesNotDisturb lets one of three miss many elections.
+func TestCutOffNodeDoesNotDisturb(t *testing.T) {
+	w := founded(t, 3, 3)
+	leader, m := w.leader(), w.follower()
+	term := leader.core.Term()
+	for _, other := range w.machines {
+		w.faults.cut[[2]int{other.number, m.number}] = true
+		w.faults.cut[[2]int{m.number, other.number}] = true
+	}
+	w.advance(20 * election)
+	w.settle()
+	assert.Equal(t, w.problem, "")
+	assert.Assert(t, w.leader() == leader && leader.core.Term() == term)
+}
+
+func TestOnlyOwnTermIsCounted(t *testing.T) {
+	c, now, barrier := elected(HardState{Term: 3}, 2, 3)
+	assert.Equal(t, barrier, uint64(4))
+	c.Persisted(3, c.Term(), now)
+	c.Step(&Message{Kind: AppendReply, From: idB, To: idA, Term: c.Term(), Index: 3})
+	assert.Equal(t, c.CommitIndex(), uint64(1))
+	c.Step(&Message{Kind: AppendReply, From: idB, To: idA, Term: c.Term(), Index: 4})
+	assert.Equal(t, c.CommitIndex(), uint64(1)) // this node's own disk still lacks it
+	c.Persisted(4, c.Term(), now)
+	assert.Equal(t, c.CommitIndex(), uint64(4))
+}
+
+func TestAppendNeedsTheSamePredecessor(t *testing.T) {
+	c := restored(HardState{Term: 3}, 2, 3)
+	c.Step(&Message{Kind: Append, From: idB, To: idA, Term: 4, Index: 3, LogTerm: 2, Commit: 4, Entries: []Entry{{Index: 4, Term: 4}}})
+	out := c.Take()
+	assert.Assert(t, out.AfterSync[0].Reject)
+	assert.Equal(t, c.LastIndex(), uint64(3))
+	assert.Equal(t, c.CommitIndex(), uint64(1))
+}
+
+// TestLeaseEnds counts from when the heartbeat was sent, and subtracts the margin.
+func TestLeaseEnds(t *testing.T) {
+	c, now, barrier := elected(HardState{Term: 1})
+	assert.Equal(t, c.LeaseUntil(), clock.Instant(0), "lease without an entry of its term")
+	c.Persisted(barrier, c.Term(), now)
+	c.Step(&Message{Kind: AppendReply, From: idB, To: idA, Term: c.Term(), Index: barrier})
+	assert.Equal(t, c.LeaseUntil(), now.Add(election-driftMargin))
+	sent := now.Add(heartbeat)
+	c.Tick(sent)
+	c.Tick(sent.Add(heartbeat / 2))
+	c.Step(&Message{Kind: HeartbeatReply, From: idB, To: idA, Term: c.Term(), Sent: sent})
+	assert.Equal(t, c.LeaseUntil(), sent.Add(election-driftMargin))
+	c.Tick(sent.Add(2 * election))
+	assert.Equal(t, c.Role(), Leader)
+	c.Tick(sent.Add(2*election + 1))
+	assert.Equal(t, c.Role(), Follower, "leads without a majority")
+}
+
+func TestTransferGivesTheLeaseUpFirst(t *testing.T) {
+	c, now := ready()
+	c.Transfer()
+	assert.Equal(t, c.LeaseUntil(), clock.Instant(0))
+	assert.Equal(t, kinds(c.Take().Immediate)[TimeoutNow], 0)
+	c.LeaseReleased()
+	assert.Equal(t, kinds(c.Take().Immediate)[TimeoutNow], 1)
+	_, _, err := c.Propose(nil)
+	assert.ErrorIs(t, err, ErrNotLeader)
+	for at := now; at <= now.Add(election+heartbeat); at += clock.Instant(heartbeat) {
+		c.Tick(at)
+		c.Step(&Message{Kind: HeartbeatReply, From: idB, To: idA, Term: c.Term(), Sent: at})
+	}
+	assert.Equal(t, c.Role(), Follower, "failed transfer")
+}
+
+func TestOneMembershipChangeAtATime(t *testing.T) {
+	c, now, barrier := elected(HardState{Term: 1})
+	c.now = now.Add(election) // c is silent
+	c.Step(join(idNew))
+	assert.Equal(t, c.LastIndex(), barrier, "change before the term's first entry is committed")
+	c.Persisted(barrier, c.Term(), c.now)
+	c.Step(&Message{Kind: AppendReply, From: idB, To: idA, Term: c.Term(), Index: barrier})
+	assert.DeepEqual(t, c.Membership().Learners, []NodeID{idNew})
+	changed := c.LastIndex()
+	c.Step(join(NodeID{"b", "2"}))
+	c.Step(join(idNew))
+	assert.Equal(t, c.LastIndex(), changed, "second change before the first is committed")
+}
+
+// TestLearnerGetsItsVoteLast follows a replacement step by step.
+func TestLearnerGetsItsVoteLast(t *testing.T) {
+	c, now := ready()
+	reply := func(kind MessageKind, from NodeID) {
+		c.Persisted(c.LastIndex(), c.Term(), now)
+		c.Step(&Message{Kind: kind, From: from, To: idA, Term: c.Term(), Index: c.LastIndex(), Sent: now})
+	}
+	c.Step(&Message{Kind: HeartbeatReply, From: idC, To: idA, Term: c.Term(), Sent: now})
+	c.Step(join(idNew))
+	assert.Equal(t, len(c.Membership().Learners), 0, "the voter of that name answers")
+	now = now.Add(election)
+	c.Tick(now)
+	reply(HeartbeatReply, idB)
+	c.Step(join(idNew))
+	assert.DeepEqual(t, c.Membership(), trio.WithLearner(idNew))
+	reply(AppendReply, idB)
+	reply(HeartbeatReply, idNew)
+	c.maintainMembership()
+	assert.DeepEqual(t, c.Membership(), trio.WithLearner(idNew)) // its disk lacks the log
+	c.progress[idC].ackedSent = now
+	reply(AppendReply, idNew)
+	c.maintainMembership()
+	assert.DeepEqual(t, c.Membership(), trio.WithLearner(idNew)) // the old one is back
+	c.progress[idC].ackedSent = 0
+	c.maintainMembership()
+	assert.DeepEqual(t, c.Membership(), trio.WithLearner(idNew).Without(idC))
+	reply(AppendReply, idB)
+	reply(AppendReply, idNew)
+	c.maintainMembership()
+	assert.DeepEqual(t, c.Membership().Voters, []NodeID{idA, idB, idNew})
+}
+
+// TestBootstrapTermIsNew forms a first membership after one that others may
+// have voted for, and refuses a first log of a replaced disk.
+func TestBootstrapTermIsNew(t *testing.T) {
+	c := New(Config{ID: idA, Peers: []string{"a", "b", "c"}, HeartbeatInterval: heartbeat, ElectionTimeout: election}, &Stored{}, origin)
+	old := Snapshot{Index: 1, Term: 1, Membership: trio}
+	c.Tick(origin)
+	for _, id := range []NodeID{idNew, idB} {
+		c.Step(&Message{Kind: Join, From: id, To: idA, Empty: true, Term: 6})
+		c.Step(&Message{Kind: InstallSnapshot, From: idC, To: idA, Term: 7, Snapshot: &old})
+		c.Take()
+	}
+	assert.Equal(t, c.LastIndex(), uint64(0))
+	c.Tick(c.Deadline())
+	out := c.Take()
+	assert.Equal(t, out.Snapshot.Term, uint64(7))
+	assert.Equal(t, out.HardState.Term, uint64(7))
+}
