--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -4,6 +4,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"endivespring/internal/call"
@@ -233,7 +234,7 @@
 	}
 	c.sync(s)
 	c.output.Sends = append(c.output.Sends, Send{Stream: s.id, Down: session.Down{
-		Session: s.session, Sequence: s.sequence, Lease: true, Ownership: c.timing.Ownership, View: c.timing.View,
+		Session: s.session, Sequence: s.sequence, Lease: true, Ownership: c.timing.Ownership, View: c.timing.View, Version: s.sent,
 	}})
 	return true
 }
@@ -334,6 +335,7 @@
 			command.Sessions = append(command.Sessions, id)
 		}
 	}
+	slices.Sort(command.Sessions)
 	if len(command.Sessions) > 0 {
 		c.propose(control.Command{CloseSessions: command})
 	}
@@ -344,9 +346,11 @@
 	if !c.dirty || waiting {
 		return
 	}
-	c.dirty = false
 	assign := placement.Plan(c.state.View, c.limits)
-	if assign.Empty() {
+	// A plan is made again until nothing is left to do: the proposal may get
+	// lost, and the log may hold changes that void parts of it.
+	c.dirty = !assign.Empty()
+	if !c.dirty {
 		return
 	}
 	c.assigning = now
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -165,7 +165,7 @@
 		return false
 	}
 	if down.Rejected && !down.Closed {
-		d.spread(ctx, d.core.Rejected(d.clock.Now(), rand.Text()))
+		d.spread(ctx, d.core.Rejected(d.clock.Now(), down, rand.Text()))
 		return true
 	}
 	update, resync := d.core.Receive(d.clock.Now(), down)
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -16,10 +16,13 @@
 // Core is the router's side of its session. It is a pure state machine: time,
 // nonces and messages are arguments.
 type Core struct {
-	renewal  time.Duration
-	router   fleet.Router
-	nonce    string
-	session  fleet.Session
+	renewal time.Duration
+	router  fleet.Router
+	nonce   string
+	session fleet.Session
+	// dropped is the newest session that was given up. Messages of it and of
+	// older ones are late.
+	dropped  fleet.Session
 	applied  fleet.Version
 	needFull bool
 	holder   *lease.Holder
@@ -107,34 +110,62 @@
 // door; resync is set if the stream must be opened again.
 func (c *Core) Receive(now clock.Instant, down *Down) (update Update, resync bool) {
 	c.heardAt = now
+	if c.late(down) {
+		return c.update(), false
+	}
 	if down.Session != 0 && c.session == 0 {
 		c.session = down.Session
 	}
 	if down.Lease && down.Session == c.session {
-		c.holder.Granted(down.Sequence, down.Ownership, down.View)
+		resync = c.granted(down)
 	}
 	if down.Closed {
 		c.closed = true
 		c.holder.Drop()
 	}
 	if down.Change != nil {
-		resync = !c.apply(down.Change)
+		resync = !c.apply(down.Change) || resync
 	}
-	update = Update{Session: c.session, OwnUntil: c.holder.OwnershipUntil(), ViewUntil: c.holder.ViewUntil()}
+	update = c.update()
 	if !resync {
 		update.Change = down.Change
 	}
 	return update, resync
 }
 
-// Rejected drops the session and its lease and starts over under a new nonce.
-func (c *Core) Rejected(now clock.Instant, nonce string) Update {
+// granted takes a lease and reports whether a change got lost on the way: then
+// the view lease is not extended.
+func (c *Core) granted(down *Down) (lost bool) {
+	view := down.View
+	if lost = c.applied < down.Version; lost {
+		view = 0
+	}
+	c.holder.Granted(down.Sequence, down.Ownership, view)
+	return lost
+}
+
+// update returns what entry and door must know at any time.
+func (c *Core) update() Update {
+	return Update{Session: c.session, OwnUntil: c.holder.OwnershipUntil(), ViewUntil: c.holder.ViewUntil()}
+}
+
+// late reports whether a message belongs to a session that was given up.
+func (c *Core) late(down *Down) bool { return down.Session != 0 && down.Session <= c.dropped }
+
+// Rejected drops the session that a message rejects, and its lease, and starts
+// over under a new nonce. A late message changes nothing.
+func (c *Core) Rejected(now clock.Instant, down *Down, nonce string) Update {
+	c.heardAt = now
+	if c.late(down) {
+		return c.update()
+	}
 	c.nonce = nonce
+	c.dropped = max(c.dropped, c.session, down.Session)
 	c.session = 0
 	clear(c.releases)
 	c.holder.Drop()
 	c.renewAt = now
-	return Update{OwnUntil: c.holder.OwnershipUntil(), ViewUntil: c.holder.ViewUntil()}
+	return c.update()
 }
 
 // apply tracks the version and drops releases that the change shows.
--- a/internal/session/down.go
+++ b/internal/session/down.go
@@ -15,7 +15,10 @@
 	// Ownership and View are the lengths of the leases.
 	Ownership time.Duration
 	View      time.Duration
-	Change    *fleet.Change
+	// Version is the view version that the router must have applied for the
+	// view lease to hold.
+	Version fleet.Version
+	Change  *fleet.Change
 	// Redirect is set by a process that does not lead; Leader is the peer
 	// address of the one that does, if known.
 	Redirect bool
