Void closes of another term, tell reused command ids, send registrations once

Cause: a close of sessions proposed under one term could be appended under a later one, whose leader may have renewed them. A command id sent again with other content got the first command's answer. Each renewal carried the whole registration. A session that asked to end while it held shards freed them under running work. A message that found a router's ring full was skipped while later ones passed. Change: closes carry the term and are void under another; results remember a digest of the content, without the expected version; ids are at most 128 bytes; a renewal registers only until the view shows it; a closing session with shards runs out instead; a full ring ends the stream at once. Ruled out: a digest made in the state machine, since processes of two builds would differ.

--- a/internal/control/operator_result.go
+++ b/internal/control/operator_result.go
@@ -3,5 +3,6 @@
 // OperatorResult is the remembered outcome of an operator's command.
 type OperatorResult struct {
 	CommandID string
+	Digest    uint64
 	Result    Result
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -19,22 +19,24 @@
 	Results []OperatorResult
 	// Opened are the sessions that are not closed yet, oldest first.
 	Opened []OpenedSession
+	// ConfigAt is the view version of the last accepted operator change.
+	ConfigAt fleet.Version
 	// ShardCounts holds the number of shards of every service ever seen.
 	ShardCounts map[string]uint32
 
-	byCommand map[string]Result
+	byCommand map[string]OperatorResult
 }
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{View: fleet.NewView(), ShardCounts: map[string]uint32{}, byCommand: map[string]Result{}}
+	return &State{View: fleet.NewView(), ShardCounts: map[string]uint32{}, byCommand: map[string]OperatorResult{}}
 }
 
 // Index rebuilds lookup tables after the exported fields were filled in.
 func (s *State) Index() {
-	s.byCommand = make(map[string]Result, len(s.Results))
+	s.byCommand = make(map[string]OperatorResult, len(s.Results))
 	for _, r := range s.Results {
-		s.byCommand[r.CommandID] = r.Result
+		s.byCommand[r.CommandID] = r
 	}
 }
 
@@ -47,26 +49,16 @@
 	return sessions
 }
 
-// Current returns the router whose current session is given.
-func (s *State) Current(session fleet.Session) (fleet.Router, bool) {
-	for _, r := range s.View.Routers {
-		if r.Session == session {
-			return r, true
-		}
-	}
-	return fleet.Router{}, false
-}
-
-// Apply executes a command and returns its result and the change of the view,
-// which is nil if the view stays as it is.
-func (s *State) Apply(c *Command) (Result, *fleet.Change) {
+// Apply executes a command that was appended under a term. It returns the
+// result and the change of the view, which is nil if the view stays as it is.
+func (s *State) Apply(term uint64, c *Command) (Result, *fleet.Change) {
 	change := &fleet.Change{From: s.View.Version}
 	var result Result
 	switch {
 	case c.OpenSession != nil:
 		result = s.openSession(c.OpenSession, change)
 	case c.CloseSessions != nil:
-		result = s.closeSessions(c.CloseSessions, change)
+		result = s.closeSessions(term, c.CloseSessions, change)
 	case c.UpdateRouter != nil:
 		result = s.updateRouter(c.UpdateRouter, change)
 	case c.Assign != nil:
@@ -109,7 +101,10 @@
 	return Result{Accepted: true, Session: s.LastSession}
 }
 
-func (s *State) closeSessions(c *CloseSessions, change *fleet.Change) Result {
+func (s *State) closeSessions(term uint64, c *CloseSessions, change *fleet.Change) Result {
+	if c.Term != term {
+		return Result{Reason: "proposed under an earlier term"}
+	}
 	closed := map[fleet.Session]bool{}
 	for _, session := range c.Sessions {
 		closed[session] = true
@@ -178,8 +173,10 @@
 
 // operate executes an operator's command once; a resend gets the first result.
 func (s *State) operate(c *OperatorChange, change *fleet.Change) (Result, *fleet.Change) {
-	if result, ok := s.byCommand[c.CommandID]; ok {
-		return result, nil
+	if first, ok := s.byCommand[c.CommandID]; ok && first.Digest == c.Digest {
+		return first.Result, nil
+	} else if ok {
+		return Result{Reason: "command id " + c.CommandID + " was used for another command", Config: s.View.Config, Version: s.View.Version}, nil
 	}
 	result := s.checkOperator(c)
 	if result.Accepted {
@@ -187,7 +184,10 @@
 		change.Config = s.View.Config + 1
 	}
 	result, changed := s.commit(result, change)
-	s.remember(c.CommandID, result)
+	if result.Accepted {
+		s.ConfigAt = result.Version
+	}
+	s.remember(OperatorResult{CommandID: c.CommandID, Digest: c.Digest, Result: result})
 	return result, changed
 }
 
@@ -222,13 +222,13 @@
 	}
 }
 
-func (s *State) remember(id string, result Result) {
+func (s *State) remember(result OperatorResult) {
 	if len(s.Results) >= ResultsKept {
 		delete(s.byCommand, s.Results[0].CommandID)
 		s.Results = s.Results[1:]
 	}
-	s.Results = append(s.Results, OperatorResult{CommandID: id, Result: result})
-	s.byCommand[id] = result
+	s.Results = append(s.Results, result)
+	s.byCommand[result.CommandID] = result
 }
 
 func freed(shard fleet.Shard) fleet.Shard {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -113,9 +113,9 @@
 	c.output.Sends = append(c.output.Sends, Send{Stream: id, Down: down})
 }
 
-// Committed applies a command of the log.
-func (c *Core) Committed(now clock.Instant, command *control.Command) {
-	result, change := c.state.Apply(command)
+// Committed applies a command that was appended to the log under a term.
+func (c *Core) Committed(now clock.Instant, term uint64, command *control.Command) {
+	result, change := c.state.Apply(term, command)
 	if change != nil {
 		c.remember(change)
 		c.broadcast(change)
@@ -125,7 +125,9 @@
 	case command.OpenSession != nil:
 		c.opened(now, command.OpenSession, result)
 	case command.CloseSessions != nil:
-		c.closed(command.CloseSessions)
+		if result.Accepted {
+			c.closed(command.CloseSessions)
+		}
 	case command.Assign != nil:
 		c.assigning = 0
 		c.decideAssign(change)
@@ -209,16 +211,33 @@
 	if up.Session != 0 {
 		s.session = up.Session
 	}
+	if s.session == 0 && !up.Registers {
+		return
+	}
 	if s.session == 0 {
 		c.propose(control.Command{OpenSession: &control.OpenSession{Router: up.Router, Nonce: up.Nonce}})
 		return
 	}
+	if up.Closing && c.holds(s.session) {
+		// Work may still run: only the end of the lease frees the shards.
+		return
+	}
 	if !c.renew(now, s) {
 		return
 	}
 	c.takeReports(up, s.session)
 }
 
+// holds reports whether a session has shards.
+func (c *Core) holds(session fleet.Session) bool {
+	for _, shard := range c.state.View.Shards {
+		if shard.OwnedBy(session) {
+			return true
+		}
+	}
+	return false
+}
+
 // renew answers the latest renewal of a stream with a lease, and first with
 // what its view lacks.
 func (c *Core) renew(now clock.Instant, s *stream) bool {
@@ -269,12 +288,12 @@
 // takeReports proposes what a renewal says beyond being alive.
 func (c *Core) takeReports(up *session.Up, id fleet.Session) {
 	if up.Closing {
-		c.propose(control.Command{CloseSessions: &control.CloseSessions{Sessions: []fleet.Session{id}}})
+		c.propose(control.Command{CloseSessions: &control.CloseSessions{Term: c.term, Sessions: []fleet.Session{id}}})
 		return
 	}
 	router := up.Router
 	router.Session = id
-	if c.state.View.Routers[router.ID] != router {
+	if up.Registers && c.state.View.Routers[router.ID] != router {
 		c.propose(control.Command{UpdateRouter: &control.UpdateRouter{Router: router}})
 	}
 	if len(up.Releases) > 0 {
@@ -328,7 +347,7 @@
 		c.closing[id] = now - clock.Instant(proposeAgain)
 		c.decide(event.SessionExpired, event.F("session", uint64(id)))
 	}
-	command := &control.CloseSessions{}
+	command := &control.CloseSessions{Term: c.term}
 	for id, proposed := range c.closing {
 		if now.Sub(proposed) >= proposeAgain {
 			c.closing[id] = now
--- a/internal/controller/parties_test.go
+++ b/internal/controller/parties_test.go
@@ -59,7 +59,7 @@
 	w := n.w
 	for n.cut <= w.now && n.applied < len(w.log) {
 		config := n.core.State().View.Config
-		n.core.Committed(n.clock.at(w.now), w.log[n.applied])
+		n.core.Committed(n.clock.at(w.now), w.log[n.applied].term, &w.log[n.applied].command)
 		n.applied++
 		view := n.core.State().View
 		if view.Config > config && int(view.Config) > len(w.configs) {
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -44,7 +44,7 @@
 	// chaos is the chance of a message to be lost, doubled or late.
 	chaos float64
 
-	log     []*control.Command
+	log     []entry
 	pending []proposal
 	term    uint64
 	leader  int
@@ -82,6 +82,11 @@
 	deliver  func()
 }
 
+type entry struct {
+	term    uint64
+	command control.Command
+}
+
 type proposal struct {
 	due     time.Duration
 	node    int
@@ -247,9 +252,16 @@
 			w.append(p.command)
 		}
 	}
+	lost := w.pending
 	w.pending = nil
 	w.term++
 	w.leader = able[w.rng.IntN(len(able))]
+	// What waits at a node may be appended when it leads again.
+	for _, p := range lost {
+		if p.node == w.leader && w.rng.IntN(2) == 0 {
+			w.append(p.command)
+		}
+	}
 	n := w.nodes[w.leader]
 	n.leaseUntil = 0
 	n.ready = w.now + time.Duration(5+w.rng.IntN(40))*time.Millisecond
@@ -257,7 +269,7 @@
 }
 
 func (w *world) append(command control.Command) {
-	w.log = append(w.log, &command)
+	w.log = append(w.log, entry{w.term, command})
 }
 
 func (w *world) commit() {
--- a/internal/controlnode/controller_duty.go
+++ b/internal/controlnode/controller_duty.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	d.core.Committed(d.clock.Now(), command)
+	d.core.Committed(d.clock.Now(), entry.Term, command)
 	return nil
 }
 
@@ -145,7 +145,10 @@
 	for _, send := range out.Sends {
 		a, ok := d.streams[send.Stream]
 		if ok && a.down.Put(ctx, send.Down) != nil {
+			// A later message must not pass the one that was refused.
 			a.cut()
+			delete(d.streams, send.Stream)
+			d.core.Detach(send.Stream)
 		}
 	}
 	for _, reply := range out.Replies {
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -16,11 +16,19 @@
 	timing    Timing
 	deadlines map[fleet.Session]clock.Instant
 	expired   map[fleet.Session]bool
+	// views holds when each session's view lease has ended, also of closed ones.
+	views map[fleet.Session]clock.Instant
+	// unknownUntil is when the view lease of any session that was closed
+	// before this leader's term has ended.
+	unknownUntil clock.Instant
 }
 
 // NewTable returns an empty table.
 func NewTable(timing Timing) *Table {
-	return &Table{timing: timing, deadlines: map[fleet.Session]clock.Instant{}, expired: map[fleet.Session]bool{}}
+	return &Table{
+		timing: timing, deadlines: map[fleet.Session]clock.Instant{}, expired: map[fleet.Session]bool{},
+		views: map[fleet.Session]clock.Instant{},
+	}
 }
 
 // Reset starts a leader's term: every session may have been renewed by the
@@ -28,8 +36,11 @@
 func (t *Table) Reset(sessions []fleet.Session, now clock.Instant) {
 	clear(t.deadlines)
 	clear(t.expired)
+	clear(t.views)
+	t.unknownUntil = t.viewEnd(now)
 	for _, session := range sessions {
 		t.deadlines[session] = t.deadline(now)
+		t.views[session] = t.viewEnd(now)
 	}
 }
 
@@ -41,6 +52,7 @@
 		return false
 	}
 	t.deadlines[session] = t.deadline(now)
+	t.views[session] = t.viewEnd(now)
 	return true
 }
 
@@ -51,7 +63,7 @@
 	}
 }
 
-// Close forgets a session.
+// Close ends a session. Its view lease may last longer.
 func (t *Table) Close(session fleet.Session) {
 	delete(t.deadlines, session)
 	delete(t.expired, session)
@@ -67,13 +79,34 @@
 			ended = append(ended, session)
 		}
 	}
+	for session, end := range t.views {
+		if _, open := t.deadlines[session]; !open && end <= now {
+			delete(t.views, session)
+		}
+	}
 	slices.Sort(ended)
 	return ended
 }
 
+// MayWork returns, in order, the sessions whose view lease may not have ended
+// by now, and whether there may be others from before this leader's term.
+func (t *Table) MayWork(now clock.Instant) (sessions []fleet.Session, others bool) {
+	for session, end := range t.views {
+		if now < end {
+			sessions = append(sessions, session)
+		}
+	}
+	slices.Sort(sessions)
+	return sessions, now < t.unknownUntil
+}
+
 // Len returns the number of sessions.
 func (t *Table) Len() int { return len(t.deadlines) }
 
+func (t *Table) viewEnd(now clock.Instant) clock.Instant {
+	return now.Add(t.timing.View + t.timing.Margin)
+}
+
 func (t *Table) deadline(now clock.Instant) clock.Instant {
 	return now.Add(t.timing.Ownership + t.timing.Margin)
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v2"
 
 	"endivespring/internal/control"
@@ -22,6 +23,7 @@
 	replyTimeout = 5 * time.Second // longest wait for a command's commit
 	readTimeout  = 10 * time.Second
 	idleTimeout  = 30 * time.Second
+	maxID        = 128 // bytes of a command id or an operator's name
 )
 
 // Server answers operators. Every request needs the operators' token.
@@ -118,7 +120,7 @@
 }
 
 func (b *ChangeBody) change() (*control.OperatorChange, error) {
-	change := &control.OperatorChange{CommandID: b.CommandID, Operator: b.Operator, Expected: fleet.Version(b.Expected)}
+	change := &control.OperatorChange{CommandID: b.CommandID, Operator: b.Operator, Expected: fleet.Version(b.Expected), Digest: b.digest()}
 	parts := 0
 	if len(b.Preset) > 0 {
 		p, err := preset.Parse("preset", b.Preset)
@@ -136,12 +138,23 @@
 		change.Upstream = &fleet.UpstreamSetting{Name: b.Upstream, Out: b.Out}
 		parts++
 	}
+	if len(b.CommandID) > maxID || len(b.Operator) > maxID {
+		return nil, settings.Problems{{File: "body", Field: "commandId", Message: "ids and names have at most 128 bytes"}}
+	}
 	if parts != 1 || b.CommandID == "" {
 		return nil, settings.Problems{{File: "body", Field: "commandId", Message: "needs a command id and one of preset, dataCentre and upstream"}}
 	}
 	return change, nil
 }
 
+// digest stands for what the command asks for.
+func (b *ChangeBody) digest() uint64 {
+	asked := *b
+	asked.CommandID, asked.Operator, asked.Expected = "", "", 0
+	data, _ := json.Marshal(asked)
+	return xxhash.Sum64(data)
+}
+
 func resultBody(r control.Result) ResultBody {
 	return ResultBody{Accepted: r.Accepted, Reason: r.Reason, Config: uint64(r.Config), View: uint64(r.Version)}
 }
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -25,6 +25,8 @@
 	dropped  fleet.Session
 	applied  fleet.Version
 	needFull bool
+	// shown is what the view says of this router.
+	shown    fleet.Router
 	holder   *lease.Holder
 	releases map[fleet.ShardID]control.Release
 	renewAt  clock.Instant
@@ -69,6 +71,10 @@
 		Router: c.router, Closing: c.closing,
 	}
 	up.Router.Session = c.session
+	up.Registers = c.session == 0 || up.Router != c.shown
+	if !up.Registers {
+		up.Router = fleet.Router{ID: c.router.ID}
+	}
 	for _, r := range c.releases {
 		up.Releases = append(up.Releases, r)
 	}
@@ -176,6 +182,11 @@
 	}
 	c.applied = change.To
 	c.needFull = false
+	for _, router := range change.Routers {
+		if router.ID == c.router.ID {
+			c.shown = router
+		}
+	}
 	for _, shard := range change.Shards {
 		if r, ok := c.releases[shard.ID]; ok && (shard.Epoch != r.Epoch || shard.Phase == fleet.ShardFree) {
 			delete(c.releases, shard.ID)
--- a/internal/session/up.go
+++ b/internal/session/up.go
@@ -15,9 +15,11 @@
 	Session  fleet.Session
 	Sequence uint64
 	// Applied is the view version that the router has.
-	Applied  fleet.Version
-	Router   fleet.Router
-	Releases []control.Release
+	Applied fleet.Version
+	// Router has only its ID unless Registers is set.
+	Router    fleet.Router
+	Registers bool
+	Releases  []control.Release
 	// Closing asks to end the session.
 	Closing bool
 }
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -32,6 +32,7 @@
 		out.OpenSession = &wirepb.OpenSession{Router: FromRouter(c.OpenSession.Router), Nonce: c.OpenSession.Nonce}
 	case c.CloseSessions != nil:
 		out.CloseSessions = &wirepb.CloseSessions{
+			Term:     c.CloseSessions.Term,
 			Sessions: lo.Map(c.CloseSessions.Sessions, func(s fleet.Session, _ int) uint64 { return uint64(s) }),
 		}
 	case c.UpdateRouter != nil:
@@ -58,6 +59,7 @@
 		out.OpenSession = &control.OpenSession{Router: ToRouter(c.GetOpenSession().GetRouter()), Nonce: c.GetOpenSession().GetNonce()}
 	case c.GetCloseSessions() != nil:
 		out.CloseSessions = &control.CloseSessions{
+			Term:     c.GetCloseSessions().GetTerm(),
 			Sessions: lo.Map(c.GetCloseSessions().GetSessions(), func(s uint64, _ int) fleet.Session { return fleet.Session(s) }),
 		}
 	case c.GetUpdateRouter() != nil:
@@ -110,6 +112,7 @@
 func fromOperatorChange(c *control.OperatorChange) *wirepb.OperatorChange {
 	out := &wirepb.OperatorChange{
 		CommandId: c.CommandID, Operator: c.Operator, Expected: uint64(c.Expected), Preset: FromPreset(c.Preset),
+		Digest: c.Digest,
 	}
 	if c.DataCentre != nil {
 		out.DataCentre = &wirepb.NamedSetting{Name: string(c.DataCentre.Name), Out: c.DataCentre.Out}
@@ -123,6 +126,7 @@
 func toOperatorChange(c *wirepb.OperatorChange) *control.OperatorChange {
 	out := &control.OperatorChange{
 		CommandID: c.GetCommandId(), Operator: c.GetOperator(), Expected: fleet.Version(c.GetExpected()), Preset: ToPreset(c.GetPreset()),
+		Digest: c.GetDigest(),
 	}
 	if c.GetDataCentre() != nil {
 		out.DataCentre = &fleet.DataCentreSetting{Name: fleet.DataCentre(c.GetDataCentre().GetName()), Out: c.GetDataCentre().GetOut()}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -11,10 +11,10 @@
 
 // EncodeState encodes the control state for a snapshot.
 func EncodeState(s *control.State) ([]byte, error) {
-	out := &wirepb.ControlState{View: FromChange(s.View.Full()), LastSession: uint64(s.LastSession)}
+	out := &wirepb.ControlState{View: FromChange(s.View.Full()), LastSession: uint64(s.LastSession), ConfigAt: uint64(s.ConfigAt)}
 	for _, r := range s.Results {
 		out.Results = append(out.Results, &wirepb.OperatorResult{
-			CommandId: r.CommandID, Accepted: r.Result.Accepted, Reason: r.Result.Reason,
+			CommandId: r.CommandID, Digest: r.Digest, Accepted: r.Result.Accepted, Reason: r.Result.Reason,
 			Config: uint64(r.Result.Config), Version: uint64(r.Result.Version),
 		})
 	}
@@ -41,8 +41,9 @@
 		s.View.Version = fleet.Version(in.GetView().GetTo())
 	}
 	s.LastSession = fleet.Session(in.GetLastSession())
+	s.ConfigAt = fleet.Version(in.GetConfigAt())
 	for _, r := range in.GetResults() {
-		s.Results = append(s.Results, control.OperatorResult{CommandID: r.GetCommandId(), Result: control.Result{
+		s.Results = append(s.Results, control.OperatorResult{CommandID: r.GetCommandId(), Digest: r.GetDigest(), Result: control.Result{
 			Accepted: r.GetAccepted(), Reason: r.GetReason(),
 			Config: fleet.Version(r.GetConfig()), Version: fleet.Version(r.GetVersion()),
 		}})
