Say where a config version is in force, and wait for it

Cause: status counted routers at the newest view, which never comes to rest, and knew nothing of routers whose session ended but whose view lease has not. Change: the leader keeps until when each session, also a closed one, may work under its view, and which config version it has; a new leader takes it that older sessions may work for one view lease.

--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -18,6 +18,9 @@
 	ExitRefused subcommands.ExitStatus = 3
 	// ExitUnknown means that the command may have been accepted or not.
 	ExitUnknown subcommands.ExitStatus = 4
+	// ExitNotEverywhere means that control accepted the command, but a router
+	// may still work under an older version.
+	ExitNotEverywhere subcommands.ExitStatus = 5
 )
 
 // fail prints an error and returns the matching exit code.
--- a/internal/command/operator_flags.go
+++ b/internal/command/operator_flags.go
@@ -1,10 +1,13 @@
 package command
 
 import (
+	"context"
 	"crypto/rand"
 	"flag"
 	"fmt"
 	"os"
+	"strings"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -18,6 +21,7 @@
 	output       string
 	expected     int64
 	commandID    string
+	wait         time.Duration
 
 	settings settings.Operator
 }
@@ -31,6 +35,7 @@
 func (o *operatorFlags) setChange(f *flag.FlagSet) {
 	o.set(f)
 	f.Int64Var(&o.expected, "expect", -1, "config version that the command is based on; the present one if not given")
+	f.DurationVar(&o.wait, "wait", 0, "longest time to wait until the change is in force at every router that takes work")
 	f.StringVar(&o.commandID, "command-id", "", "id that makes a resend safe; a new one if not given")
 }
 
@@ -68,7 +73,25 @@
 		fmt.Fprintf(os.Stderr, "command id %s\n", o.commandID)
 		return fail(err)
 	}
-	return o.printResult(result)
+	if status := o.printResult(result); status != subcommands.ExitSuccess || o.wait == 0 {
+		return status
+	}
+	return o.await(client, result.Config)
+}
+
+// await waits until a config version is in force everywhere.
+func (o *operatorFlags) await(client *operator.Client, config uint64) subcommands.ExitStatus {
+	status, ok := client.Await(context.Background(), config, o.wait)
+	switch {
+	case ok:
+		fmt.Fprintf(os.Stderr, "in force everywhere\n")
+		return subcommands.ExitSuccess
+	case status == nil:
+		fmt.Fprintf(os.Stderr, "not known where it is in force: no control process leads\n")
+	default:
+		fmt.Fprintf(os.Stderr, "not yet in force everywhere; may work under an older version: %s\n", strings.Join(status.Working, ", "))
+	}
+	return ExitNotEverywhere
 }
 
 func (o *operatorFlags) printResult(result *operator.ResultBody) subcommands.ExitStatus {
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -57,6 +57,9 @@
 	if len(s.Behind) > 0 {
 		fmt.Fprintf(os.Stdout, "not yet at: %s\n", strings.Join(s.Behind, ", "))
 	}
+	if len(s.Working) > 0 {
+		fmt.Fprintf(os.Stdout, "may still work under an older version: %s\n", strings.Join(s.Working, ", "))
+	}
 	if len(s.CentresOut) > 0 {
 		fmt.Fprintf(os.Stdout, "data centres out: %s\n", strings.Join(s.CentresOut, ", "))
 	}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -18,10 +18,12 @@
 )
 
 const (
-	historyKept   = 4096                  // view changes kept for routers that reconnect
-	proposeAgain  = time.Second           // wait before a proposal that may be lost is repeated
-	tickInterval  = 25 * time.Millisecond // time between looks at leases and placement
-	streamTimeout = 10 * time.Second      // silence after which a stream is forgotten
+	historyKept  = 4096                  // view changes kept for routers that reconnect
+	proposeAgain = time.Second           // wait before a proposal that may be lost is repeated
+	tickInterval = 25 * time.Millisecond // time between looks at leases and placement
+	// forgetInterval is the time between looks at what may be forgotten.
+	forgetInterval = time.Second
+	streamTimeout  = 10 * time.Second // silence after which a stream is forgotten
 )
 
 // Core is the controller of one control process. It is owned by one duty.
@@ -35,12 +37,15 @@
 	leader  func(name string) string
 	history []*fleet.Change
 	streams map[StreamID]*stream
+	// seen holds the sessions whose view lease may not have ended.
+	seen    map[fleet.Session]sighting
 	waiters []waiter
 	// closing holds when each ended session was last proposed to be closed.
 	closing   map[fleet.Session]clock.Instant
 	assigning clock.Instant
 	dirty     bool
 	tickAt    clock.Instant
+	forgetAt  clock.Instant
 	output    Output
 }
 
@@ -49,7 +54,7 @@
 func New(timing lease.Timing, limits placement.Limits, leader func(name string) string) *Core {
 	return &Core{
 		timing: timing, limits: limits, leader: leader, state: control.NewState(), table: lease.NewTable(timing),
-		streams: map[StreamID]*stream{}, closing: map[fleet.Session]clock.Instant{},
+		streams: map[StreamID]*stream{}, seen: map[fleet.Session]sighting{}, closing: map[fleet.Session]clock.Instant{},
 	}
 }
 
@@ -83,6 +88,7 @@
 	if lead.Leads && lead.LeaseUntil > 0 && c.term != lead.Term {
 		c.term = lead.Term
 		c.table.Reset(c.state.Sessions(), now)
+		c.startSightings()
 		clear(c.closing)
 		c.assigning = 0
 		c.dirty = true
@@ -94,6 +100,14 @@
 	}
 }
 
+// startSightings takes it that no open session has a view yet.
+func (c *Core) startSightings() {
+	clear(c.seen)
+	for _, router := range c.state.View.Routers {
+		c.seen[router.Session] = sighting{router: router.ID}
+	}
+}
+
 func (c *Core) stepDown() {
 	for id := range c.streams {
 		c.redirect(id)
@@ -156,6 +170,9 @@
 
 func (c *Core) opened(now clock.Instant, open *control.OpenSession, result control.Result) {
 	c.table.Open(result.Session, now)
+	if _, ok := c.seen[result.Session]; !ok {
+		c.seen[result.Session] = sighting{router: open.Router.ID}
+	}
 	c.decide(event.SessionOpened, event.F("router", string(open.Router.ID)), event.F("session", uint64(result.Session)))
 	for _, s := range c.streams {
 		if s.nonce == open.Nonce && s.session == 0 {
@@ -225,6 +242,7 @@
 	if !c.renew(now, s) {
 		return
 	}
+	c.seen[s.session] = sighting{router: s.router, applied: up.Applied}
 	c.takeReports(up, s.session)
 }
 
@@ -335,6 +353,20 @@
 	}
 	c.expireSessions(now)
 	c.plan(now)
+	c.forget(now)
+}
+
+// forget drops streams that are silent and sessions without any lease.
+func (c *Core) forget(now clock.Instant) {
+	if now < c.forgetAt {
+		return
+	}
+	c.forgetAt = now.Add(forgetInterval)
+	for id := range c.seen {
+		if !c.table.Known(id) {
+			delete(c.seen, id)
+		}
+	}
 	for id, s := range c.streams {
 		if now.Sub(s.heardAt) > streamTimeout {
 			delete(c.streams, id)
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -24,21 +24,35 @@
 	slices.Sort(status.CentresOut)
 	status.Routers = c.routerStatuses()
 	for _, r := range status.Routers {
-		if r.Applied == view.Version {
+		if r.Applied >= c.state.ConfigAt {
 			status.InForce++
 			continue
 		}
 		status.Behind = append(status.Behind, r.Router)
 	}
+	var others bool
+	status.Working, others = c.workingOnOlder(now)
+	status.Everywhere = status.Leads && !others && len(status.Working) == 0
 	status.Services = c.serviceStatuses()
 	return status
 }
 
-func (c *Core) routerStatuses() []RouterStatus {
-	applied := map[fleet.Session]fleet.Version{}
-	for _, s := range c.streams {
-		applied[s.session] = max(applied[s.session], s.applied)
+// workingOnOlder returns the routers that may take work under an older config
+// version, and whether there may be some that this leader does not know.
+func (c *Core) workingOnOlder(now clock.Instant) (names []string, others bool) {
+	names = []string{}
+	sessions, others := c.table.MayWork(now)
+	for _, session := range sessions {
+		a := c.seen[session]
+		if a.applied < c.state.ConfigAt {
+			names = append(names, string(a.router))
+		}
 	}
+	slices.Sort(names)
+	return names, others
+}
+
+func (c *Core) routerStatuses() []RouterStatus {
 	shards := map[fleet.Session]int{}
 	for _, shard := range c.state.View.Shards {
 		if shard.Phase != fleet.ShardFree {
@@ -49,7 +63,7 @@
 	for _, r := range c.state.View.Routers {
 		out = append(out, RouterStatus{
 			Router: string(r.ID), DataCentre: string(r.DataCentre), Upstream: r.Upstream.Name, Service: r.Upstream.Service,
-			State: c.routerState(r), Session: r.Session, Applied: applied[r.Session], Shards: shards[r.Session],
+			State: c.routerState(r), Session: r.Session, Applied: c.seen[r.Session].applied, Shards: shards[r.Session],
 		})
 	}
 	slices.SortFunc(out, func(a, b RouterStatus) int { return cmp.Compare(a.Router, b.Router) })
--- /dev/null
+++ b/internal/controller/sighting.go
@@ -0,0 +1,9 @@
+package controller
+
+import "endivespring/internal/fleet"
+
+// sighting is what a session last told this leader.
+type sighting struct {
+	router  fleet.RouterID
+	applied fleet.Version
+}
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -88,6 +88,13 @@
 	return ended
 }
 
+// Known reports whether a session is open or its view lease may not have ended.
+func (t *Table) Known(session fleet.Session) bool {
+	_, open := t.deadlines[session]
+	_, working := t.views[session]
+	return open || working
+}
+
 // MayWork returns, in order, the sessions whose view lease may not have ended
 // by now, and whether there may be others from before this leader's term.
 func (t *Table) MayWork(now clock.Instant) (sessions []fleet.Session, others bool) {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"encoding/json"
 	"net/url"
 	"time"
@@ -11,7 +12,10 @@
 	"endivespring/internal/controller"
 )
 
-const requestTimeout = 8 * time.Second // longest time for one request to one control process
+const (
+	requestTimeout = 8 * time.Second        // longest time for one request to one control process
+	pollInterval   = 100 * time.Millisecond // time between looks at where a version is in force
+)
 
 // Errors of the client.
 var (
@@ -87,6 +91,30 @@
 	return nil, ErrNoLeader
 }
 
+// Await waits until a config version is in force everywhere: no router takes
+// work under an older one. It returns the last status seen, and false if the
+// limit passed first.
+func (c *Client) Await(ctx context.Context, config uint64, limit time.Duration) (*controller.Status, bool) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	var last *controller.Status
+	for {
+		if status, err := c.Status(); err == nil {
+			last = status
+			if uint64(status.Config) >= config && status.Everywhere {
+				return last, true
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return last, false
+		case <-ticker.C:
+		}
+	}
+}
+
 var (
 	errRefused  = eris.New("request refused")
 	errRedirect = eris.New("process does not lead")
