--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -116,12 +116,11 @@
 		}
 	}
 	slices.Sort(change.Removed)
-	for _, shard := range s.View.Shards {
+	for shard := range s.View.Shards.All() {
 		if shard.Phase != fleet.ShardFree && closed[shard.Session] {
 			change.Shards = append(change.Shards, freed(shard))
 		}
 	}
-	sortShards(change.Shards)
 	return Result{Accepted: true}
 }
 
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -54,7 +54,7 @@
 
 func (c *Core) routerStatuses() []RouterStatus {
 	shards := map[fleet.Session]int{}
-	for _, shard := range c.state.View.Shards {
+	for shard := range c.state.View.Shards.All() {
 		if shard.Phase != fleet.ShardFree {
 			shards[shard.Session]++
 		}
