--- a/internal/capacity/control_test.go
+++ b/internal/capacity/control_test.go
@@ -73,7 +73,7 @@
 			core.Take()
 			out := 0
 			for i := 0; b.Loop(); i++ {
-				core.Committed(clock.Instant(i), &control.Command{OperatorChange: &control.OperatorChange{
+				core.Committed(clock.Instant(i), 1, &control.Command{OperatorChange: &control.OperatorChange{
 					CommandID: fmt.Sprint(i), Expected: state.View.Config, DataCentre: &fleet.DataCentreSetting{Name: "dc-00", Out: i%2 == 0},
 				}})
 				out += len(core.Take().Sends)
@@ -91,7 +91,7 @@
 			b.Run(fmt.Sprintf("routers=%d/shards=%d/lost=%v", size[0], size[1], lost), func(b *testing.B) {
 				state := fleetOf(size[0], size[1])
 				if lost {
-					state.Apply(&control.Command{CloseSessions: &control.CloseSessions{Sessions: []fleet.Session{1}}})
+					state.Apply(0, &control.Command{CloseSessions: &control.CloseSessions{Sessions: []fleet.Session{1}}})
 				}
 				grants := 0
 				for b.Loop() {
--- a/internal/capacity/fleet_test.go
+++ b/internal/capacity/fleet_test.go
@@ -17,9 +17,9 @@
 // upstream, and each of four services an equal part of the shards.
 func fleetOf(routers, shards int) *control.State {
 	state := control.NewState()
-	state.Apply(&control.Command{OperatorChange: &control.OperatorChange{CommandID: "preset", Preset: presetOf(shards)}})
+	state.Apply(0, &control.Command{OperatorChange: &control.OperatorChange{CommandID: "preset", Preset: presetOf(shards)}})
 	for i := range routers {
-		state.Apply(&control.Command{OpenSession: &control.OpenSession{Nonce: fmt.Sprintf("nonce-%06d", i), Router: routerOf(i)}})
+		state.Apply(0, &control.Command{OpenSession: &control.OpenSession{Nonce: fmt.Sprintf("nonce-%06d", i), Router: routerOf(i)}})
 	}
 	assign := &control.Assign{}
 	for i := range shards {
@@ -30,7 +30,7 @@
 			Router: routerOf(owner).ID, Session: fleet.Session(owner + 1),
 		})
 	}
-	state.Apply(&control.Command{Assign: assign})
+	state.Apply(0, &control.Command{Assign: assign})
 	return state
 }
 
--- a/internal/capacity/view_test.go
+++ b/internal/capacity/view_test.go
@@ -74,6 +74,6 @@
 	default:
 		command.Assign = &control.Assign{Grants: []control.Grant{{Shard: id, Router: routerOf(0).ID, Session: 1}}}
 	}
-	_, change := state.Apply(command)
+	_, change := state.Apply(0, command)
 	return change
 }
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -248,7 +248,7 @@
 
 // holds reports whether a session has shards.
 func (c *Core) holds(session fleet.Session) bool {
-	for _, shard := range c.state.View.Shards {
+	for shard := range c.state.View.Shards.All() {
 		if shard.OwnedBy(session) {
 			return true
 		}
