--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -4,6 +4,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"endivespring/internal/call"
@@ -17,10 +18,12 @@
 )
 
 const (
-	historyKept   = 4096                  // view changes kept for routers that reconnect
-	proposeAgain  = time.Second           // wait before a proposal that may be lost is repeated
-	tickInterval  = 25 * time.Millisecond // time between looks at leases and placement
-	streamTimeout = 10 * time.Second      // silence after which a stream is forgotten
+	historyKept  = 4096                  // view changes kept for routers that reconnect
+	proposeAgain = time.Second           // wait before a proposal that may be lost is repeated
+	tickInterval = 25 * time.Millisecond // time between looks at leases and placement
+	// forgetInterval is the time between looks at what may be forgotten.
+	forgetInterval = time.Second
+	streamTimeout  = 10 * time.Second // silence after which a stream is forgotten
 )
 
 // Core is the controller of one control process. It is owned by one duty.
@@ -34,13 +37,19 @@
 	leader  func(name string) string
 	history []*fleet.Change
 	streams map[StreamID]*stream
+	// seen holds the sessions whose view lease may not have ended.
+	seen    map[fleet.Session]sighting
 	waiters []waiter
 	// closing holds when each ended session was last proposed to be closed.
 	closing   map[fleet.Session]clock.Instant
 	assigning clock.Instant
 	dirty     bool
-	tickAt    clock.Instant
-	output    Output
+	joins     settling
+	// replanAt is when a plan is due although nothing changed.
+	replanAt clock.Instant
+	tickAt   clock.Instant
+	forgetAt clock.Instant
+	output   Output
 }
 
 // New returns a controller that does not lead. The function leader maps the
@@ -48,7 +57,7 @@
 func New(timing lease.Timing, limits placement.Limits, leader func(name string) string) *Core {
 	return &Core{
 		timing: timing, limits: limits, leader: leader, state: control.NewState(), table: lease.NewTable(timing),
-		streams: map[StreamID]*stream{}, closing: map[fleet.Session]clock.Instant{},
+		streams: map[StreamID]*stream{}, seen: map[fleet.Session]sighting{}, closing: map[fleet.Session]clock.Instant{},
 	}
 }
 
@@ -82,9 +91,11 @@
 	if lead.Leads && lead.LeaseUntil > 0 && c.term != lead.Term {
 		c.term = lead.Term
 		c.table.Reset(c.state.Sessions(), now)
+		c.startSightings()
 		clear(c.closing)
 		c.assigning = 0
 		c.dirty = true
+		c.joins = settling{}
 		c.decide(event.LeaderElected, event.F("term", lead.Term))
 	}
 	if led && !lead.Leads {
@@ -93,6 +104,14 @@
 	}
 }
 
+// startSightings takes it that no open session has a view yet.
+func (c *Core) startSightings() {
+	clear(c.seen)
+	for _, router := range c.state.View.Routers {
+		c.seen[router.Session] = sighting{router: router.ID}
+	}
+}
+
 func (c *Core) stepDown() {
 	for id := range c.streams {
 		c.redirect(id)
@@ -112,19 +131,24 @@
 	c.output.Sends = append(c.output.Sends, Send{Stream: id, Down: down})
 }
 
-// Committed applies a command of the log.
-func (c *Core) Committed(now clock.Instant, command *control.Command) {
-	result, change := c.state.Apply(command)
+// Committed applies a command that was appended to the log under a term.
+func (c *Core) Committed(now clock.Instant, term uint64, command *control.Command) {
+	result, change := c.state.Apply(term, command)
 	if change != nil {
 		c.remember(change)
 		c.broadcast(change)
 		c.dirty = true
+		if slices.ContainsFunc(change.Routers, c.state.View.Eligible) {
+			c.joins.join(now)
+		}
 	}
 	switch {
 	case command.OpenSession != nil:
 		c.opened(now, command.OpenSession, result)
 	case command.CloseSessions != nil:
-		c.closed(command.CloseSessions)
+		if result.Accepted {
+			c.closed(command.CloseSessions)
+		}
 	case command.Assign != nil:
 		c.assigning = 0
 		c.decideAssign(change)
@@ -153,6 +177,9 @@
 
 func (c *Core) opened(now clock.Instant, open *control.OpenSession, result control.Result) {
 	c.table.Open(result.Session, now)
+	if _, ok := c.seen[result.Session]; !ok {
+		c.seen[result.Session] = sighting{router: open.Router.ID}
+	}
 	c.decide(event.SessionOpened, event.F("router", string(open.Router.ID)), event.F("session", uint64(result.Session)))
 	for _, s := range c.streams {
 		if s.nonce == open.Nonce && s.session == 0 {
@@ -208,16 +235,34 @@
 	if up.Session != 0 {
 		s.session = up.Session
 	}
+	if s.session == 0 && !up.Registers {
+		return
+	}
 	if s.session == 0 {
 		c.propose(control.Command{OpenSession: &control.OpenSession{Router: up.Router, Nonce: up.Nonce}})
 		return
 	}
+	if up.Closing && c.holds(s.session) {
+		// Work may still run: only the end of the lease frees the shards.
+		return
+	}
 	if !c.renew(now, s) {
 		return
 	}
+	c.seen[s.session] = sighting{router: s.router, applied: up.Applied}
 	c.takeReports(up, s.session)
 }
 
+// holds reports whether a session has shards.
+func (c *Core) holds(session fleet.Session) bool {
+	for shard := range c.state.View.Shards.All() {
+		if shard.OwnedBy(session) {
+			return true
+		}
+	}
+	return false
+}
+
 // renew answers the latest renewal of a stream with a lease, and first with
 // what its view lacks.
 func (c *Core) renew(now clock.Instant, s *stream) bool {
@@ -233,7 +278,7 @@
 	}
 	c.sync(s)
 	c.output.Sends = append(c.output.Sends, Send{Stream: s.id, Down: session.Down{
-		Session: s.session, Sequence: s.sequence, Lease: true, Ownership: c.timing.Ownership, View: c.timing.View,
+		Session: s.session, Sequence: s.sequence, Lease: true, Ownership: c.timing.Ownership, View: c.timing.View, Version: s.sent,
 	}})
 	return true
 }
@@ -268,12 +313,12 @@
 // takeReports proposes what a renewal says beyond being alive.
 func (c *Core) takeReports(up *session.Up, id fleet.Session) {
 	if up.Closing {
-		c.propose(control.Command{CloseSessions: &control.CloseSessions{Sessions: []fleet.Session{id}}})
+		c.propose(control.Command{CloseSessions: &control.CloseSessions{Term: c.term, Sessions: []fleet.Session{id}}})
 		return
 	}
 	router := up.Router
 	router.Session = id
-	if c.state.View.Routers[router.ID] != router {
+	if up.Registers && c.state.View.Routers[router.ID] != router {
 		c.propose(control.Command{UpdateRouter: &control.UpdateRouter{Router: router}})
 	}
 	if len(up.Releases) > 0 {
@@ -315,6 +360,20 @@
 	}
 	c.expireSessions(now)
 	c.plan(now)
+	c.forget(now)
+}
+
+// forget drops streams that are silent and sessions without any lease.
+func (c *Core) forget(now clock.Instant) {
+	if now < c.forgetAt {
+		return
+	}
+	c.forgetAt = now.Add(forgetInterval)
+	for id := range c.seen {
+		if !c.table.Known(id) {
+			delete(c.seen, id)
+		}
+	}
 	for id, s := range c.streams {
 		if now.Sub(s.heardAt) > streamTimeout {
 			delete(c.streams, id)
@@ -327,13 +386,14 @@
 		c.closing[id] = now - clock.Instant(proposeAgain)
 		c.decide(event.SessionExpired, event.F("session", uint64(id)))
 	}
-	command := &control.CloseSessions{}
+	command := &control.CloseSessions{Term: c.term}
 	for id, proposed := range c.closing {
 		if now.Sub(proposed) >= proposeAgain {
 			c.closing[id] = now
 			command.Sessions = append(command.Sessions, id)
 		}
 	}
+	slices.Sort(command.Sessions)
 	if len(command.Sessions) > 0 {
 		c.propose(control.Command{CloseSessions: command})
 	}
@@ -341,12 +401,17 @@
 
 func (c *Core) plan(now clock.Instant) {
 	waiting := c.assigning != 0 && now.Sub(c.assigning) < proposeAgain
-	if !c.dirty || waiting {
+	if waiting || !c.dirty && now < c.replanAt {
 		return
 	}
-	c.dirty = false
-	assign := placement.Plan(c.state.View, c.limits)
-	if assign.Empty() {
+	limits := c.limits
+	limits.Starting, limits.Settling = c.joins.starting(now), c.joins.settling(now)
+	assign := placement.Plan(c.state.View, limits)
+	// A plan is made again until nothing is left to do: the proposal may get
+	// lost, and the log may hold changes that void parts of it.
+	c.dirty = !assign.Empty()
+	c.replanAt = c.joins.next(now)
+	if !c.dirty {
 		return
 	}
 	c.assigning = now
