Add the tests that mutations of the door and the sender asked for

Cause: 44 guards were broken one at a time; 10 survived: a record forgotten while its run goes on, a shard back under a new epoch, leases at delegation, the queue of a moved shard, cancelling recorded runs, a partly written request, reuse after cancellation and after a failed read.

Change: a test for each. One of them showed that a healthy connection was given up once the deadline of its last run had passed; the deadline is now lifted when a run has ended.

--- a/internal/door/admitting_test.go
+++ b/internal/door/admitting_test.go
@@ -125,8 +125,73 @@
 	}
 	s := newStage(t, true)
 	s.now = s.now.Add(testWindow)
+	s.shard(1, fleet.ShardGranted, 2)
 	s.submit("id", young)
 	assert.Equal(t, len(s.take().Runs), 1, "a resend to a door that remembers the whole window")
+	s.submit("other", func(c *call.Call) { c.Resend, c.Shard = true, 1 })
+	assert.Equal(t, s.answer().Reason, verdict.ReasonRecordLost, "a resend of a shard that was away meanwhile")
+}
+
+// TestNothingIsDelegatedWithout states what a door needs to hand a call to
+// another one.
+func TestNothingIsDelegatedWithout(t *testing.T) {
+	for name, spoil := range map[string]func(*stage){
+		"lease":       func(s *stage) { s.core.SetLease(s.now, 1, s.now, s.now.Add(time.Hour)) },
+		"view lease":  func(s *stage) { s.core.SetLease(s.now, 1, s.now.Add(time.Hour), s.now) },
+		"session":     func(s *stage) { s.core.SetLease(s.now, 2, s.now.Add(time.Hour), s.now.Add(time.Hour)) },
+		"being asked": func(s *stage) { s.shard(0, fleet.ShardRevoking, 1) },
+	} {
+		s := newStage(t, false)
+		s.other()
+		s.submit("x", nil)
+		s.submit("y", nil)
+		s.take()
+		spoil(s)
+		s.submit("id", nil)
+		assert.Equal(t, s.answer().Verdict, verdict.NotRun, name)
+		assert.Equal(t, len(s.out.Delegations), 0, name)
+	}
+}
+
+// TestCancel states what becomes of a call that nobody waits for any more.
+func TestCancel(t *testing.T) {
+	s := newStage(t, false)
+	s.other()
+	once, lookup := s.submit("id", nil), s.submit("look", func(c *call.Call) { c.Sharded, c.Idempotent = false, true })
+	run := s.take().Runs[0]
+	s.core.CancelLink(s.now, 1)
+	aborts := s.take().Aborts
+	assert.Equal(t, len(aborts), 1, "%d and %d", once, lookup)
+	assert.Equal(t, aborts[0].RequestID, "look")
+	s.complete(run, verdict.NotRun, "")
+	assert.Equal(t, len(s.take().Delegations), 0)
+	assert.Equal(t, len(s.core.records.records), 0)
+}
+
+// TestRecordOutlivesItsWindowWhileItRuns checks that an id is not forgotten
+// before its run has ended.
+func TestRecordOutlivesItsWindowWhileItRuns(t *testing.T) {
+	s := newStage(t, false)
+	long := func(c *call.Call) { c.Deadline = s.now.Add(2 * testWindow) }
+	s.submit("id", long)
+	run := s.take().Runs[0]
+	s.now = s.now.Add(testWindow + time.Second)
+	s.submit("id", long)
+	assert.Equal(t, len(s.take().Runs), 0)
+	s.complete(run, verdict.Ran, "")
+	assert.Equal(t, len(s.take().Replies), 2)
+}
+
+// TestMovedShardRefusesItsQueueAtOnce checks that the hand-over does not wait
+// for a place at the upstream.
+func TestMovedShardRefusesItsQueueAtOnce(t *testing.T) {
+	s := newStage(t, false)
+	for _, id := range []string{"a", "b", "queued"} {
+		s.submit(id, nil)
+	}
+	s.take()
+	s.shard(0, fleet.ShardRevoking, 1)
+	assert.Equal(t, s.answer().RequestID, "queued")
 }
 
 // TestQueuedCallsLoseTheirRight checks that what a call needs to be admitted it
@@ -140,6 +205,7 @@
 		"view lease": {func(s *stage) { s.core.SetLease(s.now, 1, s.now.Add(time.Hour), s.now) }, verdict.ReasonViewStale},
 		"shard":      {func(s *stage) { s.shard(0, fleet.ShardRevoking, 1) }, verdict.ReasonNotOwner},
 		"epoch":      {func(s *stage) { s.shard(0, fleet.ShardGranted, 2) }, verdict.ReasonNotOwner},
+		"session":    {func(s *stage) { s.core.SetLease(s.now, 2, s.now.Add(time.Hour), s.now.Add(time.Hour)) }, verdict.ReasonNotOwner},
 		"upstream":   {func(s *stage) { s.core.Leave(s.now) }, verdict.ReasonNoUpstream},
 		"service": {func(s *stage) {
 			s.core.Announce(s.now, fleet.Upstream{Name: "u", Service: "z", Boot: "1", Slots: 2, ColdSlots: 2})
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -51,6 +51,12 @@
 	return c.address == address && now.Sub(c.used) < idleLimit && c.reader.Buffered() == 0 && c.quiet()
 }
 
+// rest lifts the deadline of the request that has ended.
+func (c *connection) rest(now clock.Instant) {
+	c.used = now
+	_ = c.net.SetDeadline(time.Time{})
+}
+
 // quiet looks at the socket without taking anything: an end of stream or
 // unasked bytes are both visible before the next request is written.
 func (c *connection) quiet() bool {
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -153,7 +153,7 @@
 		s.retire("read")
 		return failed(run, err)
 	}
-	s.connection.used = s.clock.Now()
+	s.connection.rest(s.clock.Now())
 	out := answered(run, response)
 	switch {
 	case out.Answer.Reason == verdict.ReasonTruncated:
--- a/internal/upstream/sender_test.go
+++ b/internal/upstream/sender_test.go
@@ -152,7 +152,7 @@
 				first = script{"\x00#end", "close"}
 			}
 			f := newFake(t, first, script{reply("next", "second connection")})
-			s, _ := newSender(t)
+			s, events := newSender(t)
 			left := time.Minute
 			if c.bytes == "hold" {
 				left = 50 * time.Millisecond
@@ -163,6 +163,7 @@
 			if c.verdict != verdict.Ran {
 				assert.Equal(t, len(out.Answer.Body), 0)
 			}
+			assert.Equal(t, events[event.ConnectionRetired] > 0, c.verdict == verdict.MayHaveRun && !c.kept)
 			next := s.Run(context.Background(), newRun("next", f.listener.Addr().String(), time.Minute))
 			assert.Equal(t, next.Answer.Verdict, verdict.Ran)
 			want := "second connection"
@@ -255,13 +256,51 @@
 		<-f.idle
 		cancel()
 	}()
-	out := s.Run(ctx, newRun("a", f.listener.Addr().String(), time.Hour))
+	out := s.Run(ctx, newRun("a", f.listener.Addr().String(), 30*time.Second))
 	assert.Equal(t, out.Answer.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, out.Answer.Reason, verdict.ReasonCancelled)
 	assert.Equal(t, events[event.ConnectionRetired], 1)
 	out = s.Run(context.Background(), newRun("b", f.listener.Addr().String(), time.Minute))
 	assert.Equal(t, string(out.Answer.Body), "second")
 }
 
+// TestCancelledConnectionIsNotReused checks that a cancellation that comes with
+// the answer does not shorten the next run.
+func TestCancelledConnectionIsNotReused(t *testing.T) {
+	f := newFake(t, script{reply("a", "first"), reply("b", "first")}, script{reply("b", "second")})
+	s, _ := newSender(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	out := s.Run(ctx, newRun("a", f.listener.Addr().String(), time.Minute))
+	assert.Equal(t, out.Answer.Verdict, verdict.Ran)
+	out = s.Run(context.Background(), newRun("b", f.listener.Addr().String(), time.Minute))
+	assert.Equal(t, string(out.Answer.Body), "second")
+}
+
+// TestDeadlineOfTheLastRunIsNotKept checks that a healthy connection carries a
+// run that comes after the last one's deadline.
+func TestDeadlineOfTheLastRunIsNotKept(t *testing.T) {
+	f := newFake(t, script{reply("a", "first"), reply("b", "first")}, script{reply("b", "second")})
+	s, _ := newSender(t)
+	run := newRun("a", f.listener.Addr().String(), 100*time.Millisecond)
+	assert.Equal(t, s.Run(context.Background(), run).Answer.Verdict, verdict.Ran)
+	time.Sleep(run.Deadline.Sub(testClock.Now()) + 2*deadlineGrace)
+	out := s.Run(context.Background(), newRun("b", f.listener.Addr().String(), time.Minute))
+	assert.Equal(t, string(out.Answer.Body), "first")
+}
+
+// TestPartlyWrittenMayHaveRun lets the upstream close while a large request is
+// being written.
+func TestPartlyWrittenMayHaveRun(t *testing.T) {
+	f := newFake(t, script{"close"})
+	s, _ := newSender(t)
+	run := newRun("id", f.listener.Addr().String(), time.Minute)
+	run.Call.Body = make([]byte, 64<<20)
+	out := s.Run(context.Background(), run)
+	assert.Equal(t, out.Answer.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, out.Answer.Reason, verdict.ReasonConnection)
+}
+
 // TestRequestHeaders checks what an upstream that checks grants relies on.
 func TestRequestHeaders(t *testing.T) {
 	f := newFake(t, script{reply("id", "whole")})
