--- a/internal/command/control.go
+++ b/internal/command/control.go
@@ -37,7 +37,10 @@
 }
 
 // Execute runs the process.
-func (c *Control) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *Control) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settingsFile == "" || f.NArg() > 0 {
+		return usage("control needs --settings FILE and nothing else")
+	}
 	s := &settings.Control{}
 	if err := settings.Read(c.settingsFile, s); err != nil {
 		return fail(err)
@@ -52,7 +55,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	return serve(node)
+	return serve(node, do.MustInvoke[*event.Log](injector))
 }
 
 // processScope provides what every process needs: its event log and clock.
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -7,6 +7,8 @@
 	"syscall"
 
 	"github.com/google/subcommands"
+
+	"endivespring/internal/event"
 )
 
 // process is a long-running part of the system.
@@ -19,18 +21,30 @@
 
 // serve waits for the process to end, and stops it on SIGTERM or SIGINT. A
 // second signal ends it at once.
-func serve(p process) subcommands.ExitStatus {
+func serve(p process, events *event.Log) subcommands.ExitStatus {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	context.AfterFunc(ctx, func() {
 		cancel()
 		p.Stop()
 	})
-	if err := p.Wait(); err != nil {
+	err := p.Wait()
+	if events != nil {
+		events.Record(event.ProcessStopped, event.F("error", errorText(err)))
+		events.Flush()
+	}
+	if err != nil {
 		return fail(err)
 	}
 	return subcommands.ExitSuccess
 }
 
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // stderrLog is where processes write their events.
 var stderrLog = os.Stderr
--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -7,6 +7,7 @@
 	"github.com/google/subcommands"
 	"github.com/samber/do/v2"
 
+	"endivespring/internal/event"
 	"endivespring/internal/router"
 	"endivespring/internal/settings"
 )
@@ -35,7 +36,10 @@
 }
 
 // Execute runs the process.
-func (c *Router) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *Router) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settingsFile == "" || f.NArg() > 0 {
+		return usage("router needs --settings FILE and nothing else")
+	}
 	s := &settings.Router{}
 	if err := settings.Read(c.settingsFile, s); err != nil {
 		return fail(err)
@@ -46,5 +50,5 @@
 	if err != nil {
 		return fail(err)
 	}
-	return serve(node)
+	return serve(node, do.MustInvoke[*event.Log](injector))
 }
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -51,5 +51,5 @@
 	if err != nil {
 		return fail(err)
 	}
-	return serve(server)
+	return serve(server, nil)
 }
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -122,7 +122,7 @@
 	n.grpc = peer.NewServer()
 	wirepb.RegisterConsensusServer(n.grpc, &consensusServer{fleet: n.settings.Fleet, inbound: c.inbound})
 	wirepb.RegisterSessionsServer(n.grpc, &sessionServer{fleet: n.settings.Fleet, arrivals: o.arrivals})
-	n.group.Go("peer-server", func(context.Context) error { return n.grpc.Serve(peerListener) })
+	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, peerListener) })
 	n.app = operator.NewServer(token, o.operators).App()
 	n.group.Go("operator-server", func(context.Context) error { return n.app.Listener(operatorListener) })
 	n.events.Record(event.ProcessStarted, event.F("role", "control"), event.F("name", n.settings.Name), event.F("disk", n.disk.Identity().Disk))
--- a/internal/duty/group.go
+++ b/internal/duty/group.go
@@ -5,6 +5,7 @@
 	"context"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 )
@@ -13,13 +14,15 @@
 // fails stops the others.
 type Group struct {
 	ctx    context.Context
-	cancel context.CancelCauseFunc
+	cancel context.CancelFunc
 	wg     sync.WaitGroup
+	// failure is the error of the duty that failed first.
+	failure atomic.Pointer[error]
 }
 
 // NewGroup returns an empty group that stops when parent ends.
 func NewGroup(parent context.Context) *Group {
-	ctx, cancel := context.WithCancelCause(parent)
+	ctx, cancel := context.WithCancel(parent)
 	return &Group{ctx: ctx, cancel: cancel}
 }
 
@@ -31,22 +34,31 @@
 	g.wg.Add(1)
 	go func() {
 		defer g.wg.Done()
-		if err := protect(g.ctx, run); err != nil && g.ctx.Err() == nil {
-			g.cancel(eris.Wrapf(err, "duty %s", name))
+		if err := protect(g.ctx, run); err != nil {
+			g.fail(eris.Wrapf(err, "duty %s", name))
 		}
 	}()
 }
 
+// fail keeps the first failure and stops the group. Giving up because the
+// group stops is no failure.
+func (g *Group) fail(err error) {
+	if g.ctx.Err() == nil || !eris.Is(err, context.Canceled) {
+		g.failure.CompareAndSwap(nil, &err)
+	}
+	g.cancel()
+}
+
 // Stop asks every duty to return.
-func (g *Group) Stop() { g.cancel(nil) }
+func (g *Group) Stop() { g.cancel() }
 
 // Wait waits for every duty to return. It returns the error of the duty that
-// failed first, or nil if the group was stopped.
+// failed first, also while the group was stopping, or nil if none did.
 func (g *Group) Wait() error {
 	<-g.ctx.Done()
 	g.wg.Wait()
-	if cause := context.Cause(g.ctx); !eris.Is(cause, context.Canceled) {
-		return cause
+	if failure := g.failure.Load(); failure != nil {
+		return *failure
 	}
 	return nil
 }
--- a/internal/event/log.go
+++ b/internal/event/log.go
@@ -49,20 +49,22 @@
 // Dropped returns how many entries were discarded.
 func (l *Log) Dropped() int64 { return l.ring.Dropped() }
 
-// Run writes entries until the context ends, then writes what is left.
+// Run writes entries until the context ends, then writes what is left. Flush
+// writes what other duties record after that.
 func (l *Log) Run(ctx context.Context) error {
 	for {
 		select {
 		case entry := <-l.ring.Out():
 			l.write(entry)
 		case <-ctx.Done():
-			l.flush()
+			l.Flush()
 			return nil
 		}
 	}
 }
 
-func (l *Log) flush() {
+// Flush writes the entries that wait. It must not run beside Run.
+func (l *Log) Flush() {
 	for l.ring.Depth() > 0 {
 		l.write(<-l.ring.Out())
 	}
@@ -83,6 +85,8 @@
 		return line.Str(field.Name, value)
 	case error:
 		return line.Str(field.Name, value.Error())
+	case time.Duration:
+		return line.Str(field.Name, value.String())
 	default:
 		return line.Interface(field.Name, value)
 	}
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -44,6 +44,15 @@
 		grpc.InitialWindowSize(windowSize), grpc.InitialConnWindowSize(windowSize))
 }
 
+// Serve runs a server until it is stopped. One that was stopped before it could
+// start is no failure.
+func Serve(server *grpc.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !eris.Is(err, grpc.ErrServerStopped) {
+		return eris.Wrapf(err, "serve on %s", listener.Addr())
+	}
+	return nil
+}
+
 // Listen opens a TCP listener; the error names the address.
 func Listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
--- a/internal/preset/file.go
+++ b/internal/preset/file.go
@@ -14,7 +14,7 @@
 
 // File is a preset as its file writes it.
 type File struct {
-	Name     string    `json:"name" required:"true" doc:"Name shown to operators."`
+	Name     string    `json:"name" required:"true" kind:"name" doc:"Name shown to operators."`
 	Services []Service `json:"services" required:"true" min:"1" doc:"All services of the fleet."`
 }
 
@@ -44,11 +44,7 @@
 		problems = append(problems, settings.Problem{Field: "services", Value: duplicate, Message: "name is used twice"})
 	}
 	for i, service := range f.Services {
-		operations := lo.Map(service.Operations, func(o Operation, _ int) string { return o.Name })
-		for _, duplicate := range lo.FindDuplicates(operations) {
-			field := "services[" + strconv.Itoa(i) + "].operations"
-			problems = append(problems, settings.Problem{Field: field, Value: duplicate, Message: "name is used twice"})
-		}
+		problems = append(problems, service.problems("services["+strconv.Itoa(i)+"]")...)
 	}
 	return problems
 }
--- a/internal/preset/service.go
+++ b/internal/preset/service.go
@@ -1,10 +1,16 @@
 package preset
 
-import "endivespring/internal/settings"
+import (
+	"strconv"
+
+	"github.com/samber/lo"
+
+	"endivespring/internal/settings"
+)
 
 // Service is a service as a preset file writes it.
 type Service struct {
-	Name          string            `json:"name" required:"true" doc:"Name in the caller's path."`
+	Name          string            `json:"name" required:"true" kind:"name" doc:"Name in the caller's path."`
 	Keyed         bool              `json:"keyed" doc:"Divided by key: one upstream owns each key."`
 	Shards        int               `json:"shards" default:"64" min:"1" max:"65536" doc:"Number of shards; fixed for the life of the service."`
 	Operations    []Operation       `json:"operations" required:"true" min:"1" doc:"Kinds of request."`
@@ -14,3 +20,21 @@
 	QueueLimit    int               `json:"queueLimit" default:"64" min:"0" max:"65536" doc:"Requests that may wait at one door."`
 	RecordWindow  settings.Duration `json:"recordWindow" default:"10m" min:"1s" max:"24h" doc:"How long a door remembers the ids of non-idempotent requests."`
 }
+
+// problems reports what does not fit together within the service at a path.
+func (s *Service) problems(path string) settings.Problems {
+	var problems settings.Problems
+	names := lo.Map(s.Operations, func(o Operation, _ int) string { return o.Name })
+	for _, duplicate := range lo.FindDuplicates(names) {
+		problems = append(problems, settings.Problem{Field: path + ".operations", Value: duplicate, Message: "name is used twice"})
+	}
+	for i, o := range s.Operations {
+		if !o.Idempotent && o.Deadline > s.RecordWindow {
+			field := path + ".operations[" + strconv.Itoa(i) + "].deadline"
+			problems = append(problems, settings.Problem{
+				Field: field, Value: o.Deadline.Value(), Message: "must be at most recordWindow, since the operation is not idempotent",
+			})
+		}
+	}
+	return problems
+}
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -157,7 +157,7 @@
 	n.group.Go("aborts", aborts.Run)
 	n.group.Go("caller-server", func(context.Context) error { return n.caller.App().Listener(listeners[0]) })
 	n.group.Go("announce-server", func(context.Context) error { return n.announce.Listener(listeners[1]) })
-	n.group.Go("peer-server", func(context.Context) error { return n.grpc.Serve(listeners[2]) })
+	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, listeners[2]) })
 	if len(listeners) > 3 {
 		n.group.Go("metrics-server", func(context.Context) error { return n.metrics.Listener(listeners[3]) })
 	}
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -1,12 +1,16 @@
 package settings
 
-import "github.com/samber/lo"
+import (
+	"strconv"
+
+	"github.com/samber/lo"
+)
 
 // Control holds the settings of a control process.
 type Control struct {
-	Fleet      string        `json:"fleet" required:"true" doc:"Name of the fleet. Processes of other fleets are refused."`
-	Name       string        `json:"name" required:"true" doc:"Name of this control process; one of the peers."`
-	DataCentre string        `json:"dataCentre" required:"true" doc:"Data centre of this VM."`
+	Fleet      string        `json:"fleet" required:"true" kind:"name" doc:"Name of the fleet. Processes of other fleets are refused."`
+	Name       string        `json:"name" required:"true" kind:"name" doc:"Name of this control process; one of the peers."`
+	DataCentre string        `json:"dataCentre" required:"true" kind:"name" doc:"Data centre of this VM."`
 	DataFolder string        `json:"dataFolder" required:"true" doc:"Existing folder for this process's durable state."`
 	TokenFile  string        `json:"tokenFile" required:"true" doc:"File with the operators' token."`
 	Peers      []ControlPeer `json:"peers" min:"1" required:"true" doc:"All control processes of the fleet, this one included."`
@@ -30,7 +34,17 @@
 	if len(c.Peers)%2 == 0 {
 		problems = append(problems, Problem{Field: "peers", Value: len(c.Peers), Message: "use an odd number of control processes"})
 	}
-	return problems
+	return append(problems, distinct(c.addresses()...)...)
+}
+
+// addresses returns pairs of field and address.
+func (c *Control) addresses() []string {
+	pairs := []string{"metrics", c.Metrics}
+	for i, p := range c.Peers {
+		field := "peers[" + strconv.Itoa(i) + "]"
+		pairs = append(pairs, field+".peer", p.Peer, field+".operator", p.Operator)
+	}
+	return pairs
 }
 
 // Self returns this process's own addresses.
--- /dev/null
+++ b/internal/settings/distinct.go
@@ -0,0 +1,17 @@
+package settings
+
+// distinct reports addresses that are used twice. The arguments are pairs of a
+// field and its address; an empty address is not given.
+func distinct(pairs ...string) Problems {
+	var problems Problems
+	used := map[string]string{}
+	for i := 0; i+1 < len(pairs); i += 2 {
+		field, address := pairs[i], pairs[i+1]
+		if other, ok := used[address]; ok && address != "" {
+			problems = append(problems, Problem{Field: field, Value: address, Message: "is also the address of " + other})
+			continue
+		}
+		used[address] = field
+	}
+	return problems
+}
--- a/internal/settings/file.go
+++ b/internal/settings/file.go
@@ -22,7 +22,7 @@
 func Read(path string, target any) error {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return eris.Wrapf(err, "read settings")
+		return eris.Wrap(err, "read settings")
 	}
 	return Parse(path, data, target)
 }
@@ -39,6 +39,9 @@
 		return Problems{{File: path, Field: "(file)", Message: "text after the JSON value"}}
 	}
 	w := &walker{file: path}
+	for _, field := range duplicateKeys(data) {
+		w.problem(field, nil, "given twice")
+	}
 	w.value("", raw, reflect.ValueOf(target).Elem(), "")
 	if checker, ok := target.(Checker); ok && len(w.problems) == 0 {
 		for _, problem := range checker.Check() {
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -5,8 +5,11 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
 )
 
+const readableByOthers = 0o004 // permission bit
+
 // Operator holds the settings of operators' commands.
 type Operator struct {
 	Name      string   `json:"name" required:"true" doc:"Operator's name, kept with each command."`
@@ -14,8 +17,25 @@
 	TokenFile string   `json:"tokenFile" required:"true" doc:"File with the operators' token."`
 }
 
-// ReadToken returns the token in a file, without surrounding white space.
+// Check reports problems across fields.
+func (o *Operator) Check() Problems {
+	var problems Problems
+	for _, duplicate := range lo.FindDuplicates(o.Control) {
+		problems = append(problems, Problem{Field: "control", Value: duplicate, Message: "is given twice"})
+	}
+	return problems
+}
+
+// ReadToken returns the token in a file, without surrounding white space. The
+// file must not be readable by others than its owner and group.
 func ReadToken(path string) (string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return "", eris.Wrap(err, "read tokenFile")
+	}
+	if info.Mode().Perm()&readableByOthers != 0 {
+		return "", eris.Errorf("tokenFile %q has mode %04o: others can read it; run chmod 600 %s", path, info.Mode().Perm(), path)
+	}
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return "", eris.Wrap(err, "read tokenFile")
@@ -24,5 +44,8 @@
 	if token == "" {
 		return "", eris.Errorf("tokenFile %q is empty", path)
 	}
+	if strings.ContainsFunc(token, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return "", eris.Errorf("tokenFile %q must hold one word of printable ASCII", path)
+	}
 	return token, nil
 }
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -1,10 +1,16 @@
 package settings
 
+import "github.com/samber/lo"
+
+// announceRenewals is the number of renewals that an upstream's silence lasts
+// at least before it is lost, so that a lost upstream can be reported in time.
+const announceRenewals = 2
+
 // Router holds the settings of a router.
 type Router struct {
-	Fleet      string   `json:"fleet" required:"true" doc:"Name of the fleet. Processes of other fleets are refused."`
-	Name       string   `json:"name" required:"true" doc:"Name of this router; unique in the fleet."`
-	DataCentre string   `json:"dataCentre" required:"true" doc:"Data centre of this VM."`
+	Fleet      string   `json:"fleet" required:"true" kind:"name" doc:"Name of the fleet. Processes of other fleets are refused."`
+	Name       string   `json:"name" required:"true" kind:"name" doc:"Name of this router; unique in the fleet."`
+	DataCentre string   `json:"dataCentre" required:"true" kind:"name" doc:"Data centre of this VM."`
 	Caller     string   `json:"caller" required:"true" kind:"address" doc:"Address for callers."`
 	Announce   string   `json:"announce" required:"true" kind:"address" doc:"Address where the upstream beside this router announces itself."`
 	Peer       string   `json:"peer" required:"true" kind:"address" doc:"Address for other routers."`
@@ -16,3 +22,18 @@
 	Grace      Duration `json:"grace" default:"20s" min:"100ms" max:"10m" doc:"Longest time to finish work after a request to stop."`
 	Announced  Duration `json:"announceTimeout" default:"3s" min:"100ms" max:"1m" doc:"An upstream that has not announced itself for this long is lost."`
 }
+
+// Check reports problems across fields.
+func (r *Router) Check() Problems {
+	problems := distinct("caller", r.Caller, "announce", r.Announce, "peer", r.Peer, "metrics", r.Metrics)
+	for _, duplicate := range lo.FindDuplicates(r.Control) {
+		problems = append(problems, Problem{Field: "control", Value: duplicate, Message: "is given twice"})
+	}
+	if lo.Contains(r.Control, r.Peer) {
+		problems = append(problems, Problem{Field: "peer", Value: r.Peer, Message: "is also the address of a control process"})
+	}
+	if r.Announced < announceRenewals*r.Renewal {
+		problems = append(problems, Problem{Field: "announceTimeout", Value: r.Announced.Value(), Message: "must be at least twice renewal"})
+	}
+	return problems
+}
--- a/internal/settings/walker.go
+++ b/internal/settings/walker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"reflect"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,7 +14,12 @@
 	"github.com/samber/lo"
 )
 
-var durationType = reflect.TypeFor[Duration]()
+const maxNameLength = 64 // characters
+
+var (
+	durationType = reflect.TypeFor[Duration]()
+	namePattern  = regexp.MustCompile(fmt.Sprintf(`^[A-Za-z0-9._-]{1,%d}$`, maxNameLength))
+)
 
 // walker fills a struct from decoded JSON and collects problems.
 type walker struct {
@@ -152,14 +158,26 @@
 		w.problem(path, nil, "must not be empty")
 		return
 	}
-	if tag.Get("kind") == "address" && text != "" {
-		if problem := addressProblem(text); problem != "" {
-			w.problem(path, text, "%s", problem)
-		}
+	if problem := kindProblem(tag.Get("kind"), text); problem != "" {
+		w.problem(path, text, "%s", problem)
 	}
 	target.SetString(text)
 }
 
+// kindProblem checks a text that must be of a kind; an empty one is not given.
+func kindProblem(kind, text string) string {
+	switch {
+	case text == "":
+		return ""
+	case kind == "address":
+		return addressProblem(text)
+	case kind == "name" && !namePattern.MatchString(text):
+		return fmt.Sprintf("must be 1 to %d letters a to z, digits, dots, hyphens or underscores", maxNameLength)
+	default:
+		return ""
+	}
+}
+
 func addressProblem(text string) string {
 	host, port, err := net.SplitHostPort(text)
 	if err != nil || net.ParseIP(host) == nil {
@@ -195,7 +213,12 @@
 		target.SetFloat(value)
 		return
 	}
-	target.SetInt(lo.Must(number.Int64()))
+	integer, err := number.Int64()
+	if err != nil {
+		w.problem(path, raw, "is out of range")
+		return
+	}
+	target.SetInt(integer)
 }
 
 func join(path, key string) string {
