--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -14,6 +14,7 @@
 	Caller     string   `json:"caller" required:"true" kind:"address" doc:"Address for callers."`
 	Announce   string   `json:"announce" required:"true" kind:"address" doc:"Address where the upstream beside this router announces itself."`
 	Peer       string   `json:"peer" required:"true" kind:"address" doc:"Address for other routers."`
+	Advertise  string   `json:"advertise" kind:"address" doc:"Address by which other routers reach this one, if it differs from peer."`
 	Control    []string `json:"control" min:"1" required:"true" kind:"address" doc:"Peer addresses of the control processes."`
 	Metrics    string   `json:"metrics" kind:"address" doc:"Address where metrics are served at /metrics; none if not given."`
 	MaxBody    int      `json:"maxBody" default:"1048576" min:"1024" max:"67108864" doc:"Largest request or answer body, in bytes."`
@@ -37,3 +38,11 @@
 	}
 	return problems
 }
+
+// Reached returns the address by which other routers reach this one.
+func (r *Router) Reached() string {
+	if r.Advertise != "" {
+		return r.Advertise
+	}
+	return r.Peer
+}
