Refuse streams of other fleets at the first message, and log it at both ends

Cause: a door answered pings and opened a link before it looked at the fleet, nothing logged a refusal, and a refused process came back every 50 ms. The events view-expired and session-closed were in the catalogue but never logged. Ruled out: waiting after one refusal, since one wrong address among several would delay a router that can reach its own fleet. Change: the first message of a door link carries the fleet, pings included; events 720 and 721 at either end; a process that all control processes refused waits 5 s. The router logs 501 when its view lapses and 502 when it is current again; the leader logs 212.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -166,6 +166,9 @@
 	for _, id := range command.Sessions {
 		c.table.Close(id)
 		delete(c.closing, id)
+		if c.lead.Leads {
+			c.decide(event.SessionClosed, event.F("session", uint64(id)))
+		}
 		for _, s := range c.streams {
 			if s.session == id {
 				c.output.Sends = append(c.output.Sends, Send{Stream: s.id, Down: session.Down{Session: id, Closed: true, Rejected: true}})
--- a/internal/controlnode/consensus_server.go
+++ b/internal/controlnode/consensus_server.go
@@ -2,10 +2,10 @@
 
 import (
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 
 	"endivespring/internal/consensus"
+	"endivespring/internal/event"
+	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/wire"
 	"endivespring/internal/wire/wirepb"
@@ -15,6 +15,7 @@
 type consensusServer struct {
 	wirepb.UnimplementedConsensusServer
 	fleet   string
+	events  event.Recorder
 	inbound *ring.Ring[*consensus.Message]
 }
 
@@ -27,7 +28,7 @@
 			return err
 		}
 		if message.GetFleet() != s.fleet {
-			return status.Errorf(codes.PermissionDenied, "fleet %q is not %q", message.GetFleet(), s.fleet)
+			return peer.RefuseFleet(stream.Context(), s.events, s.fleet, message.GetFleet())
 		}
 		_ = s.inbound.Put(stream.Context(), wire.ToMessage(message))
 	}
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -120,8 +120,8 @@
 	n.group.Go("controller", o.Run)
 
 	n.grpc = peer.NewServer()
-	wirepb.RegisterConsensusServer(n.grpc, &consensusServer{fleet: n.settings.Fleet, inbound: c.inbound})
-	wirepb.RegisterSessionsServer(n.grpc, &sessionServer{fleet: n.settings.Fleet, arrivals: o.arrivals})
+	wirepb.RegisterConsensusServer(n.grpc, &consensusServer{fleet: n.settings.Fleet, events: n.events, inbound: c.inbound})
+	wirepb.RegisterSessionsServer(n.grpc, &sessionServer{fleet: n.settings.Fleet, events: n.events, arrivals: o.arrivals})
 	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, peerListener) })
 	n.app = operator.NewServer(token, o.operators).App()
 	n.group.Go("operator-server", func(context.Context) error { return n.app.Listener(operatorListener) })
@@ -152,7 +152,7 @@
 		messages := ring.New[consensus.Message]("peer-"+p.Name, peerCapacity, ring.DropOldest)
 		out.rings[p.Name] = messages
 		n.registry.Rings(messages)
-		d := &peerDuty{fleet: n.settings.Fleet, address: p.Peer, out: messages}
+		d := &peerDuty{fleet: n.settings.Fleet, events: n.events, address: p.Peer, out: messages}
 		n.group.Go("peer-"+p.Name, d.Run)
 	}
 	return out
--- a/internal/controlnode/peer_duty.go
+++ b/internal/controlnode/peer_duty.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 
 	"endivespring/internal/consensus"
+	"endivespring/internal/event"
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/wire"
@@ -22,6 +25,7 @@
 type peerDuty struct {
 	fleet   string
 	address string
+	events  event.Recorder
 	out     *ring.Ring[consensus.Message]
 }
 
@@ -29,8 +33,12 @@
 // new connection; messages in between are dropped.
 func (d *peerDuty) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		_ = d.stream(ctx)
-		wait(ctx, redialDelay)
+		delay := redialDelay
+		if peer.RefusedFleet(d.stream(ctx)) {
+			d.events.Record(event.RefusedByFleet, event.F("address", d.address), event.F("fleet", d.fleet))
+			delay = peer.RefusedDelay
+		}
+		wait(ctx, delay)
 	}
 	return nil
 }
@@ -61,7 +69,11 @@
 func (d *peerDuty) send(client grpc.ClientStreamingClient[wirepb.ConsensusMessage, wirepb.Empty], cancel func(), m *consensus.Message) error {
 	watchdog := time.AfterFunc(sendTimeout, cancel)
 	defer watchdog.Stop()
-	return client.Send(wire.FromMessage(m, d.fleet))
+	err := client.Send(wire.FromMessage(m, d.fleet))
+	if eris.Is(err, io.EOF) {
+		_, err = client.CloseAndRecv()
+	}
+	return err
 }
 
 func wait(ctx context.Context, d time.Duration) {
--- a/internal/controlnode/session_server.go
+++ b/internal/controlnode/session_server.go
@@ -9,6 +9,8 @@
 	"google.golang.org/grpc/status"
 
 	"endivespring/internal/controller"
+	"endivespring/internal/event"
+	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/session"
 	"endivespring/internal/wire"
@@ -21,6 +23,7 @@
 type sessionServer struct {
 	wirepb.UnimplementedSessionsServer
 	fleet    string
+	events   event.Recorder
 	arrivals *ring.Ring[arrival]
 	next     atomic.Uint64
 }
@@ -56,7 +59,7 @@
 			return err
 		}
 		if up.GetFleet() != s.fleet {
-			return status.Errorf(codes.PermissionDenied, "fleet %q is not %q", up.GetFleet(), s.fleet)
+			return peer.RefuseFleet(ctx, s.events, s.fleet, up.GetFleet())
 		}
 		a.up = wire.ToUp(up)
 		if err := s.arrivals.Put(ctx, a); err != nil {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -20,6 +20,7 @@
 	CommandRefused    = define(401, "command-refused", Warn, "An operator's command was refused.")
 	ViewApplied       = define(500, "view-applied", Info, "The router applied a newer view.")
 	ViewExpired       = define(501, "view-expired", Alarm, "The router's view lapsed; it refuses new work until it reaches the control leader.")
+	ViewRenewed       = define(502, "view-renewed", Info, "The router's view is current again; it takes new work.")
 	RequestRouted     = define(510, "request-routed", Info, "The entry chose a door for a request.")
 	RequestRetried    = define(511, "request-retried", Info, "The entry tries a request again at another door.")
 	RequestFinished   = define(512, "request-finished", Info, "The entry answered a request.")
@@ -32,6 +33,8 @@
 	ConnectionRetired = define(700, "connection-retired", Warn, "A connection missed a deadline and is not used again.")
 	PeerConnected     = define(710, "peer-connected", Info, "A link to another router was opened.")
 	PeerLost          = define(711, "peer-lost", Warn, "A link to another router was lost.")
+	FleetRefused      = define(720, "fleet-refused", Warn, "This process refused a stream from a process of another fleet.")
+	RefusedByFleet    = define(721, "refused-by-fleet", Alarm, "A process of another fleet refused this one.")
 )
 
 var catalogue []*Definition
--- a/internal/router/door_server.go
+++ b/internal/router/door_server.go
@@ -10,6 +10,8 @@
 
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
+	"endivespring/internal/event"
+	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
 	"endivespring/internal/wire"
@@ -21,14 +23,19 @@
 // doorServer takes calls of other routers' entries.
 type doorServer struct {
 	wirepb.UnimplementedDoorsServer
-	fleet string
-	clock clock.Clock
-	door  *ring.Ring[submission]
-	next  atomic.Uint64
+	fleet  string
+	events event.Recorder
+	clock  clock.Clock
+	door   *ring.Ring[submission]
+	next   atomic.Uint64
 }
 
 // Link joins one entry's stream to the door duty.
 func (s *doorServer) Link(stream grpc.BidiStreamingServer[wirepb.DoorUp, wirepb.DoorDown]) error {
+	first, err := s.handshake(stream)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	id := localLink + s.next.Add(1)
@@ -38,6 +45,7 @@
 	}
 	go func() {
 		defer cancel()
+		s.take(ctx, first, id, sink)
 		s.receive(ctx, stream, id, sink)
 	}()
 	s.send(ctx, stream, sink)
@@ -45,6 +53,18 @@
 	return status.Error(codes.Unavailable, "link ended")
 }
 
+// handshake takes the first message, which tells the fleet of the stream.
+func (s *doorServer) handshake(stream grpc.BidiStreamingServer[wirepb.DoorUp, wirepb.DoorDown]) (*wirepb.DoorUp, error) {
+	first, err := stream.Recv()
+	if err != nil {
+		return nil, err
+	}
+	if first.GetFleet() != s.fleet {
+		return nil, peer.RefuseFleet(stream.Context(), s.events, s.fleet, first.GetFleet())
+	}
+	return first, nil
+}
+
 // forget tells the door duty that the link is gone. The ring may be full for a
 // moment, so this waits for room.
 func (s *doorServer) forget(id uint64) {
@@ -69,18 +89,15 @@
 		if err != nil {
 			return
 		}
-		if up.GetPing() != 0 {
-			_ = sink.out.Put(ctx, &wirepb.DoorDown{Pong: up.GetPing()})
-			continue
-		}
-		if up.GetFleet() != s.fleet {
-			return
-		}
 		s.take(ctx, up, id, sink)
 	}
 }
 
 func (s *doorServer) take(ctx context.Context, up *wirepb.DoorUp, id uint64, sink *linkSink) {
+	if up.GetPing() != 0 {
+		_ = sink.out.Put(ctx, &wirepb.DoorDown{Pong: up.GetPing()})
+		return
+	}
 	if up.GetCancel() != 0 {
 		_ = s.door.Put(ctx, submission{link: id, cancel: up.GetCancel()})
 		return
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -108,7 +108,7 @@
 			if now.Sub(used) > idleTimeout {
 				return nil
 			}
-			up = &wirepb.DoorUp{Ping: uint64(now)}
+			up = &wirepb.DoorUp{Fleet: l.fleet, Ping: uint64(now)}
 		}
 		watchdog := time.AfterFunc(silentTimeout, cancel)
 		err := stream.Send(up)
@@ -132,6 +132,9 @@
 	for {
 		down, err := stream.Recv()
 		if err != nil {
+			if peer.RefusedFleet(err) {
+				l.events.Record(event.RefusedByFleet, event.F("address", l.address), event.F("fleet", l.fleet))
+			}
 			return
 		}
 		_ = l.heard.Put(ctx, l.clock.Now())
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -130,7 +130,7 @@
 	n.caller = caller.NewServer(n.entry.requests, s.MaxBody, metrics.NewRequestMeter(n.registry).Observe)
 	n.announce = upstream.NewServer(n.door.notices).App()
 	n.grpc = peer.NewServer()
-	wirepb.RegisterDoorsServer(n.grpc, &doorServer{fleet: s.Fleet, clock: n.clock, door: submissions})
+	wirepb.RegisterDoorsServer(n.grpc, &doorServer{fleet: s.Fleet, events: n.events, clock: n.clock, door: submissions})
 }
 
 // measure registers the rings and the figures of the duties.
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -38,6 +38,11 @@
 
 	next   int
 	leader string
+	// refusals counts streams in a row that control processes of another fleet
+	// refused.
+	refusals  int
+	viewUntil clock.Instant
+	lapsed    bool
 }
 
 // Run keeps a stream to the leader until the context ends.
@@ -64,9 +69,14 @@
 
 // pause waits before the next try and keeps taking what others report.
 func (d *sessionDuty) pause(ctx context.Context) {
-	timer := time.NewTimer(attachDelay)
+	delay := attachDelay
+	if d.refusals >= len(d.addresses) {
+		delay = peer.RefusedDelay
+	}
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	for {
+		d.watchView()
 		select {
 		case <-timer.C:
 			return
@@ -94,21 +104,20 @@
 	d.core.Connected(d.clock.Now())
 	outgoing := ring.New[session.Up]("session-up", 8, ring.DropOldest)
 	incoming := ring.New[session.Down]("session-in", 64, ring.Wait)
-	ended := ring.New[struct{}]("session-ended", 1, ring.DropOldest)
+	ended := ring.New[error]("session-ended", 1, ring.DropOldest)
 	go func() {
-		defer func() { _ = ended.Put(ctx, struct{}{}) }()
-		d.exchange(ctx, wirepb.NewSessionsClient(connection), outgoing, incoming)
+		_ = ended.Put(ctx, d.exchange(ctx, wirepb.NewSessionsClient(connection), outgoing, incoming))
 	}()
 	d.serve(ctx, outgoing, incoming, ended)
 }
 
 // exchange joins the stream to two rings until it fails.
-func (d *sessionDuty) exchange(ctx context.Context, client wirepb.SessionsClient, outgoing *ring.Ring[session.Up], incoming *ring.Ring[session.Down]) {
+func (d *sessionDuty) exchange(ctx context.Context, client wirepb.SessionsClient, outgoing *ring.Ring[session.Up], incoming *ring.Ring[session.Down]) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := client.Attach(ctx)
 	if err != nil {
-		return
+		return err
 	}
 	go func() {
 		defer cancel()
@@ -121,20 +130,24 @@
 	}()
 	for {
 		down, err := stream.Recv()
-		if err != nil || incoming.Put(ctx, wire.ToDown(down)) != nil {
-			return
+		if err != nil {
+			return err
+		}
+		if err := incoming.Put(ctx, wire.ToDown(down)); err != nil {
+			return err
 		}
 	}
 }
 
-func (d *sessionDuty) serve(ctx context.Context, outgoing *ring.Ring[session.Up], incoming *ring.Ring[session.Down], ended *ring.Ring[struct{}]) {
+func (d *sessionDuty) serve(ctx context.Context, outgoing *ring.Ring[session.Up], incoming *ring.Ring[session.Down], ended *ring.Ring[error]) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ended.Out():
+		case err := <-ended.Out():
+			d.noteRefusal(err)
 			return
 		case <-timer.C:
 			if d.core.Silent(d.clock.Now()) {
@@ -152,6 +165,7 @@
 		case <-d.closing.Out():
 			d.core.Close(d.clock.Now())
 		}
+		d.watchView()
 		if up, due := d.core.Due(d.clock.Now()); due {
 			_ = outgoing.Put(ctx, up)
 		}
@@ -159,6 +173,30 @@
 	}
 }
 
+// noteRefusal logs that control belongs to another fleet.
+func (d *sessionDuty) noteRefusal(err error) {
+	if !peer.RefusedFleet(err) {
+		d.refusals = 0
+		return
+	}
+	d.refusals++
+	d.events.Record(event.RefusedByFleet, event.F("address", d.addresses[d.next%len(d.addresses)]), event.F("fleet", d.fleet))
+}
+
+// watchView logs when the view lapses and when it is current again.
+func (d *sessionDuty) watchView() {
+	lapsed := d.viewUntil != 0 && d.clock.Now() >= d.viewUntil
+	if lapsed == d.lapsed {
+		return
+	}
+	d.lapsed = lapsed
+	if lapsed {
+		d.events.Record(event.ViewExpired)
+		return
+	}
+	d.events.Record(event.ViewRenewed)
+}
+
 // receive takes a message and reports whether the stream is still of use.
 func (d *sessionDuty) receive(ctx context.Context, down *session.Down) bool {
 	if down.Redirect {
@@ -180,6 +218,7 @@
 }
 
 func (d *sessionDuty) spread(ctx context.Context, update session.Update) {
+	d.viewUntil = update.ViewUntil
 	d.meter.Leases(update.OwnUntil, update.ViewUntil)
 	if update.Change != nil {
 		d.meter.View(update.Change.To)
