--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -6,22 +6,24 @@
 
 	"github.com/google/subcommands"
 
+	"endivespring/internal/preset"
 	"endivespring/internal/settings"
 )
 
-// Check checks a settings file and shows what a process would run with.
+// Check checks a settings or preset file and shows what it means.
 type Check struct{}
 
 // Name returns the subcommand's name.
 func (*Check) Name() string { return "check" }
 
 // Synopsis returns a one-line description.
-func (*Check) Synopsis() string { return "check a settings file and show what it means" }
+func (*Check) Synopsis() string { return "check a settings or preset file and show what it means" }
 
 // Usage returns the help text.
 func (*Check) Usage() string {
-	return `check control FILE | router FILE | operator FILE
-  Checks a settings file and prints it with all defaults filled in.
+	return `check control FILE | router FILE | operator FILE | preset FILE
+  Checks a file and prints it as JSON with all defaults filled in. It looks at
+  nothing else: not at the token file, the data folder or the addresses.
   Example: endivespring check router router-1.json
 `
 }
@@ -30,11 +32,13 @@
 func (*Check) SetFlags(*flag.FlagSet) {}
 
 // Execute runs the command.
-func (*Check) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	kinds := map[string]any{"control": &settings.Control{}, "router": &settings.Router{}, "operator": &settings.Operator{}}
+func (c *Check) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	kinds := map[string]any{
+		"control": &settings.Control{}, "router": &settings.Router{}, "operator": &settings.Operator{}, "preset": &preset.File{},
+	}
 	target, ok := kinds[f.Arg(0)]
 	if f.NArg() != 2 || !ok {
-		return usage("check needs control FILE, router FILE or operator FILE")
+		return usage("check needs control FILE, router FILE, operator FILE or preset FILE")
 	}
 	if err := settings.Read(f.Arg(1), target); err != nil {
 		return fail(err)
--- a/internal/command/data_centre.go
+++ b/internal/command/data_centre.go
@@ -3,14 +3,16 @@
 import (
 	"context"
 	"flag"
+	"slices"
 
 	"github.com/google/subcommands"
 
+	"endivespring/internal/controller"
 	"endivespring/internal/operator"
 )
 
 // DataCentre takes a data centre out or back.
-type DataCentre struct{ operatorFlags }
+type DataCentre struct{ takingFlags }
 
 // Name returns the subcommand's name.
 func (*DataCentre) Name() string { return "datacentre" }
@@ -22,24 +24,23 @@
 func (*DataCentre) Usage() string {
 	return `datacentre [flags] out NAME | in NAME
   Takes a data centre out, so that its upstreams get no new work, or back in.
+  A name that no router of the fleet has is refused, unless --force is given.
   Example: endivespring datacentre out lodz
 `
 }
 
 // SetFlags declares the flags.
-func (c *DataCentre) SetFlags(f *flag.FlagSet) { c.setChange(f) }
+func (c *DataCentre) SetFlags(f *flag.FlagSet) { c.setTaking(f) }
 
 // Execute runs the command.
 func (c *DataCentre) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	out, ok := outOrIn(f)
+	name, out, ok := c.outOrIn(f)
 	if !ok {
 		return usage("datacentre needs out NAME or in NAME")
 	}
-	return c.change(operator.ChangeBody{DataCentre: f.Arg(1), Out: out})
-}
-
-// outOrIn reads the arguments "out NAME" or "in NAME".
-func outOrIn(f *flag.FlagSet) (out, ok bool) {
-	ok = f.NArg() == 2 && f.Arg(1) != "" && (f.Arg(0) == "out" || f.Arg(0) == "in")
-	return f.Arg(0) == "out", ok
+	known := func(s *controller.Status) bool {
+		return slices.Contains(s.CentresOut, name) ||
+			slices.ContainsFunc(s.Routers, func(r controller.RouterStatus) bool { return r.DataCentre == name })
+	}
+	return c.take(name, known, operator.ChangeBody{DataCentre: name, Out: out})
 }
--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -14,7 +14,7 @@
 // Exit codes besides those of the subcommands library (0 success, 1 failure,
 // 2 wrong usage).
 const (
-	// ExitRefused means that control refused the command; nothing changed.
+	// ExitRefused means that the command was refused; nothing changed.
 	ExitRefused subcommands.ExitStatus = 3
 	// ExitUnknown means that the command may have been accepted or not.
 	ExitUnknown subcommands.ExitStatus = 4
@@ -23,10 +23,14 @@
 // fail prints an error and returns the matching exit code.
 func fail(err error) subcommands.ExitStatus {
 	fmt.Fprintln(os.Stderr, "endivespring: "+err.Error())
-	if eris.Is(err, operator.ErrUnknown) {
+	switch {
+	case eris.Is(err, operator.ErrUnknown):
 		return ExitUnknown
+	case eris.Is(err, operator.ErrRefused):
+		return ExitRefused
+	default:
+		return subcommands.ExitFailure
 	}
-	return subcommands.ExitFailure
 }
 
 // usage prints what is wrong with the arguments.
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -9,46 +9,80 @@
 	"github.com/google/subcommands"
 )
 
-// Explain says who owns a key and why.
-type Explain struct{ operatorFlags }
+// Explain says who owns a key and why, or what became of a request.
+type Explain struct {
+	operatorFlags
+	request string
+	log     string
+}
 
 // Name returns the subcommand's name.
 func (*Explain) Name() string { return "explain" }
 
 // Synopsis returns a one-line description.
-func (*Explain) Synopsis() string { return "say who owns a key and how that came about" }
+func (*Explain) Synopsis() string { return "say who owns a key, or what became of a request" }
 
 // Usage returns the help text.
 func (*Explain) Usage() string {
 	return `explain [flags] SERVICE KEY
-  Says which upstream owns a key, under which epoch, and its shard's last moves.
+explain --request ID --log FILE...
+  Says which upstream owns a key, under which epoch, and its shard's last moves;
+  or tells from routers' event logs what became of one request, in the order of
+  the VMs' clocks. Without the log of a router, its part is missing.
   Example: endivespring explain timetable pool-17/lane-4
+  Example: endivespring explain --request demo-1 --log router-1.log router-2.log
 `
 }
 
 // SetFlags declares the flags.
-func (c *Explain) SetFlags(f *flag.FlagSet) { c.set(f) }
+func (c *Explain) SetFlags(f *flag.FlagSet) {
+	c.set(f)
+	f.StringVar(&c.request, "request", "", "`id` of a request whose story is told from logs")
+	f.StringVar(&c.log, "log", "", "event log `file`; more may follow")
+}
 
 // Execute runs the command.
 func (c *Explain) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() != 2 {
-		return usage("explain needs SERVICE and KEY")
+	args, err := arguments(f)
+	switch {
+	case err != nil:
+		return subcommands.ExitUsageError
+	case c.request != "" && c.log != "":
+		return c.tell(append([]string{c.log}, args...))
+	case c.request != "" || c.log != "" || len(args) != 2:
+		return usage("explain needs SERVICE and KEY, or --request ID and --log FILE")
 	}
 	client, err := c.client()
 	if err != nil {
 		return fail(err)
 	}
-	explanation, err := client.Explain(f.Arg(0), f.Arg(1))
+	explanation, err := client.Explain(args[0], args[1])
 	if err != nil {
 		return fail(err)
 	}
-	if c.output == "json" {
+	if c.output == outputJSON {
 		return printJSON(explanation)
 	}
+	owner := explanation.Owner
+	if owner == "" {
+		owner = "none"
+	}
 	fmt.Fprintf(os.Stdout, "%s is in shard %s: %s, owner %s, epoch %d\n",
-		explanation.Key, explanation.Shard, explanation.Phase, explanation.Owner, explanation.Epoch)
+		explanation.Key, explanation.Shard, explanation.Phase, owner, explanation.Epoch)
 	for _, move := range explanation.Moves {
 		fmt.Fprintf(os.Stdout, "  view %d: %s %s epoch %d\n", move.Version, move.Phase, move.Owner, move.Epoch)
 	}
 	return subcommands.ExitSuccess
 }
+
+func (c *Explain) tell(files []string) subcommands.ExitStatus {
+	story, err := readStory(c.request, files)
+	if err != nil {
+		return fail(err)
+	}
+	if c.output == outputJSON {
+		return printJSON(story)
+	}
+	story.print(os.Stdout)
+	return subcommands.ExitSuccess
+}
--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -19,7 +18,7 @@
 	settings  load.Settings
 	addresses string
 	body      string
-	output    string
+	output    output
 }
 
 // Name returns the subcommand's name.
@@ -49,7 +48,7 @@
 	f.IntVar(&c.settings.Workers, "workers", 256, "largest number of requests under way")
 	f.Uint64Var(&c.settings.Seed, "seed", 1, "seed of the random choices")
 	f.StringVar(&c.body, "body", "", "body of each request")
-	f.StringVar(&c.output, "output", "table", "table or json")
+	c.output.declare(f)
 }
 
 // Execute runs the load.
@@ -57,16 +56,13 @@
 	if c.addresses == "" || c.settings.Service == "" || c.settings.Operation == "" {
 		return usage("load needs --callers, --service and --operation")
 	}
-	if c.output != "table" && c.output != "json" {
-		return usage("--output %q must be table or json", c.output)
-	}
 	c.settings.Addresses = strings.Split(c.addresses, ",")
 	c.settings.Body = []byte(c.body)
 	report, err := load.Run(ctx, c.settings)
 	if err != nil {
 		return fail(err)
 	}
-	if c.output == "json" {
+	if c.output == outputJSON {
 		return printJSON(report)
 	}
 	fmt.Fprintf(os.Stdout, "%s/%s seed %d: %d sent in %.1f s, verdicts %v, reasons %v, mismatched %d\n",
@@ -74,12 +70,3 @@
 	fmt.Fprintf(os.Stdout, "latency ms: p50 %.2f, p99 %.2f, p99.9 %.2f, max %.2f\n", report.P50, report.P99, report.P999, report.Max)
 	return subcommands.ExitSuccess
 }
-
-func printJSON(value any) subcommands.ExitStatus {
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(value); err != nil {
-		return fail(err)
-	}
-	return subcommands.ExitSuccess
-}
--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -3,23 +3,51 @@
 import (
 	"context"
 	"flag"
+	"fmt"
+	"io"
+	"os"
 
 	"github.com/google/subcommands"
 )
 
+const exitCodes = `Exit codes: 0 done, 1 failed and nothing was changed, 2 wrong usage,
+3 refused and nothing was changed, 4 outcome unknown: send again with the same
+--command-id to learn it.
+Flags may stand before or after a subcommand's other arguments.
+`
+
 // Main runs the subcommand named on the command line and returns the exit code.
 func Main() int {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(subcommands.FlagsCommand(), "")
-	for _, c := range []subcommands.Command{&Control{}, &Router{}} {
-		subcommands.Register(c, "processes")
+	commander := newCommander()
+	if err := commander.flags.Parse(os.Args[1:]); err != nil {
+		return int(subcommands.ExitUsageError)
+	}
+	return int(commander.Execute(context.Background()))
+}
+
+// groups returns every subcommand by its group.
+func groups() []group {
+	return []group{
+		{"processes", []subcommands.Command{&Control{}, &Router{}}},
+		{"operators", []subcommands.Command{&Preset{}, &DataCentre{}, &Upstream{}, &Status{}, &Explain{}, &Check{}, &Reference{}}},
+		{"tests and measurements", []subcommands.Command{&Standin{}, &Load{}}},
 	}
-	for _, c := range []subcommands.Command{&Preset{}, &DataCentre{}, &Upstream{}, &Status{}, &Explain{}, &Check{}} {
-		subcommands.Register(c, "operators")
+}
+
+func newCommander() *commander {
+	flags := flag.NewFlagSet("endivespring", flag.ContinueOnError)
+	c := &commander{Commander: subcommands.NewCommander(flags, "endivespring"), flags: flags}
+	c.Register(c.HelpCommand(), "")
+	c.Register(c.FlagsCommand(), "")
+	for _, g := range groups() {
+		for _, command := range g.commands {
+			c.Register(command, g.name)
+		}
 	}
-	for _, c := range []subcommands.Command{&Standin{}, &Load{}} {
-		subcommands.Register(c, "tests and measurements")
+	explain := c.Explain
+	c.Explain = func(w io.Writer) {
+		explain(w)
+		fmt.Fprint(w, exitCodes)
 	}
-	flag.Parse()
-	return int(subcommands.Execute(context.Background()))
+	return c
 }
--- a/internal/command/operator_flags.go
+++ b/internal/command/operator_flags.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -12,10 +13,13 @@
 	"endivespring/internal/settings"
 )
 
+const leaderPatience = 10 * time.Second // default of --patience
+
 // operatorFlags are the flags of every operator's command.
 type operatorFlags struct {
 	settingsFile string
-	output       string
+	output       output
+	patience     time.Duration
 	expected     int64
 	commandID    string
 
@@ -23,15 +27,16 @@
 }
 
 func (o *operatorFlags) set(f *flag.FlagSet) {
-	f.StringVar(&o.settingsFile, "settings", "operator.json", "settings file")
-	f.StringVar(&o.output, "output", "table", "table or json")
+	f.StringVar(&o.settingsFile, "settings", "operator.json", "settings `file`")
+	f.DurationVar(&o.patience, "patience", leaderPatience, "longest `time` to look for a control process that leads")
+	o.output.declare(f)
 }
 
 // setChange adds the flags of commands that change something.
 func (o *operatorFlags) setChange(f *flag.FlagSet) {
 	o.set(f)
-	f.Int64Var(&o.expected, "expect", -1, "config version that the command is based on; the present one if not given")
-	f.StringVar(&o.commandID, "command-id", "", "id that makes a resend safe; a new one if not given")
+	f.Int64Var(&o.expected, "expect", -1, "config `version` that the command is based on; the present one if not given")
+	f.StringVar(&o.commandID, "command-id", "", "`id` that makes a resend safe; a new one if not given")
 }
 
 // client reads the settings and returns a client.
@@ -43,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return operator.NewClient(o.settings.Control, token), nil
+	return operator.NewClient(o.settings.Control, token, o.patience), nil
 }
 
 // change sends a command and prints its outcome.
@@ -65,14 +70,14 @@
 	body.CommandID, body.Operator, body.Expected = o.commandID, o.settings.Name, uint64(o.expected)
 	result, err := client.Change(&body)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "command id %s\n", o.commandID)
+		fmt.Fprintf(os.Stderr, "command id %s, expected config version %d\n", o.commandID, o.expected)
 		return fail(err)
 	}
 	return o.printResult(result)
 }
 
 func (o *operatorFlags) printResult(result *operator.ResultBody) subcommands.ExitStatus {
-	if o.output == "json" {
+	if o.output == outputJSON {
 		if status := printJSON(result); status != subcommands.ExitSuccess {
 			return status
 		}
--- a/internal/command/preset.go
+++ b/internal/command/preset.go
@@ -5,27 +5,35 @@
 	"flag"
 	"fmt"
 	"os"
+	"text/tabwriter"
 
 	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
 
 	"endivespring/internal/operator"
 	"endivespring/internal/preset"
 )
 
-// Preset checks preset files and puts them in force.
+var errNoPreset = eris.New("no preset is in force yet")
+
+// Preset checks, compares and shows presets and puts them in force.
 type Preset struct{ operatorFlags }
 
 // Name returns the subcommand's name.
 func (*Preset) Name() string { return "preset" }
 
 // Synopsis returns a one-line description.
-func (*Preset) Synopsis() string { return "validate a preset or put it in force" }
+func (*Preset) Synopsis() string { return "check, compare or show presets, or put one in force" }
 
 // Usage returns the help text.
 func (*Preset) Usage() string {
-	return `preset [flags] validate FILE | apply FILE
-  Checks a preset file, or puts it in force everywhere.
-  Example: endivespring preset --settings operator.json apply ordinary.json
+	return `preset [flags] validate FILE | diff [FILE] FILE | show | apply FILE
+  validate checks a preset file without talking to control.
+  diff shows what differs between two files, or between the preset in force and
+  a file.
+  show prints the preset in force; with --output json as a preset file.
+  apply puts a preset in force everywhere.
+  Example: endivespring preset diff peak.json && endivespring preset apply peak.json
 `
 }
 
@@ -34,20 +42,101 @@
 
 // Execute runs the command.
 func (c *Preset) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() != 2 || (f.Arg(0) != "validate" && f.Arg(0) != "apply") {
-		return usage("preset needs validate FILE or apply FILE")
+	args, err := arguments(f)
+	if err != nil {
+		return subcommands.ExitUsageError
 	}
-	checked, err := preset.Read(f.Arg(1))
+	switch {
+	case len(args) == 2 && args[0] == "validate":
+		return c.validate(args[1])
+	case len(args) == 2 && args[0] == "apply":
+		return c.apply(args[1])
+	case (len(args) == 2 || len(args) == 3) && args[0] == "diff":
+		return c.diff(args[1:])
+	case len(args) == 1 && args[0] == "show":
+		return c.show()
+	default:
+		return usage("preset needs validate FILE, diff [FILE] FILE, show or apply FILE")
+	}
+}
+
+func (c *Preset) validate(path string) subcommands.ExitStatus {
+	file, err := preset.ReadFile(path)
 	if err != nil {
 		return fail(err)
 	}
-	if f.Arg(0) == "validate" {
-		fmt.Fprintf(os.Stdout, "preset %s is valid: %d services\n", checked.Name, len(checked.Services))
-		return subcommands.ExitSuccess
+	if c.output == outputJSON {
+		return printJSON(file)
+	}
+	fmt.Fprintf(os.Stdout, "preset %s is valid: %d services\n", file.Name, len(file.Services))
+	return subcommands.ExitSuccess
+}
+
+func (c *Preset) apply(path string) subcommands.ExitStatus {
+	if _, err := preset.ReadFile(path); err != nil {
+		return fail(err)
 	}
-	data, err := os.ReadFile(f.Arg(1))
+	data, err := os.ReadFile(path)
 	if err != nil {
 		return fail(err)
 	}
 	return c.change(operator.ChangeBody{Preset: data})
 }
+
+func (c *Preset) diff(paths []string) subcommands.ExitStatus {
+	var files []*preset.File
+	if len(paths) == 1 {
+		present, err := c.inForce()
+		if err != nil {
+			return fail(err)
+		}
+		files = append(files, present.Preset)
+	}
+	for _, path := range paths {
+		file, err := preset.ReadFile(path)
+		if err != nil {
+			return fail(err)
+		}
+		files = append(files, file)
+	}
+	differences := preset.Diff(files[0], files[1])
+	if c.output == outputJSON {
+		return printJSON(differences)
+	}
+	for _, difference := range differences {
+		fmt.Fprintln(os.Stdout, difference)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *Preset) inForce() (*operator.PresetBody, error) {
+	client, err := c.client()
+	if err != nil {
+		return nil, err
+	}
+	body, err := client.Preset()
+	if err == nil && body.Preset == nil {
+		err = errNoPreset
+	}
+	return body, err
+}
+
+func (c *Preset) show() subcommands.ExitStatus {
+	body, err := c.inForce()
+	if err != nil {
+		return fail(err)
+	}
+	if c.output == outputJSON {
+		return printJSON(body.Preset)
+	}
+	fmt.Fprintf(os.Stdout, "preset %s, in force since config version %d\n", body.Preset.Name, body.Version)
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "SERVICE\tBY KEY\tSHARDS\tQUEUE\tOPERATION\tIDEMPOTENT\tDEADLINE")
+	for _, s := range body.Preset.Services {
+		for _, o := range s.Operations {
+			fmt.Fprintf(w, "%s\t%t\t%d\t%d\t%s\t%t\t%s\n", s.Name, s.Keyed, s.Shards, s.QueueLimit, o.Name, o.Idempotent, o.Deadline.Value())
+		}
+	}
+	_ = w.Flush()
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/command/reference_test.go
@@ -0,0 +1,32 @@
+package command
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestReferencePagesAreCurrent compares docs/ with what the code says. Write a
+// page again with: go run ./cmd/endivespring reference events > docs/EVENTS.md
+func TestReferencePagesAreCurrent(t *testing.T) {
+	for name, write := range references() {
+		page, err := os.ReadFile("../../docs/" + strings.ToUpper(name) + ".md")
+		assert.NilError(t, err)
+		var want bytes.Buffer
+		write(&want)
+		assert.Equal(t, string(page), want.String(), "docs page %s is not current", name)
+	}
+}
+
+// TestEveryCommandIsExplained checks what help shows of each command.
+func TestEveryCommandIsExplained(t *testing.T) {
+	for _, g := range groups() {
+		for _, c := range g.commands {
+			assert.Assert(t, strings.HasPrefix(c.Usage(), c.Name()), c.Name())
+			assert.Assert(t, strings.Contains(c.Usage(), "Example: endivespring "+c.Name()), c.Name())
+		}
+	}
+}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -4,11 +4,14 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
 	"github.com/google/subcommands"
+	"github.com/samber/lo"
 
 	"endivespring/internal/controller"
 )
@@ -25,8 +28,8 @@
 // Usage returns the help text.
 func (*Status) Usage() string {
 	return `status [flags]
-  Shows the preset in force and where it is not yet, data centres, upstreams,
-  shards and control processes.
+  Shows the preset in force and where it is not yet, control processes, data
+  centres, shards and upstreams.
   Example: endivespring status --output json
 `
 }
@@ -35,7 +38,10 @@
 func (c *Status) SetFlags(f *flag.FlagSet) { c.set(f) }
 
 // Execute runs the command.
-func (c *Status) Execute(_ context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *Status) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		return usage("status takes no arguments")
+	}
 	client, err := c.client()
 	if err != nil {
 		return fail(err)
@@ -44,31 +50,69 @@
 	if err != nil {
 		return fail(err)
 	}
-	if c.output == "json" {
+	if c.output == outputJSON {
 		return printJSON(status)
 	}
-	printStatus(status)
+	printStatus(os.Stdout, status)
 	return subcommands.ExitSuccess
 }
 
-func printStatus(s *controller.Status) {
-	fmt.Fprintf(os.Stdout, "preset %s (version %d), config version %d, view %d: in force at %d of %d routers\n",
-		s.Preset, s.PresetAt, s.Config, s.View, s.InForce, len(s.Routers))
-	if len(s.Behind) > 0 {
-		fmt.Fprintf(os.Stdout, "not yet at: %s\n", strings.Join(s.Behind, ", "))
+func printStatus(out io.Writer, s *controller.Status) {
+	if s.Preset == "" {
+		fmt.Fprint(out, "no preset yet")
+	} else {
+		fmt.Fprintf(out, "preset %s (version %d)", s.Preset, s.PresetAt)
+	}
+	fmt.Fprintf(out, ", config version %d, view %d: in force at %d of %d routers\n", s.Config, s.View, s.InForce, len(s.Routers))
+	printList(out, "not yet at", s.Behind)
+	printList(out, "data centres out", s.CentresOut)
+	printList(out, "upstreams out", s.UpstreamsOut)
+	fmt.Fprintf(out, "control: leader %s, term %d, voters %s\n", s.Leader, s.Term, strings.Join(s.Voters, ", "))
+	printList(out, "control processes that catch up", s.Learners)
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	printCentres(w, s)
+	printServices(w, s)
+	printRouters(w, s)
+	_ = w.Flush()
+}
+
+func printList(out io.Writer, title string, names []string) {
+	if len(names) > 0 {
+		fmt.Fprintf(out, "%s: %s\n", title, strings.Join(names, ", "))
 	}
-	if len(s.CentresOut) > 0 {
-		fmt.Fprintf(os.Stdout, "data centres out: %s\n", strings.Join(s.CentresOut, ", "))
+}
+
+func printCentres(w io.Writer, s *controller.Status) {
+	byCentre := lo.GroupBy(s.Routers, func(r controller.RouterStatus) string { return r.DataCentre })
+	names := lo.Uniq(append(lo.Keys(byCentre), s.CentresOut...))
+	slices.Sort(names)
+	fmt.Fprintln(w, "DATA CENTRE\tSTATE\tROUTERS\tREADY\tSHARDS")
+	for _, name := range names {
+		state := "in"
+		if slices.Contains(s.CentresOut, name) {
+			state = "out"
+		}
+		routers := byCentre[name]
+		ready := lo.CountBy(routers, func(r controller.RouterStatus) bool { return r.State == "ready" })
+		shards := lo.SumBy(routers, func(r controller.RouterStatus) int { return r.Shards })
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n", name, state, len(routers), ready, shards)
 	}
-	fmt.Fprintf(os.Stdout, "control: leader %s, term %d, voters %s\n", s.Leader, s.Term, strings.Join(s.Voters, ", "))
-	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+}
+
+func printServices(w io.Writer, s *controller.Status) {
 	fmt.Fprintln(w, "SERVICE\tSHARDS\tGRANTED\tREVOKING\tFREE")
 	for _, service := range s.Services {
 		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\n", service.Service, service.Shards, service.Granted, service.Revoking, service.Free)
 	}
+}
+
+func printRouters(w io.Writer, s *controller.Status) {
 	fmt.Fprintln(w, "ROUTER\tDATA CENTRE\tUPSTREAM\tSERVICE\tSTATE\tSHARDS\tVIEW")
 	for _, r := range s.Routers {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\n", r.Router, r.DataCentre, r.Upstream, r.Service, r.State, r.Shards, r.Applied)
+		view := fmt.Sprint(r.Applied)
+		if slices.Contains(s.Behind, r.Router) {
+			view += " (behind)"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", r.Router, r.DataCentre, r.Upstream, r.Service, r.State, r.Shards, view)
 	}
-	_ = w.Flush()
 }
--- a/internal/command/upstream.go
+++ b/internal/command/upstream.go
@@ -3,14 +3,16 @@
 import (
 	"context"
 	"flag"
+	"slices"
 
 	"github.com/google/subcommands"
 
+	"endivespring/internal/controller"
 	"endivespring/internal/operator"
 )
 
 // Upstream takes an upstream out or back.
-type Upstream struct{ operatorFlags }
+type Upstream struct{ takingFlags }
 
 // Name returns the subcommand's name.
 func (*Upstream) Name() string { return "upstream" }
@@ -21,19 +23,24 @@
 // Usage returns the help text.
 func (*Upstream) Usage() string {
 	return `upstream [flags] out NAME | in NAME
-  Takes an upstream out, so that it gets no new work, or back in.
+  Takes an upstream out, so that it gets no new work, or back in. A name that no
+  upstream of the fleet has now is refused, unless --force is given.
   Example: endivespring upstream out reservations-3
 `
 }
 
 // SetFlags declares the flags.
-func (c *Upstream) SetFlags(f *flag.FlagSet) { c.setChange(f) }
+func (c *Upstream) SetFlags(f *flag.FlagSet) { c.setTaking(f) }
 
 // Execute runs the command.
 func (c *Upstream) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	out, ok := outOrIn(f)
+	name, out, ok := c.outOrIn(f)
 	if !ok {
 		return usage("upstream needs out NAME or in NAME")
 	}
-	return c.change(operator.ChangeBody{Upstream: f.Arg(1), Out: out})
+	known := func(s *controller.Status) bool {
+		return slices.Contains(s.UpstreamsOut, name) ||
+			slices.ContainsFunc(s.Routers, func(r controller.RouterStatus) bool { return r.Upstream == name })
+	}
+	return c.take(name, known, operator.ChangeBody{Upstream: name, Out: out})
 }
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -99,7 +99,7 @@
 	}
 	clear(c.streams)
 	for _, w := range c.waiters {
-		c.output.Replies = append(c.output.Replies, OperatorReply{Token: w.token, Redirect: true})
+		c.output.Replies = append(c.output.Replies, OperatorReply{Token: w.token, Unknown: true})
 	}
 	c.waiters = nil
 }
--- a/internal/controller/operator_reply.go
+++ b/internal/controller/operator_reply.go
@@ -8,4 +8,7 @@
 	Result control.Result
 	// Redirect is set if this process does not lead; nothing was decided here.
 	Redirect bool
+	// Unknown is set if this process stopped leading before the command was
+	// committed: the next leader may still commit it.
+	Unknown bool
 }
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -22,6 +22,8 @@
 	}
 	status.CentresOut = lo.Map(lo.Keys(view.DataCentresOut), func(d fleet.DataCentre, _ int) string { return string(d) })
 	slices.Sort(status.CentresOut)
+	status.UpstreamsOut = lo.Keys(view.UpstreamsOut)
+	slices.Sort(status.UpstreamsOut)
 	status.Routers = c.routerStatuses()
 	for _, r := range status.Routers {
 		if r.Applied == view.Version {
@@ -34,6 +36,9 @@
 	return status
 }
 
+// Leading reports whether this process may answer for the fleet now.
+func (c *Core) Leading(now clock.Instant) bool { return c.leading(now) }
+
 func (c *Core) routerStatuses() []RouterStatus {
 	applied := map[fleet.Session]fleet.Version{}
 	for _, s := range c.streams {
--- a/internal/controlnode/controller_duty.go
+++ b/internal/controlnode/controller_duty.go
@@ -127,10 +127,14 @@
 		d.core.Operate(d.clock.Now(), d.token, request.Change)
 	case request.Explain != nil:
 		reply := operator.Reply{}
-		if explanation, ok := d.core.Explain(request.Explain.Service, request.Explain.Key); ok {
+		if !d.core.Leading(d.clock.Now()) {
+			reply.Redirect = true
+		} else if explanation, ok := d.core.Explain(request.Explain.Service, request.Explain.Key); ok {
 			reply.Explanation = &explanation
 		}
 		request.Reply.Send(reply)
+	case request.Preset:
+		request.Reply.Send(operator.Reply{Preset: d.core.State().View.Preset, Redirect: !d.core.Leading(d.clock.Now())})
 	default:
 		status := d.core.Status(d.clock.Now())
 		request.Reply.Send(operator.Reply{Status: &status})
@@ -155,7 +159,7 @@
 	for _, reply := range out.Replies {
 		if request, ok := d.replies[reply.Token]; ok {
 			delete(d.replies, reply.Token)
-			request.Reply.Send(operator.Reply{Redirect: reply.Redirect, Result: reply.Result})
+			request.Reply.Send(operator.Reply{Redirect: reply.Redirect, Unknown: reply.Unknown, Result: reply.Result})
 		}
 	}
 	for _, decision := range out.Decisions {
--- /dev/null
+++ b/internal/event/line.go
@@ -0,0 +1,56 @@
+package event
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const maxLine = 1 << 20 // bytes of a log line
+
+// Line is one line of a process's event log.
+type Line struct {
+	Time    time.Time `json:"time"`
+	Process string    `json:"process"`
+	Number  int       `json:"event"`
+	Name    string    `json:"name"`
+	// Fields are the event's own fields.
+	Fields map[string]any `json:"fields"`
+}
+
+// ReadLines returns the lines of a log that the function keep accepts. Lines
+// that are not events, such as a panic's, are passed over.
+func ReadLines(r io.Reader, keep func(*Line) bool) ([]Line, error) {
+	var out []Line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		if line, ok := parseLine(scanner.Bytes()); ok && keep(&line) {
+			out = append(out, line)
+		}
+	}
+	return out, eris.Wrap(scanner.Err(), "read log")
+}
+
+func parseLine(data []byte) (Line, bool) {
+	fields := map[string]any{}
+	if json.Unmarshal(data, &fields) != nil {
+		return Line{}, false
+	}
+	number, ok := fields["event"].(float64)
+	text, _ := fields["time"].(string)
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if !ok || err != nil {
+		return Line{}, false
+	}
+	line := Line{Time: at, Number: int(number), Fields: fields}
+	line.Process, _ = fields["process"].(string)
+	line.Name, _ = fields["message"].(string)
+	for _, common := range []string{"level", "process", "event", "time", "message"} {
+		delete(fields, common)
+	}
+	return line, true
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"net"
 	"net/url"
 	"time"
 
@@ -11,86 +13,124 @@
 	"endivespring/internal/controller"
 )
 
-const requestTimeout = 8 * time.Second // longest time for one request to one control process
+const (
+	requestTimeout = 8 * time.Second        // longest time for one request to one control process
+	dialTimeout    = time.Second            // longest time to open a connection
+	roundPause     = 200 * time.Millisecond // wait before all control processes are asked again
+)
 
 // Errors of the client.
 var (
-	// ErrNoLeader means that no control process that answered leads.
-	ErrNoLeader = eris.New("no control process leads")
+	// ErrNoLeader means that no control process that answered leads. Nothing
+	// was changed.
+	ErrNoLeader = eris.New("no control process leads; nothing was changed")
+	// ErrUnreachable means that no control process could be reached. Nothing
+	// was changed.
+	ErrUnreachable = eris.New("no control process can be reached; nothing was changed")
+	// ErrRefused means that control refused the request. Nothing was changed.
+	ErrRefused = eris.New("refused; nothing was changed")
 	// ErrUnknown means that the command may have been accepted or not.
-	ErrUnknown = eris.New("outcome unknown")
+	ErrUnknown = eris.New("outcome unknown; send again with the same command id")
 )
 
+var errRedirect = eris.New("process does not lead")
+
 // Client talks to the control processes of a fleet.
 type Client struct {
 	addresses []string
 	token     string
+	patience  time.Duration
 	http      fasthttp.Client
 }
 
 // NewClient returns a client for the operator addresses of all control
-// processes.
-func NewClient(addresses []string, token string) *Client {
-	return &Client{addresses: addresses, token: token, http: fasthttp.Client{
+// processes. It looks for a leader for as long as patience.
+func NewClient(addresses []string, token string, patience time.Duration) *Client {
+	return &Client{addresses: addresses, token: token, patience: patience, http: fasthttp.Client{
 		MaxIdemponentCallAttempts: 1, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout,
+		Dial:       func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, dialTimeout) },
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
 }
 
 // Status returns the status seen by the leader.
 func (c *Client) Status() (*controller.Status, error) {
-	for _, address := range c.addresses {
-		var status controller.Status
-		if err := c.do(address, fasthttp.MethodGet, "/v1/status", nil, &status); err == nil && status.Leads {
-			return &status, nil
-		} else if eris.Is(err, errRefused) {
-			return nil, err
+	var status controller.Status
+	err := c.ask(func(address string) error {
+		status = controller.Status{}
+		if err := c.do(address, fasthttp.MethodGet, "/v1/status", nil, &status); err != nil || status.Leads {
+			return err
 		}
-	}
-	return nil, ErrNoLeader
+		return errRedirect
+	})
+	return &status, err
 }
 
-// Explain returns who owns a key.
+// Explain returns who owns a key, as the leader knows it.
 func (c *Client) Explain(service, key string) (*controller.Explanation, error) {
 	query := "/v1/explain?service=" + url.QueryEscape(service) + "&key=" + url.QueryEscape(key)
-	last := ErrNoLeader
-	for _, address := range c.addresses {
-		var explanation controller.Explanation
-		err := c.do(address, fasthttp.MethodGet, query, nil, &explanation)
-		if err == nil {
-			return &explanation, nil
-		}
-		last = err
-	}
-	return nil, last
+	var explanation controller.Explanation
+	err := c.ask(func(address string) error { return c.do(address, fasthttp.MethodGet, query, nil, &explanation) })
+	return &explanation, err
+}
+
+// Preset returns the preset in force.
+func (c *Client) Preset() (*PresetBody, error) {
+	var body PresetBody
+	err := c.ask(func(address string) error { return c.do(address, fasthttp.MethodGet, "/v1/preset", nil, &body) })
+	return &body, err
 }
 
 // Change sends a command to the leader. If one answer is lost, the command is
 // sent on under the same id, so that it is executed once.
 func (c *Client) Change(change *ChangeBody) (*ResultBody, error) {
+	var result ResultBody
 	unknown := false
-	for _, address := range c.addresses {
-		var result ResultBody
+	err := c.ask(func(address string) error {
 		err := c.do(address, fasthttp.MethodPost, "/v1/changes", change, &result)
-		switch {
-		case err == nil:
-			return &result, nil
-		case eris.Is(err, errRefused):
-			return nil, err
-		case eris.Is(err, ErrUnknown):
+		if eris.Is(err, ErrUnknown) {
 			unknown = true
 		}
-	}
-	if unknown {
+		return err
+	})
+	if err != nil && unknown {
 		return nil, ErrUnknown
 	}
-	return nil, ErrNoLeader
+	return &result, err
 }
 
-var (
-	errRefused  = eris.New("request refused")
-	errRedirect = eris.New("process does not lead")
-)
+// ask asks one control process after the other, again and again, until one
+// answers or refuses, or patience ends.
+func (c *Client) ask(try func(address string) error) error {
+	end := time.Now().Add(c.patience)
+	for {
+		last := ErrUnreachable
+		for _, address := range c.addresses {
+			err := try(address)
+			if err == nil || eris.Is(err, ErrRefused) {
+				return err
+			}
+			last = worse(last, err)
+		}
+		if time.Now().Add(roundPause).After(end) {
+			return last
+		}
+		<-time.After(roundPause)
+	}
+}
+
+// worse returns what to report after two control processes failed: what may
+// have happened goes before what did not.
+func worse(last, err error) error {
+	switch {
+	case eris.Is(last, ErrUnknown) || eris.Is(err, ErrUnreachable):
+		return last
+	case eris.Is(err, errRedirect):
+		return ErrNoLeader
+	default:
+		return err
+	}
+}
 
 func (c *Client) do(address, method, path string, body, out any) error {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -102,29 +142,41 @@
 	if body != nil {
 		data, err := json.Marshal(body)
 		if err != nil {
-			return eris.Wrap(err, "encode request")
+			return eris.Wrapf(ErrRefused, "encode request: %v", err)
 		}
 		request.SetBody(data)
 	}
 	if err := c.http.DoTimeout(request, response, requestTimeout); err != nil {
-		return eris.Wrapf(ErrUnknown, "%s: %v", address, err)
+		return sendError(address, err)
+	}
+	return decode(address, response, out)
+}
+
+// sendError tells a request that never left from one whose answer was lost.
+func sendError(address string, err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
 	}
-	return decode(response, out)
+	return eris.Wrapf(ErrUnknown, "%s: %v", address, err)
 }
 
-func decode(response *fasthttp.Response, out any) error {
+func decode(address string, response *fasthttp.Response, out any) error {
 	code := response.StatusCode()
 	if code == fasthttp.StatusOK {
-		return eris.Wrap(json.Unmarshal(response.Body(), out), "decode answer")
+		if err := json.Unmarshal(response.Body(), out); err != nil {
+			return eris.Wrapf(ErrUnknown, "%s: answer cannot be read: %v", address, err)
+		}
+		return nil
 	}
 	var body ErrorBody
 	_ = json.Unmarshal(response.Body(), &body)
 	switch {
 	case code == fasthttp.StatusMisdirectedRequest || code == fasthttp.StatusServiceUnavailable:
 		return errRedirect
-	case code == fasthttp.StatusGatewayTimeout:
-		return eris.Wrap(ErrUnknown, body.Error)
+	case code >= fasthttp.StatusInternalServerError:
+		return eris.Wrapf(ErrUnknown, "%s: HTTP %d: %s", address, code, body.Error)
 	default:
-		return eris.Wrapf(errRefused, "HTTP %d: %s", code, body.Error)
+		return eris.Wrapf(ErrRefused, "%s: HTTP %d: %s", address, code, body.Error)
 	}
 }
--- a/internal/operator/request.go
+++ b/internal/operator/request.go
@@ -10,6 +10,7 @@
 type Request struct {
 	Change  *control.OperatorChange
 	Status  bool
+	Preset  bool
 	Explain *ExplainQuery
 	// Reply takes exactly one reply.
 	Reply ring.Reply[Reply]
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -2,6 +2,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/subtle"
 	"encoding/json"
@@ -22,8 +23,11 @@
 	replyTimeout = 5 * time.Second // longest wait for a command's commit
 	readTimeout  = 10 * time.Second
 	idleTimeout  = 30 * time.Second
+	maxBody      = 4 << 20 // bytes of a request
 )
 
+var errUnknownOutcome = fiber.NewError(fiber.StatusGatewayTimeout, "outcome unknown; send again with the same command id")
+
 // Server answers operators. Every request needs the operators' token.
 type Server struct {
 	token    string
@@ -35,7 +39,7 @@
 func NewServer(token string, requests *ring.Ring[Request]) *Server {
 	s := &Server{token: token, requests: requests}
 	s.app = fiber.New(fiber.Config{
-		DisableStartupMessage: true, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Immutable: true,
+		DisableStartupMessage: true, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Immutable: true, BodyLimit: maxBody,
 		ErrorHandler: func(c *fiber.Ctx, err error) error {
 			code := fiber.StatusInternalServerError
 			var known *fiber.Error
@@ -49,6 +53,7 @@
 	s.app.Post("/v1/changes", s.change)
 	s.app.Get("/v1/status", s.status)
 	s.app.Get("/v1/explain", s.explain)
+	s.app.Get("/v1/preset", s.preset)
 	return s
 }
 
@@ -56,8 +61,8 @@
 func (s *Server) App() *fiber.App { return s.app }
 
 func (s *Server) authenticate(c *fiber.Ctx) error {
-	given := strings.TrimPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
-	if subtle.ConstantTimeCompare([]byte(given), []byte(s.token)) != 1 {
+	given, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
+	if !ok || subtle.ConstantTimeCompare([]byte(given), []byte(s.token)) != 1 {
 		return fiber.NewError(fiber.StatusUnauthorized, "operator token is missing or wrong")
 	}
 	return c.Next()
@@ -65,7 +70,9 @@
 
 func (s *Server) change(c *fiber.Ctx) error {
 	var body ChangeBody
-	if err := json.Unmarshal(c.Body(), &body); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(c.Body()))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, "body: "+err.Error())
 	}
 	change, err := body.change()
@@ -87,6 +94,14 @@
 	return c.JSON(reply.Status)
 }
 
+func (s *Server) preset(c *fiber.Ctx) error {
+	reply, err := s.ask(Request{Preset: true})
+	if err != nil {
+		return err
+	}
+	return c.JSON(presetBody(reply.Preset))
+}
+
 func (s *Server) explain(c *fiber.Ctx) error {
 	reply, err := s.ask(Request{Explain: &ExplainQuery{Service: c.Query("service"), Key: c.Query("key")}})
 	if err != nil {
@@ -111,9 +126,12 @@
 		if reply.Redirect {
 			return Reply{}, fiber.NewError(fiber.StatusMisdirectedRequest, "this control process does not lead")
 		}
+		if reply.Unknown {
+			return Reply{}, errUnknownOutcome
+		}
 		return reply, nil
 	case <-ctx.Done():
-		return Reply{}, fiber.NewError(fiber.StatusGatewayTimeout, "outcome unknown; send again with the same command id")
+		return Reply{}, errUnknownOutcome
 	}
 }
 
--- a/internal/preset/file.go
+++ b/internal/preset/file.go
@@ -18,12 +18,21 @@
 	Services []Service `json:"services" required:"true" min:"1" doc:"All services of the fleet."`
 }
 
-// Read reads and checks a preset file.
-func Read(path string) (*fleet.Preset, error) {
+// ReadFile reads and checks a preset file.
+func ReadFile(path string) (*File, error) {
 	var file File
 	if err := settings.Read(path, &file); err != nil {
 		return nil, err
 	}
+	return &file, nil
+}
+
+// Read reads and checks a preset file and returns the preset.
+func Read(path string) (*fleet.Preset, error) {
+	file, err := ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
 	return file.Preset(), nil
 }
 
@@ -68,3 +77,8 @@
 	slices.SortFunc(out.Operations, func(a, b fleet.Operation) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
+
+// NewFile returns the file form of a preset.
+func NewFile(p *fleet.Preset) *File {
+	return &File{Name: p.Name, Services: lo.Map(p.Services, func(s fleet.Service, _ int) Service { return newService(s) })}
+}
--- a/internal/preset/service.go
+++ b/internal/preset/service.go
@@ -5,6 +5,7 @@
 
 	"github.com/samber/lo"
 
+	"endivespring/internal/fleet"
 	"endivespring/internal/settings"
 )
 
@@ -38,3 +39,14 @@
 	}
 	return problems
 }
+
+func newService(s fleet.Service) Service {
+	return Service{
+		Name: s.Name, Keyed: s.Keyed, Shards: int(s.Shards),
+		HedgeQuantile: s.HedgeQuantile, HedgeBudget: s.HedgeBudget, RetryBudget: s.RetryBudget,
+		QueueLimit: s.QueueLimit, RecordWindow: settings.Duration(s.RecordWindow),
+		Operations: lo.Map(s.Operations, func(o fleet.Operation, _ int) Operation {
+			return Operation{Name: o.Name, Idempotent: o.Idempotent, Deadline: settings.Duration(o.Deadline)}
+		}),
+	}
+}
--- a/internal/settings/reference.go
+++ b/internal/settings/reference.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"reflect"
+	"strings"
 )
 
 // WriteReference writes a Markdown table of the fields of a settings struct.
@@ -17,7 +18,7 @@
 	for i := range t.NumField() {
 		field := t.Field(i)
 		path := join(prefix, field.Tag.Get("json"))
-		fmt.Fprintf(w, "| `%s` | %s | %s | %s | %s |\n", path, typeName(field.Type), defaultText(field.Tag), bounds(field.Tag), field.Tag.Get("doc"))
+		fmt.Fprintf(w, "| `%s` | %s | %s | %s | %s |\n", path, typeName(field.Type), defaultText(field.Type, field.Tag), bounds(field.Tag), field.Tag.Get("doc"))
 		nested := field.Type
 		if nested.Kind() == reflect.Slice {
 			nested, path = nested.Elem(), path+"[]"
@@ -47,17 +48,31 @@
 	}
 }
 
-func defaultText(tag reflect.StructTag) string {
+func defaultText(t reflect.Type, tag reflect.StructTag) string {
 	if tag.Get("required") == "true" {
 		return "required"
 	}
-	return tag.Get("default")
+	if value, ok := tag.Lookup("default"); ok {
+		return value
+	}
+	switch t.Kind() {
+	case reflect.Bool:
+		return "false"
+	case reflect.Struct:
+		return "each field's"
+	default:
+		return "none"
+	}
 }
 
 func bounds(tag reflect.StructTag) string {
 	low, high := tag.Get("min"), tag.Get("max")
-	if low == "" && high == "" {
+	switch {
+	case low == "" && high == "":
 		return tag.Get("kind")
+	case high == "":
+		return strings.TrimSpace("at least " + low + " " + tag.Get("kind"))
+	default:
+		return low + " to " + high
 	}
-	return low + " to " + high
 }
