--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -27,6 +27,9 @@
 	// ErrUnreachable means that no control process could be reached. Nothing
 	// was changed.
 	ErrUnreachable = eris.New("no control process can be reached; nothing was changed")
+	// ErrNoAnswer means that no answer to a question came. Questions change
+	// nothing.
+	ErrNoAnswer = eris.New("no answer from control; nothing was changed")
 	// ErrRefused means that control refused the request. Nothing was changed.
 	ErrRefused = eris.New("refused; nothing was changed")
 	// ErrUnknown means that the command may have been accepted or not.
@@ -123,7 +126,7 @@
 // have happened goes before what did not.
 func worse(last, err error) error {
 	switch {
-	case eris.Is(last, ErrUnknown) || eris.Is(err, ErrUnreachable):
+	case eris.Is(last, ErrUnknown) || eris.Is(last, ErrNoAnswer) || eris.Is(err, ErrUnreachable):
 		return last
 	case eris.Is(err, errRedirect):
 		return ErrNoLeader
@@ -147,9 +150,17 @@
 		request.SetBody(data)
 	}
 	if err := c.http.DoTimeout(request, response, requestTimeout); err != nil {
-		return sendError(address, err)
+		return lost(method, sendError(address, err))
 	}
-	return decode(address, response, out)
+	return lost(method, decode(address, response, out))
+}
+
+// lost makes an unknown outcome of a question what it is: no answer.
+func lost(method string, err error) error {
+	if method == fasthttp.MethodGet && eris.Is(err, ErrUnknown) {
+		return eris.Wrapf(ErrNoAnswer, "%v", err)
+	}
+	return err
 }
 
 // sendError tells a request that never left from one whose answer was lost.
--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -67,7 +67,7 @@
 	if r.Change != nil {
 		return Reply{Result: control.Result{Accepted: true, Config: 4}}
 	}
-	return Reply{Status: &controller.Status{Leads: true, Config: 3}, Explanation: &controller.Explanation{Shard: "s/1"}, Preset: &fleet.Preset{Name: "peak", Version: 3}}
+	return Reply{Status: &controller.Status{Leads: true, Config: 3}, Explanation: &controller.Explanation{Shard: "s/1"}, Preset: &fleet.Preset{Name: "peak", Version: 3, Services: []fleet.Service{{Name: "s", RecordWindow: time.Minute}}}}
 }
 
 func follows(r Request) Reply {
@@ -184,8 +184,11 @@
 	body, err := client.Preset()
 	assert.NilError(t, err)
 	assert.Equal(t, body.Preset.Name, "peak")
+	assert.Equal(t, body.Preset.Services[0].RecordWindow.Value(), time.Minute)
 	_, err = NewClient([]string{follower.address}, testToken, 0).Status()
 	assert.Assert(t, eris.Is(err, ErrNoLeader))
+	_, err = NewClient([]string{hangsUp(t, ""), follower.address}, testToken, 0).Status()
+	assert.Assert(t, eris.Is(err, ErrNoAnswer) && !eris.Is(err, ErrUnknown), "got %v", err)
 }
 
 // TestServerRefuses sends what no operator's command may be.
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -30,6 +30,7 @@
 			"eventually": cmdEventually,
 			"request":    cmdRequest,
 			"ledger":     cmdLedger,
+			"metrics":    cmdMetrics,
 			"behave":     cmdBehave,
 		},
 	})
