--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -23,7 +22,7 @@
 	operation string
 	mix       string
 	body      string
-	output    string
+	output    output
 }
 
 // Name returns the subcommand's name.
@@ -58,7 +57,7 @@
 	f.IntVar(&c.settings.Workers, "workers", 256, "largest number of requests under way")
 	f.Uint64Var(&c.settings.Seed, "seed", 1, "seed of the random choices")
 	f.StringVar(&c.body, "body", "", "body of each request")
-	f.StringVar(&c.output, "output", "table", "table or json")
+	c.output.declare(f)
 }
 
 // Execute runs the load.
@@ -72,7 +71,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	if c.output == "json" {
+	if c.output == outputJSON {
 		return printJSON(report)
 	}
 	printLoad(report)
@@ -87,8 +86,6 @@
 	switch {
 	case c.addresses == "" || c.mix == "":
 		return eris.New("load needs --callers and --mix, or --callers, --service and --operation")
-	case c.output != "table" && c.output != "json":
-		return eris.Errorf("--output %q must be table or json", c.output)
 	case c.settings.Zipf != 0 && c.settings.Zipf <= 1:
 		return eris.New("--zipf must be above 1, or 0")
 	}
@@ -111,12 +108,3 @@
 	fmt.Fprintf(os.Stdout, "latency ms: p50 %.2f, p99 %.2f, p99.9 %.2f, max %.2f\n", r.P50, r.P99, r.P999, r.Max)
 	fmt.Fprintf(os.Stdout, "upstreams: %v\n", r.Upstreams)
 }
-
-func printJSON(value any) subcommands.ExitStatus {
-	encoder := json.NewEncoder(os.Stdout)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(value); err != nil {
-		return fail(err)
-	}
-	return subcommands.ExitSuccess
-}
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -24,8 +24,9 @@
 	// version, also routers whose session has ended.
 	Working []string `json:"routersWorkingOnOlder"`
 	// Everywhere is set if no router takes work under an older config version.
-	Everywhere bool            `json:"inForceEverywhere"`
-	CentresOut []string        `json:"dataCentresOut"`
-	Routers    []RouterStatus  `json:"routers"`
-	Services   []ServiceStatus `json:"services"`
+	Everywhere   bool            `json:"inForceEverywhere"`
+	CentresOut   []string        `json:"dataCentresOut"`
+	UpstreamsOut []string        `json:"upstreamsOut"`
+	Routers      []RouterStatus  `json:"routers"`
+	Services     []ServiceStatus `json:"services"`
 }
--- a/internal/controller/world_test.go
+++ b/internal/controller/world_test.go
@@ -25,7 +25,7 @@
 // timing returns the default time spans.
 func timing() settings.Timing {
 	var s settings.Control
-	data := `{"fleet":"f","name":"c","dataCentre":"d","dataFolder":"x","tokenFile":"x","peers":[{"name":"c","peer":"127.0.0.1:1","operator":"127.0.0.1:1"}]}`
+	data := `{"fleet":"f","name":"c","dataCentre":"d","dataFolder":"x","tokenFile":"x","peers":[{"name":"c","peer":"127.0.0.1:1","operator":"127.0.0.1:2"}]}`
 	if err := settings.Parse("test", []byte(data), &s); err != nil {
 		panic(err)
 	}
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -112,25 +112,35 @@
 	ts.Check(os.WriteFile(ts.MkAbs(name), data, 0o640))
 }
 
+// Ports of scenarios lie below those that the system gives to outgoing
+// connections, which could take a port between its choice and its use.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
 var (
 	portMu   sync.Mutex
-	portUsed = map[string]bool{}
+	nextPort = firstPort + os.Getpid()*97%(lastPort-firstPort)
 )
 
 // freeAddress returns a loopback address that no scenario of this run uses.
 func freeAddress(ts *testscript.TestScript) string {
 	portMu.Lock()
 	defer portMu.Unlock()
-	for {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		ts.Check(err)
-		address := listener.Addr().String()
-		ts.Check(listener.Close())
-		if !portUsed[address] {
-			portUsed[address] = true
-			return address
+	for range lastPort - firstPort {
+		nextPort++
+		if nextPort > lastPort {
+			nextPort = firstPort
+		}
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		if err == nil {
+			ts.Check(listener.Close())
+			return listener.Addr().String()
 		}
 	}
+	ts.Fatalf("no free port")
+	return ""
 }
 
 // cmdStart starts processes: start control-1 router-u1 u1 [--flag...]
