--- a/internal/command/operator_flags.go
+++ b/internal/command/operator_flags.go
@@ -15,10 +15,13 @@
 	"endivespring/internal/settings"
 )
 
+const leaderPatience = 10 * time.Second // default of --patience
+
 // operatorFlags are the flags of every operator's command.
 type operatorFlags struct {
 	settingsFile string
-	output       string
+	output       output
+	patience     time.Duration
 	expected     int64
 	commandID    string
 	wait         time.Duration
@@ -27,16 +30,17 @@
 }
 
 func (o *operatorFlags) set(f *flag.FlagSet) {
-	f.StringVar(&o.settingsFile, "settings", "operator.json", "settings file")
-	f.StringVar(&o.output, "output", "table", "table or json")
+	f.StringVar(&o.settingsFile, "settings", "operator.json", "settings `file`")
+	f.DurationVar(&o.patience, "patience", leaderPatience, "longest `time` to look for a control process that leads")
+	o.output.declare(f)
 }
 
 // setChange adds the flags of commands that change something.
 func (o *operatorFlags) setChange(f *flag.FlagSet) {
 	o.set(f)
-	f.Int64Var(&o.expected, "expect", -1, "config version that the command is based on; the present one if not given")
-	f.DurationVar(&o.wait, "wait", 0, "longest time to wait until the change is in force at every router that takes work")
-	f.StringVar(&o.commandID, "command-id", "", "id that makes a resend safe; a new one if not given")
+	f.Int64Var(&o.expected, "expect", -1, "config `version` that the command is based on; the present one if not given")
+	f.DurationVar(&o.wait, "wait", 0, "longest `time` to wait until the change is in force at every router that takes work")
+	f.StringVar(&o.commandID, "command-id", "", "`id` that makes a resend safe; a new one if not given")
 }
 
 // client reads the settings and returns a client.
@@ -48,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return operator.NewClient(o.settings.Control, token), nil
+	return operator.NewClient(o.settings.Control, token, o.patience), nil
 }
 
 // change sends a command and prints its outcome.
@@ -70,7 +74,7 @@
 	body.CommandID, body.Operator, body.Expected = o.commandID, o.settings.Name, uint64(o.expected)
 	result, err := client.Change(&body)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "command id %s\n", o.commandID)
+		fmt.Fprintf(os.Stderr, "command id %s, expected config version %d\n", o.commandID, o.expected)
 		return fail(err)
 	}
 	if status := o.printResult(result); status != subcommands.ExitSuccess || o.wait == 0 {
@@ -95,7 +99,7 @@
 }
 
 func (o *operatorFlags) printResult(result *operator.ResultBody) subcommands.ExitStatus {
-	if o.output == "json" {
+	if o.output == outputJSON {
 		if status := printJSON(result); status != subcommands.ExitSuccess {
 			return status
 		}
--- a/internal/preset/file.go
+++ b/internal/preset/file.go
@@ -14,16 +14,25 @@
 
 // File is a preset as its file writes it.
 type File struct {
-	Name     string    `json:"name" required:"true" doc:"Name shown to operators."`
+	Name     string    `json:"name" required:"true" kind:"name" doc:"Name shown to operators."`
 	Services []Service `json:"services" required:"true" min:"1" doc:"All services of the fleet."`
 }
 
-// Read reads and checks a preset file.
-func Read(path string) (*fleet.Preset, error) {
+// ReadFile reads and checks a preset file.
+func ReadFile(path string) (*File, error) {
 	var file File
 	if err := settings.Read(path, &file); err != nil {
 		return nil, err
 	}
+	return &file, nil
+}
+
+// Read reads and checks a preset file and returns the preset.
+func Read(path string) (*fleet.Preset, error) {
+	file, err := ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
 	return file.Preset(), nil
 }
 
@@ -44,11 +53,7 @@
 		problems = append(problems, settings.Problem{Field: "services", Value: duplicate, Message: "name is used twice"})
 	}
 	for i, service := range f.Services {
-		operations := lo.Map(service.Operations, func(o Operation, _ int) string { return o.Name })
-		for _, duplicate := range lo.FindDuplicates(operations) {
-			field := "services[" + strconv.Itoa(i) + "].operations"
-			problems = append(problems, settings.Problem{Field: field, Value: duplicate, Message: "name is used twice"})
-		}
+		problems = append(problems, service.problems("services["+strconv.Itoa(i)+"]")...)
 	}
 	return problems
 }
@@ -72,3 +77,8 @@
 	slices.SortFunc(out.Operations, func(a, b fleet.Operation) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
+
+// NewFile returns the file form of a preset.
+func NewFile(p *fleet.Preset) *File {
+	return &File{Name: p.Name, Services: lo.Map(p.Services, func(s fleet.Service, _ int) Service { return newService(s) })}
+}
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -138,7 +138,7 @@
 	n.caller = caller.NewServer(n.entry.requests, s.MaxBody, metrics.NewRequestMeter(n.registry).Observe)
 	n.announce = upstream.NewServer(n.door.notices).App()
 	n.grpc = peer.NewServer()
-	wirepb.RegisterDoorsServer(n.grpc, &doorServer{fleet: s.Fleet, clock: n.clock, door: submissions})
+	wirepb.RegisterDoorsServer(n.grpc, &doorServer{fleet: s.Fleet, events: n.events, clock: n.clock, door: submissions})
 }
 
 func attemptSettings(s *settings.Router, self fleet.Router) attempt.Settings {
@@ -172,7 +172,7 @@
 	n.group.Go("aborts", aborts.Run)
 	n.group.Go("caller-server", func(context.Context) error { return n.caller.App().Listener(listeners[0]) })
 	n.group.Go("announce-server", func(context.Context) error { return n.announce.Listener(listeners[1]) })
-	n.group.Go("peer-server", func(context.Context) error { return n.grpc.Serve(listeners[2]) })
+	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, listeners[2]) })
 	if len(listeners) > 3 {
 		n.group.Go("metrics-server", func(context.Context) error { return n.metrics.Listener(listeners[3]) })
 	}
