Cancel the work of callers that have gone away

Cause: a caller's closed connection was noticed only when its answer was written, so that lookups nobody wanted kept their places at doors and upstreams.

Weighed: fasthttp tells a handler nothing of its connection; reading ahead would take bytes of the next request. A look at the socket without taking anything costs one system call for each 100 ms that a request waits. A caller that closes only its sending half is taken as gone; usual HTTP clients do not.

Change: the caller server looks at the socket while it waits; the entry ends the request and cancels its calls, up to the upstream. Non-idempotent runs with a record go on, so that a resend finds their answer.

--- a/internal/attempt/finishing.go
+++ b/internal/attempt/finishing.go
@@ -18,6 +18,20 @@
 	c.finish(now, t, &answer)
 }
 
+// Abandon ends a request whose caller has gone away, and cancels its calls. A
+// token that is not known is ignored.
+func (c *Core) Abandon(now clock.Instant, token uint64) {
+	t, ok := c.tasks[token]
+	if !ok {
+		return
+	}
+	answer := call.Answer{RequestID: t.request.ID, Verdict: verdict.NotRun, Reason: verdict.ReasonCancelled}
+	if len(t.calls) > 0 {
+		answer.Verdict = verdict.MayHaveRun
+	}
+	c.finish(now, t, &answer)
+}
+
 // finish answers the request and cancels its other calls. A refusal is a true
 // NotRun only if none of the request's calls may have run, nor what the caller
 // sent before.
--- a/internal/attempt/resend_test.go
+++ b/internal/attempt/resend_test.go
@@ -57,3 +57,20 @@
 	w.core.Start(w.now, Request{Token: 1, ID: "id", Service: "reservations", Operation: "reserve", Resend: true})
 	assert.Equal(t, w.core.Take().Finishes[0].Answer.Verdict, verdict.MayHaveRun)
 }
+
+// TestAbandonCancelsCalls checks that a request without a caller costs its door
+// nothing more.
+func TestAbandonCancelsCalls(t *testing.T) {
+	w := newWorld(1)
+	w.join(0)
+	w.core.Start(w.now, Request{Token: 1, ID: "id", Service: "reservations", Operation: "lookup"})
+	sent := w.core.Take().Sends
+	assert.Equal(t, len(sent), 1)
+	w.core.Abandon(w.now, 2)
+	w.core.Abandon(w.now, 1)
+	out := w.core.Take()
+	assert.Equal(t, len(out.Cancels), 1)
+	assert.Equal(t, out.Cancels[0].Number, sent[0].Call.Number)
+	assert.Equal(t, out.Finishes[0].Answer.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, w.core.Len(), 0)
+}
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -8,7 +8,11 @@
 
 // Request is a caller's request on its way to the entry duty.
 type Request struct {
-	Request attempt.Request
+	// Number names the request at the server.
+	Number uint64
+	// Abandoned is set if the caller has gone away; only Number counts then.
+	Abandoned bool
+	Request   attempt.Request
 	// Reply takes exactly one answer.
 	Reply ring.Reply[call.Answer]
 }
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -3,7 +3,6 @@
 
 import (
 	"bytes"
-	"context"
 	"crypto/rand"
 	"errors"
 	"strconv"
@@ -15,6 +14,7 @@
 
 	"endivespring/internal/attempt"
 	"endivespring/internal/call"
+	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
 )
@@ -40,6 +40,7 @@
 	maxIDLength     = 128              // bytes of a request id or key
 	answerPatience  = 11 * time.Minute // bound on waiting for the entry's answer
 	readBufferBytes = 8 << 10
+	lookInterval    = 100 * time.Millisecond // time between looks whether the caller is still there
 )
 
 // Server takes callers' requests.
@@ -48,6 +49,7 @@
 	observe  Observer
 	app      *fiber.App
 	stopping atomic.Bool
+	next     atomic.Uint64
 }
 
 // NewServer returns a server that hands requests to a ring and shows each
@@ -84,22 +86,37 @@
 }
 
 // ask hands a request to the entry duty and waits for the answer.
-func (s *Server) ask(ctx context.Context, request attempt.Request) call.Answer {
+func (s *Server) ask(ctx *fasthttp.RequestCtx, request attempt.Request) call.Answer {
 	reply := ring.NewReply[call.Answer]()
-	if err := s.requests.Put(ctx, Request{Request: request, Reply: reply}); err != nil {
+	number := s.next.Add(1)
+	if err := s.requests.Put(ctx, Request{Number: number, Request: request, Reply: reply}); err != nil {
 		answer := refusal(request.ID, verdict.ReasonOverloaded)
 		if request.Resend { // what was sent before may have run
 			answer.Verdict = verdict.MayHaveRun
 		}
 		return answer
 	}
+	return s.wait(ctx, number, &request, reply)
+}
+
+// wait waits for the entry's answer and looks now and then whether the caller
+// is still there.
+func (s *Server) wait(ctx *fasthttp.RequestCtx, number uint64, request *attempt.Request, reply ring.Reply[call.Answer]) call.Answer {
 	patience := time.NewTimer(answerPatience)
 	defer patience.Stop()
-	select {
-	case answer := <-reply.Out():
-		return answer
-	case <-patience.C:
-		return call.Answer{RequestID: request.ID, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline}
+	look := time.NewTicker(lookInterval)
+	defer look.Stop()
+	for {
+		select {
+		case answer := <-reply.Out():
+			return answer
+		case <-patience.C:
+			return call.Answer{RequestID: request.ID, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline}
+		case <-look.C:
+			if peer.Look(ctx.Conn()) == peer.SocketClosed && s.requests.Put(ctx, Request{Number: number, Abandoned: true}) == nil {
+				look.Stop()
+			}
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/peer/socket_state.go
@@ -0,0 +1,50 @@
+package peer
+
+import (
+	"net"
+	"syscall"
+)
+
+// SocketState is what a look at a connection shows without taking anything.
+type SocketState uint8
+
+const (
+	// SocketQuiet has nothing to read.
+	SocketQuiet SocketState = iota
+	// SocketReadable has bytes to read.
+	SocketReadable
+	// SocketClosed was closed or reset by the other end.
+	SocketClosed
+)
+
+// Look returns the state of a connection. It does not wait and takes no bytes.
+// A connection that is no socket is taken as quiet.
+func Look(connection net.Conn) SocketState {
+	socket, ok := connection.(syscall.Conn)
+	if !ok {
+		return SocketQuiet
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return SocketClosed
+	}
+	state := SocketClosed
+	err = raw.Control(func(fd uintptr) { state = look(int(fd)) })
+	if err != nil {
+		return SocketClosed
+	}
+	return state
+}
+
+func look(fd int) SocketState {
+	var buffer [1]byte
+	n, _, err := syscall.Recvfrom(fd, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case err == syscall.EAGAIN || err == syscall.EINTR:
+		return SocketQuiet
+	case err == nil && n > 0:
+		return SocketReadable
+	default:
+		return SocketClosed
+	}
+}
--- a/internal/router/entry_duty.go
+++ b/internal/router/entry_duty.go
@@ -41,6 +41,7 @@
 
 	token   uint64
 	waiting map[uint64]caller.Request
+	callers map[uint64]uint64 // tokens by the caller server's numbers
 	links   map[fleet.RouterID]*link
 }
 
@@ -80,9 +81,14 @@
 }
 
 func (d *entryDuty) start(request caller.Request) {
+	if request.Abandoned {
+		d.core.Abandon(d.clock.Now(), d.callers[request.Number])
+		return
+	}
 	d.token++
 	request.Request.Token = d.token
 	d.waiting[d.token] = request
+	d.callers[request.Number] = d.token
 	d.core.Start(d.clock.Now(), request.Request)
 }
 
@@ -157,6 +163,7 @@
 	}
 	if request, ok := d.waiting[finish.Token]; ok {
 		delete(d.waiting, finish.Token)
+		delete(d.callers, request.Number)
 		request.Reply.Send(finish.Answer)
 	}
 }
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -110,7 +110,7 @@
 		self: self.ID, fleet: s.Fleet, core: attempt.New(attemptSettings(s, self)), clock: n.clock, events: n.events, group: n.group,
 		requests: ring.New[caller.Request]("requests", s.Entries, ring.Refuse), answers: answers, door: submissions,
 		updates: ring.New[session.Update]("entry-updates", updateCapacity, ring.Wait),
-		waiting: map[uint64]caller.Request{}, links: map[fleet.RouterID]*link{},
+		waiting: map[uint64]caller.Request{}, callers: map[uint64]uint64{}, links: map[fleet.RouterID]*link{},
 		delegations: delegations, delegated: map[uint64]uint64{},
 	}
 	n.door = &doorDuty{
--- a/internal/standin/scheduler_duty.go
+++ b/internal/standin/scheduler_duty.go
@@ -52,7 +52,9 @@
 				j.cancel.Send(struct{}{})
 			}
 		case change := <-d.changes.Out():
-			change.reply.Send(d.change(ctx, change.body))
+			problem, freeze := d.change(change.body)
+			change.reply.Send(problem)
+			pause(ctx, freeze)
 		}
 	}
 }
@@ -147,14 +149,15 @@
 	j.result.delay = milliseconds(d.behaviour.LateMs)
 }
 
-// change applies a change of behaviour and returns the problem with it, if any.
-func (d *schedulerDuty) change(ctx context.Context, body []byte) string {
+// change applies a change of behaviour and returns the problem with it, if
+// any, and how long to stop all work.
+func (d *schedulerDuty) change(body []byte) (problem string, freeze time.Duration) {
 	change := Change{Behaviour: d.behaviour}
 	if err := json.Unmarshal(body, &change); err != nil {
-		return err.Error()
+		return err.Error(), 0
 	}
 	if !change.Fault.known() {
-		return "unknown fault " + string(change.Fault)
+		return "unknown fault " + string(change.Fault), 0
 	}
 	d.behaviour = change.Behaviour
 	if change.Cold {
@@ -163,8 +166,7 @@
 	if change.SilenceOpen {
 		d.silent = time.Now()
 	}
-	pause(ctx, milliseconds(change.FreezeMs))
-	return ""
+	return "", milliseconds(change.FreezeMs)
 }
 
 func (d *schedulerDuty) record(ctx context.Context, j *job, event LedgerEvent) {
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -3,13 +3,13 @@
 import (
 	"bufio"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"endivespring/internal/clock"
+	"endivespring/internal/peer"
 )
 
 const (
@@ -48,7 +48,7 @@
 // reusable reports whether another request may be sent: the connection is
 // fresh, not closed by the upstream, and no stray bytes wait on it.
 func (c *connection) reusable(address string, now clock.Instant) bool {
-	return c.address == address && now.Sub(c.used) < idleLimit && c.reader.Buffered() == 0 && c.quiet()
+	return c.address == address && now.Sub(c.used) < idleLimit && c.reader.Buffered() == 0 && peer.Look(c.net) == peer.SocketQuiet
 }
 
 // rest lifts the deadline of the request that has ended.
@@ -57,27 +57,6 @@
 	_ = c.net.SetDeadline(time.Time{})
 }
 
-// quiet looks at the socket without taking anything: an end of stream or
-// unasked bytes are both visible before the next request is written.
-func (c *connection) quiet() bool {
-	tcp, ok := c.net.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buffer [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && quiet
-}
-
 // read takes one whole answer of up to maxBody bytes.
 func (c *connection) read(response *fasthttp.Response, maxBody int) error {
 	if err := c.readHeader(response); err != nil {
--- a/scenarios/door_test.go
+++ b/scenarios/door_test.go
@@ -1,11 +1,17 @@
 package scenarios
 
 import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/valyala/fasthttp"
+
+	"endivespring/internal/standin"
 )
 
 // cmdBehave changes how stand-ins behave: behave JSON NAME...
@@ -49,3 +55,34 @@
 		ts.Fatalf("%s did not end within %v", args[1], limit)
 	}
 }
+
+// cmdHangUp sends a request, waits until its run has started and closes the
+// connection: hangup UPSTREAM SERVICE/OPERATION ID
+func cmdHangUp(ts *testscript.TestScript, neg bool, args []string) {
+	connection, err := net.Dial("tcp", ts.Getenv("caller_"+args[0]))
+	ts.Check(err)
+	_, err = fmt.Fprintf(connection, "POST /v1/%s HTTP/1.1\r\nHost: r\r\nContent-Length: 0\r\nEndivespring-Key: lane\r\nEndivespring-Request-Id: %s\r\n\r\n", args[1], args[2])
+	ts.Check(err)
+	awaitEvent(ts, args[2], standin.LedgerStarted)
+	ts.Check(connection.Close())
+}
+
+// cmdRecorded waits until a ledger has an event of a request: recorded ID EVENT
+func cmdRecorded(ts *testscript.TestScript, neg bool, args []string) {
+	awaitEvent(ts, args[0], standin.LedgerEvent(args[1]))
+}
+
+func awaitEvent(ts *testscript.TestScript, id string, event standin.LedgerEvent) {
+	for end := time.Now().Add(eventuallyLimit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		files, err := filepath.Glob(ts.MkAbs("*.ledger"))
+		ts.Check(err)
+		for _, file := range files {
+			data, err := os.ReadFile(file)
+			ts.Check(err)
+			if strings.Contains(string(data), fmt.Sprintf(`{"event":%q,"requestId":%q,`, event, id)) {
+				return
+			}
+		}
+	}
+	ts.Fatalf("no event %s of %s", event, id)
+}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -33,6 +33,8 @@
 			"metrics":    cmdMetrics,
 			"behave":     cmdBehave,
 			"ends":       cmdEnds,
+			"hangup":     cmdHangUp,
+			"recorded":   cmdRecorded,
 			"callers":    cmdCallers,
 			"answered":   cmdAnswered,
 		},
