--- /dev/null
+++ b/internal/router/door_duty_test.go
@@ -0,0 +1,174 @@
+package router
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/call"
+	"endivespring/internal/clock"
+	"endivespring/internal/control"
+	"endivespring/internal/door"
+	"endivespring/internal/event"
+	"endivespring/internal/fleet"
+	"endivespring/internal/ring"
+	"endivespring/internal/session"
+	"endivespring/internal/upstream"
+	"endivespring/internal/verdict"
+)
+
+// manualClock stands still until the test moves it.
+type manualClock struct{ now clock.Instant }
+
+func (c *manualClock) Now() clock.Instant { return c.now }
+
+// silent drops events.
+type silent struct{}
+
+func (silent) Record(*event.Definition, ...event.Field) {}
+
+// collected keeps the answers of a link.
+type collected []call.Answer
+
+func (c *collected) answer(_ context.Context, a call.Answer) bool {
+	*c = append(*c, a)
+	return true
+}
+
+// doorStage is a door duty without goroutines: the test calls its steps.
+type doorStage struct {
+	*doorDuty
+	ctx     context.Context
+	time    *manualClock
+	answers *collected
+}
+
+func newDoorStage(capacity int) *doorStage {
+	now := &manualClock{now: clock.Instant(time.Hour)}
+	answers := &collected{}
+	s := &doorStage{ctx: context.Background(), time: now, answers: answers, doorDuty: &doorDuty{
+		core: door.New("self", "dc"), clock: now, events: silent{},
+		outcomes: ring.New[door.Outcome]("outcomes", capacity, ring.Wait), runs: ring.New[outboundRun]("runs", capacity, ring.Refuse),
+		delegations: ring.New[door.Delegation]("delegations", capacity, ring.Refuse), aborts: ring.New[door.Abort]("aborts", capacity, ring.DropOldest),
+		releases: ring.New[[]control.Release]("releases", capacity, ring.Refuse), registered: ring.New[registration]("registrations", 8, ring.DropOldest),
+		drained: ring.New[struct{}]("drained", 1, ring.DropOldest), cancels: map[uint64]context.CancelFunc{},
+		sinks: map[uint64]answerSink{1: answers}, lostAfter: 3 * time.Second, startSender: func() {},
+	}}
+	preset := &fleet.Preset{Services: []fleet.Service{{Name: "s", Shards: 2, QueueLimit: 4, RecordWindow: time.Minute}}}
+	s.lease(&fleet.Change{Full: true, To: 1, Preset: preset, Shards: []fleet.Shard{shardIn(0, fleet.ShardGranted), shardIn(1, fleet.ShardGranted)},
+		Routers: []fleet.Router{{ID: "other", Upstream: fleet.Upstream{Name: "v", Service: "s"}}}})
+	s.announced("1")
+	return s
+}
+
+func shardIn(number uint32, phase fleet.ShardPhase) fleet.Shard {
+	return fleet.Shard{ID: fleet.ShardID{Service: "s", Number: number}, Phase: phase, Owner: "self", Session: 1, Epoch: 1}
+}
+
+func (s *doorStage) lease(change *fleet.Change) {
+	until := s.time.now.Add(time.Second)
+	s.update(&session.Update{Session: 1, Change: change, OwnUntil: until, ViewUntil: until})
+	s.dispatch(s.ctx)
+}
+
+func (s *doorStage) announced(boot string) {
+	s.notice(s.ctx, &upstream.Notice{Upstream: fleet.Upstream{Name: "u", Service: "s", Address: "a", Boot: boot, Slots: 2, ColdSlots: 2}})
+	s.dispatch(s.ctx)
+}
+
+func (s *doorStage) call(number uint64, id string) {
+	s.submit(&submission{link: 1, call: call.Call{Number: number, RequestID: id, Service: "s", Sharded: true, Deadline: s.time.now.Add(time.Second)}})
+	s.dispatch(s.ctx)
+}
+
+// TestFarewell checks that announcements on their way when an upstream left do
+// not bring it back, and later ones or those of a new start do.
+func TestFarewell(t *testing.T) {
+	s := newDoorStage(8)
+	leave := func() { s.notice(s.ctx, &upstream.Notice{Leaving: true}) }
+	leave()
+	s.announced("1")
+	assert.Assert(t, s.gone)
+	s.announced("2")
+	assert.Assert(t, !s.gone)
+	leave()
+	s.time.now = s.time.now.Add(s.lostAfter)
+	s.announced("2")
+	assert.Assert(t, !s.gone)
+	s.time.now = s.time.now.Add(s.lostAfter)
+	s.tick(s.ctx)
+	assert.Assert(t, s.gone, "lost")
+	s.announced("2")
+	assert.Assert(t, !s.gone, "found again")
+}
+
+// TestFullRingsRefuse checks that a run that no sender and no other door can
+// take is refused as not run, without blocking the duty.
+func TestFullRingsRefuse(t *testing.T) {
+	s := newDoorStage(1)
+	for i, id := range []string{"a", "b", "c"} {
+		s.call(uint64(i+1), id)
+	}
+	refused := 0
+	for _, answer := range *s.answers {
+		assert.Equal(t, answer.Verdict, verdict.NotRun)
+		refused++
+	}
+	assert.Equal(t, s.runs.Depth()+s.delegations.Depth()+refused, 3)
+	assert.Assert(t, refused > 0)
+}
+
+// TestReleasesAreNotLost checks that releases refused by a full ring are handed
+// over again.
+func TestReleasesAreNotLost(t *testing.T) {
+	s := newDoorStage(1)
+	for number := range uint32(2) {
+		s.lease(&fleet.Change{From: fleet.Version(1 + number), To: fleet.Version(2 + number), Shards: []fleet.Shard{shardIn(number, fleet.ShardRevoking)}})
+	}
+	assert.Equal(t, s.sleep(), releaseRetry)
+	first, err := s.releases.Take(s.ctx)
+	assert.NilError(t, err)
+	s.dispatch(s.ctx)
+	second, err := s.releases.Take(s.ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(first)+len(second), 2)
+}
+
+// TestAbortEndsTheWait checks that a run whose time is up gives its sender back
+// and is cancelled at the upstream.
+func TestAbortEndsTheWait(t *testing.T) {
+	s := newDoorStage(8)
+	s.call(1, "a")
+	run, err := s.runs.Take(s.ctx)
+	assert.NilError(t, err)
+	assert.NilError(t, run.ctx.Err())
+	s.time.now = s.time.now.Add(time.Second)
+	s.tick(s.ctx)
+	s.dispatch(s.ctx)
+	assert.Assert(t, run.ctx.Err() != nil)
+	assert.Equal(t, s.aborts.Depth(), 1)
+	s.complete(door.Outcome{Run: run.run.ID, Answer: call.Refusal(&run.run.Call, verdict.MayHaveRun, "")})
+	assert.Equal(t, len(s.cancels), 0)
+}
+
+// TestDrain checks when a stopping door is done: nothing held or running, or,
+// without control, the end of the lease.
+func TestDrain(t *testing.T) {
+	s := newDoorStage(8)
+	s.call(1, "a")
+	run, err := s.runs.Take(s.ctx)
+	assert.NilError(t, err)
+	s.stopping = true
+	s.leave(s.ctx)
+	s.dispatch(s.ctx)
+	assert.Equal(t, s.drained.Depth(), 0)
+	s.complete(door.Outcome{Run: run.run.ID, Answer: call.Refusal(&run.run.Call, verdict.Ran, "")})
+	s.dispatch(s.ctx)
+	assert.Equal(t, s.drained.Depth(), 0, "two shards are held")
+	assert.Equal(t, s.sleep(), time.Second)
+	s.time.now = s.time.now.Add(time.Second)
+	s.dispatch(s.ctx)
+	assert.Equal(t, s.drained.Depth(), 1)
+}
