Take an upstream that gave up at the deadline as timed out

Cause: a run that the upstream ended at its deadline was reported as cancelled and said nothing to the admission limit, so that a slow upstream that honours deadlines kept its limit, and callers got 502 for their own time-out.

--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -196,8 +196,8 @@
 	case "":
 	case RanNo:
 		return refused(run, response)
-	default:
-		return outcome(run, verdict.MayHaveRun, verdict.ReasonCancelled, admission.Neutral)
+	default: // the upstream gave up at the deadline, or was told to
+		return outcome(run, verdict.MayHaveRun, verdict.ReasonDeadline, admission.TimedOut)
 	}
 	out := outcome(run, verdict.Ran, verdict.ReasonNone, admission.Good)
 	out.Answer.Status = response.StatusCode()
