--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -1,9 +1,11 @@
 package storage
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -29,20 +31,21 @@
 )
 
 const (
-	identityFile = "identity.json"
-	logFile      = "log"
-	snapshotFile = "snapshot"
-	lockFile     = "lock"
+	identityName = "identity.json"
+	logName      = "log"
+	snapshotName = "snapshot"
+	lockName     = "lock"
 	folderMode   = 0o750
 	fileMode     = 0o640
 	diskIDBytes  = 8
 )
 
-// Disk is an open data folder. It is owned by one duty.
+// Disk is an open data folder. It is owned by one duty. A folder restored from
+// an older copy is not recognised: it must never be put back under its name.
 type Disk struct {
 	folder   string
 	lock     *os.File
-	log      *os.File
+	log      logFile
 	identity Identity
 	hard     consensus.HardState
 	size     int64
@@ -75,7 +78,7 @@
 	if err := os.Mkdir(aside, folderMode); err != nil {
 		return "", eris.Wrap(err, "set damaged files aside")
 	}
-	for _, name := range []string{identityFile, logFile, snapshotFile} {
+	for _, name := range []string{identityName, logName, snapshotName} {
 		err := os.Rename(filepath.Join(folder, name), filepath.Join(aside, name))
 		if err != nil && !os.IsNotExist(err) {
 			return "", eris.Wrap(err, "set damaged files aside")
@@ -104,7 +107,7 @@
 	if hard != nil {
 		d.hard = *hard
 	}
-	frame, err := batchFrame(hard, entries)
+	frame, err := batchFrame(&wirepb.Batch{HardState: wire.FromHardState(hard), Entries: wire.FromEntries(entries)})
 	if err != nil {
 		return err
 	}
@@ -121,20 +124,28 @@
 	if err != nil {
 		return eris.Wrap(err, "encode snapshot")
 	}
-	if err := d.replace(snapshotFile, appendFrame(nil, payload)); err != nil {
+	if err := d.replace(snapshotName, appendFrame(nil, payload)); err != nil {
 		return err
 	}
-	frame, err := batchFrame(&d.hard, rest)
-	if err != nil {
-		return err
-	}
-	if err := d.replace(logFile, frame); err != nil {
+	if err := d.startLog(s.Index, rest); err != nil {
 		return err
 	}
 	_ = d.log.Close()
 	return d.openLog()
 }
 
+// startLog replaces the log by one that follows a snapshot. Its first frame is
+// there from the start, so that a log without one has lost its contents.
+func (d *Disk) startLog(snapshot uint64, rest []consensus.Entry) error {
+	frame, err := batchFrame(&wirepb.Batch{
+		HardState: wire.FromHardState(&d.hard), Entries: wire.FromEntries(rest), Snapshot: snapshot,
+	})
+	if err != nil {
+		return err
+	}
+	return d.replace(logName, frame)
+}
+
 // Close releases the data folder.
 func (d *Disk) Close() error {
 	if d.log != nil {
@@ -143,14 +154,13 @@
 	return eris.Wrap(d.lock.Close(), "release data folder")
 }
 
-func batchFrame(hard *consensus.HardState, entries []consensus.Entry) ([]byte, error) {
-	batch := &wirepb.Batch{HardState: wire.FromHardState(hard), Entries: wire.FromEntries(entries)}
+func batchFrame(batch *wirepb.Batch) ([]byte, error) {
 	payload, err := proto.Marshal(batch)
 	return appendFrame(nil, payload), eris.Wrap(err, "encode batch")
 }
 
 func (d *Disk) acquire() error {
-	lock, err := os.OpenFile(d.path(lockFile), os.O_CREATE|os.O_RDWR, fileMode)
+	lock, err := os.OpenFile(d.path(lockName), os.O_CREATE|os.O_RDWR, fileMode)
 	if err != nil {
 		return eris.Wrap(err, "open lock file")
 	}
@@ -170,16 +180,33 @@
 	if err != nil {
 		return nil, err
 	}
-	stored := &consensus.Stored{Snapshot: snapshot}
-	if err := d.loadLog(stored); err != nil {
+	r := &replay{}
+	if err := d.loadLog(r); err != nil {
 		return nil, err
 	}
+	stored, err := r.stored(snapshot)
+	if err != nil {
+		return nil, d.damaged(logName, err)
+	}
 	d.hard = stored.HardState
 	return stored, d.openLog()
 }
 
+func (d *Disk) damaged(name string, cause error) error {
+	return eris.Wrapf(ErrDamaged, "file %s: %v", d.path(name), cause)
+}
+
+// read returns a file's contents. A disk that cannot give them back is damaged.
+func (d *Disk) read(name string) ([]byte, error) {
+	data, err := os.ReadFile(d.path(name))
+	if errors.Is(err, syscall.EIO) {
+		return nil, d.damaged(name, err)
+	}
+	return data, err
+}
+
 func (d *Disk) loadIdentity(fleet, name string) error {
-	data, err := os.ReadFile(d.path(identityFile))
+	data, err := d.read(identityName)
 	if os.IsNotExist(err) {
 		return d.createIdentity(fleet, name)
 	}
@@ -187,7 +214,7 @@
 		return eris.Wrap(err, "read identity")
 	}
 	if err := json.Unmarshal(data, &d.identity); err != nil || d.identity.Disk == "" {
-		return eris.Wrapf(ErrDamaged, "file %s", d.path(identityFile))
+		return eris.Wrapf(ErrDamaged, "file %s", d.path(identityName))
 	}
 	if d.identity.Fleet != fleet || d.identity.Name != name {
 		return eris.Wrapf(ErrForeign, "folder %q is of %s in fleet %s", d.folder, d.identity.Name, d.identity.Fleet)
@@ -195,13 +222,14 @@
 	return nil
 }
 
-// createIdentity makes a new identity. A log without an identity is damage:
-// its votes cannot be attributed.
+// createIdentity starts an empty log and then makes a new identity, so that an
+// identity without a log means that the log was lost.
 func (d *Disk) createIdentity(fleet, name string) error {
-	for _, file := range []string{logFile, snapshotFile} {
-		if _, err := os.Stat(d.path(file)); err == nil {
-			return eris.Wrapf(ErrDamaged, "folder %q has a %s but no %s", d.folder, file, identityFile)
-		}
+	if err := d.checkUnused(); err != nil {
+		return err
+	}
+	if err := d.startLog(0, nil); err != nil {
+		return err
 	}
 	var id [diskIDBytes]byte
 	if _, err := rand.Read(id[:]); err != nil {
@@ -212,30 +240,47 @@
 	if err != nil {
 		return eris.Wrap(err, "encode identity")
 	}
-	return d.replace(identityFile, data)
+	return d.replace(identityName, data)
+}
+
+// checkUnused reports damage if the folder holds state but no identity: its
+// votes cannot be attributed.
+func (d *Disk) checkUnused() error {
+	if _, err := os.Stat(d.path(snapshotName)); err == nil {
+		return eris.Wrapf(ErrDamaged, "folder %q has a snapshot but no %s", d.folder, identityName)
+	}
+	data, err := d.read(logName)
+	if err != nil && !os.IsNotExist(err) {
+		return eris.Wrap(err, "read log")
+	}
+	unused, err := batchFrame(&wirepb.Batch{HardState: wire.FromHardState(&consensus.HardState{})})
+	if err == nil && len(data) > 0 && !bytes.Equal(data, unused) {
+		return eris.Wrapf(ErrDamaged, "folder %q has a log but no %s", d.folder, identityName)
+	}
+	return err
 }
 
 func (d *Disk) loadSnapshot() (*consensus.Snapshot, error) {
-	data, err := os.ReadFile(d.path(snapshotFile))
+	data, err := d.read(snapshotName)
 	if os.IsNotExist(err) {
 		return nil, nil
 	}
 	if err != nil {
 		return nil, eris.Wrap(err, "read snapshot")
 	}
-	payload, _, ok := readFrame(data)
-	if !ok {
-		return nil, eris.Wrapf(ErrDamaged, "file %s", d.path(snapshotFile))
+	payload, rest, ok := readFrame(data)
+	if !ok || len(rest) > 0 {
+		return nil, eris.Wrapf(ErrDamaged, "file %s", d.path(snapshotName))
 	}
 	var s wirepb.Snapshot
-	if err := proto.Unmarshal(payload, &s); err != nil {
-		return nil, eris.Wrapf(ErrDamaged, "file %s", d.path(snapshotFile))
+	if err := proto.Unmarshal(payload, &s); err != nil || s.GetIndex() == 0 {
+		return nil, eris.Wrapf(ErrDamaged, "file %s", d.path(snapshotName))
 	}
 	return wire.ToSnapshot(&s), nil
 }
 
-func (d *Disk) loadLog(stored *consensus.Stored) error {
-	data, err := os.ReadFile(d.path(logFile))
+func (d *Disk) loadLog(r *replay) error {
+	data, err := d.read(logName)
 	if err != nil && !os.IsNotExist(err) {
 		return eris.Wrap(err, "read log")
 	}
@@ -245,21 +290,23 @@
 		if !ok {
 			return d.cutTail(int64(len(data)-len(rest)), rest)
 		}
-		if err := replay(stored, payload); err != nil {
-			return eris.Wrapf(ErrDamaged, "file %s: %v", d.path(logFile), err)
+		if err := r.add(payload); err != nil {
+			return d.damaged(logName, err)
 		}
 		rest = after
 	}
 	return nil
 }
 
-// cutTail truncates an unfinished write. Frames after it prove damage instead,
-// since each write is synced before the next begins.
+// cutTail truncates an unfinished write. Anything behind the frame proves
+// damage instead, since each write is synced before the next begins; so does a
+// first frame that is not whole, since it was put in place by a rename. Damage
+// to the whole last frame cannot be told from an unfinished write.
 func (d *Disk) cutTail(offset int64, tail []byte) error {
-	if containsFrame(tail[1:]) {
-		return eris.Wrapf(ErrDamaged, "file %s at byte %d", d.path(logFile), offset)
+	if offset == 0 || len(tail) > frameSize(tail) || containsFrame(tail[1:]) {
+		return eris.Wrapf(ErrDamaged, "file %s at byte %d", d.path(logName), offset)
 	}
-	file, err := os.OpenFile(d.path(logFile), os.O_RDWR, fileMode)
+	file, err := os.OpenFile(d.path(logName), os.O_RDWR, fileMode)
 	if err != nil {
 		return eris.Wrap(err, "open log")
 	}
@@ -270,34 +317,8 @@
 	return eris.Wrap(file.Sync(), "sync log")
 }
 
-// replay adds one batch to what is stored.
-func replay(stored *consensus.Stored, payload []byte) error {
-	var batch wirepb.Batch
-	if err := proto.Unmarshal(payload, &batch); err != nil {
-		return eris.Wrap(err, "decode batch")
-	}
-	if batch.GetHardState() != nil {
-		stored.HardState = wire.ToHardState(batch.GetHardState())
-	}
-	var base uint64
-	if stored.Snapshot != nil {
-		base = stored.Snapshot.Index
-	}
-	for _, entry := range wire.ToEntries(batch.GetEntries()) {
-		if entry.Index <= base {
-			continue
-		}
-		at := entry.Index - base - 1
-		if at > uint64(len(stored.Entries)) {
-			return eris.Errorf("entry %d leaves a gap", entry.Index)
-		}
-		stored.Entries = append(stored.Entries[:at], entry)
-	}
-	return nil
-}
-
 func (d *Disk) openLog() error {
-	file, err := os.OpenFile(d.path(logFile), os.O_CREATE|os.O_APPEND|os.O_WRONLY, fileMode)
+	file, err := os.OpenFile(d.path(logName), os.O_APPEND|os.O_WRONLY, fileMode)
 	if err != nil {
 		return eris.Wrap(err, "open log")
 	}
--- a/internal/storage/frame.go
+++ b/internal/storage/frame.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+	"math"
 )
 
 const (
@@ -40,6 +41,15 @@
 	return payload, buf[frameHeaderSize+length:], true
 }
 
+// frameSize returns the size in bytes that the header at the start of buf
+// states, or the largest size if buf has no header.
+func frameSize(buf []byte) int {
+	if len(buf) < frameHeaderSize || binary.LittleEndian.Uint32(buf) != frameMagic {
+		return math.MaxInt
+	}
+	return frameHeaderSize + int(binary.LittleEndian.Uint32(buf[4:]))
+}
+
 // containsFrame reports whether a whole frame starts anywhere in buf.
 func containsFrame(buf []byte) bool {
 	for i := 0; i+frameHeaderSize <= len(buf); i++ {
--- /dev/null
+++ b/internal/storage/replay.go
@@ -0,0 +1,66 @@
+package storage
+
+import (
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"endivespring/internal/consensus"
+	"endivespring/internal/wire"
+	"endivespring/internal/wire/wirepb"
+)
+
+// replay collects the batches of a log file.
+type replay struct {
+	batches int
+	// snapshot is the index of the snapshot that the log follows.
+	snapshot uint64
+	hard     consensus.HardState
+	entries  []consensus.Entry
+}
+
+// add takes the next batch. Entries replace those at and after their index.
+func (r *replay) add(payload []byte) error {
+	var batch wirepb.Batch
+	if err := proto.Unmarshal(payload, &batch); err != nil {
+		return eris.Wrap(err, "decode batch")
+	}
+	if r.batches == 0 {
+		r.snapshot = batch.GetSnapshot()
+	}
+	r.batches++
+	if batch.GetHardState() != nil {
+		r.hard = wire.ToHardState(batch.GetHardState())
+	}
+	for _, entry := range wire.ToEntries(batch.GetEntries()) {
+		at := entry.Index - r.snapshot - 1
+		if entry.Index <= r.snapshot || at > uint64(len(r.entries)) {
+			return eris.Errorf("entry %d does not follow", entry.Index)
+		}
+		r.entries = append(r.entries[:at], entry)
+	}
+	return nil
+}
+
+// stored joins the log with the snapshot file. The snapshot may be newer, if
+// the process ended before it replaced the log; then the entries behind it
+// count only if the log holds its last entry.
+func (r *replay) stored(snapshot *consensus.Snapshot) (*consensus.Stored, error) {
+	if r.batches == 0 {
+		return nil, eris.New("log is empty or missing")
+	}
+	out := &consensus.Stored{HardState: r.hard, Snapshot: snapshot, Entries: r.entries}
+	var index uint64
+	if snapshot != nil {
+		index = snapshot.Index
+	}
+	switch passed := index - r.snapshot; {
+	case index < r.snapshot:
+		return nil, eris.Errorf("log follows snapshot %d, not %d", r.snapshot, index)
+	case passed == 0:
+	case passed <= uint64(len(r.entries)) && r.entries[passed-1].Term == snapshot.Term:
+		out.Entries = r.entries[passed:]
+	default:
+		out.Entries = nil
+	}
+	return out, nil
+}
