Keep heartbeats going while storage stalls

Cause: under a stalled disk a flood of proposals filled the ring of writes, on which the consensus duty then waited: no heartbeats, leadership lost.

Ruled out: a refusing ring of writes, since a refused write is lost; a larger ring, which only takes longer to fill.

Change: the duty takes no proposals while more than half of the ring of writes is in use. Tests: a stalled disk of a leader, reports of storage dropped on a ring of one slot, a failed write, which ends the process and sends nothing.

--- a/internal/controlnode/consensus_duty.go
+++ b/internal/controlnode/consensus_duty.go
@@ -42,7 +42,7 @@
 		case message := <-d.inbound.Out():
 			d.core.Tick(d.clock.Now())
 			d.core.Step(message)
-		case data := <-d.proposals.Out():
+		case data := <-d.acceptable():
 			d.core.Tick(d.clock.Now())
 			d.propose(data)
 		case p := <-d.persisted.Out():
@@ -63,6 +63,16 @@
 	}
 }
 
+// acceptable returns the proposals, or nothing while storage is far behind: a
+// full ring of writes would stop the heartbeats too. A report of storage wakes
+// the duty.
+func (d *consensusDuty) acceptable() <-chan []byte {
+	if d.writes.Depth() > d.writes.Capacity()/2 {
+		return nil
+	}
+	return d.proposals.Out()
+}
+
 // propose appends a command and those that wait behind it, so that one sync
 // stores them all. A node that does not lead drops them: the controller
 // proposes again.
--- /dev/null
+++ b/internal/controlnode/duties_test.go
@@ -0,0 +1,170 @@
+package controlnode
+
+import (
+	"context"
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/consensus"
+	"endivespring/internal/duty"
+	"endivespring/internal/ring"
+	"endivespring/internal/storage"
+)
+
+const (
+	testLimit  = 20 * time.Second // bound on waiting for an event
+	testWrites = 16
+)
+
+var voters = consensus.Membership{Voters: []consensus.NodeID{{Name: "a"}, {Name: "b"}, {Name: "c"}}}
+
+// bench is a consensus duty with rings whose other ends the test holds.
+type bench struct {
+	*consensusDuty
+	group *duty.Group
+	ctx   context.Context
+}
+
+func newBench(t *testing.T, id consensus.NodeID, peers []string, stored *consensus.Stored) *bench {
+	timeSource := clock.NewMonotonic()
+	d := &consensusDuty{
+		clock: timeSource, outbound: &outbound{rings: map[string]*ring.Ring[consensus.Message]{}},
+		inbound:   ring.New[*consensus.Message]("in", 64, ring.DropOldest),
+		proposals: ring.New[[]byte]("proposals", 64, ring.Refuse),
+		persisted: ring.New[persisted]("persisted", 1, ring.DropOldest),
+		compact:   ring.New[compaction]("compactions", 1, ring.Refuse),
+		transfer:  ring.New[struct{}]("transfer", 1, ring.Refuse),
+		released:  ring.New[struct{}]("released", 1, ring.Refuse),
+		writes:    ring.New[write]("writes", testWrites, ring.Wait),
+		updates:   ring.New[logUpdate]("updates", 8, ring.Wait),
+	}
+	for _, name := range peers {
+		if name != id.Name {
+			d.outbound.rings[name] = ring.New[consensus.Message](name, 256, ring.DropOldest)
+		}
+	}
+	d.core = consensus.New(consensus.Config{
+		ID: id, Peers: peers, HeartbeatInterval: 10 * time.Millisecond, ElectionTimeout: 100 * time.Millisecond,
+		DriftMargin: 10 * time.Millisecond, MaxBatch: 64,
+	}, stored, timeSource.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	b := &bench{consensusDuty: d, group: duty.NewGroup(ctx), ctx: ctx}
+	t.Cleanup(func() {
+		b.group.Stop()
+		assert.NilError(t, b.group.Wait())
+		cancel()
+	})
+	b.group.Go("consensus", d.Run)
+	return b
+}
+
+func (b *bench) storage(t *testing.T, disk *storage.Disk) {
+	s := &storageDuty{disk: disk, writes: b.writes, persisted: b.persisted, outbound: b.outbound}
+	b.group.Go("storage", s.Run)
+	t.Cleanup(func() { _ = disk.Close() })
+}
+
+func openDiskOf(t *testing.T, name string) *storage.Disk {
+	disk, _, err := storage.Open(t.TempDir(), "fleet", name)
+	assert.NilError(t, err)
+	return disk
+}
+
+// answer plays a voter that agrees with everything.
+func (b *bench) answer(m *consensus.Message) {
+	kinds := map[consensus.MessageKind]consensus.MessageKind{
+		consensus.PreVote: consensus.PreVoteReply, consensus.Vote: consensus.VoteReply,
+		consensus.Heartbeat: consensus.HeartbeatReply, consensus.Append: consensus.AppendReply,
+	}
+	reply := &consensus.Message{Kind: kinds[m.Kind], From: m.To, To: m.From, Term: m.Term, Sent: m.Sent}
+	if m.Kind == consensus.Append {
+		reply.Index = m.Index + uint64(len(m.Entries))
+	}
+	_ = b.inbound.Put(b.ctx, reply)
+}
+
+// TestStalledDiskKeepsLeadership stops all writes of a leader under a flood
+// of proposals: its heartbeats go on.
+func TestStalledDiskKeepsLeadership(t *testing.T) {
+	stored := &consensus.Stored{HardState: consensus.HardState{Term: 1}, Snapshot: &consensus.Snapshot{Index: 1, Term: 1, Membership: voters}}
+	b := newBench(t, voters.Voters[0], []string{"a", "b", "c"}, stored)
+	leads, stalled, heartbeats := false, false, 0
+	for heartbeats < 60 {
+		if !leads {
+			select {
+			case w := <-b.writes.Out():
+				b.outbound.send(b.ctx, w.output.AfterSync)
+			default:
+			}
+		}
+		for leads && b.proposals.Put(b.ctx, []byte("command")) == nil {
+		}
+		select {
+		case m := <-b.outbound.rings["b"].Out():
+			leads = leads || m.Kind == consensus.Heartbeat
+			if stalled = stalled || b.writes.Depth() > testWrites/2; stalled && m.Kind == consensus.Heartbeat {
+				heartbeats++
+			}
+			b.answer(&m)
+		case <-b.updates.Out():
+		case <-time.After(time.Millisecond):
+			assert.NilError(t, b.ctx.Err(), "no heartbeats, writes waiting: %d", b.writes.Depth())
+		}
+	}
+}
+
+// TestNoReportIsMissed floods one voter whose reports of storage are dropped
+// whenever a newer one is there: every command is committed, in order.
+func TestNoReportIsMissed(t *testing.T) {
+	disk := openDiskOf(t, "a")
+	b := newBench(t, disk.NodeID(), []string{"a"}, &consensus.Stored{})
+	b.storage(t, disk)
+	const commands = 3000
+	var proposed, applied, compacted uint64
+	leads := false
+	for applied < commands {
+		for proposed < commands && proposed < applied+64 && leads &&
+			b.proposals.Put(b.ctx, binary.LittleEndian.AppendUint64(nil, proposed)) == nil {
+			proposed++
+		}
+		update, err := b.updates.Take(b.ctx)
+		assert.NilError(t, err, "%d of %d applied", applied, proposed)
+		leads = leads || update.leadership != nil && update.leadership.Leads
+		for _, e := range update.committed {
+			if e.Kind == consensus.EntryCommand {
+				assert.Equal(t, binary.LittleEndian.Uint64(e.Data), applied)
+				applied++
+			}
+			if e.Index >= compacted+64 && b.compact.Put(b.ctx, compaction{index: e.Index, data: []byte("state")}) == nil {
+				compacted = e.Index
+			}
+		}
+	}
+}
+
+// TestFailedWriteEndsTheProcess closes the disk under the storage duty: it
+// fails, which stops its group, and sends and reports nothing.
+func TestFailedWriteEndsTheProcess(t *testing.T) {
+	disk := openDiskOf(t, "a")
+	assert.NilError(t, disk.Close())
+	out := &outbound{rings: map[string]*ring.Ring[consensus.Message]{"b": ring.New[consensus.Message]("b", 4, ring.DropOldest)}}
+	s := &storageDuty{
+		disk: disk, outbound: out, writes: ring.New[write]("writes", 4, ring.Wait),
+		persisted: ring.New[persisted]("persisted", 4, ring.DropOldest),
+	}
+	assert.NilError(t, s.writes.Put(context.Background(), write{term: 1, output: consensus.Output{
+		Entries:   []consensus.Entry{{Index: 1, Term: 1}},
+		AfterSync: []consensus.Message{{Kind: consensus.AppendReply, To: voters.Voters[1]}},
+	}}))
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	group := duty.NewGroup(ctx)
+	group.Go("storage", s.Run)
+	err := group.Wait()
+	assert.ErrorContains(t, err, "duty storage: append to log")
+	assert.Equal(t, out.rings["b"].Depth()+s.persisted.Depth(), 0)
+}
--- a/internal/storage/disk_test.go
+++ b/internal/storage/disk_test.go
@@ -114,6 +114,7 @@
 	for length := range lengths[0] {
 		write(t, folder, logName, log[:length])
 		assert.ErrorIs(t, openError(folder), ErrDamaged, "first frame cut at %d", length)
+		assert.Equal(t, len(read(t, folder, logName)), length) // kept to be looked at
 	}
 }
 
