Test a log without identity and the newest report of storage

Cause: two mutations stayed green: an identity made beside an old log, and a report of storage that is dropped because an older one waits.

Conclusion: both turn a test red now.

--- a/internal/controlnode/duties_test.go
+++ b/internal/controlnode/duties_test.go
@@ -168,3 +168,27 @@
 	assert.ErrorContains(t, err, "duty storage: append to log")
 	assert.Equal(t, out.rings["b"].Depth()+s.persisted.Depth(), 0)
 }
+
+// TestNewestReportIsKept stores more than the ring of reports holds.
+func TestNewestReportIsKept(t *testing.T) {
+	disk := openDiskOf(t, "a")
+	defer func() { _ = disk.Close() }()
+	s := &storageDuty{
+		disk: disk, outbound: &outbound{}, writes: ring.New[write]("writes", 4, ring.Wait),
+		persisted: ring.New[persisted]("persisted", 1, ring.DropOldest),
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	for index := uint64(1); index <= 4; index++ {
+		assert.NilError(t, s.writes.Put(ctx, write{term: 1, output: consensus.Output{Entries: []consensus.Entry{{Index: index, Term: 1}}}}))
+	}
+	group := duty.NewGroup(ctx)
+	group.Go("storage", s.Run)
+	for last := uint64(0); last < 4; {
+		report, err := s.persisted.Take(ctx)
+		assert.NilError(t, err, "last report %d", last)
+		last = report.index
+	}
+	group.Stop()
+	assert.NilError(t, group.Wait())
+}
--- a/internal/storage/disk_test.go
+++ b/internal/storage/disk_test.go
@@ -149,6 +149,7 @@
 		"empty log":             func(folder string) { _ = os.Truncate(file(folder, logName), 0) },
 		"no snapshot":           func(folder string) { _ = os.Remove(file(folder, snapshotName)) },
 		"damaged identity":      func(folder string) { _ = os.Truncate(file(folder, identityName), 9) },
+		"log without both":      func(folder string) { _ = os.Remove(file(folder, identityName)); _ = os.Remove(file(folder, snapshotName)) },
 		"snapshot without both": func(folder string) { _ = os.Remove(file(folder, identityName)); _ = os.Remove(file(folder, logName)) },
 	} {
 		t.Run(name, func(t *testing.T) {
