--- a/internal/storage/disk_test.go
+++ b/internal/storage/disk_test.go
@@ -144,12 +144,15 @@
 // TestMissingFiles covers each set of files that a crash cannot leave behind.
 func TestMissingFiles(t *testing.T) {
 	for name, change := range map[string]func(folder string){
-		"no identity":           func(folder string) { _ = os.Remove(file(folder, identityName)) },
-		"no log":                func(folder string) { _ = os.Remove(file(folder, logName)) },
-		"empty log":             func(folder string) { _ = os.Truncate(file(folder, logName), 0) },
-		"no snapshot":           func(folder string) { _ = os.Remove(file(folder, snapshotName)) },
-		"damaged identity":      func(folder string) { _ = os.Truncate(file(folder, identityName), 9) },
-		"log without both":      func(folder string) { _ = os.Remove(file(folder, identityName)); _ = os.Remove(file(folder, snapshotName)) },
+		"no identity":      func(folder string) { _ = os.Remove(file(folder, identityName)) },
+		"no log":           func(folder string) { _ = os.Remove(file(folder, logName)) },
+		"empty log":        func(folder string) { _ = os.Truncate(file(folder, logName), 0) },
+		"no snapshot":      func(folder string) { _ = os.Remove(file(folder, snapshotName)) },
+		"damaged identity": func(folder string) { _ = os.Truncate(file(folder, identityName), 9) },
+		"log without both": func(folder string) {
+			_ = os.Remove(file(folder, identityName))
+			_ = os.Remove(file(folder, snapshotName))
+		},
 		"snapshot without both": func(folder string) { _ = os.Remove(file(folder, identityName)); _ = os.Remove(file(folder, logName)) },
 	} {
 		t.Run(name, func(t *testing.T) {
