--- a/internal/command/control.go
+++ b/internal/command/control.go
@@ -10,6 +10,7 @@
 	"endivespring/internal/clock"
 	"endivespring/internal/controlnode"
 	"endivespring/internal/event"
+	"endivespring/internal/metrics"
 	"endivespring/internal/settings"
 )
 
@@ -36,7 +37,10 @@
 }
 
 // Execute runs the process.
-func (c *Control) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *Control) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settingsFile == "" || f.NArg() > 0 {
+		return usage("control needs --settings FILE and nothing else")
+	}
 	s := &settings.Control{}
 	if err := settings.Read(c.settingsFile, s); err != nil {
 		return fail(err)
@@ -51,13 +55,16 @@
 	if err != nil {
 		return fail(err)
 	}
-	return serve(node)
+	return serve(node, do.MustInvoke[*event.Log](injector))
 }
 
 // processScope provides what every process needs: its event log and clock.
 func processScope(name string) do.Injector {
 	injector := do.New()
 	do.ProvideValue(injector, event.NewLog(stderrLog, name))
+	do.Provide(injector, func(i do.Injector) (*metrics.Registry, error) {
+		return metrics.NewRegistry(do.MustInvoke[*event.Log](i)), nil
+	})
 	do.Provide(injector, func(do.Injector) (clock.Clock, error) { return clock.NewMonotonic(), nil })
 	return injector
 }
--- a/internal/command/operator_flags.go
+++ b/internal/command/operator_flags.go
@@ -1,10 +1,13 @@
 package command
 
 import (
+	"context"
 	"crypto/rand"
 	"flag"
 	"fmt"
 	"os"
+	"strings"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -12,26 +15,32 @@
 	"endivespring/internal/settings"
 )
 
+const leaderPatience = 10 * time.Second // default of --patience
+
 // operatorFlags are the flags of every operator's command.
 type operatorFlags struct {
 	settingsFile string
-	output       string
+	output       output
+	patience     time.Duration
 	expected     int64
 	commandID    string
+	wait         time.Duration
 
 	settings settings.Operator
 }
 
 func (o *operatorFlags) set(f *flag.FlagSet) {
-	f.StringVar(&o.settingsFile, "settings", "operator.json", "settings file")
-	f.StringVar(&o.output, "output", "table", "table or json")
+	f.StringVar(&o.settingsFile, "settings", "operator.json", "settings `file`")
+	f.DurationVar(&o.patience, "patience", leaderPatience, "longest `time` to look for a control process that leads")
+	o.output.declare(f)
 }
 
 // setChange adds the flags of commands that change something.
 func (o *operatorFlags) setChange(f *flag.FlagSet) {
 	o.set(f)
-	f.Int64Var(&o.expected, "expect", -1, "config version that the command is based on; the present one if not given")
-	f.StringVar(&o.commandID, "command-id", "", "id that makes a resend safe; a new one if not given")
+	f.Int64Var(&o.expected, "expect", -1, "config `version` that the command is based on; the present one if not given")
+	f.DurationVar(&o.wait, "wait", 0, "longest `time` to wait until the change is in force at every router that takes work")
+	f.StringVar(&o.commandID, "command-id", "", "`id` that makes a resend safe; a new one if not given")
 }
 
 // client reads the settings and returns a client.
@@ -43,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return operator.NewClient(o.settings.Control, token), nil
+	return operator.NewClient(o.settings.Control, token, o.patience), nil
 }
 
 // change sends a command and prints its outcome.
@@ -65,14 +74,32 @@
 	body.CommandID, body.Operator, body.Expected = o.commandID, o.settings.Name, uint64(o.expected)
 	result, err := client.Change(&body)
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "command id %s\n", o.commandID)
+		fmt.Fprintf(os.Stderr, "command id %s, expected config version %d\n", o.commandID, o.expected)
 		return fail(err)
 	}
-	return o.printResult(result)
+	if status := o.printResult(result); status != subcommands.ExitSuccess || o.wait == 0 {
+		return status
+	}
+	return o.await(client, result.Config)
+}
+
+// await waits until a config version is in force everywhere.
+func (o *operatorFlags) await(client *operator.Client, config uint64) subcommands.ExitStatus {
+	status, ok := client.Await(context.Background(), config, o.wait)
+	switch {
+	case ok:
+		fmt.Fprintf(os.Stderr, "in force everywhere\n")
+		return subcommands.ExitSuccess
+	case status == nil:
+		fmt.Fprintf(os.Stderr, "not known where it is in force: no control process leads\n")
+	default:
+		fmt.Fprintf(os.Stderr, "not yet in force everywhere; may work under an older version: %s\n", strings.Join(status.Working, ", "))
+	}
+	return ExitNotEverywhere
 }
 
 func (o *operatorFlags) printResult(result *operator.ResultBody) subcommands.ExitStatus {
-	if o.output == "json" {
+	if o.output == outputJSON {
 		if status := printJSON(result); status != subcommands.ExitSuccess {
 			return status
 		}
--- a/internal/controlnode/controller_duty.go
+++ b/internal/controlnode/controller_duty.go
@@ -8,6 +8,7 @@
 	"endivespring/internal/consensus"
 	"endivespring/internal/controller"
 	"endivespring/internal/event"
+	"endivespring/internal/metrics"
 	"endivespring/internal/operator"
 	"endivespring/internal/ring"
 	"endivespring/internal/wire"
@@ -27,6 +28,7 @@
 	released *ring.Ring[struct{}]
 	// every is the number of entries between snapshots.
 	every uint64
+	meter *metrics.ControlMeter
 
 	streams   map[controller.StreamID]arrival
 	replies   map[uint64]operator.Request
@@ -78,6 +80,8 @@
 	if update.leadership != nil {
 		d.core.Lead(d.clock.Now(), *update.leadership)
 	}
+	d.meter.Leadership(update.leadership)
+	d.meter.State(d.applied, d.core.State())
 	if update.release {
 		_ = d.released.Put(ctx, struct{}{})
 	}
@@ -93,7 +97,7 @@
 	if err != nil {
 		return err
 	}
-	d.core.Committed(d.clock.Now(), command)
+	d.core.Committed(d.clock.Now(), entry.Term, command)
 	return nil
 }
 
@@ -129,10 +133,14 @@
 		d.core.Operate(d.clock.Now(), d.token, request.Change)
 	case request.Explain != nil:
 		reply := operator.Reply{}
-		if explanation, ok := d.core.Explain(request.Explain.Service, request.Explain.Key); ok {
+		if !d.core.Leading(d.clock.Now()) {
+			reply.Redirect = true
+		} else if explanation, ok := d.core.Explain(request.Explain.Service, request.Explain.Key); ok {
 			reply.Explanation = &explanation
 		}
 		request.Reply.Send(reply)
+	case request.Preset:
+		request.Reply.Send(operator.Reply{Preset: d.core.State().View.Preset, Redirect: !d.core.Leading(d.clock.Now())})
 	default:
 		status := d.core.Status(d.clock.Now())
 		request.Reply.Send(operator.Reply{Status: &status})
@@ -151,13 +159,16 @@
 	for _, send := range out.Sends {
 		a, ok := d.streams[send.Stream]
 		if ok && a.down.Put(ctx, send.Down) != nil {
+			// A later message must not pass the one that was refused.
 			a.cut()
+			delete(d.streams, send.Stream)
+			d.core.Detach(send.Stream)
 		}
 	}
 	for _, reply := range out.Replies {
 		if request, ok := d.replies[reply.Token]; ok {
 			delete(d.replies, reply.Token)
-			request.Reply.Send(operator.Reply{Redirect: reply.Redirect, Result: reply.Result})
+			request.Reply.Send(operator.Reply{Redirect: reply.Redirect, Unknown: reply.Unknown, Result: reply.Result})
 		}
 	}
 	for _, decision := range out.Decisions {
--- a/internal/event/log.go
+++ b/internal/event/log.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,6 +20,8 @@
 type Log struct {
 	ring   *ring.Ring[Entry]
 	logger zerolog.Logger
+	// counts holds the occurrences of each event of the catalogue.
+	counts []atomic.Int64
 }
 
 // NewLog returns a log that writes to w and adds the process name to each line.
@@ -26,32 +29,42 @@
 	return &Log{
 		ring:   ring.New[Entry]("event-log", logRingCapacity, ring.DropOldest),
 		logger: zerolog.New(w).With().Str("process", process).Logger(),
+		counts: make([]atomic.Int64, len(catalogue)),
 	}
 }
 
 // Record appends an occurrence of the event without blocking.
 func (l *Log) Record(definition *Definition, fields ...Field) {
+	l.counts[definition.index].Add(1)
 	entry := Entry{Definition: definition, Time: time.Now(), Fields: fields}
 	_ = l.ring.Put(context.Background(), entry)
 }
 
+// Ring returns the ring between callers of Record and the duty.
+func (l *Log) Ring() *ring.Ring[Entry] { return l.ring }
+
+// Count returns how often an event was recorded, dropped entries included.
+func (l *Log) Count(definition *Definition) int64 { return l.counts[definition.index].Load() }
+
 // Dropped returns how many entries were discarded.
 func (l *Log) Dropped() int64 { return l.ring.Dropped() }
 
-// Run writes entries until the context ends, then writes what is left.
+// Run writes entries until the context ends, then writes what is left. Flush
+// writes what other duties record after that.
 func (l *Log) Run(ctx context.Context) error {
 	for {
 		select {
 		case entry := <-l.ring.Out():
 			l.write(entry)
 		case <-ctx.Done():
-			l.flush()
+			l.Flush()
 			return nil
 		}
 	}
 }
 
-func (l *Log) flush() {
+// Flush writes the entries that wait. It must not run beside Run.
+func (l *Log) Flush() {
 	for l.ring.Depth() > 0 {
 		l.write(<-l.ring.Out())
 	}
@@ -72,6 +85,8 @@
 		return line.Str(field.Name, value)
 	case error:
 		return line.Str(field.Name, value.Error())
+	case time.Duration:
+		return line.Str(field.Name, value.String())
 	default:
 		return line.Interface(field.Name, value)
 	}
--- a/internal/router/entry_duty.go
+++ b/internal/router/entry_duty.go
@@ -8,9 +8,11 @@
 	"endivespring/internal/call"
 	"endivespring/internal/caller"
 	"endivespring/internal/clock"
+	"endivespring/internal/door"
 	"endivespring/internal/duty"
 	"endivespring/internal/event"
 	"endivespring/internal/fleet"
+	"endivespring/internal/metrics"
 	"endivespring/internal/ring"
 	"endivespring/internal/session"
 	"endivespring/internal/verdict"
@@ -30,6 +32,13 @@
 	updates  *ring.Ring[session.Update]
 	door     *ring.Ring[submission]
 
+	registry *metrics.Registry
+
+	// delegations are calls of the door beside this entry that other doors are
+	// to run; delegated holds their runs by token.
+	delegations *ring.Ring[door.Delegation]
+	delegated   map[uint64]uint64
+
 	token   uint64
 	waiting map[uint64]caller.Request
 	links   map[fleet.RouterID]*link
@@ -47,6 +56,8 @@
 			d.core.Tick(d.clock.Now())
 		case request := <-d.requests.Out():
 			d.start(request)
+		case delegation := <-d.delegations.Out():
+			d.delegate(&delegation)
 		case answer := <-d.answers.Out():
 			d.answered(&answer)
 		case update := <-d.updates.Out():
@@ -75,15 +86,23 @@
 	d.core.Start(d.clock.Now(), request.Request)
 }
 
+// delegate starts a call that the door beside this entry keeps the record of.
+func (d *entryDuty) delegate(delegation *door.Delegation) {
+	d.token++
+	d.delegated[d.token] = delegation.Run
+	now := d.clock.Now()
+	c := &delegation.Call
+	d.core.Start(now, attempt.Request{
+		Token: d.token, ID: c.RequestID, Service: c.Service, Operation: c.Operation, Key: c.Key, Body: c.Body,
+		Timeout: max(1, c.Deadline.Sub(now)), Delegated: true, Exclude: d.self,
+	})
+}
+
 func (d *entryDuty) answered(in *inboundAnswer) {
 	now := d.clock.Now()
 	switch {
 	case in.ended != nil:
-		if d.links[in.from] == in.ended {
-			delete(d.links, in.from)
-		}
-		d.core.LostRouter(now, in.from)
-		d.events.Record(event.PeerLost, event.F("router", string(in.from)))
+		d.ended(now, in)
 	case in.lost:
 		d.core.Lost(now, in.answer.Number, in.verdict)
 	default:
@@ -91,12 +110,27 @@
 	}
 }
 
+// ended takes the end of a link. Calls that were put on its ring after it had
+// stopped sending were never written; the outcome of the others is unknown.
+func (d *entryDuty) ended(now clock.Instant, in *inboundAnswer) {
+	if d.links[in.from] == in.ended {
+		delete(d.links, in.from)
+	}
+	for in.ended.calls.Depth() > 0 {
+		if out := <-in.ended.calls.Out(); !out.cancel {
+			d.core.Lost(now, out.call.Number, verdict.NotRun)
+		}
+	}
+	d.core.LostRouter(now, in.from)
+	d.events.Record(event.PeerLost, event.F("router", string(in.from)))
+}
+
 // dispatch carries out what the core asks for until it asks for nothing more.
 func (d *entryDuty) dispatch(ctx context.Context) {
 	for {
 		out := d.core.Take()
 		for _, finish := range out.Finishes {
-			d.finish(finish)
+			d.finish(ctx, finish)
 		}
 		for _, cancel := range out.Cancels {
 			d.cancel(ctx, cancel)
@@ -113,7 +147,14 @@
 	}
 }
 
-func (d *entryDuty) finish(finish attempt.Finish) {
+// finish answers the caller, or the door beside this entry. If the door's ring
+// is full, the door takes the outcome as unknown after a grace.
+func (d *entryDuty) finish(ctx context.Context, finish attempt.Finish) {
+	if run, ok := d.delegated[finish.Token]; ok {
+		delete(d.delegated, finish.Token)
+		_ = d.door.Put(ctx, submission{outcome: &door.Outcome{Run: run, Answer: finish.Answer}})
+		return
+	}
 	if request, ok := d.waiting[finish.Token]; ok {
 		delete(d.waiting, finish.Token)
 		request.Reply.Send(finish.Answer)
@@ -150,6 +191,7 @@
 	}
 	l = newLink(d.fleet, router, d.clock, d.answers, d.events)
 	d.links[router.ID] = l
+	d.registry.Rings(l.calls)
 	d.group.Go("link-"+string(router.ID), l.Run)
 	return l
 }
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -22,12 +22,19 @@
 		Setup: setup,
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"fleet":      cmdFleet,
+			"path":       cmdPath,
 			"start":      cmdStart,
+			"until":      cmdUntil,
 			"signal":     cmdSignal,
 			"await":      cmdAwait,
 			"eventually": cmdEventually,
 			"request":    cmdRequest,
 			"ledger":     cmdLedger,
+			"metrics":    cmdMetrics,
+			"behave":     cmdBehave,
+			"ends":       cmdEnds,
+			"callers":    cmdCallers,
+			"answered":   cmdAnswered,
 		},
 	})
 }
