Run scenarios on crashes, disk losses and a frozen leader of control

Cause: the core's tests use a fake transport and disks; nothing yet ran the same cases on separate processes.

--- /dev/null
+++ b/scenarios/consensus_test.go
@@ -0,0 +1,150 @@
+package scenarios
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"endivespring/internal/controller"
+	"endivespring/internal/operator"
+	"endivespring/internal/settings"
+	"endivespring/internal/storage"
+)
+
+// cmdControl looks at and harms control processes:
+// control leader VAR sets VAR to the leader's name and f1, f2 and so on to the others';
+// control whole N waits until N voters, each with its present disk, have no learners;
+// control empty NAME kills a process and empties its data folder;
+// control damage NAME changes a byte in the middle of a stopped process's log;
+// control changes N commits N operators' changes and keeps the config version in "config";
+// control others NAME writes others.json, operators' settings without that process;
+// control kept fails unless the config version is at least that one.
+func cmdControl(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) == 0 {
+		ts.Fatalf("usage: control leader|whole|empty|damage|changes|others|kept [ARG]")
+	}
+	switch args[0] {
+	case "leader":
+		setLeader(ts, args[1])
+	case "whole":
+		count, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		awaitStatus(ts, func(s *controller.Status) bool {
+			return len(s.Voters) == count && len(s.Learners) == 0 && currentDisks(ts, s.Voters)
+		})
+	case "empty":
+		cmdSignal(ts, false, []string{"KILL", args[1]})
+		ts.Check(os.RemoveAll(ts.MkAbs(args[1])))
+		ts.Check(os.Mkdir(ts.MkAbs(args[1]), 0o750))
+	case "others":
+		writeOthers(ts, args[1])
+	case "damage":
+		damageLog(ts, args[1])
+	case "changes":
+		count, err := strconv.Atoi(args[1])
+		ts.Check(err)
+		commitChanges(ts, count)
+	case "kept":
+		least, err := strconv.Atoi(ts.Getenv("config"))
+		ts.Check(err)
+		awaitStatus(ts, func(s *controller.Status) bool {
+			if int(s.Config) < least {
+				ts.Fatalf("config version %d after %d", s.Config, least)
+			}
+			return true
+		})
+	default:
+		ts.Fatalf("unknown: control %s", args[0])
+	}
+}
+
+func operatorClient(ts *testscript.TestScript) *operator.Client {
+	var s settings.Operator
+	ts.Check(settings.Read(ts.MkAbs("operator.json"), &s))
+	token, err := settings.ReadToken(s.TokenFile)
+	ts.Check(err)
+	return operator.NewClient(s.Control, token, 2*time.Second)
+}
+
+// awaitStatus waits until the leader's status meets the condition.
+func awaitStatus(ts *testscript.TestScript, condition func(s *controller.Status) bool) *controller.Status {
+	client := operatorClient(ts)
+	var last *controller.Status
+	for end := time.Now().Add(eventuallyLimit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		status, err := client.Status()
+		if err != nil {
+			continue
+		}
+		if last = status; condition(status) {
+			return status
+		}
+	}
+	data, _ := json.Marshal(last)
+	ts.Fatalf("status never came, last: %s", data)
+	return nil
+}
+
+func setLeader(ts *testscript.TestScript, name string) {
+	status := awaitStatus(ts, func(*controller.Status) bool { return true })
+	ts.Setenv(name, status.Leader)
+	number := 0
+	for _, voter := range status.Voters {
+		if other, _, _ := strings.Cut(voter, "/"); other != status.Leader {
+			number++
+			ts.Setenv(fmt.Sprintf("f%d", number), other)
+		}
+	}
+}
+
+func currentDisks(ts *testscript.TestScript, voters []string) bool {
+	for _, voter := range voters {
+		name, disk, _ := strings.Cut(voter, "/")
+		data, err := os.ReadFile(filepath.Join(ts.MkAbs(name), "identity.json"))
+		var identity storage.Identity
+		if err != nil || json.Unmarshal(data, &identity) != nil || identity.Disk != disk {
+			return false
+		}
+	}
+	return true
+}
+
+func damageLog(ts *testscript.TestScript, name string) {
+	file := filepath.Join(ts.MkAbs(name), "log")
+	data, err := os.ReadFile(file)
+	ts.Check(err)
+	data[len(data)/2] ^= 0x10
+	ts.Check(os.WriteFile(file, data, 0o640))
+}
+
+func commitChanges(ts *testscript.TestScript, count int) {
+	client := operatorClient(ts)
+	status := awaitStatus(ts, func(*controller.Status) bool { return true })
+	config := uint64(status.Config)
+	for i := range count {
+		result, err := client.Change(&operator.ChangeBody{
+			CommandID: fmt.Sprintf("change-%d-%d", config, i), Operator: "scenario", Expected: config, DataCentre: "nowhere", Out: i%2 == 0,
+		})
+		ts.Check(err)
+		if !result.Accepted {
+			ts.Fatalf("change %d refused: %s", i, result.Reason)
+		}
+		config = uint64(result.Config)
+	}
+	ts.Setenv("config", strconv.FormatUint(config, 10))
+}
+
+// writeOthers relies on the operator addresses being in the order of the names.
+func writeOthers(ts *testscript.TestScript, name string) {
+	var s settings.Operator
+	ts.Check(settings.Read(ts.MkAbs("operator.json"), &s))
+	number, err := strconv.Atoi(strings.TrimPrefix(name, "control-"))
+	ts.Check(err)
+	s.Control = append(s.Control[:number-1:number-1], s.Control[number:]...)
+	writeJSON(ts, "others.json", s)
+}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -35,6 +35,7 @@
 			"ends":       cmdEnds,
 			"callers":    cmdCallers,
 			"answered":   cmdAnswered,
+			"control":    cmdControl,
 		},
 	})
 }
