Replace a silent connection between control processes

Cause: a stream to another control process that had gone silent took messages until its window was full, minutes of heartbeats, so a fleet whose open connections all went silent had no leader meanwhile.

Ruled out: the library's keepalive, which is raised to 10 s; an answer awaited before the next message, which costs a round trip for each.

Change: the receiver acknowledges each message on the same stream.

--- a/internal/controlnode/consensus_server.go
+++ b/internal/controlnode/consensus_server.go
@@ -19,9 +19,9 @@
 	inbound *ring.Ring[*consensus.Message]
 }
 
-// Deliver puts messages on the ring of the consensus duty; a full ring drops
-// the oldest.
-func (s *consensusServer) Deliver(stream grpc.ClientStreamingServer[wirepb.ConsensusMessage, wirepb.Empty]) error {
+// Deliver puts messages on the ring of the consensus duty and acknowledges
+// them; a full ring drops the oldest.
+func (s *consensusServer) Deliver(stream grpc.BidiStreamingServer[wirepb.ConsensusMessage, wirepb.Empty]) error {
 	for {
 		message, err := stream.Recv()
 		if err != nil {
@@ -31,5 +31,8 @@
 			return peer.RefuseFleet(stream.Context(), s.events, s.fleet, message.GetFleet())
 		}
 		_ = s.inbound.Put(stream.Context(), wire.ToMessage(message))
+		if err := stream.Send(&wirepb.Empty{}); err != nil {
+			return err
+		}
 	}
 }
--- a/internal/controlnode/duties_test.go
+++ b/internal/controlnode/duties_test.go
@@ -192,3 +192,15 @@
 	group.Stop()
 	assert.NilError(t, group.Wait())
 }
+
+// TestLargeMessagesGetTime keeps the longer wait until the large message itself
+// is acknowledged.
+func TestLargeMessagesGetTime(t *testing.T) {
+	s := newPeerStream("fleet", nil, func() {})
+	assert.Assert(t, !s.count(100))
+	assert.Assert(t, s.count(10*slowestRate))
+	assert.Assert(t, !s.count(100))
+	for acknowledged, want := range []time.Duration{10*time.Second + acknowledgeTimeout, 10*time.Second + acknowledgeTimeout, acknowledgeTimeout, acknowledgeTimeout} {
+		assert.Equal(t, s.patience(uint64(acknowledged)), want)
+	}
+}
--- a/internal/controlnode/peer_duty.go
+++ b/internal/controlnode/peer_duty.go
@@ -2,23 +2,18 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
-	"github.com/rotisserie/eris"
-	"google.golang.org/grpc"
-
 	"endivespring/internal/consensus"
 	"endivespring/internal/event"
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
-	"endivespring/internal/wire"
 	"endivespring/internal/wire/wirepb"
 )
 
 const (
 	redialDelay = 50 * time.Millisecond // wait after a lost stream to a peer
-	sendTimeout = 2 * time.Second       // a send that takes longer means a silent connection
+	openTimeout = 2 * time.Second       // bound on opening a connection and its stream
 )
 
 // peerDuty sends consensus messages to one other control process.
@@ -51,29 +46,24 @@
 	defer func() { _ = connection.Close() }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	opening := time.AfterFunc(openTimeout, cancel)
 	client, err := wirepb.NewConsensusClient(connection).Deliver(ctx)
+	opening.Stop()
 	if err != nil {
 		return err
 	}
-	for {
-		message, err := d.out.Take(ctx)
-		if err != nil {
-			return err
-		}
-		if err := d.send(client, cancel, &message); err != nil {
-			return err
-		}
-	}
-}
-
-func (d *peerDuty) send(client grpc.ClientStreamingClient[wirepb.ConsensusMessage, wirepb.Empty], cancel func(), m *consensus.Message) error {
-	watchdog := time.AfterFunc(sendTimeout, cancel)
-	defer watchdog.Stop()
-	err := client.Send(wire.FromMessage(m, d.fleet))
-	if eris.Is(err, io.EOF) {
-		_, err = client.CloseAndRecv()
+	stream := newPeerStream(d.fleet, client, cancel)
+	ended := ring.NewReply[error]()
+	go func() {
+		defer cancel()
+		ended.Send(stream.receive(ctx))
+	}()
+	stream.send(ctx, d.out)
+	cancel()
+	if stream.silent.Load() {
+		d.events.Record(event.ConnectionRetired, event.F("address", d.address))
 	}
-	return err
+	return <-ended.Out()
 }
 
 func wait(ctx context.Context, d time.Duration) {
