--- a/internal/controller/parties_test.go
+++ b/internal/controller/parties_test.go
@@ -211,13 +211,16 @@
 		return
 	}
 	now := r.clock.at(r.w.now)
-	if down.Rejected && !down.Closed {
+	if r.core.Rejects(&down) {
 		r.update(r.core.Rejected(now, &down, r.nonce()))
 		return
 	}
 	update, resync := r.core.Receive(now, &down)
 	r.update(update)
-	if resync || r.core.Closed() {
+	if r.core.Closed() {
+		r.w.fail("%s: session closed without being asked", r.name)
+	}
+	if resync {
 		r.detach(10 * time.Millisecond)
 	}
 }
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -167,7 +167,7 @@
 		}
 		return false
 	}
-	if down.Rejected && !down.Closed {
+	if d.core.Rejects(down) {
 		d.spread(ctx, d.core.Rejected(d.clock.Now(), down, rand.Text()))
 		return true
 	}
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -125,7 +125,7 @@
 	if down.Lease && down.Session == c.session {
 		resync = c.granted(down)
 	}
-	if down.Closed {
+	if down.Closed && c.closing {
 		c.closed = true
 		c.holder.Drop()
 	}
@@ -158,6 +158,10 @@
 // late reports whether a message belongs to a session that was given up.
 func (c *Core) late(down *Down) bool { return down.Session != 0 && down.Session <= c.dropped }
 
+// Rejects reports whether a message ends a session that this router has not
+// asked to end; then Rejected must be called.
+func (c *Core) Rejects(down *Down) bool { return down.Rejected && !(down.Closed && c.closing) }
+
 // Rejected drops the session that a message rejects, and its lease, and starts
 // over under a new nonce. A late message changes nothing.
 func (c *Core) Rejected(now clock.Instant, down *Down, nonce string) Update {
--- a/internal/session/down.go
+++ b/internal/session/down.go
@@ -25,6 +25,7 @@
 	Leader   string
 	// Rejected means that the session is not current: open a new one.
 	Rejected bool
-	// Closed means that the session ended as asked.
+	// Closed means that the session was ended, because the router asked for it or
+	// because its lease had run out.
 	Closed bool
 }
