--- a/internal/controller/parties_test.go
+++ b/internal/controller/parties_test.go
@@ -250,6 +250,9 @@
 	}
 	r.finished = nil
 	shard := fleet.ShardID{Service: serviceName, Number: uint32(w.rng.IntN(shardCount))}
+	if w.rng.IntN(4) > 0 && r.view.Shard(shard).Owner != fleet.RouterID(r.name) {
+		return
+	}
 	deadline := r.clock.at(w.now).Add(time.Duration(50+w.rng.IntN(800)) * time.Millisecond)
 	r.submit(shard, deadline)
 	r.doorCore.Tick(r.clock.at(w.now))
