--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
 	"endivespring/internal/controller"
+	"endivespring/internal/ring"
 )
 
 const (
@@ -43,22 +45,46 @@
 
 // Status returns the status seen by the leader.
 func (c *Client) Status() (*controller.Status, error) {
+	answer, err := c.findLeader()
+	return answer.status, err
+}
+
+// findLeader asks every control process at once, so that a silent one costs no
+// time, and returns the answer of the one that leads.
+func (c *Client) findLeader() (statusAnswer, error) {
+	answers := ring.New[statusAnswer]("status", len(c.addresses), ring.Refuse)
 	for _, address := range c.addresses {
-		var status controller.Status
-		if err := c.do(address, fasthttp.MethodGet, "/v1/status", nil, &status); err == nil && status.Leads {
-			return &status, nil
-		} else if eris.Is(err, errRefused) {
-			return nil, err
+		go func() {
+			answer := statusAnswer{address: address, status: &controller.Status{}}
+			answer.err = c.do(address, fasthttp.MethodGet, "/v1/status", nil, answer.status)
+			_ = answers.Put(context.Background(), answer)
+		}()
+	}
+	for range c.addresses {
+		answer := <-answers.Out()
+		if answer.err == nil && answer.status.Leads {
+			return answer, nil
+		} else if eris.Is(answer.err, errRefused) {
+			return statusAnswer{}, answer.err
 		}
 	}
-	return nil, ErrNoLeader
+	return statusAnswer{}, ErrNoLeader
+}
+
+// leaderFirst returns all addresses, that of the leader first if one is known.
+func (c *Client) leaderFirst() []string {
+	leader, err := c.findLeader()
+	if err != nil {
+		return c.addresses
+	}
+	return append([]string{leader.address}, lo.Without(c.addresses, leader.address)...)
 }
 
 // Explain returns who owns a key.
 func (c *Client) Explain(service, key string) (*controller.Explanation, error) {
 	query := "/v1/explain?service=" + url.QueryEscape(service) + "&key=" + url.QueryEscape(key)
 	last := ErrNoLeader
-	for _, address := range c.addresses {
+	for _, address := range c.leaderFirst() {
 		var explanation controller.Explanation
 		err := c.do(address, fasthttp.MethodGet, query, nil, &explanation)
 		if err == nil {
@@ -73,7 +99,7 @@
 // sent on under the same id, so that it is executed once.
 func (c *Client) Change(change *ChangeBody) (*ResultBody, error) {
 	unknown := false
-	for _, address := range c.addresses {
+	for _, address := range c.leaderFirst() {
 		var result ResultBody
 		err := c.do(address, fasthttp.MethodPost, "/v1/changes", change, &result)
 		switch {
