--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -22,6 +22,8 @@
 	}
 	status.CentresOut = lo.Map(lo.Keys(view.DataCentresOut), func(d fleet.DataCentre, _ int) string { return string(d) })
 	slices.Sort(status.CentresOut)
+	status.UpstreamsOut = lo.Keys(view.UpstreamsOut)
+	slices.Sort(status.UpstreamsOut)
 	status.Routers = c.routerStatuses()
 	for _, r := range status.Routers {
 		if r.Applied >= c.state.ConfigAt {
@@ -37,6 +39,9 @@
 	return status
 }
 
+// Leading reports whether this process may answer for the fleet now.
+func (c *Core) Leading(now clock.Instant) bool { return c.leading(now) }
+
 // workingOnOlder returns the routers that may take work under an older config
 // version, and whether there may be some that this leader does not know.
 func (c *Core) workingOnOlder(now clock.Instant) (names []string, others bool) {
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -40,6 +40,9 @@
 	answerRingLength   = 8192 // answers waiting for the entry duty
 
 	closeTimeout = time.Second // longest wait for the session's end
+	// stopLinger is how long a stopping router takes requests at least, so that
+	// callers with open connections and other entries learn of the stop.
+	stopLinger = 500 * time.Millisecond
 )
 
 // Node is a router process.
@@ -135,7 +138,7 @@
 	n.caller = caller.NewServer(n.entry.requests, s.MaxBody, metrics.NewRequestMeter(n.registry).Observe)
 	n.announce = upstream.NewServer(n.door.notices).App()
 	n.grpc = peer.NewServer()
-	wirepb.RegisterDoorsServer(n.grpc, &doorServer{fleet: s.Fleet, clock: n.clock, door: submissions})
+	wirepb.RegisterDoorsServer(n.grpc, &doorServer{fleet: s.Fleet, events: n.events, clock: n.clock, door: submissions})
 }
 
 func attemptSettings(s *settings.Router, self fleet.Router) attempt.Settings {
@@ -169,7 +172,7 @@
 	n.group.Go("aborts", aborts.Run)
 	n.group.Go("caller-server", func(context.Context) error { return n.caller.App().Listener(listeners[0]) })
 	n.group.Go("announce-server", func(context.Context) error { return n.announce.Listener(listeners[1]) })
-	n.group.Go("peer-server", func(context.Context) error { return n.grpc.Serve(listeners[2]) })
+	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, listeners[2]) })
 	if len(listeners) > 3 {
 		n.group.Go("metrics-server", func(context.Context) error { return n.metrics.Listener(listeners[3]) })
 	}
@@ -182,8 +185,14 @@
 	ctx, cancel := context.WithTimeout(n.group.Context(), n.settings.Grace.Value())
 	defer cancel()
 	n.caller.Stop()
+	linger := time.NewTimer(stopLinger)
+	defer linger.Stop()
 	_ = n.door.stop.Put(ctx, struct{}{})
 	_, _ = n.door.drained.Take(ctx)
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
 	_ = n.caller.App().ShutdownWithContext(ctx)
 	_ = n.session.closing.Put(ctx, struct{}{})
 	ctx, cancel = context.WithTimeout(ctx, closeTimeout)
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -33,6 +33,7 @@
 			"eventually": cmdEventually,
 			"request":    cmdRequest,
 			"ledger":     cmdLedger,
+			"metrics":    cmdMetrics,
 			"behave":     cmdBehave,
 			"ends":       cmdEnds,
 			"callers":    cmdCallers,
