--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -160,7 +160,7 @@
 func TestPatience(t *testing.T) {
 	var asked atomic.Int64
 	p := startProcess(t, func(r Request) Reply {
-		if asked.Add(1) < 3 {
+		if r.Change == nil || asked.Add(1) < 3 {
 			return follows(r)
 		}
 		return leads(r)
