--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -36,6 +36,8 @@
 			"metrics":    cmdMetrics,
 			"behave":     cmdBehave,
 			"ends":       cmdEnds,
+			"hangup":     cmdHangUp,
+			"recorded":   cmdRecorded,
 			"callers":    cmdCallers,
 			"answered":   cmdAnswered,
 			"control":    cmdControl,
