Test budgets, delegation, refusals and eligible doors by name

Cause: breaking a guard and running the tests left 10 guards unnoticed: the hedge budget, hedging of what may not be hedged, waking parked requests by the view, delegated requests and budgets, the door that delegated, the bound on calls, the view lease, late calls, eligible and excluded doors, the cold limit.

--- a/internal/admission/limiter_test.go
+++ b/internal/admission/limiter_test.go
@@ -82,6 +82,7 @@
 // fall loses everything under way.
 func (f *fake) fall() {
 	f.fallen++
+	f.now = f.now.Add(time.Millisecond)
 	f.bears, f.good, f.old = f.cold, 0, 0
 	for range f.runs {
 		f.limiter.Finish(f.now, Failed, runTime)
--- a/internal/attempt/core_test.go
+++ b/internal/attempt/core_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"endivespring/internal/clock"
 	"endivespring/internal/verdict"
 )
 
@@ -141,6 +142,65 @@
 	w.run()
 	for _, r := range w.requests {
 		assert.Equal(t, r.verdict, verdict.Ran)
+		assert.Equal(t, r.sentAt, clock.Instant(40*time.Millisecond))
 	}
 	w.assertIdle(t, 1)
 }
+
+func TestRefusedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		request Request
+		lease   clock.Instant
+		reason  verdict.Reason
+	}{
+		{Request{Service: "reservations", Operation: "lookup"}, 0, verdict.ReasonViewStale},
+		{Request{Service: "other", Operation: "lookup"}, clock.Never, verdict.ReasonUnknownService},
+		{Request{Service: "reservations", Operation: "other"}, clock.Never, verdict.ReasonUnknownOp},
+		{Request{Service: "timetable", Operation: "lookup"}, clock.Never, verdict.ReasonMissingKey},
+	} {
+		w := quick(1)
+		w.core.SetViewLease(c.lease)
+		w.core.Start(w.now, c.request)
+		out := w.core.Take()
+		assert.Equal(t, len(out.Sends), 0)
+		assert.Equal(t, out.Finishes[0].Answer.Verdict, verdict.NotRun)
+		assert.Equal(t, out.Finishes[0].Answer.Reason, c.reason)
+	}
+}
+
+// TestDelegatedRequests checks that a door's own requests come back to it never
+// and add nothing to the budgets.
+func TestDelegatedRequests(t *testing.T) {
+	w := quick(2)
+	retries := w.core.service("reservations").retries
+	retries.tokens = 0
+	for i := range 200 {
+		w.core.Start(w.now, Request{
+			Token: uint64(1<<30 + i), ID: "x", Service: "reservations", Operation: "reserve", Delegated: true, Exclude: routerID(0),
+		})
+		assert.Equal(t, w.core.Take().Sends[0].Router.ID, routerID(1))
+	}
+	assert.Equal(t, retries.tokens, 0.0)
+}
+
+// TestManyRedirectingDoors lets more doors redirect than a request may ask.
+func TestManyRedirectingDoors(t *testing.T) {
+	w := newWorld(1)
+	for i := range 200 {
+		w.join(i)
+	}
+	w.start("lookup", false)
+	calls := 0
+	for w.core.Len() > 0 {
+		sends := w.core.Take().Sends
+		for _, s := range sends {
+			calls++
+			w.answer(&s, verdict.NotRun, verdict.ReasonNoUpstream)
+		}
+		if len(sends) == 0 {
+			w.now = w.core.Deadline()
+			w.core.Tick(w.now)
+		}
+	}
+	assert.Equal(t, calls, maxTries)
+}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -7,7 +7,7 @@
 #   scripts/fleet.sh stop pasaz
 #
 # Environment: BASE first port; POLICY routing baseline for measurements;
-# ONLY a service, to start just its upstreams; STANDIN more flags for each
+# ONLY a service, to start just its upstreams (needs jq); STANDIN more flags for each
 # stand-in; QUIET=1 drops the logs of routers and stand-ins.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -97,7 +97,12 @@
       "$example" "$(address 11)" "$(address 12)" "$(address 13)" > run/operator.json
     start_controls
     start_upstreams
-    until_true "$bin" preset --settings run/operator.json apply ordinary.json
+    preset=ordinary.json
+    if [ -n "${ONLY:-}" ]; then
+      preset=run/only.json
+      jq --arg only "$ONLY" '.services |= map(select(.name == $only))' ordinary.json > "$preset"
+    fi
+    until_true "$bin" preset --settings run/operator.json apply "$preset"
     until_true ready
     ;;
   stop) stop ;;
