Bound the calls of a request in one place

Cause: two checks of the same bound; breaking either alone went unnoticed (TestManyRedirectingDoors). The one where a retry is decided stays.

--- a/internal/admission/limiter_test.go
+++ b/internal/admission/limiter_test.go
@@ -62,6 +62,7 @@
 		slices.SortFunc(f.runs, func(a, b run) int { return cmp.Compare(a.ends, b.ends) })
 		if len(f.runs)-f.old > f.bears {
 			f.fall()
+			return
 		}
 	}
 	if len(f.runs) == 0 {
--- a/internal/attempt/sending.go
+++ b/internal/attempt/sending.go
@@ -14,7 +14,7 @@
 // try sends the request to a door, or waits for one.
 func (c *Core) try(now clock.Instant, t *task) {
 	router, ok := c.pick(now, t)
-	if !ok || t.tries >= maxTries {
+	if !ok {
 		c.wait(now, t)
 		return
 	}
