--- a/internal/admission/limiter_test.go
+++ b/internal/admission/limiter_test.go
@@ -220,3 +220,19 @@
 		}
 	}
 }
+
+// TestGrowthNeedsProof feeds completions that do not prove that the limit is
+// borne: too few of them, or never as many at once as the limit allows.
+func TestGrowthNeedsProof(t *testing.T) {
+	for _, c := range []struct{ together, completions, limit int }{{2, 7, 2}, {1, 100, 2}, {2, 100, 3}} {
+		l, now := NewLimiter(), clock.Instant(1)
+		l.Announce(fleet.Upstream{Name: "u", Slots: 3, ColdSlots: 2})
+		for range c.completions {
+			for l.Running() < c.together && l.Start() {
+			}
+			now = now.Add(time.Second)
+			l.Finish(now, Good, runTime)
+		}
+		assert.Equal(t, l.Limit(), c.limit, "%+v", c)
+	}
+}
