--- a/internal/attempt/settling.go
+++ b/internal/attempt/settling.go
@@ -46,7 +46,11 @@
 		return
 	}
 	c.table.Failed(f.outstanding, now)
-	c.settle(now, &call.Answer{Number: number, RequestID: f.task.request.ID, Verdict: v, Reason: verdict.ReasonConnection})
+	reason := verdict.ReasonConnection
+	if v == verdict.NotRun {
+		reason = verdict.ReasonUnreachable
+	}
+	c.settle(now, &call.Answer{Number: number, RequestID: f.task.request.ID, Verdict: v, Reason: reason})
 }
 
 // LostRouter takes the loss of a link with all its calls.
@@ -106,7 +110,8 @@
 // Such refusals cost no upstream anything and need no budget.
 func redirects(reason verdict.Reason) bool {
 	switch reason {
-	case verdict.ReasonNotOwner, verdict.ReasonLeaseExpired, verdict.ReasonNoUpstream, verdict.ReasonStopping, verdict.ReasonViewStale:
+	case verdict.ReasonNotOwner, verdict.ReasonLeaseExpired, verdict.ReasonNoUpstream, verdict.ReasonStopping,
+		verdict.ReasonViewStale, verdict.ReasonUnreachable:
 		return true
 	default:
 		return false
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -30,7 +30,11 @@
 			"eventually": cmdEventually,
 			"request":    cmdRequest,
 			"ledger":     cmdLedger,
+			"metrics":    cmdMetrics,
 			"behave":     cmdBehave,
+			"ends":       cmdEnds,
+			"callers":    cmdCallers,
+			"answered":   cmdAnswered,
 		},
 	})
 }
