--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/gofiber/fiber/v2"
-	"github.com/valyala/fasthttp"
 
 	"endivespring/internal/attempt"
 	"endivespring/internal/call"
@@ -37,7 +36,9 @@
 	idleTimeout     = 60 * time.Second
 	readTimeout     = 30 * time.Second
 	writeTimeout    = 30 * time.Second
-	maxIDLength     = 128              // bytes of a request id or key
+	maxIDLength     = 128 // bytes of a request id or key
+	maxAttempt      = 1_000_000
+	maxTimeout      = 3_600_000        // milliseconds that a caller may ask for
 	answerPatience  = 11 * time.Minute // bound on waiting for the entry's answer
 	readBufferBytes = 8 << 10
 )
@@ -104,7 +105,7 @@
 	request := attempt.Request{
 		ID:      clone(c.Get(HeaderRequestID)),
 		Service: clone(c.Params("service")), Operation: clone(c.Params("operation")),
-		Key: clone(c.Get(HeaderKey)), Body: bytes.Clone(c.Body()),
+		Key: clone(c.Get(HeaderKey)), Body: bytes.Clone(c.BodyRaw()),
 	}
 	if request.ID == "" {
 		request.ID = rand.Text()
@@ -112,8 +113,8 @@
 	if len(request.ID) > maxIDLength || len(request.Key) > maxIDLength {
 		return request, verdict.ReasonBadRequest
 	}
-	attemptNumber, ok := number(c, HeaderAttempt, 1)
-	timeout, ok2 := number(c, HeaderTimeout, 0)
+	attemptNumber, ok := number(c, HeaderAttempt, 1, maxAttempt)
+	timeout, ok2 := number(c, HeaderTimeout, 0, maxTimeout)
 	if !ok || !ok2 {
 		return request, verdict.ReasonBadRequest
 	}
@@ -122,13 +123,13 @@
 	return request, verdict.ReasonNone
 }
 
-func number(c *fiber.Ctx, header string, missing int) (int, bool) {
+func number(c *fiber.Ctx, header string, missing, largest int) (int, bool) {
 	text := c.Get(header)
 	if text == "" {
 		return missing, true
 	}
 	value, err := strconv.Atoi(text)
-	return value, err == nil && value >= 1
+	return value, err == nil && value >= 1 && value <= largest
 }
 
 func clone(text string) string { return string([]byte(text)) }
@@ -178,16 +179,32 @@
 }
 
 // handleError answers requests that the library refused before they were read.
+// Only its 4xx errors prove that nothing was handed on.
 func (s *Server) handleError(c *fiber.Ctx, err error) error {
-	reason := verdict.ReasonBadRequest
-	var known *fiber.Error
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &known) && known.Code == fiber.StatusRequestEntityTooLarge {
-		reason = verdict.ReasonBodyTooLarge
+	known := fiber.ErrInternalServerError
+	errors.As(err, &known)
+	answer := call.Answer{RequestID: clone(c.Get(HeaderRequestID)), Reason: verdict.ReasonConnection}
+	if len(answer.RequestID) > maxIDLength {
+		answer.RequestID = ""
 	}
-	if known != nil && known.Code == fiber.StatusNotFound {
-		reason = verdict.ReasonUnknownService
+	if known.Code >= fiber.StatusBadRequest && known.Code < fiber.StatusInternalServerError {
+		answer.Verdict, answer.Reason = verdict.NotRun, reasonOf(known.Code)
 	}
-	answer := refusal("", reason)
 	s.observe(&answer, 0)
-	return write(c, &answer)
+	if err := write(c, &answer); err != nil {
+		return err
+	}
+	c.Status(known.Code)
+	return nil
+}
+
+func reasonOf(code int) verdict.Reason {
+	switch code {
+	case fiber.StatusRequestEntityTooLarge:
+		return verdict.ReasonBodyTooLarge
+	case fiber.StatusNotFound:
+		return verdict.ReasonUnknownService
+	default:
+		return verdict.ReasonBadRequest
+	}
 }
