--- a/internal/capacity/request_test.go
+++ b/internal/capacity/request_test.go
@@ -20,7 +20,7 @@
 	for _, size := range sizes {
 		for _, service := range []int{0, 1} {
 			b.Run(fmt.Sprintf("routers=%d/keyed=%v", size[0], service == 0), func(b *testing.B) {
-				core := attempt.New(1)
+				core := attempt.New(attempt.Settings{})
 				assert.Assert(b, core.SetView(0, fleetOf(size[0], size[1]).View.Full()))
 				core.SetViewLease(clock.Never)
 				b.ReportAllocs()
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -65,6 +65,7 @@
 	}
 	fmt.Fprintf(out, ", config version %d, view %d: in force at %d of %d routers\n", s.Config, s.View, s.InForce, len(s.Routers))
 	printList(out, "not yet at", s.Behind)
+	printList(out, "may still work under an older version", s.Working)
 	printList(out, "data centres out", s.CentresOut)
 	printList(out, "upstreams out", s.UpstreamsOut)
 	fmt.Fprintf(out, "control: leader %s, term %d, voters %s\n", s.Leader, s.Term, strings.Join(s.Voters, ", "))
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net"
@@ -17,6 +18,7 @@
 	requestTimeout = 8 * time.Second        // longest time for one request to one control process
 	dialTimeout    = time.Second            // longest time to open a connection
 	roundPause     = 200 * time.Millisecond // wait before all control processes are asked again
+	pollInterval   = 100 * time.Millisecond // time between looks at where a version is in force
 )
 
 // Errors of the client.
@@ -57,9 +59,11 @@
 }
 
 // Status returns the status seen by the leader.
-func (c *Client) Status() (*controller.Status, error) {
+func (c *Client) Status() (*controller.Status, error) { return c.status(c.patience) }
+
+func (c *Client) status(patience time.Duration) (*controller.Status, error) {
 	var status controller.Status
-	err := c.ask(func(address string) error {
+	err := c.ask(patience, func(address string) error {
 		status = controller.Status{}
 		if err := c.do(address, fasthttp.MethodGet, "/v1/status", nil, &status); err != nil || status.Leads {
 			return err
@@ -73,14 +77,14 @@
 func (c *Client) Explain(service, key string) (*controller.Explanation, error) {
 	query := "/v1/explain?service=" + url.QueryEscape(service) + "&key=" + url.QueryEscape(key)
 	var explanation controller.Explanation
-	err := c.ask(func(address string) error { return c.do(address, fasthttp.MethodGet, query, nil, &explanation) })
+	err := c.ask(c.patience, func(address string) error { return c.do(address, fasthttp.MethodGet, query, nil, &explanation) })
 	return &explanation, err
 }
 
 // Preset returns the preset in force.
 func (c *Client) Preset() (*PresetBody, error) {
 	var body PresetBody
-	err := c.ask(func(address string) error { return c.do(address, fasthttp.MethodGet, "/v1/preset", nil, &body) })
+	err := c.ask(c.patience, func(address string) error { return c.do(address, fasthttp.MethodGet, "/v1/preset", nil, &body) })
 	return &body, err
 }
 
@@ -89,7 +93,7 @@
 func (c *Client) Change(change *ChangeBody) (*ResultBody, error) {
 	var result ResultBody
 	unknown := false
-	err := c.ask(func(address string) error {
+	err := c.ask(c.patience, func(address string) error {
 		err := c.do(address, fasthttp.MethodPost, "/v1/changes", change, &result)
 		if eris.Is(err, ErrUnknown) {
 			unknown = true
@@ -104,8 +108,8 @@
 
 // ask asks one control process after the other, again and again, until one
 // answers or refuses, or patience ends.
-func (c *Client) ask(try func(address string) error) error {
-	end := time.Now().Add(c.patience)
+func (c *Client) ask(patience time.Duration, try func(address string) error) error {
+	end := time.Now().Add(patience)
 	for {
 		last := ErrUnreachable
 		for _, address := range c.addresses {
@@ -135,6 +139,30 @@
 	}
 }
 
+// Await waits until a config version is in force everywhere: no router takes
+// work under an older one. It returns the last status seen, and false if the
+// limit passed first.
+func (c *Client) Await(ctx context.Context, config uint64, limit time.Duration) (*controller.Status, bool) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	var last *controller.Status
+	for {
+		if status, err := c.status(0); err == nil {
+			last = status
+			if uint64(status.Config) >= config && status.Everywhere {
+				return last, true
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return last, false
+		case <-ticker.C:
+		}
+	}
+}
+
 func (c *Client) do(address, method, path string, body, out any) error {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -32,6 +32,9 @@
 			"ledger":     cmdLedger,
 			"metrics":    cmdMetrics,
 			"behave":     cmdBehave,
+			"ends":       cmdEnds,
+			"callers":    cmdCallers,
+			"answered":   cmdAnswered,
 		},
 	})
 }
