--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gofiber/fiber/v2"
 
@@ -114,7 +115,7 @@
 	if request.ID == "" {
 		request.ID = rand.Text()
 	}
-	if len(request.ID) > maxIDLength || len(request.Key) > maxIDLength {
+	if !validText(request.ID) || !validText(request.Key) || !utf8.ValidString(request.Service) || !utf8.ValidString(request.Operation) {
 		return request, verdict.ReasonBadRequest
 	}
 	attemptNumber, ok := number(c, HeaderAttempt, 1, maxAttempt)
@@ -136,6 +137,10 @@
 	return value, err == nil && value >= 1 && value <= largest
 }
 
+// validText reports whether a caller's text may go into messages between
+// processes, which hold UTF-8 only.
+func validText(text string) bool { return len(text) <= maxIDLength && utf8.ValidString(text) }
+
 func clone(text string) string { return string([]byte(text)) }
 
 func refusal(id string, reason verdict.Reason) call.Answer {
@@ -188,7 +193,7 @@
 	known := fiber.ErrInternalServerError
 	errors.As(err, &known)
 	answer := call.Answer{RequestID: clone(c.Get(HeaderRequestID)), Reason: verdict.ReasonConnection}
-	if len(answer.RequestID) > maxIDLength {
+	if !validText(answer.RequestID) {
 		answer.RequestID = ""
 	}
 	if known.Code >= fiber.StatusBadRequest && known.Code < fiber.StatusInternalServerError {
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -114,6 +114,9 @@
 		"timeout too long":     {post("/v1/s/o", "Endivespring-Timeout-Ms: 3600001\r\n", ""), 400, "bad-request", ""},
 		"id too long":          {post("/v1/s/o", "Endivespring-Request-Id: "+long+"\r\n", ""), 400, "bad-request", long},
 		"key too long":         {post("/v1/s/o", "Endivespring-Key: "+long+"\r\n", ""), 400, "bad-request", ""},
+		"id is no text":        {post("/v1/s/o", "Endivespring-Request-Id: a\xffb\r\n", ""), 400, "bad-request", ""},
+		"key is no text":       {post("/v1/s/o", "Endivespring-Key: \xc0\r\n", ""), 400, "bad-request", ""},
+		"service is no text":   {post("/v1/s\xff/o", "", ""), 400, "bad-request", ""},
 		"not HTTP":             {"nonsense\r\n\r\n", 400, "bad-request", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,7 +35,7 @@
 func FromAnswer(a *call.Answer) *wirepb.Answer {
 	return &wirepb.Answer{
 		Number: a.Number, RequestId: a.RequestID, Verdict: uint32(a.Verdict), Reason: string(a.Reason), Status: int32(a.Status),
-		Body: a.Body, Checksum: xxhash.Sum64(a.Body), ContentType: a.ContentType, Upstream: a.Upstream, Epoch: uint64(a.Epoch),
+		Body: a.Body, Checksum: xxhash.Sum64(a.Body), ContentType: strings.ToValidUTF8(a.ContentType, "?"), Upstream: a.Upstream, Epoch: uint64(a.Epoch),
 		Load: &wirepb.Load{
 			InFlight: int32(a.Load.InFlight), Queued: int32(a.Load.Queued), Limit: int32(a.Load.Limit), LatencyNs: int64(a.Load.Latency),
 		},
