--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -71,10 +71,11 @@
 	fmt.Fprintf(out, "control: leader %s, term %d, voters %s\n", s.Leader, s.Term, strings.Join(s.Voters, ", "))
 	printList(out, "control processes that catch up", s.Learners)
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	printCentres(w, s)
-	printServices(w, s)
-	printRouters(w, s)
-	_ = w.Flush()
+	for _, table := range []func(io.Writer, *controller.Status){printCentres, printServices, printRouters} {
+		fmt.Fprintln(w)
+		table(w, s)
+		_ = w.Flush()
+	}
 }
 
 func printList(out io.Writer, title string, names []string) {
--- a/internal/event/log.go
+++ b/internal/event/log.go
@@ -13,7 +13,10 @@
 	"endivespring/internal/ring"
 )
 
-const logRingCapacity = 8192 // entries
+const (
+	logRingCapacity = 8192 // entries
+	timeFormat      = "2006-01-02T15:04:05.000000Z07:00"
+)
 
 // Log writes entries as JSON lines behind a ring that drops the oldest entry
 // when full, so that writing never delays a request.
@@ -72,7 +75,7 @@
 
 func (l *Log) write(entry Entry) {
 	line := l.logger.WithLevel(zerologLevel(entry.Definition.Level))
-	line = line.Time("time", entry.Time).Int("event", entry.Definition.Number)
+	line = line.Str("time", entry.Time.UTC().Format(timeFormat)).Int("event", entry.Definition.Number)
 	for _, field := range entry.Fields {
 		line = appendField(line, field)
 	}
--- a/internal/event/log_test.go
+++ b/internal/event/log_test.go
@@ -15,6 +15,7 @@
 // TestLines checks what a line holds for each level and kind of value.
 func TestLines(t *testing.T) {
 	var out bytes.Buffer
+	start := time.Now().Truncate(time.Microsecond)
 	log := NewLog(&out, "router-1")
 	log.Record(RequestRouted, F("upstream", "u1"), F("try", 2), F("among", []string{"u1", "u2"}), F("took", time.Second))
 	log.Record(PeerLost, F("cause", errors.New("gone")))
@@ -28,8 +29,9 @@
 	for _, line := range strings.Split(strings.TrimSpace(out.String()), "\n") {
 		fields := map[string]any{}
 		assert.NilError(t, json.Unmarshal([]byte(line), &fields))
-		_, err := time.Parse(time.RFC3339, fields["time"].(string))
+		at, err := time.Parse(time.RFC3339, fields["time"].(string))
 		assert.NilError(t, err)
+		assert.Assert(t, at.After(start) || at.Equal(start), "lines carry parts of a second")
 		delete(fields, "time")
 		got = append(got, fields)
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,62 +1,95 @@
 #!/usr/bin/env bash
-# Starts a fleet of separate processes on loopback, sends it requests and stops
-# it: three control processes, four routers, each beside a stand-in upstream.
+# Starts a fleet of separate processes on loopback, sends it requests, takes a
+# data centre out and back, and stops it: three control processes, four routers,
+# each beside a stand-in upstream. It fails if a step does not come about.
 set -euo pipefail
 cd "$(dirname "$0")/../examples/demo"
 bin=../../bin/endivespring
+limit=15 # seconds that a step may take
 rm -rf run
 mkdir -p run/control-1 run/control-2 run/control-3
 head -c 16 /dev/urandom | od -An -tx1 | tr -d ' \n' > run/token
 chmod 600 run/token
 
-pids=()
+standins=() routers=() controls=()
+
+# stop_all PID... asks processes to stop and waits until they have.
+stop_all() {
+  local pid failed=0
+  for pid in "$@"; do kill "$pid" 2> /dev/null || true; done
+  for pid in "$@"; do
+    for _ in $(seq $((limit * 10))); do kill -0 "$pid" 2> /dev/null || break; sleep 0.1; done
+    if kill -0 "$pid" 2> /dev/null; then
+      echo "process $pid did not stop" >&2
+      kill -9 "$pid" 2> /dev/null || true
+      failed=1
+    fi
+    wait "$pid" || failed=1
+  done
+  return $failed
+}
+
+# A router needs its upstream's last answers and control to leave in good order.
 stop() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  wait
+  trap - EXIT
+  local failed=0
+  stop_all "${standins[@]}" || failed=1
+  stop_all "${routers[@]}" || failed=1
+  stop_all "${controls[@]}" || failed=1
+  return $failed
 }
-trap stop EXIT
+trap 'stop || true' EXIT
+
+# start NAME COMMAND... leaves the process id in $started.
 start() {
   local name=$1
   shift
   "$bin" "$@" > "run/$name.log" 2>&1 &
-  pids+=($!)
+  started=$!
 }
 
-for i in 1 2 3; do start "control-$i" control --settings "control-$i.json"; done
-for i in 1 2 3 4; do start "router-$i" router --settings "router-$i.json"; done
-for i in 1 2; do
-  start "timetable-$i" standin --name "timetable-$i" --service timetable \
-    --address "127.0.0.1:1750$i" --announce "127.0.0.1:1730$i" --ledger "run/timetable-$i.ledger"
-done
-for i in 3 4; do
-  start "reservations-$i" standin --name "reservations-$i" --service reservations \
-    --address "127.0.0.1:1750$i" --announce "127.0.0.1:1730$i" --ledger "run/reservations-$i.ledger"
+for i in 1 2 3; do start "control-$i" control --settings "control-$i.json"; controls+=("$started"); done
+for i in 1 2 3 4; do start "router-$i" router --settings "router-$i.json"; routers+=("$started"); done
+for i in 1 2 3 4; do
+  service=timetable
+  [ "$i" -le 2 ] || service=reservations
+  start "$service-$i" standin --name "$service-$i" --service "$service" \
+    --address "127.0.0.1:1750$i" --announce "127.0.0.1:1730$i" --ledger "run/$service-$i.ledger"
+  standins+=("$started")
 done
 
-# until_true repeats a command until it succeeds, for at most 15 seconds.
+# until_true COMMAND... repeats a command until it succeeds.
 until_true() {
-  for _ in $(seq 150); do
+  local end=$((SECONDS + limit))
+  while [ "$SECONDS" -lt "$end" ]; do
     if "$@" > /dev/null 2>&1; then return 0; fi
     sleep 0.1
   done
   echo "gave up waiting for: $*" >&2
-  return 1
+  "$@" >&2
 }
-ready() { "$bin" status --output json | grep -q '"routersUpToDate": 4' && ! "$bin" status --output json | grep -Eq '"free": [1-9]'; }
+status() { "$bin" status --output json; }
+ready() { status | grep -q '"routersUpToDate": 4' && ! status | grep -Eq '"(free|revoking)": [1-9]'; }
 
 until_true "$bin" preset apply ordinary.json
 until_true ready
 "$bin" status
 echo
 echo "A lookup through router 4, then a reservation through router 1:"
-curl -sS -D - -X POST -H 'Endivespring-Key: pool-17/lane-4' http://127.0.0.1:17204/v1/timetable/lookup
+curl -sS -f -D - -X POST -H 'Endivespring-Key: pool-17/lane-4' http://127.0.0.1:17204/v1/timetable/lookup
 echo
-curl -sS -D - -X POST -H 'Endivespring-Request-Id: demo-1' -d '{"lane":4}' http://127.0.0.1:17201/v1/reservations/reserve
+curl -sS -f -D - -X POST -H 'Endivespring-Request-Id: demo-1' -d '{"lane":4}' http://127.0.0.1:17201/v1/reservations/reserve
 echo
 echo
 "$bin" explain timetable pool-17/lane-4
+until_true "$bin" explain --request demo-1 --log run/router-*.log
+"$bin" explain --request demo-1 --log run/router-*.log
 "$bin" load --callers 127.0.0.1:17201,127.0.0.1:17202 --service timetable --operation lookup --keys 100 --rate 200 --duration 3s
 "$bin" load --callers 127.0.0.1:17203,127.0.0.1:17204 --service reservations --operation reserve --rate 100 --duration 3s
-"$bin" datacentre out lodz
+"$bin" datacentre out lodz --wait 10s
 until_true ready
 "$bin" status
+"$bin" datacentre in lodz --wait 10s
+until_true ready
+stop
+echo "stopped in good order"
