--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -73,6 +73,32 @@
 	return &status, err
 }
 
+// Processes asks each control process how it is.
+func (c *Client) Processes() []Process {
+	var out []Process
+	for _, address := range c.addresses {
+		var status controller.Status
+		err := c.do(address, fasthttp.MethodGet, "/v1/status", nil, &status)
+		out = append(out, Process{Address: address, State: stateOf(&status, err), Term: status.Term, Commit: status.Commit})
+	}
+	return out
+}
+
+func stateOf(status *controller.Status, err error) string {
+	switch {
+	case eris.Is(err, ErrRefused):
+		return "refused"
+	case err != nil:
+		return "unreachable"
+	case status.Leads:
+		return "leads"
+	case status.Leader == "":
+		return "no-leader"
+	default:
+		return "follows"
+	}
+}
+
 // Explain returns who owns a key, as the leader knows it.
 func (c *Client) Explain(service, key string) (*controller.Explanation, error) {
 	query := "/v1/explain?service=" + url.QueryEscape(service) + "&key=" + url.QueryEscape(key)
--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -178,6 +178,12 @@
 	status, err := client.Status()
 	assert.NilError(t, err)
 	assert.Equal(t, status.Config, fleet.Version(3))
+	gone := closed(t)
+	var states []string
+	for _, p := range NewClient([]string{leader.address, follower.address, gone, answers(t, 401, "{}")}, testToken, 0).Processes() {
+		states = append(states, p.State)
+	}
+	assert.DeepEqual(t, states, []string{"leads", "no-leader", "unreachable", "refused"})
 	explanation, err := client.Explain("s", "k & k")
 	assert.NilError(t, err)
 	assert.Equal(t, explanation.Shard, "s/1")
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -35,6 +35,9 @@
 	if lo.Contains(r.Control, r.Peer) {
 		problems = append(problems, Problem{Field: "peer", Value: r.Peer, Message: "is also the address of a control process"})
 	}
+	if !lo.Contains([]string{"", "round-robin", "two-choices"}, r.RoutingPolicy) {
+		problems = append(problems, Problem{Field: "routingPolicy", Value: r.RoutingPolicy, Message: "is neither round-robin nor two-choices"})
+	}
 	if r.Announced < announceRenewals*r.Renewal {
 		problems = append(problems, Problem{Field: "announceTimeout", Value: r.Announced.Value(), Message: "must be at least twice renewal"})
 	}
