--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -12,7 +12,8 @@
 
 const exitCodes = `Exit codes: 0 done, 1 failed and nothing was changed, 2 wrong usage,
 3 refused and nothing was changed, 4 outcome unknown: send again with the same
---command-id to learn it.
+--command-id to learn it, 5 accepted, but --wait ended before it was in force
+everywhere.
 Flags may stand before or after a subcommand's other arguments.
 `
 
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -34,6 +34,7 @@
 			"request":    cmdRequest,
 			"ledger":     cmdLedger,
 			"metrics":    cmdMetrics,
+			"peers":      cmdPeers,
 			"behave":     cmdBehave,
 			"ends":       cmdEnds,
 			"hangup":     cmdHangUp,
