--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -41,6 +41,9 @@
 	if r.Announced < announceRenewals*r.Renewal {
 		problems = append(problems, Problem{Field: "announceTimeout", Value: r.Announced.Value(), Message: "must be at least twice renewal"})
 	}
+	if !lo.Contains([]string{"", "round-robin", "two-choices"}, r.RoutingPolicy) {
+		problems = append(problems, Problem{Field: "routingPolicy", Value: r.RoutingPolicy, Message: "is neither round-robin nor two-choices"})
+	}
 	return problems
 }
 
