--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -37,6 +37,7 @@
 			"peers":      cmdPeers,
 			"behave":     cmdBehave,
 			"ends":       cmdEnds,
+			"exclusive":  cmdExclusive,
 			"hangup":     cmdHangUp,
 			"recorded":   cmdRecorded,
 			"callers":    cmdCallers,
