Measure unavailable time only with shards on the lost holder

Cause: after the first run the restarted router had not got its shards back, so later runs lost a holder of nothing (13 ms); and the report's nested counts were read in place of the totals.

--- a/scripts/unavailable-time.sh
+++ b/scripts/unavailable-time.sh
@@ -9,13 +9,16 @@
 runs=${2:-10}
 # report prints longest latency, requests sent and answered, and reasons.
 report() {
-  awk -F'[:,]' '/"maxMs"/ {m = $2} /"ran"/ {ran = $2} /"sent"/ {sent = $2} /"reasons"/ {inside = 1}
-    inside && /": [0-9]/ {gsub(/[ "]/, "", $1); reasons = reasons " " $1 "=" $2} /}/ {inside = 0}
+  awk -F'[:,]' '/^  "maxMs"/ {m = $2} /^    "ran"/ && verdicts {ran = $2} /^  "sent"/ {sent = $2}
+    /^  "verdicts"/ {verdicts = 1} /^  "reasons": {$/ {inside = 1}
+    inside && /^    "/ {gsub(/[ "]/, "", $1); reasons = reasons " " $1 "=" $2} /^  }/ {inside = 0; verdicts = 0}
     END {printf "%.0f %d %d%s\n", m, sent, ran, reasons}' "$1"
 }
+# balanced succeeds once every router holds a fair part of the shards.
+balanced() { settled && "$bin" status | awk '/^router-/ {n += ($6 >= 12)} END {exit n != 4}'; }
 fleet_start 4 s 64 10s --latency 1ms
 for run in $(seq "$runs"); do
-  until_true settled
+  until_true balanced
   victim=$(leader)
   "$bin" load --callers "$(caller 2),$(caller 3),$(caller 4)" --service s --operation lookup --keys 1000 --rate 400 \
     --duration 5s --timeout 10s --workers 2048 --seed "$run" --output json > load.json &
