Record when a disk is set aside and when the members of the log change

Cause: a damaged data folder was set aside without a word, and nothing but status told which disks are voters. The repair scenario damaged whichever frame lay in the middle of the log, now and then the last one, which counts as torn, and could look at the voters before the process had started: it passed without testing the damage.

Change: events 202 and 203. The scenario changes the first record and waits until files were set aside.

--- a/internal/controlnode/consensus_duty.go
+++ b/internal/controlnode/consensus_duty.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"endivespring/internal/clock"
 	"endivespring/internal/consensus"
 	"endivespring/internal/controller"
+	"endivespring/internal/event"
 	"endivespring/internal/ring"
 )
 
@@ -26,6 +28,7 @@
 	writes    *ring.Ring[write]
 	updates   *ring.Ring[logUpdate]
 	outbound  *outbound
+	events    event.Recorder
 	last      controller.Leadership
 }
 
@@ -105,6 +108,7 @@
 	}
 	update := logUpdate{snapshot: out.Snapshot, committed: out.Committed}
 	if lead := d.leadership(); !sameLeadership(lead, d.last) {
+		d.recordMembers(&lead)
 		d.last = lead
 		update.leadership = &lead
 		update.release = d.core.Transferring()
@@ -124,6 +128,13 @@
 	}
 }
 
+func (d *consensusDuty) recordMembers(lead *controller.Leadership) {
+	if slices.Equal(lead.Voters, d.last.Voters) && slices.Equal(lead.Learners, d.last.Learners) {
+		return
+	}
+	d.events.Record(event.MembersChanged, event.F("voters", strings.Join(lead.Voters, ", ")), event.F("learners", strings.Join(lead.Learners, ", ")))
+}
+
 func nodeNames(ids []consensus.NodeID) []string {
 	names := make([]string, 0, len(ids))
 	for _, id := range ids {
--- a/internal/controlnode/duties_test.go
+++ b/internal/controlnode/duties_test.go
@@ -1,6 +1,7 @@
 package controlnode
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"testing"
@@ -11,6 +12,7 @@
 	"endivespring/internal/clock"
 	"endivespring/internal/consensus"
 	"endivespring/internal/duty"
+	"endivespring/internal/event"
 	"endivespring/internal/ring"
 	"endivespring/internal/storage"
 )
@@ -32,7 +34,7 @@
 func newBench(t *testing.T, id consensus.NodeID, peers []string, stored *consensus.Stored) *bench {
 	timeSource := clock.NewMonotonic()
 	d := &consensusDuty{
-		clock: timeSource, outbound: &outbound{rings: map[string]*ring.Ring[consensus.Message]{}},
+		events: event.NewLog(&bytes.Buffer{}, "test"), clock: timeSource, outbound: &outbound{rings: map[string]*ring.Ring[consensus.Message]{}},
 		inbound:   ring.New[*consensus.Message]("in", 64, ring.DropOldest),
 		proposals: ring.New[[]byte]("proposals", 64, ring.Refuse),
 		persisted: ring.New[persisted]("persisted", 1, ring.DropOldest),
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -61,12 +61,13 @@
 // the operators' token.
 func Start(ctx context.Context, injector do.Injector, token string) (*Node, error) {
 	s := do.MustInvoke[*settings.Control](injector)
-	disk, stored, err := openDisk(s)
+	events := do.MustInvoke[*event.Log](injector)
+	disk, stored, err := openDisk(s, events)
 	if err != nil {
 		return nil, err
 	}
 	n := &Node{
-		settings: s, disk: disk, group: duty.NewGroup(ctx), events: do.MustInvoke[*event.Log](injector),
+		settings: s, disk: disk, group: duty.NewGroup(ctx), events: events,
 		transfer: ring.New[struct{}]("transfer", 1, ring.Refuse), registry: do.MustInvoke[*metrics.Registry](injector),
 	}
 	if err := n.start(injector, stored, token); err != nil {
@@ -79,14 +80,16 @@
 
 // openDisk opens the data folder. A damaged one is set aside: this process
 // then joins as a new voter.
-func openDisk(s *settings.Control) (*storage.Disk, *consensus.Stored, error) {
+func openDisk(s *settings.Control, events event.Recorder) (*storage.Disk, *consensus.Stored, error) {
 	disk, stored, err := storage.Open(s.DataFolder, s.Fleet, s.Name)
 	if !eris.Is(err, storage.ErrDamaged) {
 		return disk, stored, err
 	}
-	if _, err := storage.SetAside(s.DataFolder); err != nil {
-		return nil, nil, err
+	aside, asideErr := storage.SetAside(s.DataFolder)
+	if asideErr != nil {
+		return nil, nil, asideErr
 	}
+	events.Record(event.DiskSetAside, event.F("folder", aside), event.F("cause", err.Error()))
 	return storage.Open(s.DataFolder, s.Fleet, s.Name)
 }
 
@@ -169,6 +172,7 @@
 	}
 	return &consensusDuty{
 		core: consensus.New(config, stored, timeSource.Now()), clock: timeSource, outbound: out, writes: writes, persisted: done,
+		events:    n.events,
 		transfer:  n.transfer,
 		released:  ring.New[struct{}]("released", 1, ring.Refuse),
 		inbound:   ring.New[*consensus.Message]("consensus-in", inboundCapacity, ring.DropOldest),
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -9,6 +9,8 @@
 	ProcessStopped    = define(102, "process-stopped", Info, "The process has finished and exits.")
 	LeaderElected     = define(200, "leader-elected", Info, "This voter leads the control log.")
 	LeaderLost        = define(201, "leader-lost", Warn, "This voter no longer leads the control log.")
+	DiskSetAside      = define(202, "disk-set-aside", Alarm, "The data folder was damaged; its files were moved aside and the process joins with a new disk identity.")
+	MembersChanged    = define(203, "members-changed", Info, "The voters or learners of the control log changed, as this process knows them.")
 	SessionOpened     = define(210, "session-opened", Info, "A router opened a session.")
 	SessionExpired    = define(211, "session-expired", Warn, "A router's session lapsed; its shards are free to grant.")
 	SessionClosed     = define(212, "session-closed", Info, "A router closed its session.")
--- a/scenarios/consensus_test.go
+++ b/scenarios/consensus_test.go
@@ -17,17 +17,20 @@
 	"endivespring/internal/storage"
 )
 
+const firstRecord = 13 // offset of a byte of the first record in a log file
+
 // cmdControl looks at and harms control processes:
 // control leader VAR sets VAR to the leader's name and f1, f2 and so on to the others';
 // control whole N waits until N voters, each with its present disk, have no learners;
 // control empty NAME kills a process and empties its data folder;
-// control damage NAME changes a byte in the middle of a stopped process's log;
+// control damage NAME changes a byte of the first record of a stopped process's log;
+// control aside NAME waits until the process has set its damaged files aside;
 // control changes N commits N operators' changes and keeps the config version in "config";
 // control others NAME writes others.json, operators' settings without that process;
 // control kept fails unless the config version is at least that one.
 func cmdControl(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) == 0 {
-		ts.Fatalf("usage: control leader|whole|empty|damage|changes|others|kept [ARG]")
+		ts.Fatalf("usage: control leader|whole|empty|damage|aside|changes|others|kept [ARG]")
 	}
 	switch args[0] {
 	case "leader":
@@ -46,6 +49,8 @@
 		writeOthers(ts, args[1])
 	case "damage":
 		damageLog(ts, args[1])
+	case "aside":
+		awaitAside(ts, args[1])
 	case "changes":
 		count, err := strconv.Atoi(args[1])
 		ts.Check(err)
@@ -118,10 +123,19 @@
 	file := filepath.Join(ts.MkAbs(name), "log")
 	data, err := os.ReadFile(file)
 	ts.Check(err)
-	data[len(data)/2] ^= 0x10
+	data[firstRecord] ^= 0x10
 	ts.Check(os.WriteFile(file, data, 0o640))
 }
 
+func awaitAside(ts *testscript.TestScript, name string) {
+	for end := time.Now().Add(eventuallyLimit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if found, _ := filepath.Glob(filepath.Join(ts.MkAbs(name), "damaged-*", "log")); len(found) == 1 {
+			return
+		}
+	}
+	ts.Fatalf("%s set nothing aside", name)
+}
+
 func commitChanges(ts *testscript.TestScript, count int) {
 	client := operatorClient(ts)
 	status := awaitStatus(ts, func(*controller.Status) bool { return true })
