--- a/internal/consensus/guard_test.go
+++ b/internal/consensus/guard_test.go
@@ -271,3 +271,25 @@
 	assert.Equal(t, out.Snapshot.Term, uint64(7))
 	assert.Equal(t, out.HardState.Term, uint64(7))
 }
+
+// TestLargeSnapshotIsSentOnce gives a snapshot of 4 MB its time on the way.
+func TestLargeSnapshotIsSentOnce(t *testing.T) {
+	c, now := ready()
+	_, ok := c.Compact(c.CommitIndex(), make([]byte, 4*slowestRate))
+	assert.Assert(t, ok)
+	now = now.Add(election)
+	c.Tick(now) // c never answered: it is sent the snapshot
+	sent := 0
+	for end := now.Add(3 * time.Second); now < end; now = now.Add(heartbeat) {
+		c.Tick(now)
+		c.Step(&Message{Kind: HeartbeatReply, From: idB, To: idA, Term: c.Term(), Sent: now})
+		sent += kinds(c.Take().Immediate)[InstallSnapshot]
+	}
+	assert.Equal(t, sent, 1)
+	for end := now.Add(3 * time.Second); now < end; now = now.Add(heartbeat) {
+		c.Tick(now)
+		c.Step(&Message{Kind: HeartbeatReply, From: idB, To: idA, Term: c.Term(), Sent: now})
+		sent += kinds(c.Take().Immediate)[InstallSnapshot]
+	}
+	assert.Equal(t, sent, 2)
+}
--- a/internal/consensus/joining.go
+++ b/internal/consensus/joining.go
@@ -143,14 +143,15 @@
 }
 
 // staleLearner reports whether the learner is gone: its disk was replaced
-// again, or it has been silent for long. It announces itself if it comes back.
+// again, or it has been silent for longer than a snapshot may hold up its
+// answers. It announces itself if it comes back.
 func (c *Core) staleLearner(id NodeID) bool {
 	j, ok := c.joined[id.Name]
 	if ok && j.id != id && c.recent(j, 4) {
 		return c.silent(id)
 	}
 	const timeouts = 10
-	return c.now >= c.progress[id].ackedSent+timeouts*clock.Instant(c.config.ElectionTimeout)
+	return c.now >= c.progress[id].ackedSent+timeouts*clock.Instant(c.config.ElectionTimeout)+transferTime(&c.log.snapshot)
 }
 
 func (c *Core) afterCommit() {
--- a/internal/consensus/leading.go
+++ b/internal/consensus/leading.go
@@ -2,10 +2,21 @@
 
 import (
 	"slices"
+	"time"
 
 	"endivespring/internal/clock"
 )
 
+const (
+	retryIntervals = 4       // heartbeat intervals until a message without a reply is sent again
+	slowestRate    = 1 << 20 // bytes a second at which a snapshot may travel
+)
+
+// transferTime returns how long a snapshot may be on its way.
+func transferTime(s *Snapshot) clock.Instant {
+	return clock.Instant(len(s.Data)) * clock.Instant(time.Second) / slowestRate
+}
+
 func (c *Core) becomeLeader() {
 	c.role = Leader
 	c.leader = c.config.ID
@@ -49,7 +60,7 @@
 		}
 		p := c.progress[id]
 		c.send(Message{Kind: Heartbeat, To: id, Commit: min(p.match, c.log.committed), Sent: c.now})
-		if p.pending && c.now > p.pendingAt+4*clock.Instant(c.config.HeartbeatInterval) {
+		if p.pending && c.now > p.retryAt {
 			p.pending = false
 			p.next = p.match + 1
 		}
@@ -108,10 +119,11 @@
 	if p.pending || p.next > c.log.lastIndex() && p.match >= c.log.lastIndex() {
 		return
 	}
-	p.pending, p.pendingAt = true, c.now
+	p.pending, p.retryAt = true, c.now+retryIntervals*clock.Instant(c.config.HeartbeatInterval)
 	previous, ok := c.log.term(p.next - 1)
 	if !ok {
 		snapshot := c.log.snapshot
+		p.retryAt += transferTime(&snapshot)
 		c.send(Message{Kind: InstallSnapshot, To: id, Snapshot: &snapshot, Commit: c.log.committed})
 		return
 	}
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -9,8 +9,9 @@
 	// next is the first entry to send.
 	next uint64
 	// pending is set while an Append or InstallSnapshot awaits its reply.
-	pending   bool
-	pendingAt clock.Instant
+	pending bool
+	// retryAt is when a message without a reply is taken as lost.
+	retryAt clock.Instant
 	// ackedSent is the latest Sent of a heartbeat that the node answered.
 	ackedSent clock.Instant
 }
