--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -50,14 +50,15 @@
 	if err != nil {
 		return fail(err)
 	}
+	report := &statusReport{Status: status, Processes: client.Processes()}
 	if c.output == outputJSON {
-		return printJSON(status)
+		return printJSON(report)
 	}
-	printStatus(os.Stdout, status)
+	printStatus(os.Stdout, report)
 	return subcommands.ExitSuccess
 }
 
-func printStatus(out io.Writer, s *controller.Status) {
+func printStatus(out io.Writer, s *statusReport) {
 	if s.Preset == "" {
 		fmt.Fprint(out, "no preset yet")
 	} else {
@@ -71,10 +72,11 @@
 	fmt.Fprintf(out, "control: leader %s, term %d, voters %s\n", s.Leader, s.Term, strings.Join(s.Voters, ", "))
 	printList(out, "control processes that catch up", s.Learners)
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	printCentres(w, s)
-	printServices(w, s)
-	printRouters(w, s)
-	_ = w.Flush()
+	for _, table := range []func(io.Writer, *statusReport){printProcesses, printCentres, printServices, printRouters} {
+		fmt.Fprintln(w)
+		table(w, s)
+		_ = w.Flush()
+	}
 }
 
 func printList(out io.Writer, title string, names []string) {
@@ -83,7 +85,14 @@
 	}
 }
 
-func printCentres(w io.Writer, s *controller.Status) {
+func printProcesses(w io.Writer, s *statusReport) {
+	fmt.Fprintln(w, "CONTROL\tSTATE\tTERM\tCOMMITTED")
+	for _, p := range s.Processes {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\n", p.Address, p.State, p.Term, p.Commit)
+	}
+}
+
+func printCentres(w io.Writer, s *statusReport) {
 	byCentre := lo.GroupBy(s.Routers, func(r controller.RouterStatus) string { return r.DataCentre })
 	names := lo.Uniq(append(lo.Keys(byCentre), s.CentresOut...))
 	slices.Sort(names)
@@ -100,14 +109,14 @@
 	}
 }
 
-func printServices(w io.Writer, s *controller.Status) {
+func printServices(w io.Writer, s *statusReport) {
 	fmt.Fprintln(w, "SERVICE\tSHARDS\tGRANTED\tREVOKING\tFREE")
 	for _, service := range s.Services {
 		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\n", service.Service, service.Shards, service.Granted, service.Revoking, service.Free)
 	}
 }
 
-func printRouters(w io.Writer, s *controller.Status) {
+func printRouters(w io.Writer, s *statusReport) {
 	fmt.Fprintln(w, "ROUTER\tDATA CENTRE\tUPSTREAM\tSERVICE\tSTATE\tSHARDS\tVIEW")
 	for _, r := range s.Routers {
 		view := fmt.Sprint(r.Applied)
--- a/internal/controller/parties_test.go
+++ b/internal/controller/parties_test.go
@@ -211,13 +211,16 @@
 		return
 	}
 	now := r.clock.at(r.w.now)
-	if down.Rejected && !down.Closed {
+	if r.core.Rejects(&down) {
 		r.update(r.core.Rejected(now, &down, r.nonce()))
 		return
 	}
 	update, resync := r.core.Receive(now, &down)
 	r.update(update)
-	if resync || r.core.Closed() {
+	if r.core.Closed() {
+		r.w.fail("%s: session closed without being asked", r.name)
+	}
+	if resync {
 		r.detach(10 * time.Millisecond)
 	}
 }
@@ -247,6 +250,9 @@
 	}
 	r.finished = nil
 	shard := fleet.ShardID{Service: serviceName, Number: uint32(w.rng.IntN(shardCount))}
+	if w.rng.IntN(4) > 0 && r.view.Shard(shard).Owner != fleet.RouterID(r.name) {
+		return
+	}
 	deadline := r.clock.at(w.now).Add(time.Duration(50+w.rng.IntN(800)) * time.Millisecond)
 	r.submit(shard, deadline)
 	r.doorCore.Tick(r.clock.at(w.now))
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -9,16 +9,19 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
 	"endivespring/internal/controller"
+	"endivespring/internal/ring"
 )
 
 const (
 	requestTimeout = 8 * time.Second        // longest time for one request to one control process
-	pollInterval   = 100 * time.Millisecond // time between looks at where a version is in force
+	leaderTimeout  = time.Second            // longest wait to learn which control process leads
 	dialTimeout    = time.Second            // longest time to open a connection
 	roundPause     = 200 * time.Millisecond // wait before all control processes are asked again
+	pollInterval   = 100 * time.Millisecond // time between looks at where a version is in force
 )
 
 // Errors of the client.
@@ -59,9 +62,11 @@
 }
 
 // Status returns the status seen by the leader.
-func (c *Client) Status() (*controller.Status, error) {
+func (c *Client) Status() (*controller.Status, error) { return c.status(c.patience) }
+
+func (c *Client) status(patience time.Duration) (*controller.Status, error) {
 	var status controller.Status
-	err := c.ask(func(address string) error {
+	err := c.ask(patience, func(address string) error {
 		status = controller.Status{}
 		if err := c.do(address, fasthttp.MethodGet, "/v1/status", nil, &status); err != nil || status.Leads {
 			return err
@@ -71,18 +76,65 @@
 	return &status, err
 }
 
+// leaderFirst returns all addresses, that of the leader first if one is known.
+// It asks every control process at once, so that a silent one costs no time.
+func (c *Client) leaderFirst() []string {
+	leaders := ring.New[string]("leaders", len(c.addresses), ring.Refuse)
+	for _, address := range c.addresses {
+		go func() {
+			var status controller.Status
+			if c.doWithin(leaderTimeout, address, fasthttp.MethodGet, "/v1/status", nil, &status) != nil || !status.Leads {
+				address = ""
+			}
+			_ = leaders.Put(context.Background(), address)
+		}()
+	}
+	for range c.addresses {
+		if leader := <-leaders.Out(); leader != "" {
+			return append([]string{leader}, lo.Without(c.addresses, leader)...)
+		}
+	}
+	return c.addresses
+}
+
+// Processes asks each control process how it is.
+func (c *Client) Processes() []Process {
+	var out []Process
+	for _, address := range c.addresses {
+		var status controller.Status
+		err := c.do(address, fasthttp.MethodGet, "/v1/status", nil, &status)
+		out = append(out, Process{Address: address, State: stateOf(&status, err), Term: status.Term, Commit: status.Commit})
+	}
+	return out
+}
+
+func stateOf(status *controller.Status, err error) string {
+	switch {
+	case eris.Is(err, ErrRefused):
+		return "refused"
+	case err != nil:
+		return "unreachable"
+	case status.Leads:
+		return "leads"
+	case status.Leader == "":
+		return "no-leader"
+	default:
+		return "follows"
+	}
+}
+
 // Explain returns who owns a key, as the leader knows it.
 func (c *Client) Explain(service, key string) (*controller.Explanation, error) {
 	query := "/v1/explain?service=" + url.QueryEscape(service) + "&key=" + url.QueryEscape(key)
 	var explanation controller.Explanation
-	err := c.ask(func(address string) error { return c.do(address, fasthttp.MethodGet, query, nil, &explanation) })
+	err := c.ask(c.patience, func(address string) error { return c.do(address, fasthttp.MethodGet, query, nil, &explanation) })
 	return &explanation, err
 }
 
 // Preset returns the preset in force.
 func (c *Client) Preset() (*PresetBody, error) {
 	var body PresetBody
-	err := c.ask(func(address string) error { return c.do(address, fasthttp.MethodGet, "/v1/preset", nil, &body) })
+	err := c.ask(c.patience, func(address string) error { return c.do(address, fasthttp.MethodGet, "/v1/preset", nil, &body) })
 	return &body, err
 }
 
@@ -91,7 +143,7 @@
 func (c *Client) Change(change *ChangeBody) (*ResultBody, error) {
 	var result ResultBody
 	unknown := false
-	err := c.ask(func(address string) error {
+	err := c.ask(c.patience, func(address string) error {
 		err := c.do(address, fasthttp.MethodPost, "/v1/changes", change, &result)
 		if eris.Is(err, ErrUnknown) {
 			unknown = true
@@ -104,37 +156,13 @@
 	return &result, err
 }
 
-// Await waits until a config version is in force everywhere: no router takes
-// work under an older one. It returns the last status seen, and false if the
-// limit passed first.
-func (c *Client) Await(ctx context.Context, config uint64, limit time.Duration) (*controller.Status, bool) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	var last *controller.Status
-	for {
-		if status, err := c.Status(); err == nil {
-			last = status
-			if uint64(status.Config) >= config && status.Everywhere {
-				return last, true
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return last, false
-		case <-ticker.C:
-		}
-	}
-}
-
-// ask asks one control process after the other, again and again, until one
+// ask asks the leader first and then the other control processes, again and again, until one
 // answers or refuses, or patience ends.
-func (c *Client) ask(try func(address string) error) error {
-	end := time.Now().Add(c.patience)
+func (c *Client) ask(patience time.Duration, try func(address string) error) error {
+	end := time.Now().Add(patience)
 	for {
 		last := ErrUnreachable
-		for _, address := range c.addresses {
+		for _, address := range c.leaderFirst() {
 			err := try(address)
 			if err == nil || eris.Is(err, ErrRefused) {
 				return err
@@ -161,7 +189,35 @@
 	}
 }
 
+// Await waits until a config version is in force everywhere: no router takes
+// work under an older one. It returns the last status seen, and false if the
+// limit passed first.
+func (c *Client) Await(ctx context.Context, config uint64, limit time.Duration) (*controller.Status, bool) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	var last *controller.Status
+	for {
+		if status, err := c.status(0); err == nil {
+			last = status
+			if uint64(status.Config) >= config && status.Everywhere {
+				return last, true
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return last, false
+		case <-ticker.C:
+		}
+	}
+}
+
 func (c *Client) do(address, method, path string, body, out any) error {
+	return c.doWithin(requestTimeout, address, method, path, body, out)
+}
+
+func (c *Client) doWithin(timeout time.Duration, address, method, path string, body, out any) error {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -175,7 +231,7 @@
 		}
 		request.SetBody(data)
 	}
-	if err := c.http.DoTimeout(request, response, requestTimeout); err != nil {
+	if err := c.http.DoTimeout(request, response, timeout); err != nil {
 		return lost(method, sendError(address, err))
 	}
 	return lost(method, decode(address, response, out))
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -24,8 +24,8 @@
 	replyTimeout = 5 * time.Second // longest wait for a command's commit
 	readTimeout  = 10 * time.Second
 	idleTimeout  = 30 * time.Second
-	maxID        = 128     // bytes of a command id or an operator's name
 	maxBody      = 4 << 20 // bytes of a request
+	maxID        = 128     // bytes of a command id or an operator's name
 )
 
 var errUnknownOutcome = fiber.NewError(fiber.StatusGatewayTimeout, "outcome unknown; send again with the same command id")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -87,7 +87,7 @@
 			"f.json: announceTimeout = 3s: must be at least twice renewal"}},
 		{&Router{}, routerText, fields{"peer": "10.0.0.2:1"}, []string{"f.json: peer = 10.0.0.2:1: is also the address of a control process"}},
 		{&Control{}, controlText, fields{"name": "z", "timing": fields{"heartbeat": "200ms", "drift": "100ms", "renewal": "400ms", "view": "900ms"}}, []string{
-			"f.json: timing.election = 400ms: must be at least four times timing.heartbeat",
+			"f.json: timing.election = 300ms: must be at least four times timing.heartbeat",
 			"f.json: timing.drift = 100ms: must be less than a quarter of timing.election",
 			"f.json: timing.ownership = 1s: must be at least three times timing.renewal",
 			"f.json: timing.view = 900ms: must be at least timing.ownership", "f.json: name = z: is not one of peers"}},
