End a control process at once when its disk fails

Cause: the operators' HTTP server waited for its open requests, up to 5 s, although the duties that answer them had ended. The operator waited as long for an answer that could not come, and the process held its data folder.

Change: the servers of a stopped process get 200 ms. The harness makes every write of a process fail by its file size limit.

--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -41,6 +41,8 @@
 
 	// transferTime is how long a stopping leader waits for its successor.
 	transferTime = 300 * time.Millisecond
+	// shutdownTime is how long open requests may keep a stopped process.
+	shutdownTime = 200 * time.Millisecond
 )
 
 // Node is a control process.
@@ -225,8 +227,9 @@
 func (n *Node) shutdown() {
 	n.group.Stop()
 	n.grpc.Stop()
-	_ = n.app.Shutdown()
-	_ = n.metrics.Shutdown()
+	// No duty is left to answer what still waits.
+	_ = n.app.ShutdownWithTimeout(shutdownTime)
+	_ = n.metrics.ShutdownWithTimeout(shutdownTime)
 }
 
 // Wait waits until the process has stopped and returns why it failed, if it did.
--- a/scenarios/consensus_test.go
+++ b/scenarios/consensus_test.go
@@ -7,7 +7,9 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
+	"unsafe"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
@@ -24,13 +26,14 @@
 // control whole N waits until N voters, each with its present disk, have no learners;
 // control empty NAME kills a process and empties its data folder;
 // control damage NAME changes a byte of the first record of a stopped process's log;
+// control full NAME makes every further write of a process's files fail;
 // control aside NAME waits until the process has set its damaged files aside;
 // control changes N commits N operators' changes and keeps the config version in "config";
 // control others NAME writes others.json, operators' settings without that process;
 // control kept fails unless the config version is at least that one.
 func cmdControl(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) == 0 {
-		ts.Fatalf("usage: control leader|whole|empty|damage|aside|changes|others|kept [ARG]")
+		ts.Fatalf("usage: control leader|whole|empty|damage|full|aside|changes|others|kept [ARG]")
 	}
 	switch args[0] {
 	case "leader":
@@ -49,6 +52,13 @@
 		writeOthers(ts, args[1])
 	case "damage":
 		damageLog(ts, args[1])
+	case "full":
+		limit := syscall.Rlimit{}
+		pid := fleetOf(ts).processes[args[1]].cmd.Process.Pid
+		_, _, errno := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(pid), syscall.RLIMIT_FSIZE, uintptr(unsafe.Pointer(&limit)), 0, 0, 0)
+		if errno != 0 {
+			ts.Fatalf("limit the file size of %s: %v", args[1], errno)
+		}
 	case "aside":
 		awaitAside(ts, args[1])
 	case "changes":
