Keep sessions over a standstill of the leader, answer lost commands

Cause: a leader whose process stood still ended every session before it looked at the renewals that had come meanwhile; an operator's request whose command got lost was kept until the leader changed. Each renewal repeated the nonce. Change: ends move by the time of a standstill; after 10 s without a commit the outcome is unknown; the nonce is sent only until a session is open. Tests of the controller for these, for closing sessions and for 'in force everywhere'.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -23,7 +23,9 @@
 	tickInterval = 25 * time.Millisecond // time between looks at leases and placement
 	// forgetInterval is the time between looks at what may be forgotten.
 	forgetInterval = time.Second
-	streamTimeout  = 10 * time.Second // silence after which a stream is forgotten
+	waiterTimeout  = 10 * time.Second       // longest wait for an operator's commit
+	stallTime      = 250 * time.Millisecond // time between looks that means that this process stood still
+	streamTimeout  = 10 * time.Second       // silence after which a stream is forgotten
 )
 
 // Core is the controller of one control process. It is owned by one duty.
@@ -49,6 +51,8 @@
 	replanAt clock.Instant
 	tickAt   clock.Instant
 	forgetAt clock.Instant
+	// tickedAt is when Tick last looked at leases in this term.
+	tickedAt clock.Instant
 	output   Output
 }
 
@@ -93,7 +97,7 @@
 		c.table.Reset(c.state.Sessions(), now)
 		c.startSightings()
 		clear(c.closing)
-		c.assigning = 0
+		c.assigning, c.tickedAt = 0, 0
 		c.dirty = true
 		c.joins = settling{}
 		c.decide(event.LeaderElected, event.F("term", lead.Term))
@@ -338,20 +342,10 @@
 		c.output.Replies = append(c.output.Replies, OperatorReply{Token: token, Redirect: true})
 		return
 	}
-	c.waiters = append(c.waiters, waiter{token: token, command: change.CommandID})
+	c.waiters = append(c.waiters, waiter{token: token, command: change.CommandID, until: now.Add(waiterTimeout)})
 	c.propose(control.Command{OperatorChange: change})
 }
 
-// Abandon forgets an operator's request whose caller no longer waits.
-func (c *Core) Abandon(token uint64) {
-	for i, w := range c.waiters {
-		if w.token == token {
-			c.waiters = append(c.waiters[:i], c.waiters[i+1:]...)
-			return
-		}
-	}
-}
-
 // Tick ends sessions whose lease has run out and plans ownership.
 func (c *Core) Tick(now clock.Instant) {
 	if now < c.tickAt {
@@ -361,12 +355,18 @@
 	if !c.leading(now) {
 		return
 	}
+	if still := now.Sub(c.tickedAt); c.tickedAt > 0 && still > stallTime {
+		// Renewals that came meanwhile were not looked at.
+		c.table.Postpone(still)
+	}
+	c.tickedAt = now
 	c.expireSessions(now)
 	c.plan(now)
 	c.forget(now)
 }
 
-// forget drops streams that are silent and sessions without any lease.
+// forget drops streams that are silent, sessions without any lease and
+// operators' requests whose commands were not committed in time.
 func (c *Core) forget(now clock.Instant) {
 	if now < c.forgetAt {
 		return
@@ -377,6 +377,12 @@
 			delete(c.seen, id)
 		}
 	}
+	c.waiters = slices.DeleteFunc(c.waiters, func(w waiter) bool {
+		if now >= w.until {
+			c.output.Replies = append(c.output.Replies, OperatorReply{Token: w.token, Unknown: true})
+		}
+		return now >= w.until
+	})
 	for id, s := range c.streams {
 		if now.Sub(s.heardAt) > streamTimeout {
 			delete(c.streams, id)
--- /dev/null
+++ b/internal/controller/core_test.go
@@ -0,0 +1,115 @@
+package controller_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/control"
+	"endivespring/internal/controller"
+	"endivespring/internal/fleet"
+	"endivespring/internal/session"
+)
+
+// leadingWith returns a leader with one router's session open.
+func leadingWith(t *testing.T, now clock.Instant) (*controller.Core, fleet.Session) {
+	t.Helper()
+	w := &world{timing: timing()}
+	core := w.core()
+	core.Committed(now, 1, &control.Command{OperatorChange: &control.OperatorChange{CommandID: "p", Preset: preset("ordinary")}})
+	core.Committed(now, 1, &control.Command{OpenSession: &control.OpenSession{Nonce: "n", Router: fleet.Router{ID: "r"}}})
+	core.Lead(now, controller.Leadership{Leads: true, Term: 1, LeaseUntil: clock.Never})
+	core.Take()
+	return core, core.State().LastSession
+}
+
+func renewal(id fleet.Session, applied fleet.Version) *session.Up {
+	return &session.Up{Session: id, Sequence: 1, Applied: applied, Router: fleet.Router{ID: "r"}}
+}
+
+func closes(out controller.Output) (sessions int) {
+	for _, p := range out.Proposals {
+		if p.CloseSessions != nil {
+			sessions += len(p.CloseSessions.Sessions)
+		}
+	}
+	return sessions
+}
+
+// TestStandstillEndsNoSession lets the leader stand still for longer than a
+// lease, as when its process is stopped, and then look at leases first.
+func TestStandstillEndsNoSession(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	core, _ := leadingWith(t, now)
+	core.Tick(now)
+	core.Tick(now.Add(3 * time.Second))
+	assert.Equal(t, closes(core.Take()), 0)
+	for end := now.Add(5 * time.Second); now < end; now = now.Add(20 * time.Millisecond) {
+		core.Tick(now.Add(3 * time.Second))
+	}
+	assert.Assert(t, closes(core.Take()) > 0, "a session that is not renewed ends")
+}
+
+func TestClosingSessionKeepsItsShards(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	core, id := leadingWith(t, now)
+	shard := fleet.ShardID{Service: serviceName}
+	core.Committed(now, 1, &control.Command{Assign: &control.Assign{Grants: []control.Grant{{Shard: shard, Router: "r", Session: id}}}})
+	core.Take()
+	up := renewal(id, core.State().View.Version)
+	up.Closing = true
+	core.Renewal(now, 1, up)
+	out := core.Take()
+	assert.Equal(t, closes(out)+len(out.Sends), 0, "neither ended nor renewed")
+	core.Committed(now, 1, &control.Command{ReleaseShards: &control.ReleaseShards{Session: id, Releases: []control.Release{{Shard: shard, Epoch: 1}}}})
+	core.Renewal(now, 1, up)
+	assert.Equal(t, closes(core.Take()), 1)
+}
+
+// TestOperatorsAreAnswered checks what becomes of a command that is committed,
+// lost, or under way when the leader changes.
+func TestOperatorsAreAnswered(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	core, _ := leadingWith(t, now)
+	change := &control.OperatorChange{CommandID: "c", Expected: 1, DataCentre: &fleet.DataCentreSetting{Name: "lodz", Out: true}}
+	core.Operate(now, 1, change)
+	core.Committed(now, 1, &control.Command{OperatorChange: change})
+	replies := core.Take().Replies
+	assert.Assert(t, len(replies) == 1 && replies[0].Result.Accepted && !replies[0].Unknown)
+	core.Operate(now, 2, &control.OperatorChange{CommandID: "lost"})
+	core.Tick(now.Add(time.Second))
+	assert.Equal(t, len(core.Take().Replies), 0)
+	core.Tick(now.Add(time.Minute))
+	replies = core.Take().Replies
+	assert.Assert(t, len(replies) == 1 && replies[0].Unknown)
+	core.Operate(now, 3, &control.OperatorChange{CommandID: "under way"})
+	core.Lead(now, controller.Leadership{Term: 2})
+	replies = core.Take().Replies
+	assert.Assert(t, len(replies) == 1 && replies[0].Unknown)
+	core.Operate(now, 4, change)
+	replies = core.Take().Replies
+	assert.Assert(t, len(replies) == 1 && replies[0].Redirect)
+}
+
+// TestInForceEverywhere follows a change until no router works under an older one.
+func TestInForceEverywhere(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	core, id := leadingWith(t, now)
+	view := timing().View.Value() + timing().Drift.Value()
+	assert.Assert(t, !core.Status(now).Everywhere, "a new leader does not know")
+	now = now.Add(view)
+	core.Lead(now, controller.Leadership{Leads: true, Term: 2, LeaseUntil: clock.Never})
+	for end := now.Add(view); now < end; now = now.Add(100 * time.Millisecond) {
+		core.Renewal(now, 1, renewal(id, core.State().View.Version))
+	}
+	assert.Assert(t, core.Status(now).Everywhere)
+	core.Committed(now, 2, &control.Command{OperatorChange: &control.OperatorChange{CommandID: "x", Expected: 1, DataCentre: &fleet.DataCentreSetting{Name: "lodz", Out: true}}})
+	status := core.Status(now)
+	assert.Assert(t, !status.Everywhere)
+	assert.DeepEqual(t, status.Working, []string{"r"})
+	core.Committed(now, 2, &control.Command{CloseSessions: &control.CloseSessions{Term: 2, Sessions: []fleet.Session{id}}})
+	assert.DeepEqual(t, core.Status(now).Working, []string{"r"}) // it may work on without a session
+	assert.Assert(t, core.Status(now.Add(view)).Everywhere)
+}
--- a/internal/lease/table.go
+++ b/internal/lease/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
@@ -88,6 +89,16 @@
 	return ended
 }
 
+// Postpone moves every end by a time in which this process stood still.
+func (t *Table) Postpone(still time.Duration) {
+	for session := range t.deadlines {
+		t.deadlines[session] = t.deadlines[session].Add(still)
+	}
+	for session := range t.views {
+		t.views[session] = t.views[session].Add(still)
+	}
+}
+
 // Known reports whether a session is open or its view lease may not have ended.
 func (t *Table) Known(session fleet.Session) bool {
 	_, open := t.deadlines[session]
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -71,6 +71,9 @@
 		Router: c.router, Closing: c.closing,
 	}
 	up.Router.Session = c.session
+	if c.session != 0 {
+		up.Nonce = ""
+	}
 	up.Registers = c.session == 0 || up.Router != c.shown
 	if !up.Registers {
 		up.Router = fleet.Router{ID: c.router.ID}
--- a/internal/session/up.go
+++ b/internal/session/up.go
@@ -9,7 +9,7 @@
 
 // Up is a renewal from a router.
 type Up struct {
-	// Nonce names this start of the router.
+	// Nonce names this start of the router; it is empty once a session is open.
 	Nonce string
 	// Session is zero until one is open.
 	Session  fleet.Session
