Hold messages for a router by reference at the leader

Cause: each attached router's ring of 1,024 messages held them by value, 88 bytes each (unsafe.Sizeof): by calculation 90 KB a router and 216 MB of the leader for 2,400 routers. Change: the ring holds references: 8 KB a router, 20 MB for 2,400, by the same calculation; the fleet was not run at that size. Ruled out: a shorter ring, since one batch of the log may hold 256 changes.

--- a/internal/controlnode/arrival.go
+++ b/internal/controlnode/arrival.go
@@ -10,7 +10,7 @@
 type arrival struct {
 	stream controller.StreamID
 	up     session.Up
-	down   *ring.Ring[session.Down]
+	down   *ring.Ring[*session.Down]
 	ended  bool
 	// cut ends the stream.
 	cut func()
--- a/internal/controlnode/controller_duty.go
+++ b/internal/controlnode/controller_duty.go
@@ -158,7 +158,7 @@
 	}
 	for _, send := range out.Sends {
 		a, ok := d.streams[send.Stream]
-		if ok && a.down.Put(ctx, send.Down) != nil {
+		if ok && a.down.Put(ctx, &send.Down) != nil {
 			// A later message must not pass the one that was refused.
 			a.cut()
 			delete(d.streams, send.Stream)
--- a/internal/controlnode/session_server.go
+++ b/internal/controlnode/session_server.go
@@ -34,7 +34,7 @@
 	defer cancel()
 	a := arrival{
 		stream: controller.StreamID(s.next.Add(1)), cut: cancel,
-		down: ring.New[session.Down]("session-down", downRingCapacity, ring.Refuse),
+		down: ring.New[*session.Down]("session-down", downRingCapacity, ring.Refuse),
 	}
 	failed := ring.NewReply[error]()
 	go func() {
@@ -68,13 +68,13 @@
 	}
 }
 
-func (s *sessionServer) send(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.SessionUp, wirepb.SessionDown], down *ring.Ring[session.Down]) {
+func (s *sessionServer) send(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.SessionUp, wirepb.SessionDown], down *ring.Ring[*session.Down]) {
 	for {
 		message, err := down.Take(ctx)
 		if err != nil {
 			return
 		}
-		if stream.Send(wire.FromDown(&message)) != nil {
+		if stream.Send(wire.FromDown(message)) != nil {
 			return
 		}
 	}
