Find the leader sooner after one fell silent

Cause: a router counted three renewals before it gave a silent process up, looked only when a renewal was due, could go to the same process next, and followed the hints of others that still took it for the leader. Change: a finder, which the test under faults uses too, chooses the next process: not one that fell silent within 200 ms. Two renewals without an answer are enough, one on a new stream, with more patience each time.

--- a/internal/controller/fleet_test.go
+++ b/internal/controller/fleet_test.go
@@ -157,7 +157,7 @@
 		name           string
 		holder, leader bool
 		frozen         bool
-	}{{"holder", true, false, false}, {"leader", false, true, false}, {"both", true, true, false}, {"both frozen", true, true, true}} {
+	}{{"holder", true, false, false}, {"leader", false, true, false}, {"both", true, true, false}, {"leader frozen", false, true, true}, {"both frozen", true, true, true}} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			var spans []time.Duration
@@ -187,7 +187,10 @@
 	r, n := w.routers[w.rng.IntN(len(w.routers))], w.nodes[w.leader]
 	switch {
 	case frozen:
-		r.frozen, n.frozen = w.now+time.Hour, w.now+time.Hour
+		n.frozen = w.now + time.Hour
+		if holder {
+			r.frozen = w.now + time.Hour
+		}
 		return
 	case leader:
 		n.down = w.now + time.Hour
--- a/internal/controller/parties_test.go
+++ b/internal/controller/parties_test.go
@@ -125,7 +125,8 @@
 	door              uint64
 	view              *fleet.View
 	stream            controller.StreamID
-	peer, hint        int
+	peer              int
+	finder            *session.Finder
 	attachAt          time.Duration
 	frozen, cut, down time.Duration
 	finished          []*run
@@ -145,7 +146,8 @@
 	r.doorCore, r.view = door.New(self.ID, r.centre), fleet.NewView()
 	r.doorCore.Announce(r.clock.at(r.w.now), r.upstream)
 	r.door++
-	r.stream, r.hint, r.finished = 0, -1, nil
+	r.stream, r.finished = 0, nil
+	r.finder = session.NewFinder([]string{"control-0", "control-1", "control-2"})
 }
 
 func (r *router) step() {
@@ -156,6 +158,7 @@
 	now := r.clock.at(w.now)
 	r.attach()
 	if r.stream != 0 && r.core.Silent(now) {
+		r.finder.GaveUp(now)
 		r.detach(50 * time.Millisecond)
 	}
 	if up, due := r.core.Due(now); due && r.stream != 0 {
@@ -177,10 +180,8 @@
 	if r.stream != 0 || w.now < r.attachAt {
 		return
 	}
-	r.peer = (r.peer + 1) % len(w.nodes)
-	if r.hint >= 0 {
-		r.peer, r.hint = r.hint, -1
-	}
+	address := r.finder.Next(r.clock.at(w.now))
+	r.peer = slices.IndexFunc(w.nodes, func(n *node) bool { return n.name == address })
 	if w.nodes[r.peer].down > w.now {
 		r.attachAt = w.now + 50*time.Millisecond
 		return
@@ -201,13 +202,12 @@
 		return
 	}
 	if down.Redirect {
-		r.hint = -1
-		for i, n := range r.w.nodes {
-			if n.name == down.Leader {
-				r.hint = i
-			}
+		r.core.Redirected(r.clock.at(r.w.now))
+		pause := 50 * time.Millisecond
+		if r.finder.Redirected(r.clock.at(r.w.now), down.Leader) {
+			pause = 0
 		}
-		r.detach(10 * time.Millisecond)
+		r.detach(pause)
 		return
 	}
 	now := r.clock.at(r.w.now)
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -128,7 +128,7 @@
 		sinks: map[uint64]answerSink{localLink: &localSink{self: self.ID, answers: answers}},
 	}
 	n.session = &sessionDuty{
-		fleet: s.Fleet, addresses: s.Control, core: session.New(self, s.Renewal.Value(), rand.Text()),
+		fleet: s.Fleet, finder: session.NewFinder(s.Control), core: session.New(self, s.Renewal.Value(), rand.Text()),
 		clock: n.clock, events: n.events, releases: n.door.releases, registered: n.door.registered,
 		closing: ring.New[struct{}]("session-closing", 1, ring.Refuse),
 		closed:  ring.New[struct{}]("session-closed", 1, ring.DropOldest),
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"slices"
 	"time"
 
 	"endivespring/internal/clock"
@@ -23,7 +22,7 @@
 // to entry and door, and moves to the leader when it changes.
 type sessionDuty struct {
 	fleet      string
-	addresses  []string
+	finder     *session.Finder
 	core       *session.Core
 	clock      clock.Clock
 	events     event.Recorder
@@ -36,8 +35,10 @@
 
 	meter *metrics.SessionMeter
 
-	next   int
-	leader string
+	// address is the control process in use; following is set if it redirected
+	// to the leader.
+	address   string
+	following bool
 	// refusals counts streams in a row that control processes of another fleet
 	// refused.
 	refusals  int
@@ -48,8 +49,10 @@
 // Run keeps a stream to the leader until the context ends.
 func (d *sessionDuty) Run(ctx context.Context) error {
 	for ctx.Err() == nil && !d.core.Closed() {
-		d.attach(ctx, d.address())
-		if d.leader == "" {
+		d.following = false
+		d.address = d.finder.Next(d.clock.Now())
+		d.attach(ctx, d.address)
+		if !d.following {
 			d.pause(ctx)
 		}
 	}
@@ -57,20 +60,10 @@
 	return nil
 }
 
-// address returns the known leader's address, or the next control process in turn.
-func (d *sessionDuty) address() string {
-	if leader := d.leader; leader != "" {
-		d.leader = ""
-		return leader
-	}
-	d.next++
-	return d.addresses[d.next%len(d.addresses)]
-}
-
 // pause waits before the next try and keeps taking what others report.
 func (d *sessionDuty) pause(ctx context.Context) {
 	delay := attachDelay
-	if d.refusals >= len(d.addresses) {
+	if d.refusals >= d.finder.Len() {
 		delay = peer.RefusedDelay
 	}
 	timer := time.NewTimer(delay)
@@ -151,6 +144,7 @@
 			return
 		case <-timer.C:
 			if d.core.Silent(d.clock.Now()) {
+				d.finder.GaveUp(d.clock.Now())
 				d.events.Record(event.ConnectionRetired, event.F("peer", "control"))
 				return
 			}
@@ -180,7 +174,7 @@
 		return
 	}
 	d.refusals++
-	d.events.Record(event.RefusedByFleet, event.F("address", d.addresses[d.next%len(d.addresses)]), event.F("fleet", d.fleet))
+	d.events.Record(event.RefusedByFleet, event.F("address", d.address), event.F("fleet", d.fleet))
 }
 
 // watchView logs when the view lapses and when it is current again.
@@ -200,9 +194,8 @@
 // receive takes a message and reports whether the stream is still of use.
 func (d *sessionDuty) receive(ctx context.Context, down *session.Down) bool {
 	if down.Redirect {
-		if slices.Contains(d.addresses, down.Leader) {
-			d.leader = down.Leader
-		}
+		d.core.Redirected(d.clock.Now())
+		d.following = d.finder.Redirected(d.clock.Now(), down.Leader)
 		return false
 	}
 	if d.core.Rejects(down) {
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -11,7 +11,7 @@
 
 // silentRenewals is the number of renewals without an answer after which the
 // connection to control is given up.
-const silentRenewals = 3
+const silentRenewals = 2
 
 // Core is the router's side of its session. It is a pure state machine: time,
 // nonces and messages are arguments.
@@ -31,6 +31,10 @@
 	releases map[fleet.ShardID]control.Release
 	renewAt  clock.Instant
 	heardAt  clock.Instant
+	// unheard is set until something is heard on a new stream; patience is how
+	// long that may take.
+	unheard  bool
+	patience time.Duration
 	closing  bool
 	closed   bool
 }
@@ -38,27 +42,47 @@
 // New returns a router without a session. Renewals are sent once every renewal.
 func New(router fleet.Router, renewal time.Duration, nonce string) *Core {
 	return &Core{
-		router: router, renewal: renewal, nonce: nonce,
+		router: router, renewal: renewal, nonce: nonce, patience: renewal,
 		holder: lease.NewHolder(), releases: map[fleet.ShardID]control.Release{},
 	}
 }
 
 // Connected starts a new stream to control and makes a renewal due.
 func (c *Core) Connected(now clock.Instant) {
+	if c.unheard {
+		c.patience = min(2*c.patience, silentRenewals*c.renewal)
+	}
 	c.renewAt = now
 	c.heardAt = now
+	c.unheard = true
 	if c.needFull {
 		c.applied = 0
 	}
 }
 
-// Silent reports whether the stream must be given up.
+// Silent reports whether the stream must be given up. A new one is given less
+// time, so that one stopped process costs little; the time grows while none
+// answers.
 func (c *Core) Silent(now clock.Instant) bool {
-	return now.Sub(c.heardAt) > silentRenewals*c.renewal
+	return now >= c.silentAt()
 }
 
-// Deadline returns when Due must be called next.
-func (c *Core) Deadline() clock.Instant { return c.renewAt }
+func (c *Core) silentAt() clock.Instant {
+	if c.unheard {
+		return c.heardAt.Add(c.patience)
+	}
+	return c.heardAt.Add(silentRenewals * c.renewal)
+}
+
+// Redirected notes that the process at the other end answered but does not lead.
+func (c *Core) Redirected(now clock.Instant) { c.heard(now) }
+
+func (c *Core) heard(now clock.Instant) {
+	c.heardAt, c.unheard, c.patience = now, false, c.renewal
+}
+
+// Deadline returns when Silent and Due must be called next.
+func (c *Core) Deadline() clock.Instant { return min(c.renewAt, c.silentAt()) }
 
 // Due returns the renewal to send now, if any.
 func (c *Core) Due(now clock.Instant) (Up, bool) {
@@ -118,7 +142,7 @@
 // Receive takes a message from control. It returns the update for entry and
 // door; resync is set if the stream must be opened again.
 func (c *Core) Receive(now clock.Instant, down *Down) (update Update, resync bool) {
-	c.heardAt = now
+	c.heard(now)
 	if c.late(down) {
 		return c.update(), false
 	}
@@ -168,7 +192,7 @@
 // Rejected drops the session that a message rejects, and its lease, and starts
 // over under a new nonce. A late message changes nothing.
 func (c *Core) Rejected(now clock.Instant, down *Down, nonce string) Update {
-	c.heardAt = now
+	c.heard(now)
 	if c.late(down) {
 		return c.update()
 	}
--- /dev/null
+++ b/internal/session/core_test.go
@@ -0,0 +1,134 @@
+package session
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/control"
+	"endivespring/internal/fleet"
+)
+
+const (
+	renewalTime = 300 * time.Millisecond
+	ownership   = time.Second
+	viewTime    = 3 * time.Second
+)
+
+var self = fleet.Router{ID: "r", Address: "10.0.0.1:1"}
+
+// opened returns a core with session 5 open at view version 1.
+func opened(t *testing.T, now clock.Instant) *Core {
+	t.Helper()
+	c := New(self, renewalTime, "first")
+	c.Connected(now)
+	shown := self
+	shown.Session = 5
+	_, resync := c.Receive(now, &Down{Session: 5, Change: &fleet.Change{To: 1, Full: true, Routers: []fleet.Router{shown}}})
+	assert.Assert(t, !resync)
+	return c
+}
+
+func renewAndAnswer(c *Core, now clock.Instant, version fleet.Version) (Update, bool) {
+	c.renewAt = now
+	up, _ := c.Due(now)
+	return c.Receive(now, &Down{Session: c.Session(), Sequence: up.Sequence, Lease: true, Ownership: ownership, View: viewTime, Version: version})
+}
+
+// TestLateMessagesChangeNothing gives a session up and then hears of it again.
+func TestLateMessagesChangeNothing(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	c := opened(t, now)
+	update, _ := renewAndAnswer(c, now, 1)
+	assert.Equal(t, update.OwnUntil, now.Add(ownership))
+	update = c.Rejected(now, &Down{Session: 5, Rejected: true}, "second")
+	assert.Equal(t, update.Session, fleet.Session(0))
+	assert.Equal(t, update.OwnUntil, clock.Instant(0))
+	update, _ = c.Receive(now, &Down{Session: 5, Change: &fleet.Change{From: 1, To: 2}})
+	assert.Equal(t, update.Session, fleet.Session(0), "not taken up again")
+	c.Rejected(now, &Down{Session: 5, Rejected: true}, "third")
+	c.renewAt = now
+	up, _ := c.Due(now)
+	assert.Equal(t, up.Nonce, "second", "a late rejection does not start over")
+	assert.Assert(t, up.Registers)
+	update, _ = c.Receive(now, &Down{Session: 6})
+	assert.Equal(t, update.Session, fleet.Session(6))
+}
+
+func TestClosedOnlyIfAsked(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	c := opened(t, now)
+	ended := &Down{Session: 5, Closed: true, Rejected: true}
+	assert.Assert(t, c.Rejects(ended), "control ended it because its lease ran out")
+	c.Receive(now, ended)
+	assert.Assert(t, !c.Closed())
+	c.Close(now)
+	assert.Assert(t, !c.Rejects(ended))
+	c.Receive(now, ended)
+	assert.Assert(t, c.Closed())
+}
+
+// TestViewLeaseNeedsTheView loses a change before a lease.
+func TestViewLeaseNeedsTheView(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	c := opened(t, now)
+	update, lost := renewAndAnswer(c, now, 1)
+	assert.Assert(t, !lost && update.ViewUntil == now.Add(viewTime))
+	later := now.Add(time.Second)
+	update, lost = renewAndAnswer(c, later, 2)
+	assert.Assert(t, lost, "the stream is opened again")
+	assert.Equal(t, update.ViewUntil, now.Add(viewTime), "not extended")
+	assert.Equal(t, update.OwnUntil, later.Add(ownership))
+	_, resync := c.Receive(later, &Down{Session: 5, Change: &fleet.Change{From: 3, To: 4}})
+	assert.Assert(t, resync, "a gap")
+	c.Connected(later)
+	c.renewAt = later
+	up, _ := c.Due(later)
+	assert.Equal(t, up.Applied, fleet.Version(0), "asks for a full view")
+}
+
+// TestReportsAreRepeatedUntilShown checks registration and releases.
+func TestReportsAreRepeatedUntilShown(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	c := opened(t, now)
+	due := func() Up {
+		c.renewAt = now
+		up, _ := c.Due(now)
+		return up
+	}
+	assert.Assert(t, !due().Registers && due().Router == fleet.Router{ID: "r"} && due().Nonce == "")
+	c.Registration(now, fleet.Upstream{Name: "u"}, false)
+	for range 2 {
+		assert.Assert(t, due().Registers)
+	}
+	shown := due().Router
+	shard := fleet.ShardID{Service: "timetable", Number: 1}
+	c.Release(now, []control.Release{{Shard: shard, Epoch: 3}})
+	assert.Equal(t, len(due().Releases), 1)
+	c.Receive(now, &Down{Session: 5, Change: &fleet.Change{From: 1, To: 2, Routers: []fleet.Router{shown}}})
+	assert.Assert(t, !due().Registers)
+	assert.Equal(t, len(due().Releases), 1)
+	freed := fleet.Shard{ID: shard, Epoch: 3}
+	c.Receive(now, &Down{Session: 5, Change: &fleet.Change{From: 2, To: 3, Shards: []fleet.Shard{freed}}})
+	assert.Equal(t, len(due().Releases), 0)
+}
+
+// TestSilence checks when a stream is given up: soon if nothing was ever heard
+// on it, with more patience each time, later if it fell silent.
+func TestSilence(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	c := New(self, renewalTime, "first")
+	for _, limit := range []time.Duration{renewalTime, 2 * renewalTime, 2 * renewalTime} {
+		c.Connected(now)
+		assert.Assert(t, !c.Silent(now.Add(limit-1)) && c.Silent(now.Add(limit)), "%v", limit)
+	}
+	c.Redirected(now)
+	c.Connected(now)
+	assert.Equal(t, c.Deadline(), now)
+	c.Due(now)
+	assert.Equal(t, c.Deadline(), now.Add(renewalTime))
+	c.Receive(now, &Down{Session: 5})
+	assert.Assert(t, !c.Silent(now.Add(2*renewalTime-1)) && c.Silent(now.Add(2*renewalTime)))
+}
--- /dev/null
+++ b/internal/session/finder.go
@@ -0,0 +1,63 @@
+package session
+
+import (
+	"slices"
+	"time"
+
+	"endivespring/internal/clock"
+)
+
+// avoidTime is how long a control process that fell silent is not gone back to:
+// others may still take it for the leader.
+const avoidTime = 200 * time.Millisecond
+
+// Finder chooses the control process to connect to. It is a pure state machine.
+type Finder struct {
+	addresses []string
+	current   int
+	hint      string
+	avoided   string
+	until     clock.Instant
+}
+
+// NewFinder returns a finder that starts with the first of the addresses, of
+// which there must be one.
+func NewFinder(addresses []string) *Finder {
+	return &Finder{addresses: addresses, current: len(addresses) - 1}
+}
+
+// Len returns the number of addresses.
+func (f *Finder) Len() int { return len(f.addresses) }
+
+// Next returns the leader that was named, or else the next address in turn.
+func (f *Finder) Next(now clock.Instant) string {
+	if hint := slices.Index(f.addresses, f.hint); hint >= 0 {
+		f.current, f.hint = hint, ""
+		return f.addresses[hint]
+	}
+	f.current = (f.current + 1) % len(f.addresses)
+	if f.avoids(now, f.addresses[f.current]) {
+		f.current = (f.current + 1) % len(f.addresses)
+	}
+	return f.addresses[f.current]
+}
+
+// Redirected takes the leader's address as another process knows it, or none.
+// It reports whether it will be followed: an address that is not in the
+// settings, or that just fell silent, is not.
+func (f *Finder) Redirected(now clock.Instant, leader string) bool {
+	f.hint = ""
+	if slices.Contains(f.addresses, leader) && !f.avoids(now, leader) {
+		f.hint = leader
+	}
+	return f.hint != ""
+}
+
+// GaveUp notes that the present process fell silent.
+func (f *Finder) GaveUp(now clock.Instant) {
+	f.avoided, f.until = f.addresses[f.current], now.Add(avoidTime)
+}
+
+func (f *Finder) avoids(now clock.Instant, address string) bool {
+	return address == f.avoided && now < f.until
+}
