--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -34,10 +34,14 @@
 			"request":    cmdRequest,
 			"ledger":     cmdLedger,
 			"metrics":    cmdMetrics,
+			"peers":      cmdPeers,
 			"behave":     cmdBehave,
 			"ends":       cmdEnds,
+			"hangup":     cmdHangUp,
+			"recorded":   cmdRecorded,
 			"callers":    cmdCallers,
 			"answered":   cmdAnswered,
+			"control":    cmdControl,
 		},
 	})
 }
