--- /dev/null
+++ b/scripts/measure-data-centre.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Takes a data centre out and brings it back under a mixed load of the whole
+# fleet, and prints verdicts, the worst second and reservations that ran twice.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+EXAMPLE=${EXAMPLE:-pasaz}
+runs=${RUNS:-3} rate=${RATE:-400} centre=${CENTRE:-lodz}
+mix=${MIX:-timetable/lookup=50,reservations/lookup=30,reservations/reserve=12,payments/charge=8}
+. scripts/measure-lib.sh
+export QUIET=1
+trap 'scripts/fleet.sh stop "$EXAMPLE"' EXIT
+for i in $(seq "$runs"); do
+  scripts/fleet.sh start "$EXAMPLE"
+  $bin load --callers "$(callers)" --mix "$mix" --keys 1000 --rate "$rate" --duration 3s > /dev/null
+  before=$(ledger_count started)
+  $bin load --callers "$(callers)" --mix "$mix" --keys 1000 --rate "$rate" --duration 14s --seed "$i" --resend-every 100 --output json > run.json &
+  load=$!
+  sleep 4
+  operate datacentre out "$centre" > /dev/null
+  sleep 5
+  operate datacentre in "$centre" > /dev/null
+  wait "$load"
+  echo "run $i, rate $rate/s: $(jq -c '{sent, verdicts, reasons, resendVerdicts, mismatched, p50Ms, p99Ms, p999Ms, maxMs, lateSends, worstSecond: ([.timeline[:14][] | .ran / .sent] | min)}' run.json)"
+  jq -c '.operations[] | {operation, sent, verdicts, p99Ms, p999Ms}' run.json
+  echo "calls at upstreams: $(($(ledger_count started) - before)), ran twice: $(doubled), over what upstreams bear: $(ledger_count overloaded)"
+  rm -f run.json
+  scripts/fleet.sh stop "$EXAMPLE"
+done
