--- a/internal/attempt/core_test.go
+++ b/internal/attempt/core_test.go
@@ -204,3 +204,30 @@
 	}
 	assert.Equal(t, calls, maxTries)
 }
+
+// TestShardWaitsForAnUnreachableOwner loses the owner of every shard for longer
+// than the retry budget lasts, then moves the shards.
+func TestShardWaitsForAnUnreachableOwner(t *testing.T) {
+	w := newWorld(1)
+	w.join(0)
+	w.join(1)
+	for s := range uint32(testShards) {
+		w.own(s, 0)
+	}
+	w.unreachable = routerID(0)
+	for range 200 {
+		w.after(time.Duration(w.random.IntN(100))*time.Millisecond, func() { w.start("reserve", false) })
+	}
+	w.after(300*time.Millisecond, func() {
+		for s := range uint32(testShards) {
+			w.own(s, 1)
+		}
+	})
+	w.run()
+	calls := 0
+	for _, r := range w.requests {
+		assert.Equal(t, r.verdict, verdict.Ran, r.request.ID)
+		calls += len(r.sentTo)
+	}
+	assert.Assert(t, calls <= 7*len(w.requests), "%d calls", calls)
+}
--- a/internal/attempt/world_test.go
+++ b/internal/attempt/world_test.go
@@ -49,10 +49,12 @@
 	version  fleet.Version
 	service  fleet.Service
 	// failing is the share of calls that end otherwise than well.
-	failing  float64
-	hedges   int
-	cancels  int
-	affected map[uint64]fleet.RouterID // calls under way by number
+	failing float64
+	hedges  int
+	// unreachable is a router whose link cannot be opened.
+	unreachable fleet.RouterID
+	cancels     int
+	affected    map[uint64]fleet.RouterID // calls under way by number
 }
 
 func newWorld(seed uint64) *world {
@@ -168,6 +170,10 @@
 	if s.Call.Hedge {
 		w.hedges++
 	}
+	if s.Router.ID == w.unreachable {
+		w.after(time.Millisecond, func() { w.core.Lost(w.now, s.Call.Number, verdict.NotRun) })
+		return
+	}
 	delay := time.Duration(w.random.IntN(20_000)) * time.Microsecond
 	if w.random.Float64() >= w.failing {
 		t.handed++
