Avoid a door whose upstream takes no connections

Ruled out: leaving it to the announcement timeout (3 s).

Change: only refusals of a door that works count as load; others count as a failure of the door, a timeout as a latency of at least the time so far.

--- a/internal/attempt/core_test.go
+++ b/internal/attempt/core_test.go
@@ -231,3 +231,29 @@
 	}
 	assert.Assert(t, calls <= 7*len(w.requests), "%d calls", calls)
 }
+
+// TestDoorWithoutItsUpstreamIsAvoided lets one door refuse each call at once
+// because its upstream takes no connections.
+func TestDoorWithoutItsUpstreamIsAvoided(t *testing.T) {
+	w := newWorld(1)
+	for i := range 3 {
+		w.join(i)
+	}
+	refused := 0
+	for i := range 1000 {
+		w.core.Start(w.now, Request{Token: uint64(i + 1), ID: "x", Service: "reservations", Operation: "lookup"})
+		for sends := w.core.Take().Sends; len(sends) > 0; sends = w.core.Take().Sends {
+			s := sends[0]
+			s.Call.RequestID = "x"
+			if s.Router.ID == routerID(1) {
+				refused++
+				w.answer(&s, verdict.NotRun, verdict.ReasonConnection)
+				continue
+			}
+			w.now = w.now.Add(2 * time.Millisecond)
+			w.answer(&s, verdict.Ran, verdict.ReasonNone)
+		}
+	}
+	assert.Equal(t, w.core.Len(), 0)
+	assert.Assert(t, refused < 20, "%d refusals", refused)
+}
--- a/internal/attempt/settling.go
+++ b/internal/attempt/settling.go
@@ -19,16 +19,35 @@
 			event.F("request", answer.RequestID), event.F("router", string(from))))
 		return
 	}
+	c.learn(now, &f, &answer)
+	c.settle(now, &answer)
+}
+
+// learn tells the routing table what an answer says of its door.
+func (c *Core) learn(now clock.Instant, f *flight, answer *call.Answer) {
 	switch {
 	case answer.Verdict == verdict.Ran:
 		c.table.Answered(f.outstanding, now, answer.Load)
-		c.sample(now, &f)
-	case answer.Verdict == verdict.NotRun && !redirects(answer.Reason):
+		c.sample(now, f)
+	case answer.Verdict == verdict.MayHaveRun && answer.Reason == verdict.ReasonDeadline:
+		c.table.Outlived(f.outstanding, now)
+	case busy(answer.Reason):
 		c.table.Refused(f.outstanding, now, answer.Load)
 	default:
 		c.table.Failed(f.outstanding, now)
 	}
-	c.settle(now, &answer)
+}
+
+// busy reports whether an answer without a run comes from a door that works: it or its
+// upstream has too much to do, or the call itself could not be taken.
+func busy(reason verdict.Reason) bool {
+	switch reason {
+	case verdict.ReasonOverloaded, verdict.ReasonShed, verdict.ReasonDeadline, verdict.ReasonRequestExpired,
+		verdict.ReasonCancelled, verdict.ReasonBodyTooLarge, verdict.ReasonDuplicate, verdict.ReasonRecordLost, verdict.ReasonFenced:
+		return true
+	default:
+		return false
+	}
 }
 
 // sample takes the latency of a request's first call for the hedging delay.
