Fill a cold door's places so that it grows

Cause: a restarted upstream kept 63 to 83 of 120 requests a second for 8 s: the choice weighed each call by what the cold door bears, so its few places were never all taken and its limit, which grows by proof, stayed low (TestColdDoorGetsItsPlacesFilled).

Change: a door with a free place is weighed by its slots, one without by its limit.

--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -101,11 +101,18 @@
 	t.load, t.reported = load, now
 }
 
-// score estimates how long a new call would take, in nanoseconds.
+// score estimates how long a new call would take, in nanoseconds. A door with
+// all its places taken is weighed by what it bears. One with free places is
+// weighed by what it bears when warm, so that a cold door gets its places
+// filled and grows.
 func (t *target) score(now clock.Instant, typical time.Duration) float64 {
 	others := float64(max(0, t.load.InFlight+t.load.Queued-t.inFlight))
 	waiting := float64(t.inFlight) + others*halving(now.Sub(t.reported), reportHalfLife)
-	return t.expected(now, typical) * (1 + waiting/float64(t.limit()))
+	places := float64(t.limit())
+	if waiting < places {
+		places = max(places, float64(t.router.Upstream.Slots))
+	}
+	return t.expected(now, typical) * (1 + waiting/places)
 }
 
 // expected is the latency that a call is expected to have at an idle target.
