--- a/scripts/measure-data-centre.sh
+++ b/scripts/measure-data-centre.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # Takes a data centre out and brings it back under a mixed load of the whole
 # fleet, and prints verdicts, the worst second and reservations that ran twice.
+# With KILL=1 the routers and upstreams of the data centre are killed instead;
+# callers then use the other routers only.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 EXAMPLE=${EXAMPLE:-pasaz}
@@ -13,12 +15,20 @@
   scripts/fleet.sh start "$EXAMPLE"
   $bin load --callers "$(callers)" --mix "$mix" --keys 1000 --rate "$rate" --duration 3s > /dev/null
   before=$(ledger_count started)
-  $bin load --callers "$(callers)" --mix "$mix" --keys 1000 --rate "$rate" --duration 14s --seed "$i" --resend-every 100 --output json > run.json &
+  entries=$(callers)
+  [ "${KILL:-}" = 1 ] && entries=$(awk -v c="$centre" '$3 != c {print $4}' "$run/addresses" | paste -sd,)
+  $bin load --callers "$entries" --mix "$mix" --keys 1000 --rate "$rate" --duration 14s --seed "$i" --resend-every 100 --output json > run.json &
   load=$!
   sleep 4
-  operate datacentre out "$centre" > /dev/null
-  sleep 5
-  operate datacentre in "$centre" > /dev/null
+  if [ "${KILL:-}" = 1 ]; then
+    for upstream in $(awk -v c="$centre" '$3 == c {print $1}' "$run/addresses"); do
+      kill -9 "$(pid_of "router-$upstream")" "$(pid_of "$upstream")"
+    done
+  else
+    operate datacentre out "$centre" > /dev/null
+    sleep 5
+    operate datacentre in "$centre" > /dev/null
+  fi
   wait "$load"
   echo "run $i, rate $rate/s: $(jq -c '{sent, verdicts, reasons, resendVerdicts, mismatched, p50Ms, p99Ms, p999Ms, maxMs, lateSends, worstSecond: ([.timeline[:14][] | .ran / .sent] | min)}' run.json)"
   jq -c '.operations[] | {operation, sent, verdicts, p99Ms, p999Ms}' run.json
