--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -3,18 +3,19 @@
 
 import (
 	"bytes"
-	"context"
 	"crypto/rand"
 	"errors"
 	"strconv"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/valyala/fasthttp"
 
 	"endivespring/internal/attempt"
 	"endivespring/internal/call"
+	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
 )
@@ -37,9 +38,12 @@
 	idleTimeout     = 60 * time.Second
 	readTimeout     = 30 * time.Second
 	writeTimeout    = 30 * time.Second
-	maxIDLength     = 128              // bytes of a request id or key
+	maxIDLength     = 128 // bytes of a request id or key
+	maxAttempt      = 1_000_000
+	maxTimeout      = 3_600_000        // milliseconds that a caller may ask for
 	answerPatience  = 11 * time.Minute // bound on waiting for the entry's answer
 	readBufferBytes = 8 << 10
+	lookInterval    = 100 * time.Millisecond // time between looks whether the caller is still there
 )
 
 // Server takes callers' requests.
@@ -48,6 +52,7 @@
 	observe  Observer
 	app      *fiber.App
 	stopping atomic.Bool
+	next     atomic.Uint64
 }
 
 // NewServer returns a server that hands requests to a ring and shows each
@@ -84,22 +89,37 @@
 }
 
 // ask hands a request to the entry duty and waits for the answer.
-func (s *Server) ask(ctx context.Context, request attempt.Request) call.Answer {
+func (s *Server) ask(ctx *fasthttp.RequestCtx, request attempt.Request) call.Answer {
 	reply := ring.NewReply[call.Answer]()
-	if err := s.requests.Put(ctx, Request{Request: request, Reply: reply}); err != nil {
+	number := s.next.Add(1)
+	if err := s.requests.Put(ctx, Request{Number: number, Request: request, Reply: reply}); err != nil {
 		answer := refusal(request.ID, verdict.ReasonOverloaded)
 		if request.Resend { // what was sent before may have run
 			answer.Verdict = verdict.MayHaveRun
 		}
 		return answer
 	}
+	return s.wait(ctx, number, &request, reply)
+}
+
+// wait waits for the entry's answer and looks now and then whether the caller
+// is still there.
+func (s *Server) wait(ctx *fasthttp.RequestCtx, number uint64, request *attempt.Request, reply ring.Reply[call.Answer]) call.Answer {
 	patience := time.NewTimer(answerPatience)
 	defer patience.Stop()
-	select {
-	case answer := <-reply.Out():
-		return answer
-	case <-patience.C:
-		return call.Answer{RequestID: request.ID, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline}
+	look := time.NewTicker(lookInterval)
+	defer look.Stop()
+	for {
+		select {
+		case answer := <-reply.Out():
+			return answer
+		case <-patience.C:
+			return call.Answer{RequestID: request.ID, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline}
+		case <-look.C:
+			if peer.Look(ctx.Conn()) == peer.SocketClosed && s.requests.Put(ctx, Request{Number: number, Abandoned: true}) == nil {
+				look.Stop()
+			}
+		}
 	}
 }
 
@@ -108,16 +128,16 @@
 	request := attempt.Request{
 		ID:      clone(c.Get(HeaderRequestID)),
 		Service: clone(c.Params("service")), Operation: clone(c.Params("operation")),
-		Key: clone(c.Get(HeaderKey)), Body: bytes.Clone(c.Body()),
+		Key: clone(c.Get(HeaderKey)), Body: bytes.Clone(c.BodyRaw()),
 	}
 	if request.ID == "" {
 		request.ID = rand.Text()
 	}
-	if len(request.ID) > maxIDLength || len(request.Key) > maxIDLength {
+	if !validText(request.ID) || !validText(request.Key) || !utf8.ValidString(request.Service) || !utf8.ValidString(request.Operation) {
 		return request, verdict.ReasonBadRequest
 	}
-	attemptNumber, ok := number(c, HeaderAttempt, 1)
-	timeout, ok2 := number(c, HeaderTimeout, 0)
+	attemptNumber, ok := number(c, HeaderAttempt, 1, maxAttempt)
+	timeout, ok2 := number(c, HeaderTimeout, 0, maxTimeout)
 	if !ok || !ok2 {
 		return request, verdict.ReasonBadRequest
 	}
@@ -126,15 +146,19 @@
 	return request, verdict.ReasonNone
 }
 
-func number(c *fiber.Ctx, header string, missing int) (int, bool) {
+func number(c *fiber.Ctx, header string, missing, largest int) (int, bool) {
 	text := c.Get(header)
 	if text == "" {
 		return missing, true
 	}
 	value, err := strconv.Atoi(text)
-	return value, err == nil && value >= 1
+	return value, err == nil && value >= 1 && value <= largest
 }
 
+// validText reports whether a caller's text may go into messages between
+// processes, which hold UTF-8 only.
+func validText(text string) bool { return len(text) <= maxIDLength && utf8.ValidString(text) }
+
 func clone(text string) string { return string([]byte(text)) }
 
 func refusal(id string, reason verdict.Reason) call.Answer {
@@ -182,16 +206,32 @@
 }
 
 // handleError answers requests that the library refused before they were read.
+// Only its 4xx errors prove that nothing was handed on.
 func (s *Server) handleError(c *fiber.Ctx, err error) error {
-	reason := verdict.ReasonBadRequest
-	var known *fiber.Error
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) || errors.As(err, &known) && known.Code == fiber.StatusRequestEntityTooLarge {
-		reason = verdict.ReasonBodyTooLarge
+	known := fiber.ErrInternalServerError
+	errors.As(err, &known)
+	answer := call.Answer{RequestID: clone(c.Get(HeaderRequestID)), Reason: verdict.ReasonConnection}
+	if !validText(answer.RequestID) {
+		answer.RequestID = ""
 	}
-	if known != nil && known.Code == fiber.StatusNotFound {
-		reason = verdict.ReasonUnknownService
+	if known.Code >= fiber.StatusBadRequest && known.Code < fiber.StatusInternalServerError {
+		answer.Verdict, answer.Reason = verdict.NotRun, reasonOf(known.Code)
 	}
-	answer := refusal("", reason)
 	s.observe(&answer, 0)
-	return write(c, &answer)
+	if err := write(c, &answer); err != nil {
+		return err
+	}
+	c.Status(known.Code)
+	return nil
+}
+
+func reasonOf(code int) verdict.Reason {
+	switch code {
+	case fiber.StatusRequestEntityTooLarge:
+		return verdict.ReasonBodyTooLarge
+	case fiber.StatusNotFound:
+		return verdict.ReasonUnknownService
+	default:
+		return verdict.ReasonBadRequest
+	}
 }
--- a/internal/controller/report.go
+++ b/internal/controller/report.go
@@ -39,9 +39,6 @@
 	return status
 }
 
-// Leading reports whether this process may answer for the fleet now.
-func (c *Core) Leading(now clock.Instant) bool { return c.leading(now) }
-
 // workingOnOlder returns the routers that may take work under an older config
 // version, and whether there may be some that this leader does not know.
 func (c *Core) workingOnOlder(now clock.Instant) (names []string, others bool) {
@@ -57,6 +54,9 @@
 	return names, others
 }
 
+// Leading reports whether this process may answer for the fleet now.
+func (c *Core) Leading(now clock.Instant) bool { return c.leading(now) }
+
 func (c *Core) routerStatuses() []RouterStatus {
 	shards := map[fleet.Session]int{}
 	for shard := range c.state.View.Shards.All() {
--- a/internal/operator/client_test.go
+++ b/internal/operator/client_test.go
@@ -160,7 +160,7 @@
 func TestPatience(t *testing.T) {
 	var asked atomic.Int64
 	p := startProcess(t, func(r Request) Reply {
-		if asked.Add(1) < 3 {
+		if r.Change == nil || asked.Add(1) < 3 {
 			return follows(r)
 		}
 		return leads(r)
@@ -178,6 +178,12 @@
 	status, err := client.Status()
 	assert.NilError(t, err)
 	assert.Equal(t, status.Config, fleet.Version(3))
+	gone := closed(t)
+	var states []string
+	for _, p := range NewClient([]string{leader.address, follower.address, gone, answers(t, 401, "{}")}, testToken, 0).Processes() {
+		states = append(states, p.State)
+	}
+	assert.DeepEqual(t, states, []string{"leads", "no-leader", "unreachable", "refused"})
 	explanation, err := client.Explain("s", "k & k")
 	assert.NilError(t, err)
 	assert.Equal(t, explanation.Shard, "s/1")
