Try a door that was slow for certain

Cause: the estimate of a slow door fades towards the least latency but never reaches it, so a door with equally quick neighbours was tried once more in 20 s or never (TestDoorThatStaysSlowIsTriedSeldom).

Change: near that latency a door under suspicion counts as a tenth quicker, so it gets one call; a bad answer doubles the time until the next one. Tests for the fading of reports and the margin for other data centres, both found by breaking them.

--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -340,3 +340,42 @@
 		bench.apply(&fleet.Change{From: version, To: version + 1, Routers: []fleet.Router{door(7, "dc7")}, Shards: full.Shards[:1]})
 	}
 }
+
+func TestStaleReportFades(t *testing.T) {
+	b := newBench(1, "e", "dc0", doors(2, 1)...)
+	for i, load := range []call.Load{{Limit: 10}, {Limit: 10, InFlight: 10, Queued: 50}} {
+		b.table.Answered(b.table.Sent(door(i, "dc0").ID, b.now), b.now.Add(typical), load)
+	}
+	for _, want := range []fleet.RouterID{"r0", "r1"} {
+		b.now = b.now.Add(typical)
+		o := b.table.Sent("r0", b.now) // one call under way at r0, not late
+		router, _ := b.table.Choose(service, b.now, nil)
+		assert.Equal(t, router.ID, want)
+		b.table.Dropped(o)
+		b.now = b.now.Add(10 * reportHalfLife)
+	}
+}
+
+func TestAnotherDataCentreMustBeClearlyBetter(t *testing.T) {
+	b := newBench(1, "e", "dc0", doors(2, 2)...)
+	for i := range 2 {
+		b.table.Answered(b.table.Sent(door(i, "dc").ID, b.now), b.now.Add(typical), call.Load{Limit: 10})
+	}
+	for _, want := range []fleet.RouterID{"r0", "r0", "r0", "r1"} { // 1.3 against 1.25
+		router, _ := b.table.Choose(service, b.now, nil)
+		assert.Equal(t, router.ID, want)
+		b.table.Sent("r0", b.now)
+	}
+}
+
+func TestDoorThatStaysSlowIsTriedSeldom(t *testing.T) {
+	b := newBench(1, "e", "dc0", doors(3, 1)...)
+	b.serve(200, b.steady)
+	got := b.serve(10_000, func(r fleet.Router) time.Duration { // 20 s
+		if r.ID == "r1" {
+			return 10 * typical
+		}
+		return typical
+	})
+	assert.Assert(t, got["r1"] > 1 && got["r1"] <= 6, "%v", got)
+}
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -20,6 +20,7 @@
 	strikeFactor   = 3                      // times the service's typical latency that counts as bad
 	failureFactor  = 50                     // times the service's typical latency that a failure counts as
 	failureLatency = 100 * time.Millisecond // least latency that a failure counts as
+	trialMargin    = 0.1                    // distance to the least latency at which a bad target is tried first
 	reportHalfLife = 50 * time.Millisecond  // age that halves a door's report of its load
 )
 
@@ -117,7 +118,8 @@
 
 // expected is the latency that a call is expected to have at an idle target.
 // An estimate without new samples fades towards the least latency known, so
-// that a target that was slow is tried again. A call that has been under way
+// that a target that was slow is tried again, once it comes near that latency
+// before others that are as quick. A call that has been under way
 // for longer than the estimate counts at once.
 func (t *target) expected(now clock.Instant, typical time.Duration) float64 {
 	quiet := now.Sub(t.seen)
@@ -129,6 +131,9 @@
 	if latency > floor {
 		latency = floor + (latency-floor)*halving(quiet, doubtHalfLife<<t.strikes)
 	}
+	if t.strikes > 0 && latency < floor*(1+trialMargin) {
+		latency = floor * (1 - trialMargin)
+	}
 	if t.first != nil {
 		latency = max(latency, float64(now.Sub(t.first.sent)))
 	}
