--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Starts a fleet of separate processes on loopback, sends it requests, takes a
 # data centre out and back, and stops it: three control processes, four routers,
-# each beside a stand-in upstream. It fails if a step does not come about.
+# each beside a stand-in upstream. It fails if a step does not come about. With
+# KEEP=1 it only starts the fleet and stops it once Enter is pressed.
 set -euo pipefail
 cd "$(dirname "$0")/../examples/demo"
 bin=../../bin/endivespring
@@ -74,6 +75,13 @@
 until_true "$bin" preset apply ordinary.json
 until_true ready
 "$bin" status
+if [ "${KEEP:-}" = 1 ]; then
+  echo
+  echo "The fleet runs. In another shell: cd examples/demo && ../../bin/endivespring status"
+  read -r -p "Press Enter here to stop it." _
+  stop
+  exit
+fi
 echo
 echo "A lookup through router 4, then a reservation through router 1:"
 curl -sS -f -D - -X POST -H 'Endivespring-Key: pool-17/lane-4' http://127.0.0.1:17204/v1/timetable/lookup
@@ -91,5 +99,9 @@
 "$bin" status
 "$bin" datacentre in lodz --wait 10s
 until_true ready
+"$bin" preset diff peak.json
+"$bin" preset apply peak.json --wait 10s
+"$bin" preset apply ordinary.json --wait 10s
+curl -sS -f http://127.0.0.1:17601/metrics | grep -E '^endivespring_(requests_total|door_limit)'
 stop
 echo "stopped in good order"
