--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -9,13 +9,16 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
 	"endivespring/internal/controller"
+	"endivespring/internal/ring"
 )
 
 const (
 	requestTimeout = 8 * time.Second        // longest time for one request to one control process
+	leaderTimeout  = time.Second            // longest wait to learn which control process leads
 	dialTimeout    = time.Second            // longest time to open a connection
 	roundPause     = 200 * time.Millisecond // wait before all control processes are asked again
 	pollInterval   = 100 * time.Millisecond // time between looks at where a version is in force
@@ -73,6 +76,27 @@
 	return &status, err
 }
 
+// leaderFirst returns all addresses, that of the leader first if one is known.
+// It asks every control process at once, so that a silent one costs no time.
+func (c *Client) leaderFirst() []string {
+	leaders := ring.New[string]("leaders", len(c.addresses), ring.Refuse)
+	for _, address := range c.addresses {
+		go func() {
+			var status controller.Status
+			if c.doWithin(leaderTimeout, address, fasthttp.MethodGet, "/v1/status", nil, &status) != nil || !status.Leads {
+				address = ""
+			}
+			_ = leaders.Put(context.Background(), address)
+		}()
+	}
+	for range c.addresses {
+		if leader := <-leaders.Out(); leader != "" {
+			return append([]string{leader}, lo.Without(c.addresses, leader)...)
+		}
+	}
+	return c.addresses
+}
+
 // Processes asks each control process how it is.
 func (c *Client) Processes() []Process {
 	var out []Process
@@ -132,13 +156,13 @@
 	return &result, err
 }
 
-// ask asks one control process after the other, again and again, until one
+// ask asks the leader first and then the other control processes, again and again, until one
 // answers or refuses, or patience ends.
 func (c *Client) ask(patience time.Duration, try func(address string) error) error {
 	end := time.Now().Add(patience)
 	for {
 		last := ErrUnreachable
-		for _, address := range c.addresses {
+		for _, address := range c.leaderFirst() {
 			err := try(address)
 			if err == nil || eris.Is(err, ErrRefused) {
 				return err
@@ -190,6 +214,10 @@
 }
 
 func (c *Client) do(address, method, path string, body, out any) error {
+	return c.doWithin(requestTimeout, address, method, path, body, out)
+}
+
+func (c *Client) doWithin(timeout time.Duration, address, method, path string, body, out any) error {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -203,7 +231,7 @@
 		}
 		request.SetBody(data)
 	}
-	if err := c.http.DoTimeout(request, response, requestTimeout); err != nil {
+	if err := c.http.DoTimeout(request, response, timeout); err != nil {
 		return lost(method, sendError(address, err))
 	}
 	return lost(method, decode(address, response, out))
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -25,6 +25,9 @@
 			"path":       cmdPath,
 			"start":      cmdStart,
 			"until":      cmdUntil,
+			"leader":     cmdLeader,
+			"epochs":     cmdEpochs,
+			"race":       cmdRace,
 			"signal":     cmdSignal,
 			"await":      cmdAwait,
 			"eventually": cmdEventually,
@@ -34,8 +37,11 @@
 			"peers":      cmdPeers,
 			"behave":     cmdBehave,
 			"ends":       cmdEnds,
+			"hangup":     cmdHangUp,
+			"recorded":   cmdRecorded,
 			"callers":    cmdCallers,
 			"answered":   cmdAnswered,
+			"control":    cmdControl,
 		},
 	})
 }
