Measure what sessions cost control

A capacity of 2,400 routers cannot be run here as processes; one process that holds sessions and does nothing else shows the slope at the leader.

--- /dev/null
+++ b/scripts/session-cost.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Measures what sessions cost the three control processes: holds sessions that
+# do nothing else, from one other process, at several counts.
+# Usage: scripts/session-cost.sh [COUNT...]
+source "$(dirname "$0")/fleet-lib.sh"
+test_binary=$(mktemp)
+(cd "$(dirname "$bin")/.." && go test -c -o "$test_binary" ./internal/capacity)
+fleet_start 1 s 64 1s
+ticks() { awk '{print $14 + $15}' "/proc/${pid[$1]}/stat"; }
+rss() { awk '/VmRSS/ {printf "%.1f", $2 / 1024}' "/proc/${pid[$1]}/status"; }
+leader_peer() { port "${1#control-}"; }
+for count in "${@:-100 400 1200 2400}"; do for n in $count; do
+  name=$(leader)
+  "$test_binary" -test.run TestHoldSessions -sessions "$n" -leader "$(leader_peer "$name")" -hold 20s > hold.log 2>&1 &
+  holder=$!
+  sleep 8
+  held=$("$bin" status --output json | grep -o '"routersUpToDate": [0-9]*' | grep -o '[0-9]*$') || true
+  t0=0 t1=0 l0=$(ticks "$name")
+  for i in 1 2 3; do t0=$((t0 + $(ticks "control-$i"))); done
+  sleep 10
+  l1=$(ticks "$name")
+  for i in 1 2 3; do t1=$((t1 + $(ticks "control-$i"))); done
+  echo "$n sessions asked for, $held routers up to date: leader $(awk -v a="$l0" -v b="$l1" 'BEGIN {printf "%.1f", (b - a) / 10}')% of a core, $(rss "$name") MB; three control processes $(awk -v a="$t0" -v b="$t1" 'BEGIN {printf "%.1f", (b - a) / 10}')% of a core; same leader: $([ "$(leader)" = "$name" ] && echo yes || echo no)"
+  wait "$holder" || { tail -5 hold.log; }
+  sleep 2
+done; done
+rm -f "$test_binary"
