--- a/internal/consensus/guard_test.go
+++ b/internal/consensus/guard_test.go
@@ -293,3 +293,26 @@
 	}
 	assert.Equal(t, sent, 2)
 }
+
+func TestSnapshotKeepsWhatFollowsIt(t *testing.T) {
+	for _, c := range []struct{ index, term, last, commit uint64 }{{2, 2, 3, 2}, {2, 4, 2, 2}, {9, 4, 9, 9}, {1, 1, 3, 1}} {
+		core := restored(HardState{Term: 4}, 2, 3)
+		core.Step(&Message{Kind: InstallSnapshot, From: idB, To: idA, Term: 4, Snapshot: &Snapshot{Index: c.index, Term: c.term, Membership: trio}})
+		assert.Equal(t, core.LastIndex(), c.last, "%+v", c)
+		assert.Equal(t, core.CommitIndex(), c.commit, "%+v", c)
+		assert.Equal(t, core.Take().AfterSync[0].Index, c.commit)
+	}
+}
+
+// TestLeftOutNodeAnnouncesItself also covers that a node with a leader does not.
+func TestLeftOutNodeAnnouncesItself(t *testing.T) {
+	c := restored(HardState{Term: 2})
+	now := origin.Add(election)
+	c.Tick(now)
+	c.Step(&Message{Kind: Heartbeat, From: idB, To: idA, Term: 2})
+	c.Tick(now.Add(2*election - 1))
+	assert.Equal(t, kinds(c.Take().Immediate)[Join], 0)
+	assert.Assert(t, c.Deadline() <= now.Add(2*election))
+	c.Tick(now.Add(2 * election))
+	assert.Equal(t, kinds(c.Take().Immediate)[Join], 2)
+}
--- a/internal/controlnode/duties_test.go
+++ b/internal/controlnode/duties_test.go
@@ -11,8 +11,11 @@
 
 	"endivespring/internal/clock"
 	"endivespring/internal/consensus"
+	"endivespring/internal/controller"
 	"endivespring/internal/duty"
 	"endivespring/internal/event"
+	"endivespring/internal/lease"
+	"endivespring/internal/placement"
 	"endivespring/internal/ring"
 	"endivespring/internal/storage"
 )
@@ -206,3 +209,55 @@
 		assert.Equal(t, s.patience(uint64(acknowledged)), want)
 	}
 }
+
+// TestRefusedCompactionIsTriedAgain fills the ring of compactions first.
+func TestRefusedCompactionIsTriedAgain(t *testing.T) {
+	ctx := context.Background()
+	d := &controllerDuty{
+		core:    controller.New(lease.Timing{}, placement.Limits{}, func(string) string { return "" }),
+		compact: ring.New[compaction]("compactions", 1, ring.Refuse), every: 10, applied: 10,
+	}
+	assert.NilError(t, d.compact.Put(ctx, compaction{}))
+	assert.NilError(t, d.maybeCompact(ctx))
+	<-d.compact.Out()
+	d.applied = 11
+	assert.NilError(t, d.maybeCompact(ctx))
+	assert.Equal(t, (<-d.compact.Out()).index, uint64(11))
+	assert.NilError(t, d.maybeCompact(ctx))
+	assert.Equal(t, d.compact.Depth(), 0)
+}
+
+// TestTransferWaitsForTheController lets the duty lead, stops it gracefully and
+// expects the request to the successor only after the controller's report.
+func TestTransferWaitsForTheController(t *testing.T) {
+	stored := &consensus.Stored{HardState: consensus.HardState{Term: 1}, Snapshot: &consensus.Snapshot{Index: 1, Term: 1, Membership: voters}}
+	b := newBench(t, voters.Voters[0], []string{"a", "b", "c"}, stored)
+	asked, released := false, false
+	take := func(m consensus.Message) bool {
+		b.answer(&m)
+		return m.Kind == consensus.TimeoutNow
+	}
+	for done := false; !done; {
+		select {
+		case w := <-b.writes.Out():
+			b.outbound.send(b.ctx, w.output.AfterSync)
+		case m := <-b.outbound.rings["b"].Out():
+			done = take(m)
+		case m := <-b.outbound.rings["c"].Out():
+			done = take(m)
+		case update := <-b.updates.Out():
+			if update.leadership != nil && update.leadership.LeaseUntil > 0 && !asked {
+				asked = true
+				assert.NilError(t, b.transfer.Put(b.ctx, struct{}{}))
+			}
+			if update.release && !released {
+				assert.Equal(t, update.leadership.LeaseUntil, clock.Instant(0))
+				released = true
+				assert.NilError(t, b.released.Put(b.ctx, struct{}{}))
+			}
+		case <-b.ctx.Done():
+			t.Fatal("no request to the successor")
+		}
+	}
+	assert.Assert(t, released)
+}
