Make two tests of control duties certain

Cause: TestNewestReportIsKept emptied the ring while storage filled it, so a lost report showed in some runs only; TestRefusedCompactionIsTriedAgain waited without a bound when the compaction was lost.

Change: the reports are read after the duty has ended; the ring's depth is checked before it is read.

--- a/internal/controlnode/duties_test.go
+++ b/internal/controlnode/duties_test.go
@@ -178,24 +178,29 @@
 func TestNewestReportIsKept(t *testing.T) {
 	disk := openDiskOf(t, "a")
 	defer func() { _ = disk.Close() }()
+	out := &outbound{rings: map[string]*ring.Ring[consensus.Message]{"b": ring.New[consensus.Message]("b", 4, ring.DropOldest)}}
 	s := &storageDuty{
-		disk: disk, outbound: &outbound{}, writes: ring.New[write]("writes", 4, ring.Wait),
+		disk: disk, outbound: out, writes: ring.New[write]("writes", 4, ring.Wait),
 		persisted: ring.New[persisted]("persisted", 1, ring.DropOldest),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	defer cancel()
 	for index := uint64(1); index <= 4; index++ {
-		assert.NilError(t, s.writes.Put(ctx, write{term: 1, output: consensus.Output{Entries: []consensus.Entry{{Index: index, Term: 1}}}}))
+		w := write{term: 1, output: consensus.Output{Entries: []consensus.Entry{{Index: index, Term: 1}}}}
+		if index == 4 {
+			w.output.AfterSync = []consensus.Message{{Kind: consensus.AppendReply, To: voters.Voters[1]}}
+		}
+		assert.NilError(t, s.writes.Put(ctx, w))
 	}
 	group := duty.NewGroup(ctx)
 	group.Go("storage", s.Run)
-	for last := uint64(0); last < 4; {
-		report, err := s.persisted.Take(ctx)
-		assert.NilError(t, err, "last report %d", last)
-		last = report.index
-	}
+	_, err := out.rings["b"].Take(ctx)
+	assert.NilError(t, err)
 	group.Stop()
 	assert.NilError(t, group.Wait())
+	report, err := s.persisted.Take(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, report.index, uint64(4))
 }
 
 // TestLargeMessagesGetTime keeps the longer wait until the large message itself
@@ -222,6 +227,7 @@
 	<-d.compact.Out()
 	d.applied = 11
 	assert.NilError(t, d.maybeCompact(ctx))
+	assert.Equal(t, d.compact.Depth(), 1)
 	assert.Equal(t, (<-d.compact.Out()).index, uint64(11))
 	assert.NilError(t, d.maybeCompact(ctx))
 	assert.Equal(t, d.compact.Depth(), 0)
