--- a/internal/attempt/core_test.go
+++ b/internal/attempt/core_test.go
@@ -204,3 +204,56 @@
 	}
 	assert.Equal(t, calls, maxTries)
 }
+
+// TestShardWaitsForAnUnreachableOwner loses the owner of every shard for longer
+// than the retry budget lasts, then moves the shards.
+func TestShardWaitsForAnUnreachableOwner(t *testing.T) {
+	w := newWorld(1)
+	w.join(0)
+	w.join(1)
+	for s := range uint32(testShards) {
+		w.own(s, 0)
+	}
+	w.unreachable = routerID(0)
+	for range 200 {
+		w.after(time.Duration(w.random.IntN(100))*time.Millisecond, func() { w.start("reserve", false) })
+	}
+	w.after(300*time.Millisecond, func() {
+		for s := range uint32(testShards) {
+			w.own(s, 1)
+		}
+	})
+	w.run()
+	calls := 0
+	for _, r := range w.requests {
+		assert.Equal(t, r.verdict, verdict.Ran, r.request.ID)
+		calls += len(r.sentTo)
+	}
+	assert.Assert(t, calls <= 7*len(w.requests), "%d calls", calls)
+}
+
+// TestDoorWithoutItsUpstreamIsAvoided lets one door refuse each call at once
+// because its upstream takes no connections.
+func TestDoorWithoutItsUpstreamIsAvoided(t *testing.T) {
+	w := newWorld(1)
+	for i := range 3 {
+		w.join(i)
+	}
+	refused := 0
+	for i := range 1000 {
+		w.core.Start(w.now, Request{Token: uint64(i + 1), ID: "x", Service: "reservations", Operation: "lookup"})
+		for sends := w.core.Take().Sends; len(sends) > 0; sends = w.core.Take().Sends {
+			s := sends[0]
+			s.Call.RequestID = "x"
+			if s.Router.ID == routerID(1) {
+				refused++
+				w.answer(&s, verdict.NotRun, verdict.ReasonConnection)
+				continue
+			}
+			w.now = w.now.Add(2 * time.Millisecond)
+			w.answer(&s, verdict.Ran, verdict.ReasonNone)
+		}
+	}
+	assert.Equal(t, w.core.Len(), 0)
+	assert.Assert(t, refused < 20, "%d refusals", refused)
+}
--- a/internal/routing/target.go
+++ b/internal/routing/target.go
@@ -20,6 +20,7 @@
 	strikeFactor   = 3                      // times the service's typical latency that counts as bad
 	failureFactor  = 50                     // times the service's typical latency that a failure counts as
 	failureLatency = 100 * time.Millisecond // least latency that a failure counts as
+	trialMargin    = 0.1                    // distance to the least latency at which a bad target is tried first
 	reportHalfLife = 50 * time.Millisecond  // age that halves a door's report of its load
 )
 
@@ -101,16 +102,24 @@
 	t.load, t.reported = load, now
 }
 
-// score estimates how long a new call would take, in nanoseconds.
+// score estimates how long a new call would take, in nanoseconds. A door with
+// all its places taken is weighed by what it bears. One with free places is
+// weighed by what it bears when warm, so that a cold door gets its places
+// filled and grows.
 func (t *target) score(now clock.Instant, typical time.Duration) float64 {
 	others := float64(max(0, t.load.InFlight+t.load.Queued-t.inFlight))
 	waiting := float64(t.inFlight) + others*halving(now.Sub(t.reported), reportHalfLife)
-	return t.expected(now, typical) * (1 + waiting/float64(t.limit()))
+	places := float64(t.limit())
+	if waiting < places {
+		places = max(places, float64(t.router.Upstream.Slots))
+	}
+	return t.expected(now, typical) * (1 + waiting/places)
 }
 
 // expected is the latency that a call is expected to have at an idle target.
 // An estimate without new samples fades towards the least latency known, so
-// that a target that was slow is tried again. A call that has been under way
+// that a target that was slow is tried again, once it comes near that latency
+// before others that are as quick. A call that has been under way
 // for longer than the estimate counts at once.
 func (t *target) expected(now clock.Instant, typical time.Duration) float64 {
 	quiet := now.Sub(t.seen)
@@ -122,6 +131,9 @@
 	if latency > floor {
 		latency = floor + (latency-floor)*halving(quiet, doubtHalfLife<<t.strikes)
 	}
+	if t.strikes > 0 && latency < floor*(1+trialMargin) {
+		latency = floor * (1 - trialMargin)
+	}
 	if t.first != nil {
 		latency = max(latency, float64(now.Sub(t.first.sent)))
 	}
