--- a/internal/controlnode/duties_test.go
+++ b/internal/controlnode/duties_test.go
@@ -11,8 +11,11 @@
 
 	"endivespring/internal/clock"
 	"endivespring/internal/consensus"
+	"endivespring/internal/controller"
 	"endivespring/internal/duty"
 	"endivespring/internal/event"
+	"endivespring/internal/lease"
+	"endivespring/internal/placement"
 	"endivespring/internal/ring"
 	"endivespring/internal/storage"
 )
@@ -175,24 +178,29 @@
 func TestNewestReportIsKept(t *testing.T) {
 	disk := openDiskOf(t, "a")
 	defer func() { _ = disk.Close() }()
+	out := &outbound{rings: map[string]*ring.Ring[consensus.Message]{"b": ring.New[consensus.Message]("b", 4, ring.DropOldest)}}
 	s := &storageDuty{
-		disk: disk, outbound: &outbound{}, writes: ring.New[write]("writes", 4, ring.Wait),
+		disk: disk, outbound: out, writes: ring.New[write]("writes", 4, ring.Wait),
 		persisted: ring.New[persisted]("persisted", 1, ring.DropOldest),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	defer cancel()
 	for index := uint64(1); index <= 4; index++ {
-		assert.NilError(t, s.writes.Put(ctx, write{term: 1, output: consensus.Output{Entries: []consensus.Entry{{Index: index, Term: 1}}}}))
+		w := write{term: 1, output: consensus.Output{Entries: []consensus.Entry{{Index: index, Term: 1}}}}
+		if index == 4 {
+			w.output.AfterSync = []consensus.Message{{Kind: consensus.AppendReply, To: voters.Voters[1]}}
+		}
+		assert.NilError(t, s.writes.Put(ctx, w))
 	}
 	group := duty.NewGroup(ctx)
 	group.Go("storage", s.Run)
-	for last := uint64(0); last < 4; {
-		report, err := s.persisted.Take(ctx)
-		assert.NilError(t, err, "last report %d", last)
-		last = report.index
-	}
+	_, err := out.rings["b"].Take(ctx)
+	assert.NilError(t, err)
 	group.Stop()
 	assert.NilError(t, group.Wait())
+	report, err := s.persisted.Take(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, report.index, uint64(4))
 }
 
 // TestLargeMessagesGetTime keeps the longer wait until the large message itself
@@ -206,3 +214,56 @@
 		assert.Equal(t, s.patience(uint64(acknowledged)), want)
 	}
 }
+
+// TestRefusedCompactionIsTriedAgain fills the ring of compactions first.
+func TestRefusedCompactionIsTriedAgain(t *testing.T) {
+	ctx := context.Background()
+	d := &controllerDuty{
+		core:    controller.New(lease.Timing{}, placement.Limits{}, func(string) string { return "" }),
+		compact: ring.New[compaction]("compactions", 1, ring.Refuse), every: 10, applied: 10,
+	}
+	assert.NilError(t, d.compact.Put(ctx, compaction{}))
+	assert.NilError(t, d.maybeCompact(ctx))
+	<-d.compact.Out()
+	d.applied = 11
+	assert.NilError(t, d.maybeCompact(ctx))
+	assert.Equal(t, d.compact.Depth(), 1)
+	assert.Equal(t, (<-d.compact.Out()).index, uint64(11))
+	assert.NilError(t, d.maybeCompact(ctx))
+	assert.Equal(t, d.compact.Depth(), 0)
+}
+
+// TestTransferWaitsForTheController lets the duty lead, stops it gracefully and
+// expects the request to the successor only after the controller's report.
+func TestTransferWaitsForTheController(t *testing.T) {
+	stored := &consensus.Stored{HardState: consensus.HardState{Term: 1}, Snapshot: &consensus.Snapshot{Index: 1, Term: 1, Membership: voters}}
+	b := newBench(t, voters.Voters[0], []string{"a", "b", "c"}, stored)
+	asked, released := false, false
+	take := func(m consensus.Message) bool {
+		b.answer(&m)
+		return m.Kind == consensus.TimeoutNow
+	}
+	for done := false; !done; {
+		select {
+		case w := <-b.writes.Out():
+			b.outbound.send(b.ctx, w.output.AfterSync)
+		case m := <-b.outbound.rings["b"].Out():
+			done = take(m)
+		case m := <-b.outbound.rings["c"].Out():
+			done = take(m)
+		case update := <-b.updates.Out():
+			if update.leadership != nil && update.leadership.LeaseUntil > 0 && !asked {
+				asked = true
+				assert.NilError(t, b.transfer.Put(b.ctx, struct{}{}))
+			}
+			if update.release && !released {
+				assert.Equal(t, update.leadership.LeaseUntil, clock.Instant(0))
+				released = true
+				assert.NilError(t, b.released.Put(b.ctx, struct{}{}))
+			}
+		case <-b.ctx.Done():
+			t.Fatal("no request to the successor")
+		}
+	}
+	assert.Assert(t, released)
+}
