--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -1,11 +1,13 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"net"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -97,14 +99,24 @@
 	return c.addresses
 }
 
-// Processes asks each control process how it is.
+// Processes asks each control process how it is, all at once.
 func (c *Client) Processes() []Process {
-	var out []Process
+	answers := ring.New[Process]("processes", len(c.addresses), ring.Refuse)
 	for _, address := range c.addresses {
-		var status controller.Status
-		err := c.do(address, fasthttp.MethodGet, "/v1/status", nil, &status)
-		out = append(out, Process{Address: address, State: stateOf(&status, err), Term: status.Term, Commit: status.Commit})
+		go func() {
+			var status controller.Status
+			err := c.doWithin(leaderTimeout, address, fasthttp.MethodGet, "/v1/status", nil, &status)
+			process := Process{Address: address, State: stateOf(&status, err), Term: status.Term, Commit: status.Commit}
+			_ = answers.Put(context.Background(), process)
+		}()
 	}
+	var out []Process
+	for range c.addresses {
+		out = append(out, <-answers.Out())
+	}
+	slices.SortFunc(out, func(a, b Process) int {
+		return cmp.Compare(slices.Index(c.addresses, a.Address), slices.Index(c.addresses, b.Address))
+	})
 	return out
 }
 
@@ -156,8 +168,8 @@
 	return &result, err
 }
 
-// ask asks the leader first and then the other control processes, again and again, until one
-// answers or refuses, or patience ends.
+// ask asks the leader first and then the other control processes, again and
+// again, until one answers or refuses, or patience ends.
 func (c *Client) ask(patience time.Duration, try func(address string) error) error {
 	end := time.Now().Add(patience)
 	for {
