--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -113,3 +113,17 @@
 	assert.DeepEqual(t, core.Status(now).Working, []string{"r"}) // it may work on without a session
 	assert.Assert(t, core.Status(now.Add(view)).Everywhere)
 }
+
+// TestReplacedSessionIsNotRenewed starts a router anew while its last session
+// is still open.
+func TestReplacedSessionIsNotRenewed(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	core, id := leadingWith(t, now)
+	core.Committed(now, 1, &control.Command{OpenSession: &control.OpenSession{Nonce: "next", Router: fleet.Router{ID: "r"}}})
+	core.Renewal(now, 1, renewal(id, core.State().View.Version))
+	sends := core.Take().Sends
+	assert.Assert(t, len(sends) == 1 && sends[0].Down.Rejected && !sends[0].Down.Lease)
+	core.Renewal(now, 2, renewal(id+1, core.State().View.Version))
+	sends = core.Take().Sends
+	assert.Assert(t, len(sends) == 1 && sends[0].Down.Lease)
+}
