--- a/scripts/measure-cold.sh
+++ b/scripts/measure-cold.sh
@@ -12,7 +12,7 @@
 for i in $(seq "$runs"); do
   scripts/fleet.sh start pasaz
   $bin load --callers "$(callers)" --mix reservations/lookup --rate "$rate" --duration 3s > /dev/null
-  $bin load --callers "$(callers)" --mix reservations/lookup --rate "$rate" --duration 12s --seed "$i" --output json > run.json &
+  $bin load --callers "$(callers)" --mix reservations/lookup --rate "$rate" --duration 12s --seed "$i" --output json > "$run/load.json" &
   load=$!
   sleep 2
   kill -9 "$(pid_of reservations-2)"
@@ -24,10 +24,10 @@
     --slots 10 --ledger "$run/reservations-2.ledger" > /dev/null 2>&1 &
   echo $! >> "$run/pids"
   wait "$load"
-  echo "run $i, rate $rate/s: $(jq -c '{sent, verdicts, reasons, p50Ms, p99Ms, maxMs, lateSends}' run.json)"
+  echo "run $i, rate $rate/s: $(jq -c '{sent, verdicts, reasons, p50Ms, p99Ms, maxMs, lateSends}' "$run/load.json")"
   jq -s -c 'map(select(.event == "started")) as $started | ($started[0].at) as $first |
     ([$started[] | ((.at - $first) / 1e9 | floor)] | group_by(.) | map(length)) as $seconds |
     {over: (map(select(.event == "overloaded")) | length), closest: ([$started[] | .bears - .running] | min), runsBySecond: $seconds}' "$run/reservations-2.ledger"
-  rm -f run.json
+  rm -f "$run/load.json"
   scripts/fleet.sh stop pasaz
 done
--- a/scripts/measure-data-centre.sh
+++ b/scripts/measure-data-centre.sh
@@ -17,7 +17,7 @@
   before=$(ledger_count started)
   entries=$(callers)
   [ "${KILL:-}" = 1 ] && entries=$(awk -v c="$centre" '$3 != c {print $4}' "$run/addresses" | paste -sd,)
-  $bin load --callers "$entries" --mix "$mix" --keys 1000 --rate "$rate" --duration 14s --seed "$i" --resend-every 100 --output json > run.json &
+  $bin load --callers "$entries" --mix "$mix" --keys 1000 --rate "$rate" --duration 14s --seed "$i" --resend-every 100 --output json > "$run/load.json" &
   load=$!
   sleep 4
   if [ "${KILL:-}" = 1 ]; then
@@ -30,9 +30,9 @@
     operate datacentre in "$centre" > /dev/null
   fi
   wait "$load"
-  echo "run $i, rate $rate/s: $(jq -c '{sent, verdicts, reasons, resendVerdicts, mismatched, p50Ms, p99Ms, p999Ms, maxMs, lateSends, worstSecond: ([.timeline[:14][] | .ran / .sent] | min)}' run.json)"
-  jq -c '.operations[] | {operation, sent, verdicts, p99Ms, p999Ms}' run.json
+  echo "run $i, rate $rate/s: $(jq -c '{sent, verdicts, reasons, resendVerdicts, mismatched, p50Ms, p99Ms, p999Ms, maxMs, lateSends, worstSecond: ([.timeline[:14][] | .ran / .sent] | min)}' "$run/load.json")"
+  jq -c '.operations[] | {operation, sent, verdicts, p99Ms, p999Ms}' "$run/load.json"
   echo "calls at upstreams: $(($(ledger_count started) - before)), ran twice: $(doubled), over what upstreams bear: $(ledger_count overloaded)"
-  rm -f run.json
+  rm -f "$run/load.json"
   scripts/fleet.sh stop "$EXAMPLE"
 done
--- a/scripts/measure-stragglers.sh
+++ b/scripts/measure-stragglers.sh
@@ -20,12 +20,12 @@
   local before after callers
   callers=$(awk '{print $4}' examples/pasaz/run/addresses | paste -sd,)
   before=$(started)
-  $bin load --callers "$callers" --mix reservations/lookup --rate "$rate" --duration "${4:-$seconds}s" --seed "$3" --output json > run.json
+  $bin load --callers "$callers" --mix reservations/lookup --rate "$rate" --duration "${4:-$seconds}s" --seed "$3" --output json > examples/pasaz/run/load.json
   after=$(started)
   jq -c --arg policy "$1" --arg phase "$2" --argjson started $((after - before)) \
     '{policy: $policy, phase: $phase, p50: .p50Ms, p99: .p99Ms, p999: .p999Ms, refused: (.sent - (.verdicts.ran // 0)), extra: (100 * ($started - .sent) / .sent), late: (100 * .lateSends / .sent),
-      imbalance: ([.upstreams[]] | max / (add / length))}' run.json >> "$out"
-  rm -f run.json
+      imbalance: ([.upstreams[]] | max / (add / length))}' examples/pasaz/run/load.json >> "$out"
+  rm -f examples/pasaz/run/load.json
 }
 for run in $(seq "$runs"); do
   for policy in $policies; do
