--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -41,6 +41,8 @@
 
 	// transferTime is how long a stopping leader waits for its successor.
 	transferTime = 300 * time.Millisecond
+	// shutdownTime is how long open requests may keep a stopped process.
+	shutdownTime = 200 * time.Millisecond
 )
 
 // Node is a control process.
@@ -61,12 +63,13 @@
 // the operators' token.
 func Start(ctx context.Context, injector do.Injector, token string) (*Node, error) {
 	s := do.MustInvoke[*settings.Control](injector)
-	disk, stored, err := openDisk(s)
+	events := do.MustInvoke[*event.Log](injector)
+	disk, stored, err := openDisk(s, events)
 	if err != nil {
 		return nil, err
 	}
 	n := &Node{
-		settings: s, disk: disk, group: duty.NewGroup(ctx), events: do.MustInvoke[*event.Log](injector),
+		settings: s, disk: disk, group: duty.NewGroup(ctx), events: events,
 		transfer: ring.New[struct{}]("transfer", 1, ring.Refuse), registry: do.MustInvoke[*metrics.Registry](injector),
 	}
 	if err := n.start(injector, stored, token); err != nil {
@@ -79,14 +82,16 @@
 
 // openDisk opens the data folder. A damaged one is set aside: this process
 // then joins as a new voter.
-func openDisk(s *settings.Control) (*storage.Disk, *consensus.Stored, error) {
+func openDisk(s *settings.Control, events event.Recorder) (*storage.Disk, *consensus.Stored, error) {
 	disk, stored, err := storage.Open(s.DataFolder, s.Fleet, s.Name)
 	if !eris.Is(err, storage.ErrDamaged) {
 		return disk, stored, err
 	}
-	if _, err := storage.SetAside(s.DataFolder); err != nil {
-		return nil, nil, err
+	aside, asideErr := storage.SetAside(s.DataFolder)
+	if asideErr != nil {
+		return nil, nil, asideErr
 	}
+	events.Record(event.DiskSetAside, event.F("folder", aside), event.F("cause", err.Error()))
 	return storage.Open(s.DataFolder, s.Fleet, s.Name)
 }
 
@@ -169,6 +174,7 @@
 	}
 	return &consensusDuty{
 		core: consensus.New(config, stored, timeSource.Now()), clock: timeSource, outbound: out, writes: writes, persisted: done,
+		events:    n.events,
 		transfer:  n.transfer,
 		released:  ring.New[struct{}]("released", 1, ring.Refuse),
 		inbound:   ring.New[*consensus.Message]("consensus-in", inboundCapacity, ring.DropOldest),
@@ -221,8 +227,9 @@
 func (n *Node) shutdown() {
 	n.group.Stop()
 	n.grpc.Stop()
-	_ = n.app.Shutdown()
-	_ = n.metrics.Shutdown()
+	// No duty is left to answer what still waits.
+	_ = n.app.ShutdownWithTimeout(shutdownTime)
+	_ = n.metrics.ShutdownWithTimeout(shutdownTime)
 }
 
 // Wait waits until the process has stopped and returns why it failed, if it did.
