--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -159,13 +159,14 @@
 func TestColdDoorCountsByWhatItBears(t *testing.T) {
 	b := newBench(1, "e", "dc0", doors(2, 1)...)
 	b.table.settings.Policy = Estimated
-	for i := range 5 { // r0 is known and half in use, r1 has one call
+	for i := range 5 { // r0 is known and half in use, r1 has both its places taken
 		o := b.table.Sent("r0", b.now)
 		if i == 0 {
 			b.table.Answered(o, b.now.Add(firstLatency), call.Load{Limit: 10})
 		}
 	}
 	b.table.Sent("r1", b.now)
+	b.table.Sent("r1", b.now)
 	for range 20 {
 		router, _ := b.table.Choose(service, b.now, nil)
 		assert.Equal(t, string(router.ID), "r0")
@@ -173,6 +174,24 @@
 	}
 }
 
+// TestColdDoorGetsItsPlacesFilled lets a cold door with a free place compete
+// with a warm one that has more free places.
+func TestColdDoorGetsItsPlacesFilled(t *testing.T) {
+	b := newBench(1, "e", "dc0", doors(2, 1)...)
+	for i := range 2 {
+		id := door(i, "dc0").ID
+		b.table.Answered(b.table.Sent(id, b.now), b.now.Add(typical), call.Load{Limit: 10 - 7*i})
+	}
+	for range 3 {
+		b.table.Sent("r0", b.now)
+	}
+	for range 2 { // both of two more calls
+		router, _ := b.table.Choose(service, b.now, nil)
+		assert.Equal(t, string(router.ID), "r1")
+		b.table.Sent("r1", b.now)
+	}
+}
+
 func TestOnlyEligibleDoorsThatAreNotExcluded(t *testing.T) {
 	leaves := door(0, "dc0")
 	leaves.Leaving = true
@@ -321,3 +340,42 @@
 		bench.apply(&fleet.Change{From: version, To: version + 1, Routers: []fleet.Router{door(7, "dc7")}, Shards: full.Shards[:1]})
 	}
 }
+
+func TestStaleReportFades(t *testing.T) {
+	b := newBench(1, "e", "dc0", doors(2, 1)...)
+	for i, load := range []call.Load{{Limit: 10}, {Limit: 10, InFlight: 10, Queued: 50}} {
+		b.table.Answered(b.table.Sent(door(i, "dc0").ID, b.now), b.now.Add(typical), load)
+	}
+	for _, want := range []fleet.RouterID{"r0", "r1"} {
+		b.now = b.now.Add(typical)
+		o := b.table.Sent("r0", b.now) // one call under way at r0, not late
+		router, _ := b.table.Choose(service, b.now, nil)
+		assert.Equal(t, router.ID, want)
+		b.table.Dropped(o)
+		b.now = b.now.Add(10 * reportHalfLife)
+	}
+}
+
+func TestAnotherDataCentreMustBeClearlyBetter(t *testing.T) {
+	b := newBench(1, "e", "dc0", doors(2, 2)...)
+	for i := range 2 {
+		b.table.Answered(b.table.Sent(door(i, "dc").ID, b.now), b.now.Add(typical), call.Load{Limit: 10})
+	}
+	for _, want := range []fleet.RouterID{"r0", "r0", "r0", "r1"} { // 1.3 against 1.25
+		router, _ := b.table.Choose(service, b.now, nil)
+		assert.Equal(t, router.ID, want)
+		b.table.Sent("r0", b.now)
+	}
+}
+
+func TestDoorThatStaysSlowIsTriedSeldom(t *testing.T) {
+	b := newBench(1, "e", "dc0", doors(3, 1)...)
+	b.serve(200, b.steady)
+	got := b.serve(10_000, func(r fleet.Router) time.Duration { // 20 s
+		if r.ID == "r1" {
+			return 10 * typical
+		}
+		return typical
+	})
+	assert.Assert(t, got["r1"] > 1 && got["r1"] <= 6, "%v", got)
+}
