--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -34,7 +34,11 @@
 	dropping := ring.New[int]("dropping", 1, ring.DropOldest)
 	_, _ = dropping.Put(context.Background(), 1), dropping.Put(context.Background(), 2)
 	r.Rings(full, dropping)
-	r.Rings(dropping)
+	again := ring.New[int]("dropping", 1, ring.DropOldest)
+	for i := range 3 {
+		_ = again.Put(context.Background(), i)
+	}
+	r.Rings(again)
 	log.Record(event.PeerLost)
 
 	meter := NewRequestMeter(r)
@@ -66,7 +70,7 @@
 	text := string(body)
 	for _, line := range []string{
 		`endivespring_ring_depth{ring="tiny"} 1`, `endivespring_ring_refused_total{ring="tiny"} 1`,
-		`endivespring_ring_dropped_total{ring="dropping"} 1`, `endivespring_ring_capacity{ring="dropping"} 1`,
+		`endivespring_ring_dropped_total{ring="dropping"} 2`, `endivespring_ring_capacity{ring="dropping"} 1`,
 		`endivespring_events_total{event="711",name="peer-lost"} 1`, `endivespring_events_total{event="700",name="connection-retired"} 0`,
 		`endivespring_requests_total{verdict="ran",reason=""} 4000`, `endivespring_requests_total{verdict="not-run",reason="shed"} 4000`,
 		`endivespring_request_latency_microseconds_count 8000`, `endivespring_request_latency_microseconds{quantile="0.999"} 2000`,
