--- a/scripts/session-cost.sh
+++ b/scripts/session-cost.sh
@@ -8,20 +8,25 @@
 fleet_start 1 s 64 1s
 ticks() { awk '{print $14 + $15}' "/proc/${pid[$1]}/stat"; }
 rss() { awk '/VmRSS/ {printf "%.1f", $2 / 1024}' "/proc/${pid[$1]}/status"; }
+all_open() { "$bin" status --output json | grep -q "\"routersUpToDate\": $(($1 + 1)),"; }
 leader_peer() { port "${1#control-}"; }
 for count in "${@:-100 400 1200 2400}"; do for n in $count; do
   name=$(leader)
-  "$test_binary" -test.run TestHoldSessions -sessions "$n" -leader "$(leader_peer "$name")" -hold 20s > hold.log 2>&1 &
+  "$test_binary" -test.run TestHoldSessions -sessions "$n" -leader "$(leader_peer "$name")" -hold 60s > hold.log 2>&1 &
   holder=$!
-  sleep 8
+  started=$SECONDS
+  until_true all_open "$n" || true
+  opened=$((SECONDS - started))
+  sleep 3
   held=$("$bin" status --output json | grep -o '"routersUpToDate": [0-9]*' | grep -o '[0-9]*$') || true
   t0=0 t1=0 l0=$(ticks "$name")
   for i in 1 2 3; do t0=$((t0 + $(ticks "control-$i"))); done
   sleep 10
   l1=$(ticks "$name")
   for i in 1 2 3; do t1=$((t1 + $(ticks "control-$i"))); done
-  echo "$n sessions asked for, $held routers up to date: leader $(awk -v a="$l0" -v b="$l1" 'BEGIN {printf "%.1f", (b - a) / 10}')% of a core, $(rss "$name") MB; three control processes $(awk -v a="$t0" -v b="$t1" 'BEGIN {printf "%.1f", (b - a) / 10}')% of a core; same leader: $([ "$(leader)" = "$name" ] && echo yes || echo no)"
-  wait "$holder" || { tail -5 hold.log; }
-  sleep 2
+  echo "$n sessions asked for, $held routers up to date after $opened s: leader $(awk -v a="$l0" -v b="$l1" 'BEGIN {printf "%.1f", (b - a) / 10}')% of a core, $(rss "$name") MB; three control processes $(awk -v a="$t0" -v b="$t1" 'BEGIN {printf "%.1f", (b - a) / 10}')% of a core; same leader: $([ "$(leader)" = "$name" ] && echo yes || echo no)"
+  kill "$holder" 2> /dev/null || true
+  wait "$holder" 2> /dev/null || true
+  sleep 3
 done; done
 rm -f "$test_binary"
