Log among which doors a call was routed, and why

Cause: request-routed named the chosen door, but not what it was chosen among or why, which the users ask for each routing decision. Change: the routing table keeps the estimates it compared last; the event carries them and the reason (owner of the shard, or least estimated time to finish).

--- a/internal/attempt/sending.go
+++ b/internal/attempt/sending.go
@@ -7,6 +7,7 @@
 	"endivespring/internal/clock"
 	"endivespring/internal/event"
 	"endivespring/internal/fleet"
+	"endivespring/internal/routing"
 )
 
 const maxTries = 64 // calls of one request, redirections included
@@ -38,10 +39,24 @@
 		Idempotent: t.idempotent, Sharded: t.sharded, Shard: t.shard.Number, Resend: r.Resend, Hedge: hedge,
 		Recorded: r.Delegated, Body: r.Body, Deadline: t.deadline,
 	}})
+	why, among := c.reasons(t)
 	c.output.Decisions = append(c.output.Decisions, call.Decide(event.RequestRouted,
 		event.F("request", r.ID), event.F("service", r.Service), event.F("operation", r.Operation),
 		event.F("router", string(router.ID)), event.F("upstream", router.Upstream.Name), event.F("try", t.tries),
-		event.F("hedge", hedge), event.F("sharded", t.sharded), event.F("shard", t.shard.Number)))
+		event.F("hedge", hedge), event.F("sharded", t.sharded), event.F("shard", t.shard.Number),
+		event.F("why", why), event.F("among", among)))
+}
+
+// reasons returns why the door that was just picked was picked, and among which
+// with their estimates.
+func (c *Core) reasons(t *task) (why string, among []routing.Estimate) {
+	if t.sharded {
+		return "owner of the shard", nil
+	}
+	if among = c.table.Considered(); len(among) == 0 {
+		return "baseline policy", nil
+	}
+	return "least estimated time to finish", among
 }
 
 // pick returns the owner of the request's shard, or a door not tried yet.
--- a/internal/event/guides.go
+++ b/internal/event/guides.go
@@ -26,7 +26,7 @@
 	ViewExpired: {action: "See that control has a leader (`status`) and that this VM reaches the control processes. The router takes work again by itself once it does."},
 	ViewRenewed: {},
 	RequestRouted: {fields: []string{
-		"request", "service", "operation", "router", "upstream", "try", "sharded", "shard", "hedge"}},
+		"request", "service", "operation", "router", "upstream", "try", "sharded", "shard", "hedge", "why", "among"}},
 	RequestRetried:  {fields: []string{"request", "reason", "verdict"}},
 	RequestFinished: {fields: []string{"request", "service", "operation", "verdict", "reason", "upstream"}},
 	AnswerDropped: {fields: []string{"request", "router", "upstream"},
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
@@ -17,6 +18,7 @@
 		return fleet.Router{}, false
 	}
 	local, remote := p.subset()
+	t.compared = 0
 	var best *target
 	switch t.settings.Policy {
 	case RoundRobin:
@@ -37,7 +39,7 @@
 // include the link, so another data centre wins only if it is worth the way.
 func (t *Table) better(p *pool, now clock.Instant, local, remote []*target, exclude []fleet.RouterID) *target {
 	first := t.pick(local, nil, exclude)
-	candidates := [4]*target{first, t.pick(local, first, exclude)}
+	candidates := [mostCompared]*target{first, t.pick(local, first, exclude)}
 	candidates[2] = t.pick(remote, nil, exclude)
 	if candidates[1] == nil {
 		candidates[3] = t.pick(remote, candidates[2], exclude)
@@ -52,6 +54,8 @@
 		if i >= 2 {
 			score *= linkCost
 		}
+		t.estimates[t.compared] = Estimate{Router: candidate.router.ID, Milliseconds: score / float64(time.Millisecond)}
+		t.compared++
 		if best == nil || score < least {
 			best, least = candidate, score
 		}
@@ -59,6 +63,9 @@
 	return best
 }
 
+// Considered returns the doors that the last Choose compared.
+func (t *Table) Considered() []Estimate { return slices.Clone(t.estimates[:t.compared]) }
+
 func (t *Table) pick(doors []*target, other *target, exclude []fleet.RouterID) *target {
 	if len(doors) == 0 {
 		return nil
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -13,6 +13,8 @@
 	"endivespring/internal/fleet"
 )
 
+const mostCompared = 4 // doors compared for one call
+
 // Table holds the doors of every service. It is owned by one duty.
 type Table struct {
 	settings Settings
@@ -21,6 +23,9 @@
 	pools    map[string]*pool
 	view     *fleet.View
 	free     *Outstanding
+	// estimates holds what the last Choose compared, as many as compared.
+	estimates [mostCompared]Estimate
+	compared  int
 }
 
 // NewTable returns an empty table.
