--- /dev/null
+++ b/internal/operator/asking.go
@@ -0,0 +1,67 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
+	"github.com/valyala/fasthttp"
+
+	"endivespring/internal/controller"
+	"endivespring/internal/ring"
+)
+
+// leaderFirst returns all addresses, that of the leader first if one is known.
+// It asks every control process at once, so that a silent one costs no time.
+func (c *Client) leaderFirst() []string {
+	leaders := ring.New[string]("leaders", len(c.addresses), ring.Refuse)
+	for _, address := range c.addresses {
+		go func() {
+			var status controller.Status
+			if c.doWithin(leaderTimeout, address, fasthttp.MethodGet, "/v1/status", nil, &status) != nil || !status.Leads {
+				address = ""
+			}
+			_ = leaders.Put(context.Background(), address)
+		}()
+	}
+	for range c.addresses {
+		if leader := <-leaders.Out(); leader != "" {
+			return append([]string{leader}, lo.Without(c.addresses, leader)...)
+		}
+	}
+	return c.addresses
+}
+
+// ask asks the leader first and then the other control processes, again and
+// again, until one answers or refuses, or patience ends.
+func (c *Client) ask(patience time.Duration, try func(address string) error) error {
+	end := time.Now().Add(patience)
+	for {
+		last := ErrUnreachable
+		for _, address := range c.leaderFirst() {
+			err := try(address)
+			if err == nil || eris.Is(err, ErrRefused) {
+				return err
+			}
+			last = worse(last, err)
+		}
+		if time.Now().Add(roundPause).After(end) {
+			return last
+		}
+		<-time.After(roundPause)
+	}
+}
+
+// worse returns what to report after two control processes failed: what may
+// have happened goes before what did not.
+func worse(last, err error) error {
+	switch {
+	case eris.Is(last, ErrUnknown) || eris.Is(last, ErrNoAnswer) || eris.Is(err, ErrUnreachable):
+		return last
+	case eris.Is(err, errRedirect):
+		return ErrNoLeader
+	default:
+		return err
+	}
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -3,15 +3,12 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
-	"errors"
 	"net"
 	"net/url"
 	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
 	"endivespring/internal/controller"
@@ -78,27 +75,6 @@
 	return &status, err
 }
 
-// leaderFirst returns all addresses, that of the leader first if one is known.
-// It asks every control process at once, so that a silent one costs no time.
-func (c *Client) leaderFirst() []string {
-	leaders := ring.New[string]("leaders", len(c.addresses), ring.Refuse)
-	for _, address := range c.addresses {
-		go func() {
-			var status controller.Status
-			if c.doWithin(leaderTimeout, address, fasthttp.MethodGet, "/v1/status", nil, &status) != nil || !status.Leads {
-				address = ""
-			}
-			_ = leaders.Put(context.Background(), address)
-		}()
-	}
-	for range c.addresses {
-		if leader := <-leaders.Out(); leader != "" {
-			return append([]string{leader}, lo.Without(c.addresses, leader)...)
-		}
-	}
-	return c.addresses
-}
-
 // Processes asks each control process how it is, all at once.
 func (c *Client) Processes() []Process {
 	answers := ring.New[Process]("processes", len(c.addresses), ring.Refuse)
@@ -168,39 +144,6 @@
 	return &result, err
 }
 
-// ask asks the leader first and then the other control processes, again and
-// again, until one answers or refuses, or patience ends.
-func (c *Client) ask(patience time.Duration, try func(address string) error) error {
-	end := time.Now().Add(patience)
-	for {
-		last := ErrUnreachable
-		for _, address := range c.leaderFirst() {
-			err := try(address)
-			if err == nil || eris.Is(err, ErrRefused) {
-				return err
-			}
-			last = worse(last, err)
-		}
-		if time.Now().Add(roundPause).After(end) {
-			return last
-		}
-		<-time.After(roundPause)
-	}
-}
-
-// worse returns what to report after two control processes failed: what may
-// have happened goes before what did not.
-func worse(last, err error) error {
-	switch {
-	case eris.Is(last, ErrUnknown) || eris.Is(last, ErrNoAnswer) || eris.Is(err, ErrUnreachable):
-		return last
-	case eris.Is(err, errRedirect):
-		return ErrNoLeader
-	default:
-		return err
-	}
-}
-
 // Await waits until a config version is in force everywhere: no router takes
 // work under an older one. It returns the last status seen, and false if the
 // limit passed first.
@@ -224,64 +167,3 @@
 		}
 	}
 }
-
-func (c *Client) do(address, method, path string, body, out any) error {
-	return c.doWithin(requestTimeout, address, method, path, body, out)
-}
-
-func (c *Client) doWithin(timeout time.Duration, address, method, path string, body, out any) error {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(method)
-	request.SetRequestURI("http://" + address + path)
-	request.Header.Set("Authorization", "Bearer "+c.token)
-	if body != nil {
-		data, err := json.Marshal(body)
-		if err != nil {
-			return eris.Wrapf(ErrRefused, "encode request: %v", err)
-		}
-		request.SetBody(data)
-	}
-	if err := c.http.DoTimeout(request, response, timeout); err != nil {
-		return lost(method, sendError(address, err))
-	}
-	return lost(method, decode(address, response, out))
-}
-
-// lost makes an unknown outcome of a question what it is: no answer.
-func lost(method string, err error) error {
-	if method == fasthttp.MethodGet && eris.Is(err, ErrUnknown) {
-		return eris.Wrapf(ErrNoAnswer, "%v", err)
-	}
-	return err
-}
-
-// sendError tells a request that never left from one whose answer was lost.
-func sendError(address string, err error) error {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return eris.Wrapf(ErrUnreachable, "%s: %v", address, err)
-	}
-	return eris.Wrapf(ErrUnknown, "%s: %v", address, err)
-}
-
-func decode(address string, response *fasthttp.Response, out any) error {
-	code := response.StatusCode()
-	if code == fasthttp.StatusOK {
-		if err := json.Unmarshal(response.Body(), out); err != nil {
-			return eris.Wrapf(ErrUnknown, "%s: answer cannot be read: %v", address, err)
-		}
-		return nil
-	}
-	var body ErrorBody
-	_ = json.Unmarshal(response.Body(), &body)
-	switch {
-	case code == fasthttp.StatusMisdirectedRequest || code == fasthttp.StatusServiceUnavailable:
-		return errRedirect
-	case code >= fasthttp.StatusInternalServerError:
-		return eris.Wrapf(ErrUnknown, "%s: HTTP %d: %s", address, code, body.Error)
-	default:
-		return eris.Wrapf(ErrRefused, "%s: HTTP %d: %s", address, code, body.Error)
-	}
-}
