Give presets routes, numbers and amendments, and key spaces ranges of keys

Cause: the users' platform names requests by host and path, numbers its configurations, and lets upstreams hold ranges of numbered keys. Tests: the round trip of every command and message covers the new parts.

--- a/internal/call/answer.go
+++ b/internal/call/answer.go
@@ -1,6 +1,8 @@
 package call
 
 import (
+	"time"
+
 	"endivespring/internal/fleet"
 	"endivespring/internal/verdict"
 )
@@ -15,6 +17,10 @@
 	Status      int
 	Body        []byte
 	ContentType string
+	// Header is the upstream's, without the fields of its connection.
+	Header []Field
+	// RetryAfter is when a caller may come back whose request was refused.
+	RetryAfter time.Duration
 	// Upstream and Epoch say where the request ran.
 	Upstream string
 	Epoch    fleet.Epoch
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -25,7 +25,18 @@
 	Hedge bool
 	// Recorded is set if another door keeps the request's record.
 	Recorded bool
-	Body     []byte
+	// Method, Target and Host are those of the caller's HTTP request; they are
+	// empty for an operation that is called by its name.
+	Method string
+	// Target is the path with the query, as the caller sent it.
+	Target string
+	Host   string
+	Header []Field
+	Body   []byte
+	// Priority is the rank of the request; 0 is the highest.
+	Priority int
+	// Nested calls are made by an upstream for a request that it runs.
+	Nested bool
 	// Deadline is when the answer is no longer wanted, on the local clock.
 	Deadline clock.Instant
 }
--- a/internal/control/command.go
+++ b/internal/control/command.go
@@ -11,4 +11,6 @@
 	Assign         *Assign
 	ReleaseShards  *ReleaseShards
 	OperatorChange *OperatorChange
+	AssignRanges   *AssignRanges
+	ReleaseRanges  *ReleaseRanges
 }
--- a/internal/control/result.go
+++ b/internal/control/result.go
@@ -5,6 +5,7 @@
 // Result is the outcome of a command.
 type Result struct {
 	Accepted bool
+	Refusal  Refusal
 	// Reason says why a command was refused.
 	Reason string
 	// Config is the number of accepted operator changes afterwards.
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -65,6 +65,10 @@
 		result = s.assign(c.Assign, change)
 	case c.ReleaseShards != nil:
 		result = s.release(c.ReleaseShards, change)
+	case c.AssignRanges != nil:
+		result = s.assignRanges(c.AssignRanges, change)
+	case c.ReleaseRanges != nil:
+		result = s.releaseRanges(c.ReleaseRanges, change)
 	case c.OperatorChange != nil:
 		return s.operate(c.OperatorChange, change)
 	}
@@ -121,6 +125,12 @@
 			change.Shards = append(change.Shards, freed(shard))
 		}
 	}
+	if len(closed) > 0 {
+		s.freeLostRanges(change, func(r *fleet.KeyRange) bool {
+			router, ok := s.View.Routers[r.Owner]
+			return !ok || closed[router.Session] || router.Upstream.Boot != r.Boot
+		})
+	}
 	return Result{Accepted: true}
 }
 
@@ -132,6 +142,10 @@
 	if current != c.Router {
 		change.Routers = append(change.Routers, c.Router)
 	}
+	if boot := c.Router.Upstream.Boot; boot != "" && boot != current.Upstream.Boot {
+		// Another start of the upstream holds nothing of what the last one had.
+		s.freeLostRanges(change, func(r *fleet.KeyRange) bool { return r.Owner == c.Router.ID && r.Boot != boot })
+	}
 	return Result{Accepted: true}
 }
 
@@ -177,9 +191,9 @@
 	} else if ok {
 		return Result{Reason: "command id " + c.CommandID + " was used for another command", Config: s.View.Config, Version: s.View.Version}, nil
 	}
-	result := s.checkOperator(c)
+	result, preset := s.checkOperator(c)
 	if result.Accepted {
-		s.fillOperator(c, change)
+		s.fillOperator(c, preset, change)
 		change.Config = s.View.Config + 1
 	}
 	result, changed := s.commit(result, change)
@@ -190,29 +204,72 @@
 	return result, changed
 }
 
-func (s *State) checkOperator(c *OperatorChange) Result {
-	if c.Expected != s.View.Config {
-		return Result{Reason: fmt.Sprintf("expected config version %d, but %d is in force", c.Expected, s.View.Config)}
+// checkOperator decides whether a command is accepted, and returns the preset
+// that it brings into force, if any.
+func (s *State) checkOperator(c *OperatorChange) (Result, *fleet.Preset) {
+	preset := c.Preset
+	switch {
+	case c.Amendment != nil:
+		if result := s.checkNumber(c.Amendment.Number, c.Amendment.Base); !result.Accepted {
+			return result, nil
+		}
+		if s.View.Preset == nil {
+			return Result{Refusal: RefusalConflict, Reason: "no preset is in force"}, nil
+		}
+		preset = c.Amendment.apply(s.View.Preset)
+	case preset != nil && preset.Number > 0:
+		if result := s.checkNumber(preset.Number, preset.Base); !result.Accepted {
+			return result, nil
+		}
+	case !c.Unconditional && c.Expected != s.View.Config:
+		return Result{Refusal: RefusalConflict, Reason: fmt.Sprintf("expected config version %d, but %d is in force", c.Expected, s.View.Config)}, nil
+	}
+	if preset == nil {
+		return Result{Accepted: true}, nil
+	}
+	return s.checkPreset(preset), preset
+}
+
+// checkNumber compares the numbers of a preset with the one in force.
+func (s *State) checkNumber(number, base uint64) Result {
+	current := uint64(0)
+	if s.View.Preset != nil {
+		current = s.View.Preset.Number
+	}
+	if base != current {
+		return Result{Refusal: RefusalConflict, Reason: fmt.Sprintf("built on preset %d, but %d is in force", base, current)}
 	}
-	if c.Preset == nil {
-		return Result{Accepted: true}
+	if number <= current {
+		return Result{Refusal: RefusalInvalid, Reason: fmt.Sprintf("number %d is not above %d, which is in force", number, current)}
 	}
-	for _, service := range c.Preset.Services {
+	return Result{Accepted: true}
+}
+
+func (s *State) checkPreset(preset *fleet.Preset) Result {
+	if problem := preset.Problem(); problem != "" {
+		return Result{Refusal: RefusalInvalid, Reason: problem}
+	}
+	for _, service := range preset.Services {
+		if service.Ranged {
+			continue
+		}
 		if count, ok := s.ShardCounts[service.Name]; ok && count != service.Shards {
-			return Result{Reason: fmt.Sprintf("service %s has %d shards, which cannot change to %d", service.Name, count, service.Shards)}
+			return Result{Refusal: RefusalInvalid, Reason: fmt.Sprintf("service %s has %d shards, which cannot change to %d", service.Name, count, service.Shards)}
 		}
 	}
 	return Result{Accepted: true}
 }
 
-func (s *State) fillOperator(c *OperatorChange, change *fleet.Change) {
+func (s *State) fillOperator(c *OperatorChange, accepted *fleet.Preset, change *fleet.Change) {
 	switch {
-	case c.Preset != nil:
-		preset := *c.Preset
+	case accepted != nil:
+		preset := *accepted
 		preset.Version = s.View.Config + 1
 		change.Preset = &preset
 		for _, service := range preset.Services {
-			s.ShardCounts[service.Name] = service.Shards
+			if !service.Ranged {
+				s.ShardCounts[service.Name] = service.Shards
+			}
 		}
 	case c.DataCentre != nil:
 		change.DataCentres = append(change.DataCentres, *c.DataCentre)
--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -10,6 +10,8 @@
 	// Removed lists routers that are gone.
 	Removed []RouterID
 	Shards  []Shard
+	// KeySpaces lists key spaces that changed, whole.
+	KeySpaces []KeySpace
 	// DataCentres and Upstreams list settings that changed.
 	DataCentres []DataCentreSetting
 	Upstreams   []UpstreamSetting
@@ -19,6 +21,6 @@
 
 // Empty reports whether the change alters nothing but the version.
 func (c *Change) Empty() bool {
-	return c.Preset == nil && len(c.Routers) == 0 && len(c.Removed) == 0 && len(c.Shards) == 0 &&
+	return c.Preset == nil && len(c.Routers) == 0 && len(c.Removed) == 0 && len(c.Shards) == 0 && len(c.KeySpaces) == 0 &&
 		len(c.DataCentres) == 0 && len(c.Upstreams) == 0
 }
--- a/internal/fleet/merge.go
+++ b/internal/fleet/merge.go
@@ -19,6 +19,7 @@
 	routers := map[RouterID]Router{}
 	removed := map[RouterID]bool{}
 	shards := map[ShardID]Shard{}
+	spaces := map[string]KeySpace{}
 	centres := map[DataCentre]bool{}
 	upstreams := map[string]bool{}
 	for _, c := range changes {
@@ -35,6 +36,9 @@
 		for _, s := range c.Shards {
 			shards[s.ID] = s
 		}
+		for _, s := range c.KeySpaces {
+			spaces[s.Service] = s
+		}
 		for _, s := range c.DataCentres {
 			centres[s.Name] = s.Out
 		}
@@ -43,6 +47,9 @@
 		}
 	}
 	merged.fill(routers, removed, shards)
+	for _, service := range sortedKeys(spaces) {
+		merged.KeySpaces = append(merged.KeySpaces, spaces[service])
+	}
 	for _, name := range sortedKeys(centres) {
 		merged.DataCentres = append(merged.DataCentres, DataCentreSetting{Name: name, Out: centres[name]})
 	}
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -7,6 +7,8 @@
 	Name string
 	// Keyed services are divided by key: one upstream owns each key.
 	Keyed bool
+	// Ranged services are keyed by number, and their upstreams hold ranges of keys.
+	Ranged bool
 	// Shards is the number of shards. It is fixed for the life of a service.
 	Shards uint32
 	// Operations are sorted by name.
@@ -22,7 +24,10 @@
 	// QueueLimit is the largest number of requests waiting at a door.
 	QueueLimit int
 	// RecordWindow is how long a door remembers non-idempotent request ids.
+	// Zero means that callers never send a request twice under one id.
 	RecordWindow time.Duration
+	// Profile is what operators say of the service's upstreams.
+	Profile UpstreamProfile
 }
 
 // Operation returns the operation with the given name.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -16,6 +16,7 @@
 	Preset         *Preset
 	Routers        map[RouterID]Router
 	Shards         *ShardTable
+	KeySpaces      map[string]*KeySpace
 	DataCentresOut map[DataCentre]bool
 	UpstreamsOut   map[string]bool
 }
@@ -25,6 +26,7 @@
 	return &View{
 		Routers:        map[RouterID]Router{},
 		Shards:         NewShardTable(),
+		KeySpaces:      map[string]*KeySpace{},
 		DataCentresOut: map[DataCentre]bool{},
 		UpstreamsOut:   map[string]bool{},
 	}
@@ -59,6 +61,9 @@
 	for _, shard := range c.Shards {
 		v.Shards.Set(shard)
 	}
+	for _, space := range c.KeySpaces {
+		v.KeySpaces[space.Service] = &space
+	}
 	v.mergeSettings(c)
 }
 
@@ -78,6 +83,9 @@
 	c.Routers = lo.Values(v.Routers)
 	slices.SortFunc(c.Routers, func(a, b Router) int { return cmp.Compare(a.ID, b.ID) })
 	c.Shards = slices.Collect(v.Shards.All())
+	for _, service := range sortedKeys(v.KeySpaces) {
+		c.KeySpaces = append(c.KeySpaces, *v.KeySpaces[service])
+	}
 	for _, name := range sortedKeys(v.DataCentresOut) {
 		c.DataCentres = append(c.DataCentres, DataCentreSetting{Name: name, Out: true})
 	}
@@ -111,7 +119,7 @@
 	delete(m, key)
 }
 
-func sortedKeys[K cmp.Ordered](m map[K]bool) []K {
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	keys := lo.Keys(m)
 	slices.Sort(keys)
 	return keys
--- a/internal/session/up.go
+++ b/internal/session/up.go
@@ -22,6 +22,11 @@
 	Router    fleet.Router
 	Registers bool
 	Releases  []control.Release
+	// RangeReports lists ranges of keys that the upstream no longer holds.
+	RangeReports []RangeReport
+	// KeyLoads is the load of the keys that the upstream holds; it is sent now
+	// and then.
+	KeyLoads []KeyLoad
 	// Closing asks to end the session.
 	Closing bool
 }
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
@@ -18,7 +19,8 @@
 	return &wirepb.Call{
 		Number: c.Number, RequestId: c.RequestID, Service: c.Service, Operation: c.Operation, Key: c.Key,
 		Idempotent: c.Idempotent, Sharded: c.Sharded, Shard: c.Shard, Resend: c.Resend, Hedge: c.Hedge, Recorded: c.Recorded,
-		Body: c.Body, TimeoutNs: int64(c.Deadline.Sub(now)),
+		Body: c.Body, TimeoutNs: int64(c.Deadline.Sub(now)), Method: c.Method, Target: c.Target, Host: c.Host,
+		Header: fromFields(c.Header), Priority: int32(c.Priority), Nested: c.Nested,
 	}
 }
 
@@ -28,6 +30,8 @@
 		Number: c.GetNumber(), RequestID: c.GetRequestId(), Service: c.GetService(), Operation: c.GetOperation(), Key: c.GetKey(),
 		Idempotent: c.GetIdempotent(), Sharded: c.GetSharded(), Shard: c.GetShard(), Resend: c.GetResend(), Hedge: c.GetHedge(),
 		Recorded: c.GetRecorded(), Body: c.GetBody(), Deadline: now.Add(time.Duration(c.GetTimeoutNs())),
+		Method: c.GetMethod(), Target: c.GetTarget(), Host: c.GetHost(), Header: toFields(c.GetHeader()),
+		Priority: int(c.GetPriority()), Nested: c.GetNested(),
 	}
 }
 
@@ -36,6 +40,7 @@
 	return &wirepb.Answer{
 		Number: a.Number, RequestId: a.RequestID, Verdict: uint32(a.Verdict), Reason: string(a.Reason), Status: int32(a.Status),
 		Body: a.Body, Checksum: xxhash.Sum64(a.Body), ContentType: strings.ToValidUTF8(a.ContentType, "?"), Upstream: a.Upstream, Epoch: uint64(a.Epoch),
+		Header: fromFields(a.Header), RetryAfterNs: int64(a.RetryAfter),
 		Load: &wirepb.Load{
 			InFlight: int32(a.Load.InFlight), Queued: int32(a.Load.Queued), Limit: int32(a.Load.Limit), LatencyNs: int64(a.Load.Latency),
 		},
@@ -49,8 +54,21 @@
 	return call.Answer{
 		Number: a.GetNumber(), RequestID: a.GetRequestId(), Verdict: verdict.Verdict(a.GetVerdict()), Reason: verdict.Reason(a.GetReason()),
 		Status: int(a.GetStatus()), Body: a.GetBody(), ContentType: a.GetContentType(), Upstream: a.GetUpstream(), Epoch: fleet.Epoch(a.GetEpoch()),
+		Header: toFields(a.GetHeader()), RetryAfter: time.Duration(a.GetRetryAfterNs()),
 		Load: call.Load{
 			InFlight: int(load.GetInFlight()), Queued: int(load.GetQueued()), Limit: int(load.GetLimit()), Latency: time.Duration(load.GetLatencyNs()),
 		},
 	}, xxhash.Sum64(a.GetBody()) == a.GetChecksum()
 }
+
+func fromFields(fields []call.Field) []*wirepb.Field {
+	return lo.Map(fields, func(f call.Field, _ int) *wirepb.Field {
+		return &wirepb.Field{Name: []byte(f.Name), Value: []byte(f.Value)}
+	})
+}
+
+func toFields(fields []*wirepb.Field) []call.Field {
+	return lo.Map(fields, func(f *wirepb.Field, _ int) call.Field {
+		return call.Field{Name: string(f.GetName()), Value: string(f.GetValue())}
+	})
+}
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -48,6 +48,13 @@
 		}
 	case c.OperatorChange != nil:
 		out.OperatorChange = fromOperatorChange(c.OperatorChange)
+	case c.AssignRanges != nil:
+		out.AssignRanges = &wirepb.AssignRanges{Revision: c.AssignRanges.Revision, Next: fromKeySpace(c.AssignRanges.Next)}
+	case c.ReleaseRanges != nil:
+		r := c.ReleaseRanges
+		out.ReleaseRanges = &wirepb.ReleaseRanges{
+			Service: r.Service, Router: string(r.Router), Boot: r.Boot, Releases: fromRangeReleases(r.Releases),
+		}
 	}
 	return out
 }
@@ -75,6 +82,13 @@
 		}
 	case c.GetOperatorChange() != nil:
 		out.OperatorChange = toOperatorChange(c.GetOperatorChange())
+	case c.GetAssignRanges() != nil:
+		out.AssignRanges = &control.AssignRanges{Revision: c.GetAssignRanges().GetRevision(), Next: toKeySpace(c.GetAssignRanges().GetNext())}
+	case c.GetReleaseRanges() != nil:
+		r := c.GetReleaseRanges()
+		out.ReleaseRanges = &control.ReleaseRanges{
+			Service: r.GetService(), Router: fleet.RouterID(r.GetRouter()), Boot: r.GetBoot(), Releases: toRangeReleases(r.GetReleases()),
+		}
 	}
 	return out
 }
@@ -112,7 +126,7 @@
 func fromOperatorChange(c *control.OperatorChange) *wirepb.OperatorChange {
 	out := &wirepb.OperatorChange{
 		CommandId: c.CommandID, Operator: c.Operator, Expected: uint64(c.Expected), Preset: FromPreset(c.Preset),
-		Digest: c.Digest,
+		Digest: c.Digest, Unconditional: c.Unconditional, Amendment: fromAmendment(c.Amendment),
 	}
 	if c.DataCentre != nil {
 		out.DataCentre = &wirepb.NamedSetting{Name: string(c.DataCentre.Name), Out: c.DataCentre.Out}
@@ -126,7 +140,7 @@
 func toOperatorChange(c *wirepb.OperatorChange) *control.OperatorChange {
 	out := &control.OperatorChange{
 		CommandID: c.GetCommandId(), Operator: c.GetOperator(), Expected: fleet.Version(c.GetExpected()), Preset: ToPreset(c.GetPreset()),
-		Digest: c.GetDigest(),
+		Digest: c.GetDigest(), Unconditional: c.GetUnconditional(), Amendment: toAmendment(c.GetAmendment()),
 	}
 	if c.GetDataCentre() != nil {
 		out.DataCentre = &fleet.DataCentreSetting{Name: fleet.DataCentre(c.GetDataCentre().GetName()), Out: c.GetDataCentre().GetOut()}
@@ -136,3 +150,27 @@
 	}
 	return out
 }
+
+func fromAmendment(a *control.Amendment) *wirepb.Amendment {
+	if a == nil {
+		return nil
+	}
+	return &wirepb.Amendment{
+		Number: a.Number, Base: a.Base, Routes: fromRoutes(a.Routes), Services: fromServices(a.Services),
+		Limits: fromCallerLimits(a.Limits), RemovedRoutes: a.RemovedRoutes, RemovedServices: a.RemovedServices,
+	}
+}
+
+func toAmendment(a *wirepb.Amendment) *control.Amendment {
+	if a == nil {
+		return nil
+	}
+	out := &control.Amendment{
+		Number: a.GetNumber(), Base: a.GetBase(), Routes: toRoutes(a.GetRoutes()), Services: toServices(a.GetServices()),
+		RemovedRoutes: a.GetRemovedRoutes(), RemovedServices: a.GetRemovedServices(),
+	}
+	if a.GetLimits() != nil {
+		out.Limits = toCallerLimits(a.GetLimits())
+	}
+	return out
+}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -1,8 +1,6 @@
 package wire
 
 import (
-	"time"
-
 	"github.com/samber/lo"
 
 	"endivespring/internal/fleet"
@@ -53,50 +51,6 @@
 	}
 }
 
-// FromPreset converts a preset; nil stays nil.
-func FromPreset(p *fleet.Preset) *wirepb.Preset {
-	if p == nil {
-		return nil
-	}
-	return &wirepb.Preset{
-		Version: uint64(p.Version), Name: p.Name,
-		Services: lo.Map(p.Services, func(s fleet.Service, _ int) *wirepb.Service { return fromService(s) }),
-	}
-}
-
-// ToPreset converts a preset; nil stays nil.
-func ToPreset(p *wirepb.Preset) *fleet.Preset {
-	if p == nil {
-		return nil
-	}
-	return &fleet.Preset{
-		Version: fleet.Version(p.GetVersion()), Name: p.GetName(),
-		Services: lo.Map(p.GetServices(), func(s *wirepb.Service, _ int) fleet.Service { return toService(s) }),
-	}
-}
-
-func fromService(s fleet.Service) *wirepb.Service {
-	return &wirepb.Service{
-		Name: s.Name, Keyed: s.Keyed, Shards: s.Shards,
-		Operations: lo.Map(s.Operations, func(o fleet.Operation, _ int) *wirepb.Operation {
-			return &wirepb.Operation{Name: o.Name, Idempotent: o.Idempotent, DeadlineNs: int64(o.Deadline)}
-		}),
-		HedgeQuantile: s.HedgeQuantile, HedgeBudget: s.HedgeBudget, RetryBudget: s.RetryBudget,
-		QueueLimit: int32(s.QueueLimit), RecordWindowNs: int64(s.RecordWindow),
-	}
-}
-
-func toService(s *wirepb.Service) fleet.Service {
-	return fleet.Service{
-		Name: s.GetName(), Keyed: s.GetKeyed(), Shards: s.GetShards(),
-		Operations: lo.Map(s.GetOperations(), func(o *wirepb.Operation, _ int) fleet.Operation {
-			return fleet.Operation{Name: o.GetName(), Idempotent: o.GetIdempotent(), Deadline: time.Duration(o.GetDeadlineNs())}
-		}),
-		HedgeQuantile: s.GetHedgeQuantile(), HedgeBudget: s.GetHedgeBudget(), RetryBudget: s.GetRetryBudget(),
-		QueueLimit: int(s.GetQueueLimit()), RecordWindow: time.Duration(s.GetRecordWindowNs()),
-	}
-}
-
 // FromChange converts a view change; nil stays nil.
 func FromChange(c *fleet.Change) *wirepb.Change {
 	if c == nil {
@@ -104,9 +58,10 @@
 	}
 	return &wirepb.Change{
 		From: uint64(c.From), To: uint64(c.To), Full: c.Full, Preset: FromPreset(c.Preset), Config: uint64(c.Config),
-		Routers: lo.Map(c.Routers, func(r fleet.Router, _ int) *wirepb.Router { return FromRouter(r) }),
-		Removed: lo.Map(c.Removed, func(id fleet.RouterID, _ int) string { return string(id) }),
-		Shards:  lo.Map(c.Shards, func(s fleet.Shard, _ int) *wirepb.Shard { return fromShard(s) }),
+		Routers:   lo.Map(c.Routers, func(r fleet.Router, _ int) *wirepb.Router { return FromRouter(r) }),
+		Removed:   lo.Map(c.Removed, func(id fleet.RouterID, _ int) string { return string(id) }),
+		Shards:    lo.Map(c.Shards, func(s fleet.Shard, _ int) *wirepb.Shard { return fromShard(s) }),
+		KeySpaces: lo.Map(c.KeySpaces, func(s fleet.KeySpace, _ int) *wirepb.KeySpace { return fromKeySpace(s) }),
 		DataCentres: lo.Map(c.DataCentres, func(d fleet.DataCentreSetting, _ int) *wirepb.NamedSetting {
 			return &wirepb.NamedSetting{Name: string(d.Name), Out: d.Out}
 		}),
@@ -123,10 +78,11 @@
 	}
 	return &fleet.Change{
 		From: fleet.Version(c.GetFrom()), To: fleet.Version(c.GetTo()), Full: c.GetFull(), Preset: ToPreset(c.GetPreset()),
-		Config:  fleet.Version(c.GetConfig()),
-		Routers: lo.Map(c.GetRouters(), func(r *wirepb.Router, _ int) fleet.Router { return ToRouter(r) }),
-		Removed: lo.Map(c.GetRemoved(), func(id string, _ int) fleet.RouterID { return fleet.RouterID(id) }),
-		Shards:  lo.Map(c.GetShards(), func(s *wirepb.Shard, _ int) fleet.Shard { return toShard(s) }),
+		Config:    fleet.Version(c.GetConfig()),
+		Routers:   lo.Map(c.GetRouters(), func(r *wirepb.Router, _ int) fleet.Router { return ToRouter(r) }),
+		Removed:   lo.Map(c.GetRemoved(), func(id string, _ int) fleet.RouterID { return fleet.RouterID(id) }),
+		Shards:    lo.Map(c.GetShards(), func(s *wirepb.Shard, _ int) fleet.Shard { return toShard(s) }),
+		KeySpaces: lo.Map(c.GetKeySpaces(), func(s *wirepb.KeySpace, _ int) fleet.KeySpace { return toKeySpace(s) }),
 		DataCentres: lo.Map(c.GetDataCentres(), func(d *wirepb.NamedSetting, _ int) fleet.DataCentreSetting {
 			return fleet.DataCentreSetting{Name: fleet.DataCentre(d.GetName()), Out: d.GetOut()}
 		}),
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -14,7 +14,7 @@
 	out := &wirepb.ControlState{View: FromChange(s.View.Full()), LastSession: uint64(s.LastSession), ConfigAt: uint64(s.ConfigAt)}
 	for _, r := range s.Results {
 		out.Results = append(out.Results, &wirepb.OperatorResult{
-			CommandId: r.CommandID, Digest: r.Digest, Accepted: r.Result.Accepted, Reason: r.Result.Reason,
+			CommandId: r.CommandID, Digest: r.Digest, Accepted: r.Result.Accepted, Reason: r.Result.Reason, Refusal: uint32(r.Result.Refusal),
 			Config: uint64(r.Result.Config), Version: uint64(r.Result.Version),
 		})
 	}
@@ -44,7 +44,7 @@
 	s.ConfigAt = fleet.Version(in.GetConfigAt())
 	for _, r := range in.GetResults() {
 		s.Results = append(s.Results, control.OperatorResult{CommandID: r.GetCommandId(), Digest: r.GetDigest(), Result: control.Result{
-			Accepted: r.GetAccepted(), Reason: r.GetReason(),
+			Accepted: r.GetAccepted(), Reason: r.GetReason(), Refusal: control.Refusal(r.GetRefusal()),
 			Config: fleet.Version(r.GetConfig()), Version: fleet.Version(r.GetVersion()),
 		}})
 	}
