Let control processes find each other and keep a number of voters

Cause: on the users' platform nobody lists the control processes; machines come back empty or at other addresses, and two disks may be lost at once. Change: an open group takes nodes that it was not told of, answers them with the members it knows, replaces a silent voter by a learner that has caught up, and commits nothing on fewer disks than a set number. Ruled out: a first membership of fewer disks than the tolerance needs that acknowledges at once; a second list of members beside the log.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -39,6 +39,8 @@
 	transferAt   clock.Instant
 	joinAt       clock.Instant
 	joined       map[string]joiner
+	// contacts are names of nodes that were heard of, besides Peers.
+	contacts map[string]bool
 	output       Output
 	storedHard   HardState
 }
@@ -57,6 +59,7 @@
 		lastContact: now,
 		joinAt:      now,
 		joined:      map[string]joiner{},
+		contacts:    map[string]bool{},
 	}
 	c.membership, c.membershipIndex = c.log.membership()
 	c.selfMatch = c.log.lastIndex()
--- a/internal/consensus/following.go
+++ b/internal/consensus/following.go
@@ -2,12 +2,15 @@
 
 // Step takes a message from another node.
 func (c *Core) Step(m *Message) {
+	c.meet(m)
 	if m.To != c.config.ID && m.Kind != Join || c.replacedFounder(m) {
 		return
 	}
 	switch m.Kind {
 	case Join:
 		c.stepJoin(m)
+	case Contacts:
+		c.stepContacts(m)
 	case PreVote:
 		c.stepPreVote(m)
 	case Vote:
--- a/internal/consensus/joining.go
+++ b/internal/consensus/joining.go
@@ -6,7 +6,12 @@
 	"endivespring/internal/clock"
 )
 
-const joinIntervalFactor = 2 // join interval in heartbeat intervals
+const (
+	joinIntervalFactor = 2 // join interval in heartbeat intervals
+	// goneTimeouts is the silence, in election timeouts, after which another
+	// node may take a voter's place. A voter that restarts is back before.
+	goneTimeouts = 4
+)
 
 // alone reports whether the node has to make itself known: it knows no
 // membership, or no leader has sent to it for long, perhaps since the
@@ -26,7 +31,7 @@
 		return
 	}
 	c.joinAt = c.now + joinIntervalFactor*clock.Instant(c.config.HeartbeatInterval)
-	for _, name := range c.config.Peers {
+	for _, name := range c.known() {
 		if name != c.config.ID.Name {
 			c.send(Message{Kind: Join, To: NodeID{Name: name, Disk: c.joined[name].id.Disk}, Empty: c.isEmpty()})
 		}
@@ -47,7 +52,7 @@
 // is above every one in use, so that the first entries of both differ.
 func (c *Core) maybeBootstrap() {
 	names := slices.Sorted(slices.Values(c.config.Peers))
-	if !c.isEmpty() || len(names) == 0 || names[0] != c.config.ID.Name {
+	if c.config.JoinsOnly || !c.isEmpty() || len(names) == 0 || names[0] != c.config.ID.Name {
 		return
 	}
 	term := c.hard.Term
@@ -75,6 +80,43 @@
 	if c.role == Leader {
 		c.maintainMembership()
 	}
+	if c.config.Open && len(c.membership.Voters) > 0 && m.From != c.config.ID {
+		known := c.membership
+		c.send(Message{Kind: Contacts, To: m.From, Entries: []Entry{{Kind: EntryMembership, Membership: &known}}})
+	}
+}
+
+// stepContacts takes the members that another node knows.
+func (c *Core) stepContacts(m *Message) {
+	for _, entry := range m.Entries {
+		if entry.Membership == nil {
+			continue
+		}
+		for _, id := range entry.Membership.Nodes() {
+			c.contacts[id.Name] = true
+		}
+	}
+}
+
+// meet remembers who sends to this node, in an open group: also a leader that
+// addresses the disk that this node had before.
+func (c *Core) meet(m *Message) {
+	if c.config.Open && m.From.Name != "" {
+		c.contacts[m.From.Name] = true
+	}
+}
+
+// known returns the names of the nodes that may know a membership, in order.
+func (c *Core) known() []string {
+	names := slices.Clone(c.config.Peers)
+	for name := range c.contacts {
+		names = append(names, name)
+	}
+	for _, id := range c.membership.Nodes() {
+		names = append(names, id.Name)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
 }
 
 func (c *Core) adoptMembership() {
@@ -106,7 +148,7 @@
 			return next, true
 		}
 	}
-	for _, name := range c.config.Peers {
+	for _, name := range c.candidates() {
 		j, ok := c.joined[name]
 		if ok && c.recent(j, 4) && !c.membership.Contains(j.id) && !c.answers(name) {
 			return c.membership.WithLearner(j.id), true
@@ -126,9 +168,40 @@
 			return c.membership.Without(id), id != c.config.ID && c.silent(id)
 		}
 	}
+	if c.config.Open && len(c.membership.Voters) >= c.config.Voters {
+		return c.makeRoom()
+	}
 	return c.membership.WithVoter(learner), true
 }
 
+// makeRoom removes the voter that has been silent for longest, if it has been
+// for so long that it counts as gone.
+func (c *Core) makeRoom() (Membership, bool) {
+	var gone NodeID
+	for _, id := range c.membership.Voters {
+		if id != c.config.ID && (gone.IsZero() || c.progress[id].ackedSent < c.progress[gone].ackedSent) {
+			gone = id
+		}
+	}
+	if gone.IsZero() {
+		return Membership{}, false
+	}
+	return c.membership.Without(gone), c.now >= c.progress[gone].ackedSent+goneTimeouts*clock.Instant(c.config.ElectionTimeout)
+}
+
+// candidates returns the names of nodes that may become members, in order.
+func (c *Core) candidates() []string {
+	if !c.config.Open {
+		return c.config.Peers
+	}
+	names := make([]string, 0, len(c.joined))
+	for name := range c.joined {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // silent reports whether the node answered no heartbeat for an election timeout.
 func (c *Core) silent(id NodeID) bool {
 	return c.now >= c.progress[id].ackedSent+clock.Instant(c.config.ElectionTimeout)
--- a/internal/consensus/leading.go
+++ b/internal/consensus/leading.go
@@ -173,7 +173,7 @@
 		match = append(match, c.progress[id].match)
 	}
 	slices.Sort(match)
-	index := match[len(match)-c.membership.Quorum()]
+	index := match[len(match)-min(len(match), max(c.membership.Quorum(), c.config.Copies))]
 	if term, ok := c.log.term(index); !ok || term != c.hard.Term {
 		return
 	}
--- a/internal/consensus/machine_test.go
+++ b/internal/consensus/machine_test.go
@@ -93,6 +93,9 @@
 	for _, other := range m.world.machines {
 		config.Peers = append(config.Peers, other.name)
 	}
+	if m.world.configure != nil {
+		m.world.configure(m, &config)
+	}
 	m.applied, m.state, m.compact, m.lease = 0, 0, 0, 0
 	stored := Stored{HardState: m.stored.HardState, Snapshot: m.stored.Snapshot, Entries: slices.Clone(m.stored.Entries)}
 	if stored.Snapshot != nil {
--- a/internal/consensus/message_kind.go
+++ b/internal/consensus/message_kind.go
@@ -18,11 +18,14 @@
 	Join
 	// TimeoutNow asks a follower to campaign at once.
 	TimeoutNow
+	// Contacts answers a Join in an open group with the members that the sender
+	// knows.
+	Contacts
 )
 
 var messageKindNames = [...]string{
 	"none", "pre-vote", "pre-vote-reply", "vote", "vote-reply", "append", "append-reply",
-	"heartbeat", "heartbeat-reply", "install-snapshot", "join", "timeout-now",
+	"heartbeat", "heartbeat-reply", "install-snapshot", "join", "timeout-now", "contacts",
 }
 
 // String returns the kind's name.
--- a/internal/consensus/world_test.go
+++ b/internal/consensus/world_test.go
@@ -64,6 +64,8 @@
 	changes   int
 	disks     int
 	proposed  uint64
+	// configure changes a starting node's settings, if it is set.
+	configure func(m *machine, config *Config)
 }
 
 // faults holds what the transport does to messages now.
