Let a control process start without a list of the others

Cause: a process on the users' platform is told three seeds at most. Change: settings for discovery and for another front end; messages between control processes go through one duty that starts a sender for each receiver; routers learn the control processes from the leader and fall back to seeds; operators' commands wait until enough voters hold the log. Ruled out: a sender for each seed that is started once, which misses nodes that join later.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -40,9 +40,9 @@
 	joinAt       clock.Instant
 	joined       map[string]joiner
 	// contacts are names of nodes that were heard of, besides Peers.
-	contacts map[string]bool
-	output       Output
-	storedHard   HardState
+	contacts   map[string]bool
+	output     Output
+	storedHard HardState
 }
 
 // New returns a node that starts with what its disk holds. The caller applies
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -28,15 +28,17 @@
 
 // Core is the controller of one control process. It is owned by one duty.
 type Core struct {
-	timing  lease.Timing
-	limits  placement.Limits
-	state   *control.State
-	table   *lease.Table
-	lead    Leadership
-	term    uint64
-	leader  func(name string) string
-	history []*fleet.Change
-	streams map[StreamID]*stream
+	timing lease.Timing
+	limits placement.Limits
+	state  *control.State
+	table  *lease.Table
+	lead   Leadership
+	term   uint64
+	leader func(name string) string
+	// minVoters is the number of voters below which no operator's command is taken.
+	minVoters int
+	history   []*fleet.Change
+	streams   map[StreamID]*stream
 	// unsent is set if streams lack committed changes; spreadAt is when they
 	// may be sent next.
 	unsent   bool
@@ -74,6 +76,10 @@
 	}
 }
 
+// RequireVoters sets the number of voters below which no operator's command is
+// taken: a young log might not survive the losses that it must.
+func (c *Core) RequireVoters(n int) { c.minVoters = n }
+
 // Take returns what the steps since the last Take ask for.
 func (c *Core) Take() Output {
 	out := c.output
@@ -81,6 +87,9 @@
 	return out
 }
 
+// Leader returns the peer address of the known leader, or none.
+func (c *Core) Leader() string { return c.leader(c.lead.Leader) }
+
 // State returns the replicated state; it must not be changed.
 func (c *Core) State() *control.State { return c.state }
 
@@ -117,7 +126,11 @@
 // Operate takes an operator's command; the reply comes once it is committed.
 func (c *Core) Operate(now clock.Instant, token uint64, change *control.OperatorChange) {
 	if !c.leading(now) {
-		c.output.Replies = append(c.output.Replies, OperatorReply{Token: token, Redirect: true})
+		c.output.Replies = append(c.output.Replies, OperatorReply{Token: token, Redirect: true, Leader: c.Leader()})
+		return
+	}
+	if len(c.lead.Voters) < c.minVoters {
+		c.output.Replies = append(c.output.Replies, OperatorReply{Token: token, Unready: true})
 		return
 	}
 	c.waiters = append(c.waiters, waiter{token: token, command: change.CommandID, until: now.Add(waiterTimeout)})
--- a/internal/controller/renewing.go
+++ b/internal/controller/renewing.go
@@ -1,6 +1,11 @@
 package controller
 
 import (
+	"slices"
+	"strings"
+
+	"github.com/samber/lo"
+
 	"endivespring/internal/clock"
 	"endivespring/internal/control"
 	"endivespring/internal/event"
@@ -70,10 +75,25 @@
 	}
 	c.output.Sends = append(c.output.Sends, Send{Stream: s.id, Down: session.Down{
 		Session: s.session, Sequence: s.sequence, Lease: true, Ownership: c.timing.Ownership, View: c.timing.View, Version: s.sent,
+		Members: c.newMembers(s),
 	}})
 	return true
 }
 
+// newMembers returns the addresses of the control processes if they changed
+// since the stream's router was told of them. A group that never changes is
+// listed in the routers' settings.
+func (c *Core) newMembers(s *stream) []string {
+	if c.minVoters == 0 || slices.Equal(s.members, c.lead.Voters) {
+		return nil
+	}
+	s.members = c.lead.Voters
+	return lo.Map(s.members, func(member string, _ int) string {
+		name, _, _ := strings.Cut(member, "/")
+		return c.leader(name)
+	})
+}
+
 // takeReports proposes what a renewal says beyond being alive.
 func (c *Core) takeReports(up *session.Up, id fleet.Session) {
 	if up.Closing {
--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -20,4 +20,6 @@
 	// applied is the view version that the router reported last.
 	applied fleet.Version
 	heardAt clock.Instant
+	// members is what the router was told of the control processes.
+	members []string
 }
--- a/internal/controlnode/controller_duty.go
+++ b/internal/controlnode/controller_duty.go
@@ -141,7 +141,9 @@
 		}
 		request.Reply.Send(reply)
 	case request.Preset:
-		request.Reply.Send(operator.Reply{Preset: d.core.State().View.Preset, Redirect: !d.core.Leading(d.clock.Now())})
+		request.Reply.Send(operator.Reply{
+			Preset: d.core.State().View.Preset, Redirect: !d.core.Leading(d.clock.Now()), Leader: d.core.Leader(),
+		})
 	default:
 		status := d.core.Status(d.clock.Now())
 		request.Reply.Send(operator.Reply{Status: &status})
@@ -163,7 +165,9 @@
 	for _, reply := range out.Replies {
 		if request, ok := d.replies[reply.Token]; ok {
 			delete(d.replies, reply.Token)
-			request.Reply.Send(operator.Reply{Redirect: reply.Redirect, Unknown: reply.Unknown, Result: reply.Result})
+			request.Reply.Send(operator.Reply{
+				Redirect: reply.Redirect, Leader: reply.Leader, Unready: reply.Unready, Unknown: reply.Unknown, Result: reply.Result,
+			})
 		}
 	}
 	for _, decision := range out.Decisions {
--- /dev/null
+++ b/internal/controlnode/dispatch_duty.go
@@ -0,0 +1,82 @@
+package controlnode
+
+import (
+	"context"
+	"time"
+
+	"endivespring/internal/consensus"
+	"endivespring/internal/duty"
+	"endivespring/internal/event"
+	"endivespring/internal/metrics"
+	"endivespring/internal/ring"
+)
+
+const (
+	peerIdle  = 30 * time.Second // unused time after which the duty of a peer ends
+	peerSweep = 10 * time.Second // time between looks for unused peers
+)
+
+// dispatchDuty hands consensus messages to a duty for each receiver. It starts
+// such a duty with the first message and ends it when nothing was sent for long.
+type dispatchDuty struct {
+	fleet    string
+	self     string
+	events   event.Recorder
+	group    *duty.Group
+	registry *metrics.Registry
+	messages *ring.Ring[consensus.Message]
+	// address returns the address of the process with a name, or none.
+	address func(name string) string
+	peers   map[string]*dispatchedPeer
+}
+
+// Run dispatches until the context ends.
+func (d *dispatchDuty) Run(ctx context.Context) error {
+	sweep := time.NewTicker(peerSweep)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-sweep.C:
+			d.endUnused()
+		case message := <-d.messages.Out():
+			d.dispatch(ctx, message)
+		}
+	}
+}
+
+func (d *dispatchDuty) dispatch(ctx context.Context, message consensus.Message) {
+	name := message.To.Name
+	address := d.address(name)
+	if name == d.self || address == "" {
+		return
+	}
+	peer := d.peers[name]
+	if peer == nil {
+		peer = d.start(ctx, name, address)
+	}
+	peer.used = time.Now()
+	_ = peer.messages.Put(ctx, message)
+}
+
+func (d *dispatchDuty) start(ctx context.Context, name, address string) *dispatchedPeer {
+	ctx, cancel := context.WithCancel(ctx)
+	peer := &dispatchedPeer{
+		messages: ring.New[consensus.Message]("peer-"+name, peerCapacity, ring.DropOldest), cancel: cancel,
+	}
+	d.peers[name] = peer
+	d.registry.Rings(peer.messages)
+	sender := &peerDuty{fleet: d.fleet, events: d.events, address: address, out: peer.messages}
+	d.group.Go("peer-"+name, func(context.Context) error { return sender.Run(ctx) })
+	return peer
+}
+
+func (d *dispatchDuty) endUnused() {
+	for name, peer := range d.peers {
+		if time.Since(peer.used) > peerIdle {
+			peer.cancel()
+			delete(d.peers, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controlnode/dispatched_peer.go
@@ -0,0 +1,16 @@
+package controlnode
+
+import (
+	"context"
+	"time"
+
+	"endivespring/internal/consensus"
+	"endivespring/internal/ring"
+)
+
+// dispatchedPeer is a control process to which messages are sent.
+type dispatchedPeer struct {
+	messages *ring.Ring[consensus.Message]
+	used     time.Time
+	cancel   context.CancelFunc
+}
--- a/internal/controlnode/duties_test.go
+++ b/internal/controlnode/duties_test.go
@@ -37,7 +37,7 @@
 func newBench(t *testing.T, id consensus.NodeID, peers []string, stored *consensus.Stored) *bench {
 	timeSource := clock.NewMonotonic()
 	d := &consensusDuty{
-		events: event.NewLog(&bytes.Buffer{}, "test"), clock: timeSource, outbound: &outbound{rings: map[string]*ring.Ring[consensus.Message]{}},
+		events: event.NewLog(&bytes.Buffer{}, "test"), clock: timeSource, outbound: newOutbound(256),
 		inbound:   ring.New[*consensus.Message]("in", 64, ring.DropOldest),
 		proposals: ring.New[[]byte]("proposals", 64, ring.Refuse),
 		persisted: ring.New[persisted]("persisted", 1, ring.DropOldest),
@@ -47,11 +47,6 @@
 		writes:    ring.New[write]("writes", testWrites, ring.Wait),
 		updates:   ring.New[logUpdate]("updates", 8, ring.Wait),
 	}
-	for _, name := range peers {
-		if name != id.Name {
-			d.outbound.rings[name] = ring.New[consensus.Message](name, 256, ring.DropOldest)
-		}
-	}
 	d.core = consensus.New(consensus.Config{
 		ID: id, Peers: peers, HeartbeatInterval: 10 * time.Millisecond, ElectionTimeout: 100 * time.Millisecond,
 		DriftMargin: 10 * time.Millisecond, MaxBatch: 64,
@@ -67,6 +62,11 @@
 	return b
 }
 
+// newOutbound returns what takes messages for other processes.
+func newOutbound(capacity int) *outbound {
+	return &outbound{messages: ring.New[consensus.Message]("out", capacity, ring.DropOldest)}
+}
+
 func (b *bench) storage(t *testing.T, disk *storage.Disk) {
 	s := &storageDuty{disk: disk, writes: b.writes, persisted: b.persisted, outbound: b.outbound}
 	b.group.Go("storage", s.Run)
@@ -109,7 +109,10 @@
 		for leads && b.proposals.Put(b.ctx, []byte("command")) == nil {
 		}
 		select {
-		case m := <-b.outbound.rings["b"].Out():
+		case m := <-b.outbound.messages.Out():
+			if m.To.Name != "b" {
+				continue
+			}
 			leads = leads || m.Kind == consensus.Heartbeat
 			if stalled = stalled || b.writes.Depth() > testWrites/2; stalled && m.Kind == consensus.Heartbeat {
 				heartbeats++
@@ -156,7 +159,7 @@
 func TestFailedWriteEndsTheProcess(t *testing.T) {
 	disk := openDiskOf(t, "a")
 	assert.NilError(t, disk.Close())
-	out := &outbound{rings: map[string]*ring.Ring[consensus.Message]{"b": ring.New[consensus.Message]("b", 4, ring.DropOldest)}}
+	out := newOutbound(4)
 	s := &storageDuty{
 		disk: disk, outbound: out, writes: ring.New[write]("writes", 4, ring.Wait),
 		persisted: ring.New[persisted]("persisted", 4, ring.DropOldest),
@@ -171,14 +174,14 @@
 	group.Go("storage", s.Run)
 	err := group.Wait()
 	assert.ErrorContains(t, err, "duty storage: append to log")
-	assert.Equal(t, out.rings["b"].Depth()+s.persisted.Depth(), 0)
+	assert.Equal(t, out.messages.Depth()+s.persisted.Depth(), 0)
 }
 
 // TestNewestReportIsKept stores more than the ring of reports holds.
 func TestNewestReportIsKept(t *testing.T) {
 	disk := openDiskOf(t, "a")
 	defer func() { _ = disk.Close() }()
-	out := &outbound{rings: map[string]*ring.Ring[consensus.Message]{"b": ring.New[consensus.Message]("b", 4, ring.DropOldest)}}
+	out := newOutbound(4)
 	s := &storageDuty{
 		disk: disk, outbound: out, writes: ring.New[write]("writes", 4, ring.Wait),
 		persisted: ring.New[persisted]("persisted", 1, ring.DropOldest),
@@ -194,7 +197,7 @@
 	}
 	group := duty.NewGroup(ctx)
 	group.Go("storage", s.Run)
-	_, err := out.rings["b"].Take(ctx)
+	_, err := out.messages.Take(ctx)
 	assert.NilError(t, err)
 	group.Stop()
 	assert.NilError(t, group.Wait())
@@ -247,9 +250,7 @@
 		select {
 		case w := <-b.writes.Out():
 			b.outbound.send(b.ctx, w.output.AfterSync)
-		case m := <-b.outbound.rings["b"].Out():
-			done = take(m)
-		case m := <-b.outbound.rings["c"].Out():
+		case m := <-b.outbound.messages.Out():
 			done = take(m)
 		case update := <-b.updates.Out():
 			if update.leadership != nil && update.leadership.LeaseUntil > 0 && !asked {
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -38,6 +38,7 @@
 	operatorCapacity = 256  // operators' requests
 	peerCapacity     = 256  // consensus messages to one peer
 	maxBatch         = 512  // entries in one message
+	outboundCapacity = 1024 // consensus messages to all peers
 
 	// transferTime is how long a stopping leader waits for its successor.
 	transferTime = 300 * time.Millisecond
@@ -83,7 +84,7 @@
 // openDisk opens the data folder. A damaged one is set aside: this process
 // then joins as a new voter.
 func openDisk(s *settings.Control, events event.Recorder) (*storage.Disk, *consensus.Stored, error) {
-	disk, stored, err := storage.Open(s.DataFolder, s.Fleet, s.Name)
+	disk, stored, err := storage.Open(s.DataFolder, s.Fleet, s.Self().Name)
 	if !eris.Is(err, storage.ErrDamaged) {
 		return disk, stored, err
 	}
@@ -92,7 +93,7 @@
 		return nil, nil, asideErr
 	}
 	events.Record(event.DiskSetAside, event.F("folder", aside), event.F("cause", err.Error()))
-	return storage.Open(s.DataFolder, s.Fleet, s.Name)
+	return storage.Open(s.DataFolder, s.Fleet, s.Self().Name)
 }
 
 func (n *Node) start(injector do.Injector, stored *consensus.Stored, token string) error {
@@ -101,10 +102,6 @@
 	if err != nil {
 		return err
 	}
-	operatorListener, err := peer.Listen(self.Operator)
-	if err != nil {
-		return err
-	}
 	if err := n.startMetrics(); err != nil {
 		return err
 	}
@@ -128,12 +125,38 @@
 	wirepb.RegisterConsensusServer(n.grpc, &consensusServer{fleet: n.settings.Fleet, events: n.events, inbound: c.inbound})
 	wirepb.RegisterSessionsServer(n.grpc, &sessionServer{fleet: n.settings.Fleet, events: n.events, arrivals: o.arrivals})
 	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, peerListener) })
-	n.app = operator.NewServer(token, o.operators).App()
-	n.group.Go("operator-server", func(context.Context) error { return n.app.Listener(operatorListener) })
+	if err := n.startOperators(injector, token, o.operators); err != nil {
+		return err
+	}
 	n.events.Record(event.ProcessStarted, event.F("role", "control"), event.F("name", n.settings.Name), event.F("disk", n.disk.Identity().Disk))
 	return nil
 }
 
+// startOperators serves operators at the addresses that the settings give.
+func (n *Node) startOperators(injector do.Injector, token string, requests *ring.Ring[operator.Request]) error {
+	n.app = operator.NewServer(token, requests).App()
+	if address := n.settings.Self().Operator; address != "" {
+		listener, err := peer.Listen(address)
+		if err != nil {
+			return err
+		}
+		n.group.Go("operator-server", func(context.Context) error { return n.app.Listener(listener) })
+	}
+	if n.settings.FrontEnd.Name == "" {
+		return nil
+	}
+	frontEnd, err := do.InvokeNamed[FrontEnd](injector, n.settings.FrontEnd.Name)
+	if err != nil {
+		return eris.Errorf("frontEnd.name = %s: unknown front end", n.settings.FrontEnd.Name)
+	}
+	listener, err := peer.Listen(n.settings.FrontEnd.Operator)
+	if err != nil {
+		return err
+	}
+	n.group.Go("front-end", func(ctx context.Context) error { return frontEnd.ServeOperators(ctx, listener, requests, n.events) })
+	return nil
+}
+
 // startMetrics serves the metrics if the settings give an address.
 func (n *Node) startMetrics() error {
 	n.metrics = metrics.NewServer(n.registry)
@@ -148,18 +171,15 @@
 	return nil
 }
 
+// startPeers starts the duties that send to other control processes.
 func (n *Node) startPeers() *outbound {
-	out := &outbound{rings: map[string]*ring.Ring[consensus.Message]{}}
-	for _, p := range n.settings.Peers {
-		if p.Name == n.settings.Name {
-			continue
-		}
-		messages := ring.New[consensus.Message]("peer-"+p.Name, peerCapacity, ring.DropOldest)
-		out.rings[p.Name] = messages
-		n.registry.Rings(messages)
-		d := &peerDuty{fleet: n.settings.Fleet, events: n.events, address: p.Peer, out: messages}
-		n.group.Go("peer-"+p.Name, d.Run)
+	out := &outbound{messages: ring.New[consensus.Message]("consensus-out", outboundCapacity, ring.DropOldest)}
+	n.registry.Rings(out.messages)
+	d := &dispatchDuty{
+		fleet: n.settings.Fleet, self: n.settings.Self().Name, events: n.events, group: n.group, registry: n.registry,
+		messages: out.messages, address: n.settings.PeerAddress, peers: map[string]*dispatchedPeer{},
 	}
+	n.group.Go("dispatch", d.Run)
 	return out
 }
 
@@ -169,9 +189,7 @@
 		ID: n.disk.NodeID(), HeartbeatInterval: timing.Heartbeat.Value(), ElectionTimeout: timing.Election.Value(),
 		DriftMargin: timing.Drift.Value(), MaxBatch: maxBatch, Seed: seedOf(n.disk.Identity().Disk),
 	}
-	for _, p := range n.settings.Peers {
-		config.Peers = append(config.Peers, p.Name)
-	}
+	n.addPeers(&config)
 	return &consensusDuty{
 		core: consensus.New(config, stored, timeSource.Now()), clock: timeSource, outbound: out, writes: writes, persisted: done,
 		events:    n.events,
@@ -187,7 +205,10 @@
 func (n *Node) controllerDuty(timeSource clock.Clock, c *consensusDuty, stored *consensus.Stored) (*controllerDuty, error) {
 	timing := n.settings.Timing
 	leases := lease.Timing{Ownership: timing.Ownership.Value(), View: timing.View.Value(), Margin: timing.Drift.Value()}
-	core := controller.New(leases, placement.Limits{MaxRebalancing: n.settings.MaxRebalancing}, n.peerAddress)
+	core := controller.New(leases, placement.Limits{MaxRebalancing: n.settings.MaxRebalancing}, n.settings.PeerAddress)
+	if n.settings.Discovery.InUse() {
+		core.RequireVoters(2 * n.settings.Discovery.Tolerance)
+	}
 	d := &controllerDuty{
 		core: core, clock: timeSource, events: n.events, updates: c.updates, proposals: c.proposals, compact: c.compact, released: c.released,
 		every:     uint64(n.settings.SnapshotEntries),
@@ -207,13 +228,16 @@
 	return d, nil
 }
 
-func (n *Node) peerAddress(name string) string {
+// addPeers tells the consensus core of the other control processes.
+func (n *Node) addPeers(config *consensus.Config) {
+	if discovery := n.settings.Discovery; discovery.InUse() {
+		config.Peers, config.Open, config.JoinsOnly = discovery.Contacts(), true, !discovery.FirstStart
+		config.Voters, config.Copies = discovery.Voters(), discovery.Tolerance+1
+		return
+	}
 	for _, p := range n.settings.Peers {
-		if p.Name == name {
-			return p.Peer
-		}
+		config.Peers = append(config.Peers, p.Name)
 	}
-	return ""
 }
 
 // Stop hands leadership over and stops the process.
--- a/internal/operator/reply.go
+++ b/internal/operator/reply.go
@@ -9,6 +9,10 @@
 // Reply answers a request.
 type Reply struct {
 	Redirect bool
+	// Leader is the peer address of the control process that leads, if it is known.
+	Leader string
+	// Unready is set if control cannot keep a command safe yet; nothing was done.
+	Unready bool
 	// Unknown is set if the command may be accepted or not.
 	Unknown     bool
 	Result      control.Result
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -128,6 +128,9 @@
 		if reply.Redirect {
 			return Reply{}, fiber.NewError(fiber.StatusMisdirectedRequest, "this control process does not lead")
 		}
+		if reply.Unready {
+			return Reply{}, fiber.NewError(fiber.StatusServiceUnavailable, "control has too few voters; nothing was done")
+		}
 		if reply.Unknown {
 			return Reply{}, errUnknownOutcome
 		}
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -128,7 +128,7 @@
 		sinks: map[uint64]answerSink{localLink: &localSink{self: self.ID, answers: answers}},
 	}
 	n.session = &sessionDuty{
-		fleet: s.Fleet, finder: session.NewFinder(s.Control), core: session.New(self, s.Renewal.Value(), rand.Text()),
+		fleet: s.Fleet, finder: newFinder(s), core: session.New(self, s.Renewal.Value(), rand.Text()),
 		clock: n.clock, events: n.events, releases: n.door.releases, registered: n.door.registered,
 		closing: ring.New[struct{}]("session-closing", 1, ring.Refuse),
 		closed:  ring.New[struct{}]("session-closed", 1, ring.DropOldest),
@@ -141,6 +141,13 @@
 	wirepb.RegisterDoorsServer(n.grpc, &doorServer{fleet: s.Fleet, events: n.events, clock: n.clock, door: submissions})
 }
 
+func newFinder(s *settings.Router) *session.Finder {
+	if s.ControlPort == 0 {
+		return session.NewFinder(s.Control)
+	}
+	return session.NewOpenFinder(s.ControlAddresses())
+}
+
 func attemptSettings(s *settings.Router, self fleet.Router) attempt.Settings {
 	policy, _ := routing.ParsePolicy(s.RoutingPolicy)
 	return attempt.Settings{
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -206,6 +206,7 @@
 		d.spread(ctx, d.core.Rejected(d.clock.Now(), down, rand.Text()))
 		return true
 	}
+	d.finder.Members(down.Members)
 	update, resync := d.core.Receive(d.clock.Now(), down)
 	if update.Change != nil {
 		d.events.Record(event.ViewApplied, event.F("version", uint64(update.Change.To)), event.F("full", update.Change.Full))
--- a/internal/session/down.go
+++ b/internal/session/down.go
@@ -23,6 +23,9 @@
 	// address of the one that does, if known.
 	Redirect bool
 	Leader   string
+	// Members are the peer addresses of the control processes, if they may change
+	// and the router may not know them.
+	Members []string
 	// Rejected means that the session is not current: open a new one.
 	Rejected bool
 	// Closed means that the session was ended, because the router asked for it or
--- a/internal/session/finder.go
+++ b/internal/session/finder.go
@@ -14,10 +14,14 @@
 // Finder chooses the control process to connect to. It is a pure state machine.
 type Finder struct {
 	addresses []string
-	current   int
-	hint      string
-	avoided   string
-	until     clock.Instant
+	// open is set if control processes may have other addresses than those given
+	// first, which are the first seeds of addresses.
+	open    bool
+	seeds   int
+	current int
+	hint    string
+	avoided string
+	until   clock.Instant
 }
 
 // NewFinder returns a finder that starts with the first of the addresses, of
@@ -26,6 +30,31 @@
 	return &Finder{addresses: addresses, current: len(addresses) - 1}
 }
 
+// NewOpenFinder returns a finder that also goes to addresses that it learns
+// from control itself, and comes back to those given.
+func NewOpenFinder(addresses []string) *Finder {
+	return &Finder{addresses: slices.Clone(addresses), current: len(addresses) - 1, open: true, seeds: len(addresses)}
+}
+
+// Members takes the addresses of the present control processes.
+func (f *Finder) Members(addresses []string) {
+	if !f.open || len(addresses) == 0 {
+		return
+	}
+	present := f.addresses[f.current]
+	f.addresses = f.addresses[:f.seeds]
+	for _, address := range append(slices.Clone(addresses), present) {
+		f.learn(address)
+	}
+	f.current = slices.Index(f.addresses, present)
+}
+
+func (f *Finder) learn(address string) {
+	if !slices.Contains(f.addresses, address) {
+		f.addresses = append(f.addresses, address)
+	}
+}
+
 // Len returns the number of addresses.
 func (f *Finder) Len() int { return len(f.addresses) }
 
@@ -47,6 +76,9 @@
 // settings, or that just fell silent, is not.
 func (f *Finder) Redirected(now clock.Instant, leader string) bool {
 	f.hint = ""
+	if f.open && leader != "" {
+		f.learn(leader)
+	}
 	if slices.Contains(f.addresses, leader) && !f.avoids(now, leader) {
 		f.hint = leader
 	}
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -1,6 +1,10 @@
 package settings
 
-import "github.com/samber/lo"
+import (
+	"strconv"
+
+	"github.com/samber/lo"
+)
 
 // announceRenewals is the number of renewals that an upstream's silence lasts
 // at least before it is lost, so that a lost upstream can be reported in time.
@@ -8,19 +12,23 @@
 
 // Router holds the settings of a router.
 type Router struct {
-	Fleet      string   `json:"fleet" required:"true" kind:"name" doc:"Name of the fleet. Processes of other fleets are refused."`
-	Name       string   `json:"name" required:"true" kind:"name" doc:"Name of this router; unique in the fleet."`
-	DataCentre string   `json:"dataCentre" required:"true" kind:"name" doc:"Data centre of this VM."`
-	Caller     string   `json:"caller" required:"true" kind:"address" doc:"Address for callers."`
-	Announce   string   `json:"announce" required:"true" kind:"address" doc:"Address where the upstream beside this router announces itself."`
-	Peer       string   `json:"peer" required:"true" kind:"address" doc:"Address for other routers."`
-	Advertise  string   `json:"advertise" kind:"address" doc:"Address by which other routers reach this one, if it differs from peer."`
-	Control    []string `json:"control" min:"1" required:"true" kind:"address" doc:"Peer addresses of the control processes."`
-	Metrics    string   `json:"metrics" kind:"address" doc:"Address where metrics are served at /metrics; none if not given."`
-	MaxBody    int      `json:"maxBody" default:"1048576" min:"1024" max:"67108864" doc:"Largest request or answer body, in bytes."`
-	Entries    int      `json:"maxRequests" default:"4096" min:"16" max:"65536" doc:"Largest number of callers' requests under way."`
-	Renewal    Duration `json:"renewal" default:"300ms" min:"20ms" max:"10s" doc:"Time between renewals; the same as timing.renewal at control."`
-	Grace      Duration `json:"grace" default:"20s" min:"100ms" max:"10m" doc:"Longest time to finish work after a request to stop."`
+	Fleet       string   `json:"fleet" required:"true" kind:"name" doc:"Name of the fleet. Processes of other fleets are refused."`
+	Name        string   `json:"name" required:"true" kind:"name" doc:"Name of this router; unique in the fleet."`
+	DataCentre  string   `json:"dataCentre" required:"true" kind:"name" doc:"Data centre of this VM."`
+	Caller      string   `json:"caller" kind:"address" doc:"Address for callers; required without a front end."`
+	Announce    string   `json:"announce" kind:"address" doc:"Address where the upstream beside this router announces itself; required without a front end."`
+	FrontEnd    FrontEnd `json:"frontEnd" doc:"Another interface for callers and for the upstream."`
+	Service     string   `json:"service" doc:"Service of the upstream beside this router, as calls that it makes are marked."`
+	Upstream    string   `json:"upstream" kind:"address" doc:"Address of the upstream beside this router, if it may announce no other."`
+	Peer        string   `json:"peer" required:"true" kind:"address" doc:"Address for other routers."`
+	Advertise   string   `json:"advertise" kind:"address" doc:"Address by which other routers reach this one, if it differs from peer."`
+	Control     []string `json:"control" min:"1" required:"true" kind:"address" doc:"Peer addresses of the control processes."`
+	ControlPort int      `json:"controlPort" min:"0" max:"65535" doc:"Port of every control process if their number may change: of the addresses in control only the IP numbers count then, and the router follows the leader to any address. 0 if control lists them all."`
+	Metrics     string   `json:"metrics" kind:"address" doc:"Address where metrics are served at /metrics; none if not given."`
+	MaxBody     int      `json:"maxBody" default:"1048576" min:"1024" max:"67108864" doc:"Largest request or answer body, in bytes."`
+	Entries     int      `json:"maxRequests" default:"4096" min:"16" max:"65536" doc:"Largest number of callers' requests under way."`
+	Renewal     Duration `json:"renewal" default:"300ms" min:"20ms" max:"10s" doc:"Time between renewals; the same as timing.renewal at control."`
+	Grace       Duration `json:"grace" default:"20s" min:"100ms" max:"10m" doc:"Longest time to finish work after a request to stop."`
 	// RoutingPolicy names a baseline for measurements, or is empty.
 	RoutingPolicy string   `json:"routingPolicy" doc:"Baseline for measurements: round-robin or two-choices, both without hedging; empty for the usual policy."`
 	Announced     Duration `json:"announceTimeout" default:"3s" min:"100ms" max:"1m" doc:"An upstream that has not announced itself for this long is lost."`
@@ -28,16 +36,17 @@
 
 // Check reports problems across fields.
 func (r *Router) Check() Problems {
-	problems := distinct("caller", r.Caller, "announce", r.Announce, "peer", r.Peer, "metrics", r.Metrics)
+	problems := distinct("caller", r.Caller, "announce", r.Announce, "peer", r.Peer, "metrics", r.Metrics,
+		"frontEnd.caller", r.FrontEnd.Caller, "frontEnd.announce", r.FrontEnd.Announce, "frontEnd.ready", r.FrontEnd.Ready)
+	if r.FrontEnd.Name == "" {
+		problems = append(problems, r.missing()...)
+	}
 	for _, duplicate := range lo.FindDuplicates(r.Control) {
 		problems = append(problems, Problem{Field: "control", Value: duplicate, Message: "is given twice"})
 	}
 	if lo.Contains(r.Control, r.Peer) {
 		problems = append(problems, Problem{Field: "peer", Value: r.Peer, Message: "is also the address of a control process"})
 	}
-	if !lo.Contains([]string{"", "round-robin", "two-choices"}, r.RoutingPolicy) {
-		problems = append(problems, Problem{Field: "routingPolicy", Value: r.RoutingPolicy, Message: "is neither round-robin nor two-choices"})
-	}
 	if r.Announced < announceRenewals*r.Renewal {
 		problems = append(problems, Problem{Field: "announceTimeout", Value: r.Announced.Value(), Message: "must be at least twice renewal"})
 	}
@@ -47,6 +56,27 @@
 	return problems
 }
 
+// missing reports the addresses without which the project's own interface
+// cannot be served.
+func (r *Router) missing() Problems {
+	var problems Problems
+	if r.Caller == "" {
+		problems = append(problems, Problem{Field: "caller", Message: "missing"})
+	}
+	if r.Announce == "" {
+		problems = append(problems, Problem{Field: "announce", Message: "missing"})
+	}
+	return problems
+}
+
+// ControlAddresses returns where control processes are looked for.
+func (r *Router) ControlAddresses() []string {
+	if r.ControlPort == 0 {
+		return r.Control
+	}
+	return withPort(r.Control, strconv.Itoa(r.ControlPort))
+}
+
 // Reached returns the address by which other routers reach this one.
 func (r *Router) Reached() string {
 	if r.Advertise != "" {
--- a/internal/settings/walker.go
+++ b/internal/settings/walker.go
@@ -80,8 +80,11 @@
 		w.value(path, defaultValue(value, target), target, tag)
 		return
 	}
-	if target.Kind() == reflect.Struct {
+	switch target.Kind() {
+	case reflect.Struct:
 		w.value(path, map[string]any{}, target, tag)
+	case reflect.Slice:
+		target.Set(reflect.MakeSlice(target.Type(), 0, 0))
 	}
 }
 
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -47,6 +47,7 @@
 	return &wirepb.SessionDown{
 		Session: uint64(d.Session), Sequence: d.Sequence, Lease: d.Lease, OwnershipNs: int64(d.Ownership), ViewNs: int64(d.View),
 		Change: change, Redirect: d.Redirect, Leader: d.Leader, Rejected: d.Rejected, Closed: d.Closed, Version: uint64(d.Version),
+		Members: d.Members,
 	}
 }
 
@@ -58,6 +59,7 @@
 		Session: fleet.Session(d.GetSession()), Sequence: d.GetSequence(), Lease: d.GetLease(),
 		Ownership: time.Duration(d.GetOwnershipNs()), View: time.Duration(d.GetViewNs()),
 		Change: change, Redirect: d.GetRedirect(), Leader: d.GetLeader(), Rejected: d.GetRejected(), Closed: d.GetClosed(), Version: fleet.Version(d.GetVersion()),
+		Members: d.GetMembers(),
 	}, err
 }
 
