--- a/internal/controller/committing.go
+++ b/internal/controller/committing.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"slices"
 
 	"endivespring/internal/clock"
@@ -12,6 +13,7 @@
 
 // Committed applies a command that was appended to the log under a term.
 func (c *Core) Committed(now clock.Instant, term uint64, command *control.Command) {
+	before := maps.Clone(c.state.View.KeySpaces)
 	result, change := c.state.Apply(term, command)
 	if change != nil {
 		c.remember(change)
@@ -31,11 +33,14 @@
 	case command.Assign != nil:
 		c.assigning = 0
 		c.decideAssign(change)
+	case command.AssignRanges != nil:
+		c.assigning = 0
 	case command.ReleaseShards != nil:
 		c.decideShards(event.ShardsReleased, change, fleet.ShardFree)
 	case command.OperatorChange != nil:
 		c.operated(command.OperatorChange, result)
 	}
+	c.decideRanges(change, before)
 	c.spread(now)
 }
 
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -58,6 +58,8 @@
 	assigning clock.Instant
 	dirty     bool
 	joins     settling
+	// loads holds what is known of the load of keys, by service.
+	loads map[string]*placement.KeyLoads
 	// replanAt is when a plan is due although nothing changed.
 	replanAt clock.Instant
 	tickAt   clock.Instant
@@ -72,7 +74,7 @@
 func New(timing lease.Timing, limits placement.Limits, leader func(name string) string) *Core {
 	return &Core{
 		timing: timing, limits: limits, leader: leader, state: control.NewState(), table: lease.NewTable(timing),
-		streams: map[StreamID]*stream{}, merged: map[fleet.Version]*fleet.Change{}, seen: map[fleet.Session]sighting{}, closing: map[fleet.Session]clock.Instant{},
+		streams: map[StreamID]*stream{}, merged: map[fleet.Version]*fleet.Change{}, seen: map[fleet.Session]sighting{}, loads: map[string]*placement.KeyLoads{}, closing: map[fleet.Session]clock.Instant{},
 	}
 }
 
@@ -158,25 +160,6 @@
 	c.forget(now)
 }
 
-func (c *Core) plan(now clock.Instant) {
-	waiting := c.assigning != 0 && now.Sub(c.assigning) < proposeAgain
-	if waiting || !c.dirty && now < c.replanAt {
-		return
-	}
-	limits := c.limits
-	limits.Starting, limits.Settling = c.joins.starting(now), c.joins.settling(now)
-	assign := placement.Plan(c.state.View, limits)
-	// A plan is made again until nothing is left to do: the proposal may get
-	// lost, and the log may hold changes that void parts of it.
-	c.dirty = !assign.Empty()
-	c.replanAt = c.joins.next(now)
-	if !c.dirty {
-		return
-	}
-	c.assigning = now
-	c.propose(control.Command{Assign: assign})
-}
-
 func (c *Core) propose(command control.Command) {
 	c.output.Proposals = append(c.output.Proposals, command)
 }
--- /dev/null
+++ b/internal/controller/planning.go
@@ -0,0 +1,114 @@
+package controller
+
+import (
+	"time"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/control"
+	"endivespring/internal/event"
+	"endivespring/internal/fleet"
+	"endivespring/internal/placement"
+	"endivespring/internal/session"
+)
+
+// balanceInterval is the time between looks whether the load of keys should be
+// divided anew, although nothing else changed.
+const balanceInterval = time.Second
+
+// plan proposes what leads to the ownership that the view asks for.
+func (c *Core) plan(now clock.Instant) {
+	waiting := c.assigning != 0 && now.Sub(c.assigning) < proposeAgain
+	if waiting || !c.dirty && now < c.replanAt {
+		return
+	}
+	limits := c.limits
+	limits.Starting, limits.Settling = c.joins.starting(now), c.joins.settling(now)
+	commands := c.commands(limits)
+	// A plan is made again until nothing is left to do: the proposal may get
+	// lost, and the log may hold changes that void parts of it.
+	c.dirty = len(commands) > 0
+	c.replanAt = c.joins.next(now)
+	if len(c.loads) > 0 {
+		c.replanAt = min(c.replanAt, now.Add(balanceInterval))
+	}
+	if c.dirty {
+		c.assigning = now
+	}
+	for _, command := range commands {
+		c.propose(command)
+	}
+}
+
+// commands returns what changes ownership now.
+func (c *Core) commands(limits placement.Limits) []control.Command {
+	var commands []control.Command
+	if assign := placement.Plan(c.state.View, limits); !assign.Empty() {
+		commands = append(commands, control.Command{Assign: assign})
+	}
+	if c.state.View.Preset == nil {
+		return commands
+	}
+	for i := range c.state.View.Preset.Services {
+		service := &c.state.View.Preset.Services[i]
+		if !service.Ranged {
+			continue
+		}
+		if assign := placement.PlanRanges(c.state.View, service.Name, c.loads[service.Name], limits); assign != nil {
+			commands = append(commands, control.Command{AssignRanges: assign})
+		}
+	}
+	return commands
+}
+
+// takeRanges takes what a router says of the keys of its upstream.
+func (c *Core) takeRanges(up *session.Up, router fleet.Router) {
+	for _, report := range up.RangeReports {
+		c.propose(control.Command{ReleaseRanges: &control.ReleaseRanges{
+			Service: report.Service, Router: router.ID, Boot: report.Boot, Releases: report.Releases,
+		}})
+	}
+	service := router.Upstream.Service
+	if len(up.KeyLoads) == 0 || service == "" {
+		return
+	}
+	loads := c.loads[service]
+	if loads == nil {
+		loads = placement.NewKeyLoads()
+		c.loads[service] = loads
+	}
+	for _, load := range up.KeyLoads {
+		loads.Set(load.First, load.Last, load.Rate)
+	}
+}
+
+// decideRanges logs the ranges of a key space that changed, a line for each.
+func (c *Core) decideRanges(change *fleet.Change, before map[string]*fleet.KeySpace) {
+	if change == nil || !c.lead.Leads {
+		return
+	}
+	for i := range change.KeySpaces {
+		space := &change.KeySpaces[i]
+		for j := range space.Ranges {
+			r := &space.Ranges[j]
+			old := before[space.Service]
+			if old != nil {
+				if known := old.Find(r.First); known.Phase == r.Phase && known.Epoch == r.Epoch && known.First <= r.First && known.Last >= r.Last {
+					continue
+				}
+			}
+			c.decide(rangeEvent(r.Phase), event.F("service", space.Service), event.F("first", r.First), event.F("last", r.Last),
+				event.F("owner", string(r.Owner)), event.F("boot", r.Boot), event.F("epoch", uint64(r.Epoch)), event.F("handover", r.Handover != ""))
+		}
+	}
+}
+
+func rangeEvent(phase fleet.ShardPhase) *event.Definition {
+	switch phase {
+	case fleet.ShardGranted:
+		return event.RangeGranted
+	case fleet.ShardRevoking:
+		return event.RangeRevoked
+	default:
+		return event.RangeFreed
+	}
+}
--- a/internal/controller/renewing.go
+++ b/internal/controller/renewing.go
@@ -105,6 +105,7 @@
 	if up.Registers && c.state.View.Routers[router.ID] != router {
 		c.propose(control.Command{UpdateRouter: &control.UpdateRouter{Router: router}})
 	}
+	c.takeRanges(up, c.state.View.Routers[router.ID])
 	if len(up.Releases) > 0 {
 		c.propose(control.Command{ReleaseShards: &control.ReleaseShards{Session: id, Releases: up.Releases}})
 	}
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -18,6 +18,9 @@
 	owners := ownersByService(view)
 	for i := range view.Preset.Services {
 		service := &view.Preset.Services[i]
+		if service.Ranged {
+			continue
+		}
 		planService(view, service, owners[service.Name], limits, plan)
 	}
 	return plan
