Route requests by host and path, and to the upstream that holds their key

Cause: callers on the users' platform send plain HTTP requests; upstreams hold ranges of keys on leases that come with the answers to their heartbeats. Change: a table of routes with weighted targets; the attempt core keeps to a route's timeout, attempts and patience; the door lends ranges within its lease, reports what was given up, counts the load of keys and paces a cold upstream.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -42,6 +42,7 @@
 	// cold turn came.
 	raisedAt clock.Instant
 	cutAt    clock.Instant
+	pace     pace
 }
 
 // NewLimiter returns a limiter that admits nothing until Announce.
@@ -87,6 +88,29 @@
 // Latency returns the moving average of run times, zero before the first.
 func (l *Limiter) Latency() time.Duration { return l.latency }
 
+// ColdRate sets the number of requests a second that a cold upstream bears;
+// zero means that only the limit holds.
+func (l *Limiter) ColdRate(rate float64) { l.pace.rate = rate }
+
+// ColdFor takes how long the upstream says that it stays cold.
+func (l *Limiter) ColdFor(now clock.Instant, cold time.Duration) { l.pace.coldFor(now, cold) }
+
+// Cold reports whether the upstream is cold.
+func (l *Limiter) Cold(now clock.Instant) bool { return l.pace.cold(now) }
+
+// InPace reports whether a request may be given to the upstream now as far as
+// its coldness counts, and counts it.
+func (l *Limiter) InPace(now clock.Instant) bool { return l.pace.take(now) }
+
+// PaceDelay returns how long a cold upstream's pace keeps a request waiting
+// behind a number of others.
+func (l *Limiter) PaceDelay(now clock.Instant, ahead int) time.Duration {
+	return l.pace.delay(now, ahead)
+}
+
+// NextStart returns when a cold upstream may be given its next request.
+func (l *Limiter) NextStart(now clock.Instant) clock.Instant { return l.pace.next(now) }
+
 // Start takes a place and reports whether there was one.
 func (l *Limiter) Start() bool {
 	if l.running >= l.limit {
--- /dev/null
+++ b/internal/admission/pace.go
@@ -0,0 +1,73 @@
+package admission
+
+import (
+	"time"
+
+	"endivespring/internal/clock"
+)
+
+const (
+	// paceBurst is the number of requests that may follow each other at once.
+	// Together with the rate it stays within what a cold upstream is said to
+	// bear in any second.
+	paceBurst = 2.0
+	// tokenSlack makes up for rounding when a token is due.
+	tokenSlack = 1e-6
+)
+
+// pace spaces the requests to a cold upstream, as a token bucket.
+type pace struct {
+	rate   float64 // requests a second; zero is no limit
+	until  clock.Instant
+	tokens float64
+	at     clock.Instant
+}
+
+func (p *pace) cold(now clock.Instant) bool { return p.rate > 0 && now < p.until }
+
+func (p *pace) coldFor(now clock.Instant, cold time.Duration) {
+	if cold <= 0 {
+		p.until = min(p.until, now)
+		return
+	}
+	if !p.cold(now) {
+		p.tokens, p.at = 0, now
+	}
+	p.until = now.Add(cold)
+}
+
+func (p *pace) fill(now clock.Instant) {
+	p.tokens = min(paceBurst, p.tokens+p.rate*now.Sub(p.at).Seconds())
+	p.at = now
+}
+
+// take takes a token and reports whether there was one, or none is needed.
+func (p *pace) take(now clock.Instant) bool {
+	if !p.cold(now) {
+		return true
+	}
+	p.fill(now)
+	if p.tokens < 1-tokenSlack {
+		return false
+	}
+	p.tokens--
+	return true
+}
+
+// delay returns how long a request waits for its token behind others.
+func (p *pace) delay(now clock.Instant, ahead int) time.Duration {
+	if !p.cold(now) {
+		return 0
+	}
+	wait := time.Duration(float64(ahead+1) / p.rate * float64(time.Second))
+	return min(wait, p.until.Sub(now))
+}
+
+// next returns when the next token is there.
+func (p *pace) next(now clock.Instant) clock.Instant {
+	if !p.cold(now) {
+		return now
+	}
+	p.fill(now)
+	return now.Add(time.Duration(max(0, 1-p.tokens) / p.rate * float64(time.Second)))
+}
--- a/internal/attempt/core.go
+++ b/internal/attempt/core.go
@@ -4,10 +4,13 @@
 package attempt
 
 import (
+	"math/rand/v2"
+
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/event"
 	"endivespring/internal/fleet"
+	"endivespring/internal/routes"
 	"endivespring/internal/routing"
 )
 
@@ -16,6 +19,7 @@
 	settings  Settings
 	table     *routing.Table
 	view      *fleet.View
+	routes    *routes.Table
 	viewUntil clock.Instant
 	number    uint64
 	tasks     map[uint64]*task
@@ -24,6 +28,7 @@
 	// parked are the requests without a call under way, in no order.
 	parked   []*task
 	services map[string]*serviceState
+	random   *rand.Rand
 	output   Output
 }
 
@@ -31,6 +36,7 @@
 func New(s Settings) *Core {
 	return &Core{
 		settings: s, table: routing.NewTable(s.Routing), view: fleet.NewView(),
+		routes: routes.NewTable(nil, nil), random: rand.New(rand.NewPCG(s.Routing.Seed, s.Routing.Seed+1)),
 		tasks: map[uint64]*task{}, flights: map[uint64]flight{}, services: map[string]*serviceState{},
 	}
 }
@@ -54,6 +60,9 @@
 	if !c.view.Apply(change) {
 		return false
 	}
+	if change.Preset != nil || change.Full {
+		c.routes = routes.NewTable(c.view.Preset, c.routes)
+	}
 	c.table.Update(c.view, change)
 	c.wakeParked(now, change)
 	return true
@@ -74,7 +83,7 @@
 func (c *Core) Tick(now clock.Instant) {
 	for len(c.timers) > 0 && c.timers[0].timer <= now {
 		t := c.timers[0]
-		if t.deadline <= now {
+		if t.deadline <= now || len(t.calls) == 0 && t.patience <= now {
 			c.expire(now, t)
 			continue
 		}
--- a/internal/attempt/finishing.go
+++ b/internal/attempt/finishing.go
@@ -2,13 +2,19 @@
 
 import (
 	"container/heap"
+	"time"
 
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/event"
+	"endivespring/internal/fleet"
 	"endivespring/internal/verdict"
 )
 
+// leastRetryAfter is the shortest time after which a refused caller is asked to
+// come back; queues turn over within it.
+const leastRetryAfter = 100 * time.Millisecond
+
 // expire ends a request at its deadline. Calls without an answer may have run.
 func (c *Core) expire(now clock.Instant, t *task) {
 	answer := call.Answer{RequestID: t.request.ID, Verdict: verdict.NotRun, Reason: t.reason}
@@ -40,6 +46,9 @@
 	if answer.Verdict == verdict.NotRun && (t.mayHaveRun || unproved) {
 		answer.Verdict = verdict.MayHaveRun
 	}
+	if answer.Verdict == verdict.NotRun && t.route != nil {
+		answer.RetryAfter = c.retryAfter(t.route)
+	}
 	for _, number := range t.calls {
 		f := c.flights[number]
 		c.table.Outlived(f.outstanding, now)
@@ -55,6 +64,13 @@
 	c.decide(event.RequestFinished, &t.request, answer)
 }
 
+// retryAfter returns when a refused caller may come back: soon enough for its
+// objective, spread so that those refused together do not return together.
+func (c *Core) retryAfter(route *fleet.Route) time.Duration {
+	least := min(leastRetryAfter, route.Objective)
+	return least + time.Duration(c.random.Int64N(int64(max(1, route.Objective))))
+}
+
 // ownersRefusal reports whether a refusal comes from the door that keeps the
 // request's record, so that it speaks for earlier sends of the request too.
 func ownersRefusal(reason verdict.Reason) bool {
--- a/internal/attempt/parking.go
+++ b/internal/attempt/parking.go
@@ -20,12 +20,12 @@
 // ends them early.
 func (c *Core) wait(now clock.Instant, t *task) {
 	c.park(t)
-	if !t.sharded {
+	if !t.sharded && !t.ranged {
 		t.tried = t.tried[:0]
 	}
 	delay := min(maxRetryDelay, retryDelay<<min(t.waits, 4))
 	t.waits++
-	c.setTimer(t, min(now.Add(delay), t.deadline))
+	c.setTimer(t, min(now.Add(delay), t.deadline, t.patience))
 }
 
 func (c *Core) setTimer(t *task, at clock.Instant) {
@@ -61,8 +61,12 @@
 	for _, shard := range change.Shards {
 		changed[shard.ID] = true
 	}
+	spaces := make(map[string]bool, len(change.KeySpaces))
+	for i := range change.KeySpaces {
+		spaces[change.KeySpaces[i].Service] = true
+	}
 	for _, t := range slices.Clone(c.parked) {
-		if all || t.sharded && changed[t.shard] {
+		if all || t.sharded && changed[t.shard] || t.ranged && spaces[t.request.Service] {
 			c.try(now, t)
 		}
 	}
--- a/internal/attempt/settling.go
+++ b/internal/attempt/settling.go
@@ -94,6 +94,11 @@
 	t.drop(answer.Number)
 	t.mayHaveRun = t.mayHaveRun || answer.Verdict == verdict.MayHaveRun
 	t.reason = answer.Reason
+	if reachedUpstream(answer) {
+		t.reached++
+	} else if !redirects(answer.Reason) {
+		t.refusals++
+	}
 	switch {
 	case answer.Verdict == verdict.Ran:
 		c.finish(now, t, answer)
@@ -109,16 +114,41 @@
 	if !answer.Verdict.Retryable(t.idempotent) || now >= t.deadline || t.tries >= maxTries {
 		return false
 	}
+	if t.route != nil {
+		return c.mayRetryRouted(now, t, answer)
+	}
 	if answer.Verdict == verdict.NotRun && redirects(answer.Reason) {
 		return true
 	}
 	return t.service.retries.spend()
 }
 
+// mayRetryRouted also keeps to the number of upstreams that the route allows.
+// A door's refusal costs no upstream anything and needs no budget.
+func (c *Core) mayRetryRouted(now clock.Instant, t *task, answer *call.Answer) bool {
+	if !reachedUpstream(answer) {
+		return now < t.patience && (redirects(answer.Reason) || t.refusals < maxRefusals)
+	}
+	return t.reached < t.route.MaxUpstreams && t.service.retries.spend()
+}
+
+// reachedUpstream reports whether an upstream may have got the call.
+func reachedUpstream(answer *call.Answer) bool {
+	if answer.Verdict != verdict.NotRun {
+		return true
+	}
+	switch answer.Reason {
+	case verdict.ReasonShed, verdict.ReasonFenced:
+		return true
+	default:
+		return false
+	}
+}
+
 func (c *Core) retry(now clock.Instant, t *task, answer *call.Answer) {
 	c.output.Decisions = append(c.output.Decisions, call.Decide(event.RequestRetried,
 		event.F("request", t.request.ID), event.F("reason", string(answer.Reason)), event.F("verdict", answer.Verdict.String())))
-	if t.sharded {
+	if t.sharded || t.ranged {
 		c.wait(now, t)
 		return
 	}
--- a/internal/attempt/task.go
+++ b/internal/attempt/task.go
@@ -14,8 +14,18 @@
 	idempotent bool
 	sharded    bool
 	shard      fleet.ShardID
-	deadline   clock.Instant
-	service    *serviceState
+	// ranged requests go to the upstream that holds their key.
+	ranged   bool
+	deadline clock.Instant
+	// patience is when the request gives up to wait for a door.
+	patience clock.Instant
+	// route is nil for an operation that is called by its name.
+	route *fleet.Route
+	// reached counts the calls that an upstream may have got.
+	reached int
+	// refusals counts the doors that had no room.
+	refusals int
+	service  *serviceState
 	// hedgeQuantile is zero for requests that are never hedged.
 	hedgeQuantile float64
 	hedges        int
@@ -37,3 +47,12 @@
 		t.calls = slices.Delete(t.calls, i, i+1)
 	}
 }
+
+// priority returns the rank of the request; operations called by name have
+// the highest.
+func (t *task) priority() int {
+	if t.route == nil {
+		return 0
+	}
+	return t.route.Priority
+}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -19,6 +19,9 @@
 	// Sharded calls must run at the owner of Shard.
 	Sharded bool
 	Shard   uint32
+	// Ranged calls must run at the upstream that holds the key KeyNumber.
+	Ranged    bool
+	KeyNumber uint32
 	// Resend is set if the caller may have sent the request before.
 	Resend bool
 	// Hedge is set on a second try sent while the first is under way.
--- a/internal/door/admitting.go
+++ b/internal/door/admitting.go
@@ -11,7 +11,10 @@
 
 // Submit takes a call from an entry.
 func (c *Core) Submit(now clock.Instant, ticket Ticket, request call.Call) {
-	once := !request.Idempotent && !request.Recorded
+	once := !request.Idempotent && !request.Recorded && c.recordWindow(request.Service) > 0
+	if request.Ranged {
+		c.keys.count(request.KeyNumber)
+	}
 	if once && c.recorded(now, ticket, &request) {
 		return
 	}
@@ -44,6 +47,8 @@
 		return verdict.ReasonNoUpstream
 	case request.Sharded:
 		return c.shardRefusal(now, request)
+	case request.Ranged:
+		return c.rangeRefusal(now, request)
 	default:
 		return verdict.ReasonNone
 	}
@@ -62,6 +67,18 @@
 	}
 }
 
+// rangeRefusal returns why a call must not be given to the upstream for its key.
+func (c *Core) rangeRefusal(now clock.Instant, request *call.Call) verdict.Reason {
+	switch until := c.keyring.until(c.view, request.KeyNumber); {
+	case until == 0:
+		return verdict.ReasonNotOwner
+	case now >= until:
+		return verdict.ReasonLeaseExpired
+	default:
+		return verdict.ReasonNone
+	}
+}
+
 // unfit reports whether the upstream beside the door must get no new work of a
 // service.
 func (c *Core) unfit(service string) bool {
@@ -126,6 +143,9 @@
 }
 
 func (c *Core) recordWindow(service string) time.Duration {
+	if c.view.Preset == nil {
+		return 0
+	}
 	if s := c.view.Preset.Service(service); s != nil {
 		return s.RecordWindow
 	}
@@ -173,7 +193,8 @@
 // inTime estimates whether a call that joins the queue can finish in time.
 func (c *Core) inTime(now clock.Instant, request *call.Call) bool {
 	limit := max(1, c.limiter.Limit())
-	if c.limiter.Running() < limit && len(c.queue) == 0 {
+	paced := c.limiter.PaceDelay(now, len(c.queue))
+	if c.limiter.Running() < limit && len(c.queue) == 0 && paced == 0 {
 		return true
 	}
 	bound := 0
@@ -184,7 +205,7 @@
 		return false
 	}
 	rounds := time.Duration(len(c.queue)/limit + 1)
-	return now.Add(rounds*c.limiter.Latency()) < request.Deadline
+	return now.Add(rounds*c.limiter.Latency()+paced) < request.Deadline
 }
 
 func (c *Core) refuse(ticket Ticket, request *call.Call, v verdict.Verdict, reason verdict.Reason) {
--- a/internal/door/core.go
+++ b/internal/door/core.go
@@ -25,31 +25,42 @@
 	centre fleet.DataCentre
 	view   *fleet.View
 
-	ownUntil  clock.Instant
-	viewUntil clock.Instant
-	upstream  fleet.Upstream
+	ownUntil clock.Instant
+	// rangesUntil is the end of the lease of ranges of keys.
+	rangesUntil clock.Instant
+	viewUntil   clock.Instant
+	upstream    fleet.Upstream
 	// others is set if another door may run the same service's calls.
 	others   bool
 	leaving  bool
 	stopping bool
 
-	holdings  *holdings
-	limiter   *admission.Limiter
-	queue     jobHeap
-	timers    jobHeap
-	jobs      map[uint64]*job
-	delegated int
-	tickets   map[Ticket]*job
-	records   *recordBook
-	nextRun   uint64
-	output    Output
+	holdings *holdings
+	keyring  keyring
+	keys     *keyMeter
+	// lentLast and lentRenewed are what the upstream was answered last.
+	lentLast    []fleet.KeyRange
+	lentRenewed bool
+	limiter     *admission.Limiter
+	queue       jobHeap
+	timers      jobHeap
+	jobs        map[uint64]*job
+	delegated   int
+	tickets     map[Ticket]*job
+	records     *recordBook
+	nextRun     uint64
+	// paceAt is when the pace of a cold upstream allows its next call.
+	paceAt clock.Instant
+	output Output
 }
 
 // New returns a door without an upstream, a lease or a view.
 func New(self fleet.RouterID, centre fleet.DataCentre) *Core {
 	return &Core{
 		self: self, centre: centre, view: fleet.NewView(), holdings: newHoldings(),
+		keyring: keyring{self: self}, keys: newKeyMeter(),
 		limiter: admission.NewLimiter(), jobs: map[uint64]*job{}, tickets: map[Ticket]*job{}, records: newRecordBook(),
+		paceAt: clock.Never,
 	}
 }
 
@@ -75,6 +86,9 @@
 // Deadline returns when Tick must be called next.
 func (c *Core) Deadline() clock.Instant {
 	deadline := min(c.queue.first(), c.timers.first())
+	if len(c.queue) > 0 {
+		deadline = min(deadline, c.paceAt)
+	}
 	if (len(c.queue) > 0 || len(c.timers) > 0) && c.keyed() {
 		deadline = min(deadline, c.ownUntil)
 	}
@@ -93,12 +107,18 @@
 	c.ownUntil, c.viewUntil = ownUntil, viewUntil
 }
 
+// SetRangeLease sets the instant at which the lease of ranges of keys ends.
+func (c *Core) SetRangeLease(until clock.Instant) { c.rangesUntil = until }
+
 // SetView applies a change of the view and reports whether it fitted. The work
 // is proportional to the change.
 func (c *Core) SetView(now clock.Instant, change *fleet.Change) bool {
 	if !c.view.Apply(change) {
 		return false
 	}
+	if change.Preset != nil {
+		c.followPreset()
+	}
 	if change.Full || len(change.Routers)+len(change.Removed)+len(change.DataCentres)+len(change.Upstreams) > 0 {
 		c.lookForOthers()
 	}
@@ -120,6 +140,13 @@
 	return true
 }
 
+// followPreset takes what the preset says of the upstream's service.
+func (c *Core) followPreset() {
+	if s := c.view.Preset.Service(c.upstream.Service); s != nil {
+		c.limiter.ColdRate(s.Profile.ColdRate)
+	}
+}
+
 // lookForOthers notes whether there is another door for the upstream's service.
 func (c *Core) lookForOthers() {
 	c.others = false
@@ -165,6 +192,7 @@
 	c.upstream = u
 	c.leaving = false
 	c.lookForOthers()
+	c.followPreset()
 	if c.limiter.Announce(u) {
 		c.decideLimit("cold")
 	}
@@ -227,7 +255,10 @@
 	return s != nil && s.Keyed
 }
 
+func (c *Core) decide(definition *event.Definition, fields ...event.Field) {
+	c.output.Decisions = append(c.output.Decisions, call.Decide(definition, fields...))
+}
+
 func (c *Core) decideLimit(cause string) {
-	c.output.Decisions = append(c.output.Decisions, call.Decide(event.LimitChanged,
-		event.F("upstream", c.upstream.Name), event.F("limit", c.limiter.Limit()), event.F("cause", cause)))
+	c.decide(event.LimitChanged, event.F("upstream", c.upstream.Name), event.F("limit", c.limiter.Limit()), event.F("cause", cause))
 }
--- /dev/null
+++ b/internal/door/key_meter.go
@@ -0,0 +1,98 @@
+package door
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
+	"endivespring/internal/session"
+)
+
+const (
+	loadInterval  = time.Second // time between reports of the load of keys
+	loadSmoothing = 0.4         // weight of the latest interval in a key's rate
+	leastKeyRate  = 0.02        // requests a second below which a key is forgotten
+	hotKeys       = 16          // keys reported one by one
+	loadRows      = 48          // parts of ranges reported
+)
+
+// keyMeter counts the calls for each key that a door's upstream holds.
+type keyMeter struct {
+	counts  map[uint32]int
+	rates   map[uint32]float64
+	started clock.Instant
+}
+
+func newKeyMeter() *keyMeter { return &keyMeter{counts: map[uint32]int{}, rates: map[uint32]float64{}} }
+
+func (m *keyMeter) count(key uint32) { m.counts[key]++ }
+
+// report returns the load of the owned ranges once every interval, else nothing.
+func (m *keyMeter) report(now clock.Instant, owned []fleet.KeyRange) []session.KeyLoad {
+	elapsed := now.Sub(m.started)
+	if elapsed < loadInterval {
+		return nil
+	}
+	m.settle(elapsed)
+	m.started = now
+	return m.rows(owned)
+}
+
+func (m *keyMeter) settle(elapsed time.Duration) {
+	for key := range m.counts {
+		m.rates[key] += 0
+	}
+	for key, rate := range m.rates {
+		rate += loadSmoothing * (float64(m.counts[key])/elapsed.Seconds() - rate)
+		m.rates[key] = rate
+		if rate < leastKeyRate {
+			delete(m.rates, key)
+		}
+	}
+	clear(m.counts)
+}
+
+// rows returns the load of parts of the ranges, then that of the hottest keys,
+// which is not counted in the parts.
+func (m *keyMeter) rows(owned []fleet.KeyRange) []session.KeyLoad {
+	hot := m.hottest()
+	var rows []session.KeyLoad
+	parts := uint32(max(1, loadRows/max(1, len(owned))))
+	for _, r := range owned {
+		step := max(1, (uint32(r.Size())+parts-1)/parts)
+		for first := r.First; ; first += step {
+			last := min(r.Last, first+step-1)
+			rows = append(rows, session.KeyLoad{First: first, Last: last, Rate: m.between(first, last, hot)})
+			if last == r.Last {
+				break
+			}
+		}
+	}
+	for _, key := range hot {
+		if slices.ContainsFunc(owned, func(r fleet.KeyRange) bool { return r.First <= key && key <= r.Last }) {
+			rows = append(rows, session.KeyLoad{First: key, Last: key, Rate: m.rates[key]})
+		}
+	}
+	return rows
+}
+
+func (m *keyMeter) between(first, last uint32, except []uint32) float64 {
+	sum := 0.0
+	for key, rate := range m.rates {
+		if key >= first && key <= last && !slices.Contains(except, key) {
+			sum += rate
+		}
+	}
+	return sum
+}
+
+func (m *keyMeter) hottest() []uint32 {
+	keys := make([]uint32, 0, len(m.rates))
+	for key := range m.rates {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b uint32) int { return cmp.Or(cmp.Compare(m.rates[b], m.rates[a]), cmp.Compare(a, b)) })
+	return keys[:min(len(keys), hotKeys)]
+}
--- /dev/null
+++ b/internal/door/keyring.go
@@ -0,0 +1,156 @@
+package door
+
+import (
+	"slices"
+	"time"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/control"
+	"endivespring/internal/fleet"
+	"endivespring/internal/session"
+)
+
+const (
+	// maxHold is the longest time for which an upstream takes keys.
+	maxHold = 10 * time.Second
+	// clockDrift is how much slower than this VM's an upstream's clock may run.
+	clockDrift = 0.02
+	// longestHold is the time by this VM's clock in which every hold has ended.
+	longestHold = maxHold + maxHold*2/100
+	// leastHold is the shortest time worth lending keys for: one heartbeat more
+	// comes within it.
+	leastHold = 200 * time.Millisecond
+)
+
+// keyring knows which keys the upstream beside the door holds, of those that
+// control granted to this start of it. Invariant: no key is lent beyond the
+// ownership lease, and none is reported as given back while the upstream may
+// hold it.
+type keyring struct {
+	self    fleet.RouterID
+	service string
+	boot    string
+	// unknown is when everything has ended that an earlier process of this router
+	// lent to this start of the upstream.
+	unknown clock.Instant
+	lent    []lentRange
+}
+
+// follow makes the keyring follow a start of an upstream, which holds some
+// ranges already if an earlier process of this router lent them.
+func (k *keyring) follow(now clock.Instant, u fleet.Upstream, holds []HeldRange) {
+	if k.boot == u.Boot && k.service == u.Service {
+		return
+	}
+	k.service, k.boot, k.unknown, k.lent = u.Service, u.Boot, 0, nil
+	if len(holds) > 0 {
+		k.unknown = now.Add(longestHold)
+	}
+}
+
+// owned returns the ranges of a view in one phase that are this upstream's.
+func (k *keyring) owned(view *fleet.View, phase fleet.ShardPhase) []fleet.KeyRange {
+	space := view.KeySpaces[k.service]
+	if space == nil || k.boot == "" {
+		return nil
+	}
+	var owned []fleet.KeyRange
+	for i := range space.Ranges {
+		if r := &space.Ranges[i]; r.Phase == phase && r.HeldBy(k.self, k.boot) {
+			owned = append(owned, *r)
+		}
+	}
+	return owned
+}
+
+// lend returns what the upstream is to hold, while the ownership lease runs.
+func (k *keyring) lend(now clock.Instant, view *fleet.View, ownUntil clock.Instant) LeaseAnswer {
+	hold := time.Duration(float64(ownUntil.Sub(now)) / (1 + clockDrift))
+	hold = min(maxHold, hold.Truncate(time.Millisecond))
+	if hold < leastHold {
+		return LeaseAnswer{}
+	}
+	answer := LeaseAnswer{Renews: true, Ranges: k.owned(view, fleet.ShardGranted), Hold: hold}
+	until := now.Add(time.Duration(float64(hold) * (1 + clockDrift)))
+	kept := slices.DeleteFunc(k.lent, func(l lentRange) bool { return l.until <= now })
+	k.lent = nil
+	for _, r := range answer.Ranges {
+		k.lent = append(k.lent, lentRange{first: r.First, last: r.Last, epoch: r.Epoch, until: until})
+	}
+	// What is not renewed may be held until its last lease ends.
+	for _, l := range kept {
+		if !k.covered(&l, answer.Ranges) {
+			k.lent = append(k.lent, l)
+		}
+	}
+	return answer
+}
+
+func (k *keyring) covered(l *lentRange, ranges []fleet.KeyRange) bool {
+	return slices.ContainsFunc(ranges, func(r fleet.KeyRange) bool { return r.First <= l.first && r.Last >= l.last })
+}
+
+// until returns when the upstream's hold on a key ends, or zero if it holds it
+// not under the epoch that control granted last.
+func (k *keyring) until(view *fleet.View, key uint32) clock.Instant {
+	space := view.KeySpaces[k.service]
+	if space == nil {
+		return 0
+	}
+	r := space.Find(key)
+	if r.Phase != fleet.ShardGranted || !r.HeldBy(k.self, k.boot) {
+		return 0
+	}
+	for _, l := range k.lent {
+		if l.first <= key && l.last >= key && l.epoch == r.Epoch {
+			return l.until
+		}
+	}
+	return 0
+}
+
+// releases returns the ranges asked back that the upstream gave up, or that it
+// can no longer hold.
+func (k *keyring) releases(now clock.Instant, view *fleet.View, released []ReleasedRange, holds []HeldRange) session.RangeReport {
+	report := session.RangeReport{Service: k.service, Boot: k.boot}
+	for _, r := range k.owned(view, fleet.ShardRevoking) {
+		for _, given := range released {
+			first, last := max(r.First, given.First), min(r.Last, given.Last)
+			if first <= last && !overlaps(holds, first, last) {
+				report.Releases = append(report.Releases, control.RangeRelease{First: first, Last: last, Epoch: r.Epoch, Handover: given.Handover})
+			}
+		}
+		if now >= k.lentUntil(&r) {
+			report.Releases = append(report.Releases, control.RangeRelease{First: r.First, Last: r.Last, Epoch: r.Epoch})
+		}
+	}
+	return report
+}
+
+// lentUntil returns when nothing of a range can be held by the upstream any more.
+func (k *keyring) lentUntil(r *fleet.KeyRange) clock.Instant {
+	until := k.unknown
+	for _, l := range k.lent {
+		if l.first <= r.Last && l.last >= r.First {
+			until = max(until, l.until)
+		}
+	}
+	return until
+}
+
+func overlaps(holds []HeldRange, first, last uint32) bool {
+	return slices.ContainsFunc(holds, func(h HeldRange) bool { return h.First <= last && h.Last >= first })
+}
+
+// end returns the ranges of an upstream whose process has ended: it holds
+// nothing.
+func (k *keyring) end(view *fleet.View) session.RangeReport {
+	report := session.RangeReport{Service: k.service, Boot: k.boot}
+	for _, phase := range []fleet.ShardPhase{fleet.ShardGranted, fleet.ShardRevoking} {
+		for _, r := range k.owned(view, phase) {
+			report.Releases = append(report.Releases, control.RangeRelease{First: r.First, Last: r.Last, Epoch: r.Epoch})
+		}
+	}
+	k.lent = nil
+	return report
+}
--- /dev/null
+++ b/internal/door/lending.go
@@ -0,0 +1,60 @@
+package door
+
+import (
+	"slices"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/event"
+	"endivespring/internal/fleet"
+	"endivespring/internal/session"
+)
+
+// Heartbeat takes what an upstream that holds ranges of keys says of itself and
+// returns what it is to hold.
+func (c *Core) Heartbeat(now clock.Instant, h *Heartbeat) LeaseAnswer {
+	c.keyring.follow(now, h.Upstream, h.Holds)
+	c.limiter.ColdFor(now, h.ColdFor)
+	c.report(c.keyring.releases(now, c.view, h.Released, h.Holds))
+	answer := c.keyring.lend(now, c.view, c.rangesUntil)
+	c.output.KeyLoads = c.keys.report(now, answer.Ranges)
+	c.decideLent(&answer)
+	c.fill(now)
+	return answer
+}
+
+// LookAtRanges reports ranges asked back whose lease has run out.
+func (c *Core) LookAtRanges(now clock.Instant) {
+	c.report(c.keyring.releases(now, c.view, nil, nil))
+}
+
+// UpstreamEnded takes the end of the upstream's process: it holds nothing.
+func (c *Core) UpstreamEnded() { c.report(c.keyring.end(c.view)) }
+
+func (c *Core) report(r session.RangeReport) {
+	if len(r.Releases) > 0 {
+		c.output.RangeReports = append(c.output.RangeReports, r)
+	}
+}
+
+// decideLent logs the ranges that were lent, if they changed.
+func (c *Core) decideLent(answer *LeaseAnswer) {
+	if slices.Equal(answer.Ranges, c.lentLast) && answer.Renews == c.lentRenewed {
+		return
+	}
+	c.lentLast, c.lentRenewed = slices.Clone(answer.Ranges), answer.Renews
+	decision := event.KeysLent
+	if !answer.Renews {
+		decision = event.KeysNotRenewed
+	}
+	c.decide(decision, event.F("upstream", c.upstream.Name), event.F("boot", c.upstream.Boot), event.F("service", c.upstream.Service),
+		event.F("ranges", len(answer.Ranges)), event.F("keys", countKeys(answer.Ranges)), event.F("hold", answer.Hold),
+		event.F("view", uint64(c.view.Version)))
+}
+
+func countKeys(ranges []fleet.KeyRange) int {
+	keys := 0
+	for i := range ranges {
+		keys += ranges[i].Size()
+	}
+	return keys
+}
--- a/internal/door/output.go
+++ b/internal/door/output.go
@@ -3,6 +3,7 @@
 import (
 	"endivespring/internal/call"
 	"endivespring/internal/control"
+	"endivespring/internal/session"
 )
 
 // Output is what a step asks its caller to do.
@@ -13,6 +14,10 @@
 	Delegations []Delegation
 	Aborts      []Abort
 	// Releases are shards asked back whose work is finished.
-	Releases  []control.Release
+	Releases []control.Release
+	// RangeReports are ranges of keys that the upstream no longer holds.
+	RangeReports []session.RangeReport
+	// KeyLoads is the load of the keys that the upstream holds.
+	KeyLoads  []session.KeyLoad
 	Decisions []call.Decision
 }
--- a/internal/door/running.go
+++ b/internal/door/running.go
@@ -18,7 +18,7 @@
 			c.end(j, call.Refusal(&j.call, verdict.NotRun, reason))
 			continue
 		}
-		if !c.limiter.Start() {
+		if !c.startable(now) {
 			return
 		}
 		c.queue.remove(j)
@@ -26,6 +26,20 @@
 	}
 }
 
+// startable takes a place at the upstream. If only its pace is in the way,
+// fill is due again when that allows the next call.
+func (c *Core) startable(now clock.Instant) bool {
+	c.paceAt = clock.Never
+	if c.limiter.Running() >= c.limiter.Limit() {
+		return false
+	}
+	if !c.limiter.InPace(now) {
+		c.paceAt = c.limiter.NextStart(now)
+		return false
+	}
+	return c.limiter.Start()
+}
+
 // stale returns why a queued call must not run any more, or no reason.
 func (c *Core) stale(now clock.Instant, j *job) verdict.Reason {
 	switch {
@@ -41,6 +55,8 @@
 		return verdict.ReasonNotOwner
 	case j.call.Sharded && now >= c.ownUntil:
 		return verdict.ReasonLeaseExpired
+	case j.call.Ranged:
+		return c.rangeRefusal(now, &j.call)
 	default:
 		return verdict.ReasonNone
 	}
@@ -60,6 +76,9 @@
 			run.Deadline = run.Fence
 		}
 	}
+	if j.call.Ranged {
+		run.Fence = min(run.Fence, c.keyring.until(c.view, j.call.KeyNumber))
+	}
 	c.timers.add(j)
 	c.output.Runs = append(c.output.Runs, run)
 }
@@ -163,7 +182,7 @@
 	case j.phase == jobQueued:
 		c.end(j, call.Refusal(&j.call, verdict.NotRun, verdict.ReasonCancelled))
 		c.fill(now)
-	case j.phase == jobRunning && j.record == nil:
+	case j.phase == jobRunning && j.record == nil && j.call.Idempotent:
 		c.abort(j)
 	}
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -34,6 +34,8 @@
 	UpstreamAnnounced = define(610, "upstream-announced", Info, "An upstream announced itself to the router beside it.")
 	UpstreamLeft      = define(611, "upstream-left", Info, "An upstream announced that it leaves.")
 	UpstreamLost      = define(612, "upstream-lost", Warn, "An upstream stopped announcing itself.")
+	KeysLent          = define(613, "keys-lent", Info, "The door told its upstream which ranges of keys it holds; the list changed.")
+	KeysNotRenewed    = define(614, "keys-not-renewed", Warn, "The door could not renew what its upstream holds, since its own lease is about to end.")
 	LimitChanged      = define(620, "limit-changed", Info, "The door changed the upstream's admission limit.")
 	ConnectionRetired = define(700, "connection-retired", Warn, "A connection missed a deadline and is not used again.")
 	PeerConnected     = define(710, "peer-connected", Info, "A link to another router was opened.")
--- a/internal/event/guides.go
+++ b/internal/event/guides.go
@@ -29,7 +29,7 @@
 	ViewExpired: {action: "See that control has a leader (`status`) and that this VM reaches the control processes. The router takes work again by itself once it does."},
 	ViewRenewed: {},
 	RequestRouted: {fields: []string{
-		"request", "service", "operation", "router", "upstream", "try", "sharded", "shard", "hedge", "why", "among"}},
+		"request", "service", "operation", "router", "upstream", "try", "sharded", "shard", "key", "view", "left", "hedge", "why", "among"}},
 	RequestRetried:  {fields: []string{"request", "reason", "verdict"}},
 	RequestFinished: {fields: []string{"request", "service", "operation", "verdict", "reason", "upstream"}},
 	AnswerDropped: {fields: []string{"request", "router", "upstream"},
@@ -39,6 +39,9 @@
 	UpstreamLeft:      {fields: []string{"upstream"}},
 	UpstreamLost: {fields: []string{"upstream"},
 		action: "Look at the upstream's process on that VM. Its work goes to others until it announces itself again."},
+	KeysLent: {fields: []string{"upstream", "boot", "service", "ranges", "keys", "hold", "view"}},
+	KeysNotRenewed: {fields: []string{"upstream", "boot", "service", "ranges", "keys", "hold", "view"},
+		action: "See that this VM reaches the leader of control (`status`). The keys move to other upstreams once the leases have ended."},
 	LimitChanged: {fields: []string{"upstream", "limit", "cause"}},
 	ConnectionRetired: {fields: []string{"peer", "router", "address", "cause"},
 		action: "Nothing for single ones: a new connection is in use. Many to one VM point at its network."},
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -105,6 +105,18 @@
 	return router, ok && router.Session == shard.Session
 }
 
+// KeyOwner returns the router beside the upstream that holds a key of a ranged
+// service and may get new work for it.
+func (t *Table) KeyOwner(service string, key uint32) (fleet.Router, bool) {
+	space := t.view.KeySpaces[service]
+	if space == nil || key >= fleet.Keys {
+		return fleet.Router{}, false
+	}
+	r := space.Find(key)
+	router, ok := t.view.Routers[r.Owner]
+	return router, ok && r.Phase == fleet.ShardGranted && router.Upstream.Boot == r.Boot
+}
+
 // InFlight returns the number of calls under way at a router's door.
 func (t *Table) InFlight(id fleet.RouterID) int {
 	if known := t.targets[id]; known != nil {
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"slices"
 	"time"
 
 	"endivespring/internal/clock"
@@ -29,8 +30,14 @@
 	shown    fleet.Router
 	holder   *lease.Holder
 	releases map[fleet.ShardID]control.Release
-	renewAt  clock.Instant
-	heardAt  clock.Instant
+	// reports are ranges given back that the view does not show as such yet.
+	reports []RangeReport
+	loads   []KeyLoad
+	// rangesUntil is the end of the ownership lease that came with a view in
+	// which no range had changed hands.
+	rangesUntil clock.Instant
+	renewAt     clock.Instant
+	heardAt     clock.Instant
 	// unheard is set until something is heard on a new stream; patience is how
 	// long that may take.
 	unheard  bool
@@ -102,6 +109,8 @@
 	for _, r := range c.releases {
 		up.Releases = append(up.Releases, r)
 	}
+	up.RangeReports, up.KeyLoads = c.reports, c.loads
+	c.loads = nil
 	return up, true
 }
 
@@ -124,6 +133,16 @@
 	c.renewAt = now
 }
 
+// ReportRanges gives ranges of keys back with the next renewal, which becomes
+// due. It is repeated until the view shows it.
+func (c *Core) ReportRanges(now clock.Instant, reports []RangeReport) {
+	c.reports = append(c.reports, reports...)
+	c.renewAt = now
+}
+
+// ReportLoads tells control of the load of keys with the next renewal.
+func (c *Core) ReportLoads(loads []KeyLoad) { c.loads = loads }
+
 // Close asks to end the session and makes a renewal due.
 func (c *Core) Close(now clock.Instant) {
 	c.closing = true
@@ -151,7 +170,7 @@
 	}
 	if down.Closed && c.closing {
 		c.closed = true
-		c.holder.Drop()
+		c.drop()
 	}
 	if down.Change != nil {
 		resync = !c.apply(down.Change) || resync
@@ -164,19 +183,22 @@
 }
 
 // granted takes a lease and reports whether a change got lost on the way: then
-// the view lease is not extended.
+// neither the view lease nor that of ranges is extended.
 func (c *Core) granted(down *Down) (lost bool) {
 	view := down.View
 	if lost = c.applied < down.Version; lost {
 		view = 0
 	}
 	c.holder.Granted(down.Sequence, down.Ownership, view)
+	if !lost {
+		c.rangesUntil = c.holder.OwnershipUntil()
+	}
 	return lost
 }
 
 // update returns what entry and door must know at any time.
 func (c *Core) update() Update {
-	return Update{Session: c.session, OwnUntil: c.holder.OwnershipUntil(), ViewUntil: c.holder.ViewUntil()}
+	return Update{Session: c.session, OwnUntil: c.holder.OwnershipUntil(), ViewUntil: c.holder.ViewUntil(), RangesUntil: c.rangesUntil}
 }
 
 // late reports whether a message belongs to a session that was given up.
@@ -197,7 +219,8 @@
 	c.dropped = max(c.dropped, c.session, down.Session)
 	c.session = 0
 	clear(c.releases)
-	c.holder.Drop()
+	c.reports = nil
+	c.drop()
 	c.renewAt = now
 	return c.update()
 }
@@ -215,6 +238,9 @@
 			c.shown = router
 		}
 	}
+	for i := range change.KeySpaces {
+		c.dropReports(&change.KeySpaces[i])
+	}
 	for _, shard := range change.Shards {
 		if r, ok := c.releases[shard.ID]; ok && (shard.Epoch != r.Epoch || shard.Phase == fleet.ShardFree) {
 			delete(c.releases, shard.ID)
@@ -222,3 +248,32 @@
 	}
 	return true
 }
+
+// dropReports forgets the reports that a key space shows as done.
+func (c *Core) dropReports(space *fleet.KeySpace) {
+	var left []RangeReport
+	for _, report := range c.reports {
+		if report.Service == space.Service {
+			report.Releases = slices.DeleteFunc(slices.Clone(report.Releases), func(r control.RangeRelease) bool {
+				return !c.stillHeld(space, report.Boot, &r)
+			})
+		}
+		if len(report.Releases) > 0 {
+			left = append(left, report)
+		}
+	}
+	c.reports = left
+}
+
+// stillHeld reports whether a key space shows a released range as held.
+func (c *Core) stillHeld(space *fleet.KeySpace, boot string, r *control.RangeRelease) bool {
+	return slices.ContainsFunc(space.Ranges, func(held fleet.KeyRange) bool {
+		return held.First <= r.Last && held.Last >= r.First && held.HeldBy(c.router.ID, boot) && held.Epoch <= r.Epoch
+	})
+}
+
+// drop ends the ownership lease.
+func (c *Core) drop() {
+	c.holder.Drop()
+	c.rangesUntil = 0
+}
--- a/internal/session/update.go
+++ b/internal/session/update.go
@@ -11,4 +11,6 @@
 	Session   fleet.Session
 	OwnUntil  clock.Instant
 	ViewUntil clock.Instant
+	// RangesUntil is the instant from which ranges of keys must not be held.
+	RangesUntil clock.Instant
 }
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -9,6 +9,7 @@
 	ReasonNoPreset        Reason = "no-preset"
 	ReasonViewStale       Reason = "view-stale"
 	ReasonUnknownService  Reason = "unknown-service"
+	ReasonUnknownRoute    Reason = "unknown-route"
 	ReasonUnknownOp       Reason = "unknown-operation"
 	ReasonMissingKey      Reason = "missing-key"
 	ReasonBadRequest      Reason = "bad-request"
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -20,7 +20,7 @@
 		Number: c.Number, RequestId: c.RequestID, Service: c.Service, Operation: c.Operation, Key: c.Key,
 		Idempotent: c.Idempotent, Sharded: c.Sharded, Shard: c.Shard, Resend: c.Resend, Hedge: c.Hedge, Recorded: c.Recorded,
 		Body: c.Body, TimeoutNs: int64(c.Deadline.Sub(now)), Method: c.Method, Target: c.Target, Host: c.Host,
-		Header: fromFields(c.Header), Priority: int32(c.Priority), Nested: c.Nested,
+		Header: fromFields(c.Header), Priority: int32(c.Priority), Nested: c.Nested, Ranged: c.Ranged, KeyNumber: c.KeyNumber,
 	}
 }
 
@@ -31,7 +31,7 @@
 		Idempotent: c.GetIdempotent(), Sharded: c.GetSharded(), Shard: c.GetShard(), Resend: c.GetResend(), Hedge: c.GetHedge(),
 		Recorded: c.GetRecorded(), Body: c.GetBody(), Deadline: now.Add(time.Duration(c.GetTimeoutNs())),
 		Method: c.GetMethod(), Target: c.GetTarget(), Host: c.GetHost(), Header: toFields(c.GetHeader()),
-		Priority: int(c.GetPriority()), Nested: c.GetNested(),
+		Priority: int(c.GetPriority()), Nested: c.GetNested(), Ranged: c.GetRanged(), KeyNumber: c.GetKeyNumber(),
 	}
 }
 
