Let another front end serve a router's callers and upstream

Cause: on the users' platform callers, upstreams and readiness checks speak HTTP of their own, and an upstream lives on while its router restarts. Change: interfaces for a front end and for a dialect towards upstreams; the gate to the entry is shared; heartbeats that count are answered with what the upstream holds; a stopping router first says that it is not ready, then finishes what it has, and leaves its session to lapse.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -3,19 +3,17 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/rand"
 	"errors"
 	"strconv"
-	"sync/atomic"
 	"time"
 	"unicode/utf8"
 
 	"github.com/gofiber/fiber/v2"
-	"github.com/valyala/fasthttp"
 
 	"endivespring/internal/attempt"
 	"endivespring/internal/call"
-	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
 )
@@ -46,19 +44,19 @@
 	lookInterval    = 100 * time.Millisecond // time between looks whether the caller is still there
 )
 
+// noContext is for rings that never wait.
+var noContext = context.Background()
+
 // Server takes callers' requests.
 type Server struct {
-	requests *ring.Ring[Request]
-	observe  Observer
-	app      *fiber.App
-	stopping atomic.Bool
-	next     atomic.Uint64
+	gate *Gate
+	app  *fiber.App
 }
 
 // NewServer returns a server that hands requests to a ring and shows each
 // answer to observe. Bodies are limited to maxBody bytes.
 func NewServer(requests *ring.Ring[Request], maxBody int, observe Observer) *Server {
-	s := &Server{requests: requests, observe: observe}
+	s := &Server{gate: NewGate(requests, observe)}
 	s.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true, BodyLimit: maxBody, ReadBufferSize: readBufferBytes,
 		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, ErrorHandler: s.handleError,
@@ -72,57 +70,23 @@
 func (s *Server) App() *fiber.App { return s.app }
 
 // Stop makes the server close each connection after its next answer.
-func (s *Server) Stop() { s.stopping.Store(true) }
+func (s *Server) Stop() { s.gate.Stop() }
 
 func (s *Server) serve(c *fiber.Ctx) error {
-	start := time.Now()
 	request, problem := read(c)
-	answer := refusal(request.ID, problem)
+	var answer call.Answer
 	if problem == verdict.ReasonNone {
-		answer = s.ask(c.Context(), request)
+		answer = s.gate.Ask(c.Context().Conn(), request)
+	} else {
+		answer = refusal(request.ID, problem)
+		s.gate.Observe(&answer, 0)
 	}
-	s.observe(&answer, time.Since(start))
-	if s.stopping.Load() { // looked at last: the stop may have come meanwhile
+	if s.gate.Stopping() { // looked at last: the stop may have come meanwhile
 		c.Response().SetConnectionClose()
 	}
 	return write(c, &answer)
 }
 
-// ask hands a request to the entry duty and waits for the answer.
-func (s *Server) ask(ctx *fasthttp.RequestCtx, request attempt.Request) call.Answer {
-	reply := ring.NewReply[call.Answer]()
-	number := s.next.Add(1)
-	if err := s.requests.Put(ctx, Request{Number: number, Request: request, Reply: reply}); err != nil {
-		answer := refusal(request.ID, verdict.ReasonOverloaded)
-		if request.Resend { // what was sent before may have run
-			answer.Verdict = verdict.MayHaveRun
-		}
-		return answer
-	}
-	return s.wait(ctx, number, &request, reply)
-}
-
-// wait waits for the entry's answer and looks now and then whether the caller
-// is still there.
-func (s *Server) wait(ctx *fasthttp.RequestCtx, number uint64, request *attempt.Request, reply ring.Reply[call.Answer]) call.Answer {
-	patience := time.NewTimer(answerPatience)
-	defer patience.Stop()
-	look := time.NewTicker(lookInterval)
-	defer look.Stop()
-	for {
-		select {
-		case answer := <-reply.Out():
-			return answer
-		case <-patience.C:
-			return call.Answer{RequestID: request.ID, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline}
-		case <-look.C:
-			if peer.Look(ctx.Conn()) == peer.SocketClosed && s.requests.Put(ctx, Request{Number: number, Abandoned: true}) == nil {
-				look.Stop()
-			}
-		}
-	}
-}
-
 // read copies everything out of the library's buffers, which it reuses.
 func read(c *fiber.Ctx) (attempt.Request, verdict.Reason) {
 	request := attempt.Request{
@@ -217,7 +181,7 @@
 	if known.Code >= fiber.StatusBadRequest && known.Code < fiber.StatusInternalServerError {
 		answer.Verdict, answer.Reason = verdict.NotRun, reasonOf(known.Code)
 	}
-	s.observe(&answer, 0)
+	s.gate.Observe(&answer, 0)
 	if err := write(c, &answer); err != nil {
 		return err
 	}
--- a/internal/door/lending.go
+++ b/internal/door/lending.go
@@ -58,3 +58,6 @@
 	}
 	return keys
 }
+
+// HoldsRanges reports whether the upstream holds ranges of keys.
+func (c *Core) HoldsRanges() bool { return len(c.keyring.owned(c.view, fleet.ShardGranted)) > 0 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -36,6 +36,8 @@
 	UpstreamLost      = define(612, "upstream-lost", Warn, "An upstream stopped announcing itself.")
 	KeysLent          = define(613, "keys-lent", Info, "The door told its upstream which ranges of keys it holds; the list changed.")
 	KeysNotRenewed    = define(614, "keys-not-renewed", Warn, "The door could not renew what its upstream holds, since its own lease is about to end.")
+	HeartbeatLate     = define(615, "heartbeat-late", Warn, "A heartbeat came after a newer one, or after the upstream was gone; it changed nothing.")
+	RangesUnreported  = define(616, "ranges-unreported", Warn, "The door could not tell control of ranges of keys, since its ring is full; it tries again.")
 	LimitChanged      = define(620, "limit-changed", Info, "The door changed the upstream's admission limit.")
 	ConnectionRetired = define(700, "connection-retired", Warn, "A connection missed a deadline and is not used again.")
 	PeerConnected     = define(710, "peer-connected", Info, "A link to another router was opened.")
--- a/internal/router/abort_duty.go
+++ b/internal/router/abort_duty.go
@@ -21,6 +21,9 @@
 		if err != nil {
 			return nil
 		}
+		if d.canceller == nil {
+			continue // the end of the run's connection tells the upstream
+		}
 		d.canceller.Cancel(abort.Upstream.Address, abort.RequestID)
 	}
 }
--- a/internal/router/door_duty.go
+++ b/internal/router/door_duty.go
@@ -29,11 +29,12 @@
 	outcomes    *ring.Ring[door.Outcome]
 	updates     *ring.Ring[session.Update]
 	notices     *ring.Ring[upstream.Notice]
-	stop        *ring.Ring[struct{}]
+	stop        *ring.Ring[doorStop]
 	runs        *ring.Ring[outboundRun]
 	delegations *ring.Ring[door.Delegation]
 	aborts      *ring.Ring[door.Abort]
 	releases    *ring.Ring[[]control.Release]
+	ranges      *ring.Ring[rangeNews]
 	registered  *ring.Ring[registration]
 	// lostAfter is how long an upstream may stay silent.
 	lostAfter time.Duration
@@ -52,10 +53,16 @@
 	unsent   []control.Release
 	sinks    map[uint64]answerSink
 	upstream fleet.Upstream
-	heardAt  clock.Instant
-	leftAt   clock.Instant
-	gone     bool
+	// beat is the newest heartbeat of an upstream that counts them.
+	beat    *upstream.Beat
+	heardAt clock.Instant
+	leftAt  clock.Instant
+	gone    bool
+	// ended is set once the present start of the upstream said that it is gone.
+	ended    bool
 	stopping bool
+	// retiring is set once the process is going to stop.
+	retiring bool
 }
 
 // Run steps the core until the context ends.
@@ -76,9 +83,8 @@
 			d.update(&update)
 		case notice := <-d.notices.Out():
 			d.notice(ctx, &notice)
-		case <-d.stop.Out():
-			d.stopping = true
-			d.leave(ctx)
+		case step := <-d.stop.Out():
+			d.stopAt(ctx, step)
 		}
 		d.dispatch(ctx)
 		d.meter.Set(d.core.Load())
@@ -114,6 +120,20 @@
 	}
 }
 
+// stopAt takes a step towards the end of the process. An upstream that holds
+// ranges of keys on its own keeps them, and its calls, until the last step.
+func (d *doorDuty) stopAt(ctx context.Context, step doorStop) {
+	keeps := d.core.HoldsRanges()
+	d.retiring = true
+	d.stopping = step == stopFinish
+	if !keeps {
+		d.leave(ctx)
+	}
+	if d.stopping && keeps {
+		d.core.Stop()
+	}
+}
+
 func (d *doorDuty) leave(ctx context.Context) {
 	d.gone = true
 	d.core.Leave(d.clock.Now())
@@ -142,12 +162,20 @@
 		d.core.SetView(now, update.Change)
 	}
 	d.core.SetLease(now, update.Session, update.OwnUntil, update.ViewUntil)
+	d.core.SetRangeLease(update.RangesUntil)
 }
 
 func (d *doorDuty) notice(ctx context.Context, notice *upstream.Notice) {
+	if notice.Beat != nil {
+		d.heartbeat(ctx, notice)
+		return
+	}
+	if notice.Leaving && notice.Name != "" && notice.Name != d.upstream.Name {
+		return
+	}
 	if notice.Leaving {
 		d.events.Record(event.UpstreamLeft, event.F("upstream", d.upstream.Name))
-		d.leftAt = d.clock.Now()
+		d.leftAt, d.ended = d.clock.Now(), true
 		d.leave(ctx)
 		return
 	}
@@ -159,12 +187,17 @@
 		d.events.Record(event.UpstreamAnnounced, event.F("upstream", notice.Upstream.Name),
 			event.F("service", notice.Upstream.Service), event.F("boot", notice.Upstream.Boot))
 	}
-	d.upstream, d.heardAt, d.gone = notice.Upstream, now, false
-	for ; d.senders < notice.Upstream.Slots; d.senders++ {
+	d.adopt(ctx, now, notice.Upstream)
+}
+
+// adopt takes an upstream as the one beside the door.
+func (d *doorDuty) adopt(ctx context.Context, now clock.Instant, u fleet.Upstream) {
+	d.upstream, d.heardAt, d.gone = u, now, false
+	for ; d.senders < u.Slots; d.senders++ {
 		d.startSender()
 	}
-	d.core.Announce(now, notice.Upstream)
-	_ = d.registered.Put(ctx, registration{upstream: notice.Upstream})
+	d.core.Announce(now, u)
+	_ = d.registered.Put(ctx, registration{upstream: u})
 }
 
 // farewell reports whether an announcement may have been sent before the
@@ -230,6 +263,7 @@
 		}
 	}
 	d.unsent = append(d.unsent, out.Releases...)
+	d.sendRanges(ctx, out)
 	for _, decision := range out.Decisions {
 		d.events.Record(decision.Event, decision.Fields...)
 	}
--- a/internal/router/entry_duty.go
+++ b/internal/router/entry_duty.go
@@ -33,6 +33,8 @@
 	door     *ring.Ring[submission]
 
 	registry *metrics.Registry
+	// readiness is told once there is a preset.
+	readiness *readiness
 
 	// delegations are calls of the door beside this entry that other doors are
 	// to run; delegated holds their runs by token.
@@ -65,6 +67,7 @@
 			d.core.SetViewLease(update.ViewUntil)
 			if update.Change != nil {
 				d.core.SetView(d.clock.Now(), update.Change)
+				d.readiness.informed.Store(d.core.View().Preset != nil)
 			}
 		}
 		d.dispatch(ctx)
--- /dev/null
+++ b/internal/router/heartbeat.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"context"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/door"
+	"endivespring/internal/event"
+	"endivespring/internal/upstream"
+)
+
+// heartbeat takes a heartbeat and answers it. One that is late, or comes after
+// the upstream said that it is gone, changes and renews nothing.
+func (d *doorDuty) heartbeat(ctx context.Context, notice *upstream.Notice) {
+	now, beat := d.clock.Now(), notice.Beat
+	sameStart := d.beat != nil && d.beat.Born == beat.Born && d.upstream.Boot == notice.Upstream.Boot
+	if !beat.NewerThan(d.beat) || d.ended && sameStart {
+		d.events.Record(event.HeartbeatLate, event.F("upstream", notice.Upstream.Name), event.F("boot", notice.Upstream.Boot),
+			event.F("sequence", beat.Sequence))
+		beat.Reply.Send(door.LeaseAnswer{})
+		return
+	}
+	wasDraining := sameStart && d.beat.Draining
+	if !sameStart {
+		d.events.Record(event.UpstreamAnnounced, event.F("upstream", notice.Upstream.Name),
+			event.F("service", notice.Upstream.Service), event.F("boot", notice.Upstream.Boot))
+		d.ended = false
+	}
+	d.beat = beat
+	d.welcome(ctx, now, notice, wasDraining)
+	beat.Reply.Send(d.core.Heartbeat(now, &beat.Heartbeat))
+}
+
+// welcome takes or leaves the upstream of a heartbeat.
+func (d *doorDuty) welcome(ctx context.Context, now clock.Instant, notice *upstream.Notice, wasDraining bool) {
+	if notice.Beat.Draining && !wasDraining {
+		d.events.Record(event.UpstreamLeft, event.F("upstream", notice.Upstream.Name))
+		d.adopt(ctx, now, notice.Upstream)
+		d.leave(ctx)
+		return
+	}
+	d.heardAt = now
+	if !notice.Beat.Draining && (d.upstream != notice.Upstream || d.gone && !d.retiring) {
+		d.adopt(ctx, now, notice.Upstream)
+	}
+}
+
+// sendRanges tells control of ranges of keys. What a full ring refuses is
+// found again: ranges asked back are looked at with every heartbeat.
+func (d *doorDuty) sendRanges(ctx context.Context, out *door.Output) {
+	if len(out.RangeReports) == 0 && len(out.KeyLoads) == 0 {
+		return
+	}
+	if d.ranges.Put(ctx, rangeNews{reports: out.RangeReports, loads: out.KeyLoads}) != nil {
+		d.events.Record(event.RangesUnreported, event.F("reports", len(out.RangeReports)))
+	}
+}
--- /dev/null
+++ b/internal/router/listeners.go
@@ -0,0 +1,46 @@
+package router
+
+import (
+	"net"
+
+	"endivespring/internal/peer"
+)
+
+// listeners are a router's open addresses. One that the settings do not give
+// is nil.
+type listeners struct {
+	caller, announce, peer, metrics        net.Listener
+	frontCaller, frontAnnounce, frontReady net.Listener
+}
+
+// listen opens every address of the settings.
+func (n *Node) listen() (*listeners, error) {
+	s, l := n.settings, &listeners{}
+	for _, open := range []struct {
+		address  string
+		listener *net.Listener
+	}{
+		{s.Caller, &l.caller}, {s.Announce, &l.announce}, {s.Peer, &l.peer}, {s.Metrics, &l.metrics},
+		{s.FrontEnd.Caller, &l.frontCaller}, {s.FrontEnd.Announce, &l.frontAnnounce}, {s.FrontEnd.Ready, &l.frontReady},
+	} {
+		if open.address == "" {
+			continue
+		}
+		listener, err := peer.Listen(open.address)
+		if err != nil {
+			l.close()
+			return nil, err
+		}
+		*open.listener = listener
+	}
+	return l, nil
+}
+
+// close closes what is open.
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.caller, l.announce, l.peer, l.metrics, l.frontCaller, l.frontAnnounce, l.frontReady} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/range_news.go
@@ -0,0 +1,9 @@
+package router
+
+import "endivespring/internal/session"
+
+// rangeNews is what the door tells control of ranges of keys.
+type rangeNews struct {
+	reports []session.RangeReport
+	loads   []session.KeyLoad
+}
--- /dev/null
+++ b/internal/router/running.go
@@ -0,0 +1,62 @@
+package router
+
+import (
+	"context"
+	"net"
+
+	"github.com/gofiber/fiber/v2"
+
+	"endivespring/internal/peer"
+	"endivespring/internal/upstream"
+)
+
+// run starts every duty and server.
+func (n *Node) run(l *listeners) {
+	dialect := upstream.Dialect(upstream.OwnDialect{})
+	if n.frontEnd != nil {
+		dialect = n.frontEnd.Dialect()
+	}
+	n.door.startSender = func() {
+		sender := &senderDuty{
+			sender: upstream.NewSender(n.clock, n.events, n.settings.MaxBody, dialect), runs: n.door.runs, outcomes: n.door.outcomes,
+		}
+		n.group.Go("sender", sender.Run)
+	}
+	n.group.Go("event-log", n.events.Run)
+	n.group.Go("entry", n.entry.Run)
+	n.group.Go("door", n.door.Run)
+	n.group.Go("session", n.session.Run)
+	aborts := &abortDuty{aborts: n.door.aborts}
+	if dialect.Cancels() {
+		aborts.canceller = upstream.NewCanceller()
+	}
+	n.group.Go("aborts", aborts.Run)
+	n.serveApp("caller-server", n.caller.App(), l.caller)
+	n.serveApp("announce-server", n.announce, l.announce)
+	n.serveApp("metrics-server", n.metrics, l.metrics)
+	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, l.peer) })
+	if n.frontEnd != nil {
+		n.serveFrontEnd(l)
+	}
+}
+
+func (n *Node) serveApp(name string, app *fiber.App, listener net.Listener) {
+	if listener != nil {
+		n.group.Go(name, func(context.Context) error { return app.Listener(listener) })
+	}
+}
+
+func (n *Node) serveFrontEnd(l *listeners) {
+	callers, stopCallers := context.WithCancel(n.group.Context())
+	n.stopCallers = stopCallers
+	n.group.Go("front-callers", func(context.Context) error {
+		defer func() { _ = n.callersDone.Put(context.Background(), struct{}{}) }()
+		return n.frontEnd.ServeCallers(callers, l.frontCaller, n.gate, n.settings)
+	})
+	n.group.Go("front-announcements", func(ctx context.Context) error {
+		return n.frontEnd.ServeAnnouncements(ctx, l.frontAnnounce, n.door.notices, n.settings, n.events)
+	})
+	n.group.Go("front-readiness", func(ctx context.Context) error {
+		return n.frontEnd.ServeReadiness(ctx, l.frontReady, n.readiness.ready)
+	})
+}
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -28,6 +28,7 @@
 	events     event.Recorder
 	releases   *ring.Ring[[]control.Release]
 	registered *ring.Ring[registration]
+	ranges     *ring.Ring[rangeNews]
 	closing    *ring.Ring[struct{}]
 	closed     *ring.Ring[struct{}]
 	entry      *ring.Ring[session.Update]
@@ -79,6 +80,8 @@
 			d.core.Registration(d.clock.Now(), r.upstream, r.leaving)
 		case releases := <-d.releases.Out():
 			d.core.Release(d.clock.Now(), releases)
+		case news := <-d.ranges.Out():
+			d.report(&news)
 		case <-d.closing.Out():
 			d.core.Close(d.clock.Now())
 		}
@@ -160,6 +163,8 @@
 			d.core.Registration(d.clock.Now(), r.upstream, r.leaving)
 		case releases := <-d.releases.Out():
 			d.core.Release(d.clock.Now(), releases)
+		case news := <-d.ranges.Out():
+			d.report(&news)
 		case <-d.closing.Out():
 			d.core.Close(d.clock.Now())
 		}
@@ -171,6 +176,16 @@
 	}
 }
 
+// report takes what the door says of ranges of keys.
+func (d *sessionDuty) report(news *rangeNews) {
+	if len(news.reports) > 0 {
+		d.core.ReportRanges(d.clock.Now(), news.reports)
+	}
+	if len(news.loads) > 0 {
+		d.core.ReportLoads(news.loads)
+	}
+}
+
 // noteRefusal logs that control belongs to another fleet.
 func (d *sessionDuty) noteRefusal(err error) {
 	if !peer.RefusedFleet(err) {
--- /dev/null
+++ b/internal/router/stopping.go
@@ -0,0 +1,71 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"endivespring/internal/event"
+)
+
+// Stop hands shards over, finishes what runs, ends the session and stops the
+// process, each within the grace period.
+func (n *Node) Stop() {
+	n.events.Record(event.ProcessStopping, event.F("name", n.settings.Name))
+	ctx, cancel := context.WithTimeout(n.group.Context(), n.settings.Grace.Value())
+	defer cancel()
+	n.readiness.stopping.Store(true)
+	n.caller.Stop()
+	n.gate.Stop()
+	if n.frontEnd != nil {
+		n.stopFrontEnd(ctx)
+		n.shutdown()
+		return
+	}
+	linger := time.NewTimer(stopLinger)
+	defer linger.Stop()
+	_ = n.door.stop.Put(ctx, stopFinish)
+	_, _ = n.door.drained.Take(ctx)
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
+	_ = n.caller.App().ShutdownWithContext(ctx)
+	_ = n.session.closing.Put(ctx, struct{}{})
+	ctx, cancel = context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	_, _ = n.session.closed.Take(ctx)
+	n.shutdown()
+}
+
+// stopFrontEnd stops a router beside an upstream that may go on without it.
+// Callers are given time to learn from the readiness that they should go
+// elsewhere. The session is left to lapse: a router that starts again soon
+// takes over what the upstream holds.
+func (n *Node) stopFrontEnd(ctx context.Context) {
+	linger := time.NewTimer(n.settings.Linger.Value())
+	defer linger.Stop()
+	_ = n.door.stop.Put(ctx, stopRetire)
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
+	n.stopCallers()
+	_, _ = n.callersDone.Take(ctx)
+	_ = n.door.stop.Put(ctx, stopFinish)
+	_, _ = n.door.drained.Take(ctx)
+}
+
+func (n *Node) shutdown() {
+	n.group.Stop()
+	n.grpc.Stop()
+	_ = n.announce.Shutdown()
+	_ = n.metrics.Shutdown()
+	_ = n.caller.App().Shutdown()
+}
+
+// Wait waits until the process has stopped and returns why it failed, if it did.
+func (n *Node) Wait() error {
+	<-n.group.Context().Done()
+	n.shutdown()
+	return n.group.Wait()
+}
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -29,6 +29,7 @@
 	Entries     int      `json:"maxRequests" default:"4096" min:"16" max:"65536" doc:"Largest number of callers' requests under way."`
 	Renewal     Duration `json:"renewal" default:"300ms" min:"20ms" max:"10s" doc:"Time between renewals; the same as timing.renewal at control."`
 	Grace       Duration `json:"grace" default:"20s" min:"100ms" max:"10m" doc:"Longest time to finish work after a request to stop."`
+	Linger      Duration `json:"linger" default:"2500ms" min:"0s" max:"1m" doc:"Time for which a stopping router with a front end takes work, so that callers learn from its readiness to go elsewhere."`
 	// RoutingPolicy names a baseline for measurements, or is empty.
 	RoutingPolicy string   `json:"routingPolicy" doc:"Baseline for measurements: round-robin or two-choices, both without hedging; empty for the usual policy."`
 	Announced     Duration `json:"announceTimeout" default:"3s" min:"100ms" max:"1m" doc:"An upstream that has not announced itself for this long is lost."`
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"time"
 
@@ -18,13 +19,14 @@
 	// below the idle time-outs that HTTP servers commonly have.
 	idleLimit   = 4 * time.Second
 	maxInterim  = 4       // interim answers (1xx) before the real one
+	maxStray    = 2       // late answers of earlier requests before the real one
 	readBuffer  = 4 << 10 // bytes read at once; also the longest header
 	unboundedly = -2      // fasthttp's length of a body that ends with its connection
 )
 
 var (
-	errUnbounded = eris.New("answer ends with its connection")
-	errInterim   = eris.New("too many interim answers")
+	errInterim = eris.New("too many interim answers")
+	errStray   = eris.New("too many answers of other requests")
 )
 
 // connection is one connection to an upstream. It carries one request at a time.
@@ -33,6 +35,8 @@
 	net     net.Conn
 	reader  *bufio.Reader
 	used    clock.Instant
+	// ended is set once an answer ended with the connection.
+	ended bool
 }
 
 func dial(address string) (net.Conn, error) { return fasthttp.DialTimeout(address, dialTimeout) }
@@ -57,8 +61,22 @@
 	_ = c.net.SetDeadline(time.Time{})
 }
 
-// read takes one whole answer of up to maxBody bytes.
-func (c *connection) read(response *fasthttp.Response, maxBody int) error {
+// read takes one whole answer of up to maxBody bytes, the first for which
+// answers reports true.
+func (c *connection) read(response *fasthttp.Response, maxBody int, answers func() bool) error {
+	for range maxStray + 1 {
+		response.Reset()
+		if err := c.readOne(response, maxBody); err != nil {
+			return err
+		}
+		if answers() || c.ended {
+			return nil
+		}
+	}
+	return errStray
+}
+
+func (c *connection) readOne(response *fasthttp.Response, maxBody int) error {
 	if err := c.readHeader(response); err != nil {
 		return err
 	}
@@ -68,7 +86,7 @@
 	}
 	length := response.Header.ContentLength()
 	if length == unboundedly {
-		return errUnbounded
+		return c.readToEnd(response, maxBody)
 	}
 	if err := response.ReadBody(c.reader, maxBody); err != nil {
 		return err
@@ -79,6 +97,20 @@
 	return response.Header.ReadTrailer(c.reader)
 }
 
+// readToEnd takes a body that ends with its connection. A reset cuts it off.
+func (c *connection) readToEnd(response *fasthttp.Response, maxBody int) error {
+	body, err := io.ReadAll(io.LimitReader(c.reader, int64(maxBody)+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > maxBody {
+		return fasthttp.ErrBodyTooLarge
+	}
+	response.SetBodyRaw(body)
+	c.ended = true
+	return nil
+}
+
 func (c *connection) readHeader(response *fasthttp.Response) error {
 	for range maxInterim {
 		if err := response.Header.Read(c.reader); err != nil {
--- a/internal/upstream/notice.go
+++ b/internal/upstream/notice.go
@@ -6,4 +6,8 @@
 type Notice struct {
 	Upstream fleet.Upstream
 	Leaving  bool
+	// Name is that of the upstream that leaves, if only this one is meant.
+	Name string
+	// Beat is set if the upstream takes ranges of keys with the answer.
+	Beat *Beat
 }
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -5,11 +5,8 @@
 	"bytes"
 	"context"
 	"errors"
-	"net/url"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
@@ -32,6 +29,7 @@
 	clock      clock.Clock
 	events     event.Recorder
 	maxBody    int
+	dialect    Dialect
 	connection *connection
 	buffer     bytes.Buffer
 	writer     *bufio.Writer
@@ -39,8 +37,8 @@
 
 // NewSender returns a sender without a connection that accepts answers of up
 // to maxBody bytes.
-func NewSender(c clock.Clock, events event.Recorder, maxBody int) *Sender {
-	s := &Sender{clock: c, events: events, maxBody: maxBody}
+func NewSender(c clock.Clock, events event.Recorder, maxBody int, dialect Dialect) *Sender {
+	s := &Sender{clock: c, events: events, maxBody: maxBody, dialect: dialect}
 	s.writer = bufio.NewWriter(&s.buffer)
 	return s
 }
@@ -113,19 +111,7 @@
 	// grant's end earlier, never later.
 	wall := time.Now()
 	now := s.clock.Now()
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.SetRequestURI("http://" + run.Upstream.Address + "/run/" + url.PathEscape(run.Call.Operation))
-	request.Header.Set(HeaderRequestID, run.Call.RequestID)
-	request.Header.Set(HeaderDeadline, strconv.FormatInt(run.Deadline.Sub(now).Milliseconds(), 10))
-	if run.Call.Key != "" {
-		request.Header.Set(HeaderKey, run.Call.Key)
-	}
-	if run.Epoch > 0 {
-		request.Header.Set(HeaderShard, strconv.FormatUint(uint64(run.Call.Shard), 10))
-		request.Header.Set(HeaderEpoch, strconv.FormatUint(uint64(run.Epoch), 10))
-		request.Header.Set(HeaderGrantEnd, strconv.FormatInt(wall.Add(run.Fence.Sub(now)).UnixNano(), 10))
-	}
-	request.SetBody(run.Call.Body)
+	s.dialect.Encode(request, run, run.Deadline.Sub(now), wall.Add(run.Fence.Sub(now)))
 	s.buffer.Reset()
 	s.writer.Reset(&s.buffer)
 	if err := request.Write(s.writer); err != nil {
@@ -149,17 +135,17 @@
 	}
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	if err := s.connection.read(response, s.maxBody); err != nil {
+	if err := s.connection.read(response, s.maxBody, func() bool { return s.dialect.Answers(run, response) }); err != nil {
 		s.retire("read")
 		return failed(run, err)
 	}
 	s.connection.rest(s.clock.Now())
-	out := answered(run, response)
+	out := s.dialect.Decode(run, response)
 	switch {
 	case out.Answer.Reason == verdict.ReasonTruncated:
 		s.events.Record(event.AnswerDropped, event.F("request", run.Call.RequestID), event.F("upstream", run.Upstream.Name))
 		s.retire("answer")
-	case response.ConnectionClose():
+	case response.ConnectionClose() || s.connection.ended:
 		s.Close()
 	}
 	return out
@@ -179,44 +165,14 @@
 		return outcome(run, verdict.MayHaveRun, verdict.ReasonDeadline, admission.TimedOut)
 	case eris.Is(err, fasthttp.ErrBodyTooLarge):
 		return outcome(run, verdict.MayHaveRun, verdict.ReasonBodyTooLarge, admission.Good)
-	case eris.Is(err, errUnbounded):
-		return outcome(run, verdict.MayHaveRun, verdict.ReasonTruncated, admission.Good)
 	default:
 		return outcome(run, verdict.MayHaveRun, verdict.ReasonConnection, admission.Failed)
 	}
 }
 
-// answered checks that the answer is whole and belongs to the request.
-func answered(run *door.Run, response *fasthttp.Response) door.Outcome {
-	body := response.Body()
-	if string(response.Header.Peek(HeaderRequestID)) != run.Call.RequestID || !whole(response, body) {
-		return outcome(run, verdict.MayHaveRun, verdict.ReasonTruncated, admission.Failed)
-	}
-	switch string(response.Header.Peek(HeaderRan)) {
-	case "":
-	case RanNo:
-		return refused(run, response)
-	default: // the upstream gave up at the deadline, or was told to
-		return outcome(run, verdict.MayHaveRun, verdict.ReasonDeadline, admission.TimedOut)
-	}
-	out := outcome(run, verdict.Ran, verdict.ReasonNone, admission.Good)
-	out.Answer.Status = response.StatusCode()
-	out.Answer.Body = bytes.Clone(body)
-	out.Answer.ContentType = string(response.Header.ContentType())
-	return out
-}
-
-func refused(run *door.Run, response *fasthttp.Response) door.Outcome {
-	if response.StatusCode() == fasthttp.StatusPreconditionFailed {
-		return outcome(run, verdict.NotRun, verdict.ReasonFenced, admission.Neutral)
-	}
-	return outcome(run, verdict.NotRun, verdict.ReasonShed, admission.Shed)
-}
-
-// whole checks the body against the checksum, if the upstream sent one.
-func whole(response *fasthttp.Response, body []byte) bool {
-	checksum := string(response.Header.Peek(HeaderChecksum))
-	return checksum == "" || checksum == strconv.FormatUint(xxhash.Sum64(body), 16)
+// Failure returns the outcome of a run that has no answer of the upstream.
+func Failure(run *door.Run, v verdict.Verdict, reason verdict.Reason, health admission.Outcome) door.Outcome {
+	return outcome(run, v, reason, health)
 }
 
 func outcome(run *door.Run, v verdict.Verdict, reason verdict.Reason, health admission.Outcome) door.Outcome {
--- a/internal/upstream/sender_test.go
+++ b/internal/upstream/sender_test.go
@@ -102,7 +102,7 @@
 
 func newSender(t *testing.T) (*Sender, recorder) {
 	events := recorder{}
-	s := NewSender(testClock, events, testBody)
+	s := NewSender(testClock, events, testBody, OwnDialect{})
 	t.Cleanup(s.Close)
 	return s, events
 }
@@ -232,7 +232,7 @@
 	for readings := 1; readings <= 8; readings++ {
 		f := newFake(t, script{reply("id", "whole")})
 		paused := &steppingClock{now: clock.Instant(time.Hour), step: time.Second}
-		s := NewSender(paused, recorder{}, testBody)
+		s := NewSender(paused, recorder{}, testBody, OwnDialect{})
 		run := newRun("id", f.listener.Addr().String(), 0)
 		run.Deadline = paused.now.Add(time.Minute)
 		run.Call.Deadline, run.Fence = run.Deadline, paused.now.Add(time.Duration(readings)*time.Second)
