--- a/internal/command/control.go
+++ b/internal/command/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"os"
 
 	"github.com/google/subcommands"
 	"github.com/samber/do/v2"
@@ -15,7 +16,12 @@
 )
 
 // Control runs a control process.
-type Control struct{ settingsFile string }
+type Control struct {
+	settingsFile string
+	// settingsVariable names the environment variable that holds the file's path.
+	settingsVariable string
+	frontEnds        []FrontEnd
+}
 
 // Name returns the subcommand's name.
 func (*Control) Name() string { return "control" }
@@ -25,7 +31,7 @@
 
 // Usage returns the help text.
 func (*Control) Usage() string {
-	return `control --settings FILE
+	return `control --settings FILE | --settings-variable NAME
   Runs a control process until SIGTERM. The data folder must exist.
   Example: endivespring control --settings control-1.json
 `
@@ -34,23 +40,26 @@
 // SetFlags declares the flags.
 func (c *Control) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settingsFile, "settings", "", "settings file")
+	f.StringVar(&c.settingsVariable, "settings-variable", "", "environment variable that holds the path of the settings file")
 }
 
 // Execute runs the process.
 func (c *Control) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.settingsFile == "" || f.NArg() > 0 {
-		return usage("control needs --settings FILE and nothing else")
+	file := settingsPath(c.settingsFile, c.settingsVariable)
+	if file == "" || f.NArg() > 0 {
+		return usage("control needs --settings FILE or --settings-variable NAME and nothing else")
 	}
 	s := &settings.Control{}
-	if err := settings.Read(c.settingsFile, s); err != nil {
+	if err := settings.Read(file, s); err != nil {
 		return fail(err)
 	}
-	token, err := settings.ReadToken(s.TokenFile)
+	token, err := readToken(s)
 	if err != nil {
 		return fail(err)
 	}
 	injector := processScope(s.Name)
 	do.ProvideValue(injector, s)
+	provide(injector, c.frontEnds)
 	node, err := controlnode.Start(ctx, injector, token)
 	if err != nil {
 		return fail(err)
@@ -68,3 +77,19 @@
 	do.Provide(injector, func(do.Injector) (clock.Clock, error) { return clock.NewMonotonic(), nil })
 	return injector
 }
+
+// readToken returns the operators' token, or none if nothing needs one.
+func readToken(s *settings.Control) (string, error) {
+	if s.TokenFile == "" {
+		return "", nil
+	}
+	return settings.ReadToken(s.TokenFile)
+}
+
+// settingsPath returns the path that a flag or an environment variable gives.
+func settingsPath(file, variable string) string {
+	if file == "" && variable != "" {
+		return os.Getenv(variable)
+	}
+	return file
+}
--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -18,8 +18,9 @@
 `
 
 // Main runs the subcommand named on the command line and returns the exit code.
-func Main() int {
-	commander := newCommander()
+// The front ends may be named in the settings of processes.
+func Main(frontEnds ...FrontEnd) int {
+	commander := newCommander(frontEnds)
 	if err := commander.flags.Parse(os.Args[1:]); err != nil {
 		return int(subcommands.ExitUsageError)
 	}
@@ -27,20 +28,20 @@
 }
 
 // groups returns every subcommand by its group.
-func groups() []group {
+func groups(frontEnds []FrontEnd) []group {
 	return []group{
-		{"processes", []subcommands.Command{&Control{}, &Router{}}},
+		{"processes", []subcommands.Command{&Control{frontEnds: frontEnds}, &Router{frontEnds: frontEnds}}},
 		{"operators", []subcommands.Command{&Preset{}, &DataCentre{}, &Upstream{}, &Status{}, &Explain{}, &Check{}, &Reference{}}},
 		{"tests and measurements", []subcommands.Command{&Standin{}, &Load{}}},
 	}
 }
 
-func newCommander() *commander {
+func newCommander(frontEnds []FrontEnd) *commander {
 	flags := flag.NewFlagSet("endivespring", flag.ContinueOnError)
 	c := &commander{Commander: subcommands.NewCommander(flags, "endivespring"), flags: flags}
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
-	for _, g := range groups() {
+	for _, g := range groups(frontEnds) {
 		for _, command := range g.commands {
 			c.Register(command, g.name)
 		}
--- a/internal/command/reference_test.go
+++ b/internal/command/reference_test.go
@@ -23,7 +23,7 @@
 
 // TestEveryCommandIsExplained checks what help shows of each command.
 func TestEveryCommandIsExplained(t *testing.T) {
-	for _, g := range groups() {
+	for _, g := range groups(nil) {
 		for _, c := range g.commands {
 			assert.Assert(t, strings.HasPrefix(c.Usage(), c.Name()), c.Name())
 			assert.Assert(t, strings.Contains(c.Usage(), "Example: endivespring "+c.Name()), c.Name())
--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -13,7 +13,12 @@
 )
 
 // Router runs a router.
-type Router struct{ settingsFile string }
+type Router struct {
+	settingsFile string
+	// settingsVariable names the environment variable that holds the file's path.
+	settingsVariable string
+	frontEnds        []FrontEnd
+}
 
 // Name returns the subcommand's name.
 func (*Router) Name() string { return "router" }
@@ -23,7 +28,7 @@
 
 // Usage returns the help text.
 func (*Router) Usage() string {
-	return `router --settings FILE
+	return `router --settings FILE | --settings-variable NAME
   Runs a router until SIGTERM. On SIGTERM it hands its shards over, finishes
   what runs and exits.
   Example: endivespring router --settings router-1.json
@@ -33,19 +38,22 @@
 // SetFlags declares the flags.
 func (c *Router) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settingsFile, "settings", "", "settings file")
+	f.StringVar(&c.settingsVariable, "settings-variable", "", "environment variable that holds the path of the settings file")
 }
 
 // Execute runs the process.
 func (c *Router) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.settingsFile == "" || f.NArg() > 0 {
-		return usage("router needs --settings FILE and nothing else")
+	file := settingsPath(c.settingsFile, c.settingsVariable)
+	if file == "" || f.NArg() > 0 {
+		return usage("router needs --settings FILE or --settings-variable NAME and nothing else")
 	}
 	s := &settings.Router{}
-	if err := settings.Read(c.settingsFile, s); err != nil {
+	if err := settings.Read(file, s); err != nil {
 		return fail(err)
 	}
 	injector := processScope(s.Name)
 	do.ProvideValue(injector, s)
+	provide(injector, c.frontEnds)
 	node, err := router.Start(ctx, injector)
 	if err != nil {
 		return fail(err)
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -145,7 +145,7 @@
 	if n.settings.FrontEnd.Name == "" {
 		return nil
 	}
-	frontEnd, err := do.InvokeNamed[FrontEnd](injector, n.settings.FrontEnd.Name)
+	frontEnd, err := do.InvokeNamed[FrontEnd](injector, n.settings.FrontEnd.Name+FrontEndSuffix)
 	if err != nil {
 		return eris.Errorf("frontEnd.name = %s: unknown front end", n.settings.FrontEnd.Name)
 	}
