Take changed settings on SIGHUP and go on

Change: SIGHUP reads the settings anew; where control is found counts at once, the rest from the next start; settings that are not valid change nothing.

--- a/internal/command/control.go
+++ b/internal/command/control.go
@@ -59,6 +59,7 @@
 	}
 	injector := processScope(s.Name)
 	do.ProvideValue(injector, s)
+	do.ProvideValue(injector, settings.NewSource[settings.Control](file))
 	provide(injector, c.frontEnds)
 	node, err := controlnode.Start(ctx, injector, token)
 	if err != nil {
@@ -70,7 +71,7 @@
 // processScope provides what every process needs: its event log and clock.
 func processScope(name string) do.Injector {
 	injector := do.New()
-	do.ProvideValue(injector, event.NewLog(stderrLog, name))
+	do.ProvideValue(injector, event.NewLog(eventOutput, name))
 	do.Provide(injector, func(i do.Injector) (*metrics.Registry, error) {
 		return metrics.NewRegistry(do.MustInvoke[*event.Log](i)), nil
 	})
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -15,6 +15,8 @@
 type process interface {
 	// Stop finishes what runs and stops the process.
 	Stop()
+	// Reload takes changes of the settings.
+	Reload()
 	// Wait waits until the process has stopped.
 	Wait() error
 }
@@ -28,6 +30,10 @@
 		cancel()
 		p.Stop()
 	})
+	hangups := make(hangups, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go hangups.reload(ctx, p)
 	err := p.Wait()
 	if events != nil {
 		events.Record(event.ProcessStopped, event.F("error", errorText(err)))
@@ -46,5 +52,5 @@
 	return err.Error()
 }
 
-// stderrLog is where processes write their events.
-var stderrLog = os.Stderr
+// eventOutput is where processes write their events.
+var eventOutput = os.Stdout
--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -53,6 +53,7 @@
 	}
 	injector := processScope(s.Name)
 	do.ProvideValue(injector, s)
+	do.ProvideValue(injector, settings.NewSource[settings.Router](file))
 	provide(injector, c.frontEnds)
 	node, err := router.Start(ctx, injector)
 	if err != nil {
--- a/internal/consensus/joining.go
+++ b/internal/consensus/joining.go
@@ -106,11 +106,20 @@
 	}
 }
 
+// Contact takes names of nodes of an open group that may know a membership.
+func (c *Core) Contact(names []string) {
+	for _, name := range names {
+		c.contacts[name] = c.config.Open
+	}
+}
+
 // known returns the names of the nodes that may know a membership, in order.
 func (c *Core) known() []string {
 	names := slices.Clone(c.config.Peers)
-	for name := range c.contacts {
-		names = append(names, name)
+	for name, open := range c.contacts {
+		if open {
+			names = append(names, name)
+		}
 	}
 	for _, id := range c.membership.Nodes() {
 		names = append(names, id.Name)
--- a/internal/controlnode/consensus_duty.go
+++ b/internal/controlnode/consensus_duty.go
@@ -25,6 +25,7 @@
 	compact   *ring.Ring[compaction]
 	transfer  *ring.Ring[struct{}]
 	released  *ring.Ring[struct{}]
+	contacts  *ring.Ring[[]string]
 	writes    *ring.Ring[write]
 	updates   *ring.Ring[logUpdate]
 	outbound  *outbound
@@ -56,6 +57,8 @@
 			}
 		case <-d.transfer.Out():
 			d.core.Transfer()
+		case names := <-d.contacts.Out():
+			d.core.Contact(names)
 		case <-d.released.Out():
 			d.core.LeaseReleased()
 		}
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -49,8 +49,11 @@
 // Node is a control process.
 type Node struct {
 	settings *settings.Control
+	source   *settings.Source[settings.Control]
 	group    *duty.Group
 	transfer *ring.Ring[struct{}]
+	// contacts are control processes that the settings name anew.
+	contacts *ring.Ring[[]string]
 	grpc     *grpc.Server
 	app      *fiber.App
 	disk     *storage.Disk
@@ -70,7 +73,8 @@
 		return nil, err
 	}
 	n := &Node{
-		settings: s, disk: disk, group: duty.NewGroup(ctx), events: events,
+		settings: s, source: do.MustInvoke[*settings.Source[settings.Control]](injector), disk: disk,
+		contacts: ring.New[[]string]("contacts", 1, ring.DropOldest), group: duty.NewGroup(ctx), events: events,
 		transfer: ring.New[struct{}]("transfer", 1, ring.Refuse), registry: do.MustInvoke[*metrics.Registry](injector),
 	}
 	if err := n.start(injector, stored, token); err != nil {
@@ -194,6 +198,7 @@
 		core: consensus.New(config, stored, timeSource.Now()), clock: timeSource, outbound: out, writes: writes, persisted: done,
 		events:    n.events,
 		transfer:  n.transfer,
+		contacts:  n.contacts,
 		released:  ring.New[struct{}]("released", 1, ring.Refuse),
 		inbound:   ring.New[*consensus.Message]("consensus-in", inboundCapacity, ring.DropOldest),
 		proposals: ring.New[[]byte]("proposals", proposalCapacity, ring.Refuse),
--- a/internal/event/guides.go
+++ b/internal/event/guides.go
@@ -1,10 +1,13 @@
 package event
 
 var guides = map[*Definition]guide{
-	ProcessStarted:  {fields: []string{"role", "name", "disk"}},
-	ProcessStopping: {fields: []string{"name"}},
-	ProcessStopped:  {fields: []string{"error"}},
-	LeaderElected:   {fields: []string{"term"}},
+	ProcessStarted:   {fields: []string{"role", "name", "disk"}},
+	ProcessStopping:  {fields: []string{"name"}},
+	ProcessStopped:   {fields: []string{"error"}},
+	SettingsReloaded: {fields: []string{"control"}},
+	SettingsRefused: {fields: []string{"cause"},
+		action: "Correct the field that the cause names; `check` shows all problems of a file."},
+	LeaderElected: {fields: []string{"term"}},
 	LeaderLost: {fields: []string{"term"},
 		action: "Nothing if `status` names a leader within seconds. If it does not, see that most control processes run and reach each other."},
 	DiskSetAside: {fields: []string{"folder", "cause"},
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -48,6 +48,7 @@
 // Node is a router process.
 type Node struct {
 	settings *settings.Router
+	source   *settings.Source[settings.Router]
 	group    *duty.Group
 	events   *event.Log
 	clock    clock.Clock
@@ -73,7 +74,7 @@
 // *settings.Router, *event.Log, *metrics.Registry and clock.Clock.
 func Start(ctx context.Context, injector do.Injector) (*Node, error) {
 	n := &Node{
-		settings: do.MustInvoke[*settings.Router](injector), events: do.MustInvoke[*event.Log](injector),
+		settings: do.MustInvoke[*settings.Router](injector), source: do.MustInvoke[*settings.Source[settings.Router]](injector), events: do.MustInvoke[*event.Log](injector),
 		clock: do.MustInvoke[clock.Clock](injector), group: duty.NewGroup(ctx),
 		registry: do.MustInvoke[*metrics.Registry](injector),
 	}
@@ -140,6 +141,7 @@
 		clock: n.clock, events: n.events, releases: n.door.releases, registered: n.door.registered, ranges: n.door.ranges,
 		closing: ring.New[struct{}]("session-closing", 1, ring.Refuse),
 		closed:  ring.New[struct{}]("session-closed", 1, ring.DropOldest),
+		seeds:   ring.New[[]string]("seeds", 1, ring.DropOldest),
 		entry:   n.entry.updates, door: n.door.updates,
 	}
 	n.measure(answers, submissions)
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -29,10 +29,12 @@
 	releases   *ring.Ring[[]control.Release]
 	registered *ring.Ring[registration]
 	ranges     *ring.Ring[rangeNews]
-	closing    *ring.Ring[struct{}]
-	closed     *ring.Ring[struct{}]
-	entry      *ring.Ring[session.Update]
-	door       *ring.Ring[session.Update]
+	// seeds are the addresses of control as the settings give them anew.
+	seeds   *ring.Ring[[]string]
+	closing *ring.Ring[struct{}]
+	closed  *ring.Ring[struct{}]
+	entry   *ring.Ring[session.Update]
+	door    *ring.Ring[session.Update]
 
 	meter *metrics.SessionMeter
 
@@ -82,6 +84,8 @@
 			d.core.Release(d.clock.Now(), releases)
 		case news := <-d.ranges.Out():
 			d.report(&news)
+		case addresses := <-d.seeds.Out():
+			d.finder.Seeds(addresses)
 		case <-d.closing.Out():
 			d.core.Close(d.clock.Now())
 		}
@@ -165,6 +169,8 @@
 			d.core.Release(d.clock.Now(), releases)
 		case news := <-d.ranges.Out():
 			d.report(&news)
+		case addresses := <-d.seeds.Out():
+			d.finder.Seeds(addresses)
 		case <-d.closing.Out():
 			d.core.Close(d.clock.Now())
 		}
--- a/internal/session/finder.go
+++ b/internal/session/finder.go
@@ -27,7 +27,7 @@
 // NewFinder returns a finder that starts with the first of the addresses, of
 // which there must be one.
 func NewFinder(addresses []string) *Finder {
-	return &Finder{addresses: addresses, current: len(addresses) - 1}
+	return &Finder{addresses: addresses, seeds: len(addresses), current: len(addresses) - 1}
 }
 
 // NewOpenFinder returns a finder that also goes to addresses that it learns
@@ -36,6 +36,23 @@
 	return &Finder{addresses: slices.Clone(addresses), current: len(addresses) - 1, open: true, seeds: len(addresses)}
 }
 
+// Seeds replaces the addresses given first. Without any nothing changes.
+func (f *Finder) Seeds(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	learned := f.addresses[f.seeds:]
+	present := f.addresses[f.current]
+	if !f.open {
+		learned = nil
+	}
+	f.addresses, f.seeds = slices.Clone(addresses), len(addresses)
+	for _, address := range append(slices.Clone(learned), present) {
+		f.learn(address)
+	}
+	f.current = slices.Index(f.addresses, present)
+}
+
 // Members takes the addresses of the present control processes.
 func (f *Finder) Members(addresses []string) {
 	if !f.open || len(addresses) == 0 {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -141,6 +141,10 @@
 	return c.SendStatus(fiber.StatusNoContent)
 }
 
+// Reload does nothing: a stand-in has its behaviour from its command line and
+// its control address.
+func (s *Server) Reload() {}
+
 // Stop leaves, waits until the router has sent its last request and stops.
 func (s *Server) Stop() {
 	s.stopAnnouncing()
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -183,10 +183,10 @@
 	f.processes[name] = p
 }
 
-// cmdSignal sends a signal: signal KILL|STOP|CONT|TERM NAME...
+// cmdSignal sends a signal: signal KILL|STOP|CONT|TERM|HUP NAME...
 // After KILL it waits until the process is gone.
 func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
-	signals := map[string]syscall.Signal{"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM}
+	signals := map[string]syscall.Signal{"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM, "HUP": syscall.SIGHUP}
 	for _, name := range args[1:] {
 		p := fleetOf(ts).processes[name]
 		if p == nil {
