--- a/internal/controlnode/duties_test.go
+++ b/internal/controlnode/duties_test.go
@@ -44,6 +44,7 @@
 		compact:   ring.New[compaction]("compactions", 1, ring.Refuse),
 		transfer:  ring.New[struct{}]("transfer", 1, ring.Refuse),
 		released:  ring.New[struct{}]("released", 1, ring.Refuse),
+		contacts:  ring.New[[]string]("contacts", 1, ring.DropOldest),
 		writes:    ring.New[write]("writes", testWrites, ring.Wait),
 		updates:   ring.New[logUpdate]("updates", 8, ring.Wait),
 	}
