Let a node without a membership sleep until it announces itself again

Its deadline was that of an election that nobody can hold, which lay in the past, so that its duty woke without end. Change: without voters only the next announcement is waited for. Test: TestNodeWithoutMembershipSleeps, which fails before.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -111,7 +111,7 @@
 	}
 	switch {
 	case len(c.membership.Voters) == 0:
-		deadline = min(deadline, c.joinAt)
+		deadline = c.joinAt // there is nobody to elect
 	case c.role != Leader:
 		deadline = min(deadline, max(c.joinAt, c.aloneAt()))
 	}
--- a/internal/consensus/open_group_test.go
+++ b/internal/consensus/open_group_test.go
@@ -131,3 +131,16 @@
 	last.emptyDisk()
 	assert.Assert(t, w.until(repairTarget, func() bool { return w.votes(last) && w.grown() }), w.describe())
 }
+
+// TestNodeWithoutMembershipSleeps lets a node wait long for the others: it asks
+// to be woken later than now each time.
+func TestNodeWithoutMembershipSleeps(t *testing.T) {
+	c := New(Config{ID: idA, Peers: []string{"a", "b"}, HeartbeatInterval: heartbeat, ElectionTimeout: election}, &Stored{}, origin)
+	now := origin
+	for range 40 {
+		c.Tick(now)
+		assert.Assert(t, c.Deadline() > now, "at %v", now.Sub(origin))
+		now = c.Deadline()
+	}
+	assert.Assert(t, now.Sub(origin) > 4*election)
+}
