Order a door's queue by rank, and refuse what cannot be in time

Ruled out: longer queues (more answers late, none more in time). Change: nested calls first, then by priority, then what is late anyway, which takes only free places; a call is admitted if it can start early enough for its objective; a full queue refuses its last call for one of higher rank. How long ago a caller first asked is told from the time that it still gives. Tests: queueing_test.go, one for each pattern of load.

--- a/internal/attempt/sending.go
+++ b/internal/attempt/sending.go
@@ -44,7 +44,7 @@
 		Idempotent: t.idempotent, Sharded: t.sharded, Shard: t.shard.Number, Resend: r.Resend, Hedge: hedge,
 		Recorded: r.Delegated, Body: r.Body, Deadline: t.deadline,
 		Method: r.Method, Target: r.Target, Host: r.Host, Header: r.Header, Nested: r.Nested,
-		Ranged: t.ranged, KeyNumber: r.KeyNumber, Priority: t.priority(),
+		Ranged: t.ranged, KeyNumber: r.KeyNumber, Priority: t.priority(), Objective: t.objective,
 	}})
 	why, among := c.reasons(t)
 	c.output.Decisions = append(c.output.Decisions, call.Decide(event.RequestRouted,
--- a/internal/attempt/start.go
+++ b/internal/attempt/start.go
@@ -82,6 +82,9 @@
 	if !t.ranged {
 		t.place(service)
 	}
+	if entry.Route.Objective > 0 {
+		t.objective = now.Add(entry.Route.Objective - entry.Elapsed(r.Timeout, r.Nested))
+	}
 	t.patience = now.Add(patienceOf(entry.Route, t.deadline.Sub(now)))
 	c.earn(t, service)
 	return t, verdict.ReasonNone
--- a/internal/attempt/task.go
+++ b/internal/attempt/task.go
@@ -17,6 +17,8 @@
 	// ranged requests go to the upstream that holds their key.
 	ranged   bool
 	deadline clock.Instant
+	// objective is when an answer stops being in time, or zero.
+	objective clock.Instant
 	// patience is when the request gives up to wait for a door.
 	patience clock.Instant
 	// route is nil for an operation that is called by its name.
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -42,6 +42,8 @@
 	Nested bool
 	// Deadline is when the answer is no longer wanted, on the local clock.
 	Deadline clock.Instant
+	// Objective is when an answer stops being in time, or zero if nobody said.
+	Objective clock.Instant
 }
 
 // ShardID returns the shard of a sharded call.
--- a/internal/door/admitting.go
+++ b/internal/door/admitting.go
@@ -157,7 +157,7 @@
 func (c *Core) enqueue(now clock.Instant, ticket Ticket, request call.Call, r *record) {
 	busy := c.unfit(request.Service) || c.limiter.Running() >= c.limiter.Limit()
 	away := r != nil && busy && c.mayDelegate(&request)
-	if !away && !c.inTime(now, &request) {
+	if !away && !c.fits(now, &request) {
 		if r != nil {
 			c.records.forget(r)
 		}
@@ -169,10 +169,27 @@
 		c.delegate(j)
 		return
 	}
-	c.queue.add(j)
+	c.join(now, j)
 	c.fill(now)
 }
 
+// fits reports whether a call may join the queue.
+func (c *Core) fits(now clock.Instant, request *call.Call) bool {
+	if request.Method == "" {
+		return c.inTime(now, request)
+	}
+	candidate := &job{call: *request, timer: request.Deadline, run: c.nextRun + 1}
+	c.order(now, candidate)
+	return c.room(now, candidate)
+}
+
+// join puts a job into the queue.
+func (c *Core) join(now clock.Instant, j *job) {
+	c.order(now, j)
+	c.expireAt = min(c.expireAt, j.expires)
+	c.queue.add(j)
+}
+
 // admit makes a job of a call.
 func (c *Core) admit(ticket Ticket, request call.Call, r *record) *job {
 	c.nextRun++
--- a/internal/door/core.go
+++ b/internal/door/core.go
@@ -49,6 +49,10 @@
 	tickets     map[Ticket]*job
 	records     *recordBook
 	nextRun     uint64
+	// typical holds the run times of operations.
+	typical map[string]time.Duration
+	// expireAt is when the first queued call expires.
+	expireAt clock.Instant
 	// paceAt is when the pace of a cold upstream allows its next call.
 	paceAt clock.Instant
 	output Output
@@ -60,7 +64,7 @@
 		self: self, centre: centre, view: fleet.NewView(), holdings: newHoldings(),
 		keyring: keyring{self: self}, keys: newKeyMeter(),
 		limiter: admission.NewLimiter(), jobs: map[uint64]*job{}, tickets: map[Ticket]*job{}, records: newRecordBook(),
-		paceAt: clock.Never,
+		paceAt: clock.Never, expireAt: clock.Never, typical: map[string]time.Duration{},
 	}
 }
 
@@ -85,9 +89,9 @@
 
 // Deadline returns when Tick must be called next.
 func (c *Core) Deadline() clock.Instant {
-	deadline := min(c.queue.first(), c.timers.first())
+	deadline := c.timers.first()
 	if len(c.queue) > 0 {
-		deadline = min(deadline, c.paceAt)
+		deadline = min(deadline, c.expireAt, c.paceAt)
 	}
 	if (len(c.queue) > 0 || len(c.timers) > 0) && c.keyed() {
 		deadline = min(deadline, c.ownUntil)
@@ -252,7 +256,7 @@
 // keyed reports whether work of the upstream must not outlast the lease.
 func (c *Core) keyed() bool {
 	s := c.view.Preset.Service(c.upstream.Service)
-	return s != nil && s.Keyed
+	return s != nil && s.Keyed && !s.Ranged
 }
 
 func (c *Core) decide(definition *event.Definition, fields ...event.Field) {
--- a/internal/door/job.go
+++ b/internal/door/job.go
@@ -16,6 +16,10 @@
 	started  clock.Instant
 	phase    jobPhase
 	record   *record
+	// rank goes before timer in the queue; expires is when it is of no more use
+	// to start the job.
+	rank    int
+	expires clock.Instant
 	// timer orders jobs in a heap, index is the place there or noIndex.
 	timer clock.Instant
 	index int
--- a/internal/door/job_heap.go
+++ b/internal/door/job_heap.go
@@ -8,18 +8,25 @@
 
 const noIndex = -1 // index of a job in no heap
 
-// jobHeap orders jobs by timer, the earliest first. A job is in one heap at most.
+// jobHeap orders jobs by rank and timer, the earliest first. A job is in one heap at most.
 type jobHeap []*job
 
 // Len returns the number of jobs.
 func (h jobHeap) Len() int { return len(h) }
 
-// Less orders by timer, then by arrival.
-func (h jobHeap) Less(i, j int) bool {
-	if h[i].timer != h[j].timer {
-		return h[i].timer < h[j].timer
+// Less orders jobs.
+func (h jobHeap) Less(i, j int) bool { return before(h[i], h[j]) }
+
+// before reports whether one job goes before another: by rank, by timer, then
+// by arrival.
+func before(a, b *job) bool {
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	if a.timer != b.timer {
+		return a.timer < b.timer
 	}
-	return h[i].run < h[j].run
+	return a.run < b.run
 }
 
 // Swap exchanges two jobs.
--- /dev/null
+++ b/internal/door/queueing_test.go
@@ -0,0 +1,189 @@
+package door
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/admission"
+	"endivespring/internal/call"
+	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
+	"endivespring/internal/verdict"
+)
+
+const (
+	testObjective = 400 * time.Millisecond
+	testDeadline  = 2 * time.Second
+	testRunTime   = 100 * time.Millisecond
+	testSlots     = 4
+)
+
+// loadStage is a door with an upstream of a routed service, in virtual time.
+type loadStage struct {
+	*Core
+	now     clock.Instant
+	number  uint64
+	running map[uint64]clock.Instant
+	started map[uint64]clock.Instant
+	answers map[uint64]call.Answer
+	asked   map[uint64]clock.Instant
+}
+
+func newLoadStage(t *testing.T) *loadStage {
+	s := &loadStage{
+		Core: New("r", "d"), now: clock.Instant(time.Hour), running: map[uint64]clock.Instant{}, started: map[uint64]clock.Instant{},
+		answers: map[uint64]call.Answer{}, asked: map[uint64]clock.Instant{},
+	}
+	service := fleet.Service{Name: "s", QueueLimit: 18, Profile: fleet.UpstreamProfile{ColdRate: 17}}
+	assert.Assert(t, s.SetView(s.now, &fleet.Change{To: 1, Full: true, Preset: &fleet.Preset{Services: []fleet.Service{service}}}))
+	s.SetLease(s.now, 1, clock.Never, clock.Never)
+	s.Announce(s.now, fleet.Upstream{Name: "u", Service: "s", Boot: "1", Slots: testSlots, ColdSlots: testSlots})
+	return s
+}
+
+// ask sends a call and returns its number.
+func (s *loadStage) ask(change func(c *call.Call)) uint64 {
+	s.number++
+	c := call.Call{
+		Number: s.number, RequestID: fmt.Sprint(s.number), Service: "s", Operation: "o", Method: "GET", Idempotent: true, Priority: 1,
+		Deadline: s.now.Add(testDeadline), Objective: s.now.Add(testObjective),
+	}
+	if change != nil {
+		change(&c)
+	}
+	s.asked[s.number] = s.now
+	s.Submit(s.now, Ticket{Link: 1, Number: s.number}, c)
+	s.take()
+	return s.number
+}
+
+func (s *loadStage) take() {
+	out := s.Take()
+	for _, run := range out.Runs {
+		s.running[run.ID] = s.now.Add(testRunTime)
+		s.started[run.Call.Number] = s.now
+	}
+	for _, reply := range out.Replies {
+		s.answers[reply.Ticket.Number] = reply.Answer
+	}
+}
+
+// advance lets time pass in steps of a millisecond; runs end when they are due.
+func (s *loadStage) advance(d time.Duration, each func()) {
+	for end := s.now.Add(d); s.now < end; s.now = s.now.Add(time.Millisecond) {
+		for id, due := range s.running {
+			if due <= s.now {
+				delete(s.running, id)
+				s.Complete(s.now, Outcome{Run: id, Answer: call.Answer{Verdict: verdict.Ran, Status: 200}, Health: admission.Good})
+				s.take()
+			}
+		}
+		s.Tick(s.now)
+		s.take()
+		if each != nil {
+			each()
+		}
+	}
+}
+
+// TestBurstOverCapacity offers twice what the upstream bears. What is admitted
+// is answered within its objective, the upstream is never idle, and what cannot
+// be is refused long before its deadline.
+func TestBurstOverCapacity(t *testing.T) {
+	s := newLoadStage(t)
+	s.advance(2*time.Second, func() {
+		if s.now%clock.Instant(12500*time.Microsecond) < clock.Instant(time.Millisecond) {
+			s.ask(nil)
+		}
+	})
+	asked := s.number
+	s.advance(testDeadline, nil)
+	ran := 0
+	for number := uint64(1); number <= asked; number++ {
+		answer, ok := s.answers[number]
+		assert.Assert(t, ok, "request %d has no answer", number)
+		if answer.Verdict == verdict.Ran {
+			ran++
+			assert.Assert(t, s.started[number].Sub(s.asked[number]) <= testObjective, "request %d started after %v", number, s.started[number].Sub(s.asked[number]))
+		}
+	}
+	assert.Assert(t, ran >= 70, "%d of %d ran; the upstream bears 80", ran, asked)
+}
+
+// TestNestedCallsUnderFullParents asks for a nested call while a queue waits:
+// it goes first, since a run elsewhere waits for it.
+func TestNestedCallsUnderFullParents(t *testing.T) {
+	s := newLoadStage(t)
+	for range testSlots + 6 {
+		s.ask(nil)
+	}
+	nested := s.ask(func(c *call.Call) { c.Nested = true })
+	last := s.number - 1
+	s.advance(testRunTime+2*time.Millisecond, nil)
+	assert.Assert(t, s.started[nested] > 0, "the nested call waits")
+	assert.Assert(t, s.started[last] == 0, "a call that came before it ran at the same time")
+}
+
+// TestUrgentRequestsTakePlacesInAFullQueue fills the queue with less urgent
+// requests: an urgent one takes the place of the last of them, which is refused
+// with proof that it did not run.
+func TestUrgentRequestsTakePlacesInAFullQueue(t *testing.T) {
+	s := newLoadStage(t)
+	patient := func(c *call.Call) { c.Priority, c.Objective = 2, s.now.Add(time.Hour); c.Deadline = c.Objective }
+	for range testSlots + 18 {
+		s.ask(patient)
+	}
+	last := s.number
+	urgent := s.ask(func(c *call.Call) { c.Priority, c.Objective = 0, s.now.Add(time.Hour); c.Deadline = c.Objective })
+	assert.Equal(t, s.answers[last].Verdict, verdict.NotRun)
+	_, refused := s.answers[urgent]
+	assert.Assert(t, !refused)
+	s.advance(testRunTime+2*time.Millisecond, nil)
+	assert.Assert(t, s.started[urgent] > 0)
+}
+
+// TestLateRequestsTakeOnlyFreePlaces sends requests whose objective has passed,
+// as those have whose callers come back: one runs on a free place at once, and
+// waits no longer than a moment behind others.
+func TestLateRequestsTakeOnlyFreePlaces(t *testing.T) {
+	s := newLoadStage(t)
+	late := func(c *call.Call) { c.Objective = s.now.Add(-time.Second) }
+	free := s.ask(late)
+	assert.Assert(t, s.started[free] > 0)
+	for range testSlots {
+		s.ask(nil)
+	}
+	waiting := s.ask(late)
+	s.advance(lateWait+5*time.Millisecond, nil)
+	assert.Equal(t, s.answers[waiting].Verdict, verdict.NotRun)
+}
+
+// TestColdUpstreamIsPaced offers far more than a cold upstream bears and counts
+// what it is given in any second.
+func TestColdUpstreamIsPaced(t *testing.T) {
+	s := newLoadStage(t)
+	s.Heartbeat(s.now, &Heartbeat{Upstream: s.upstream, ColdFor: 3 * time.Second})
+	s.advance(3*time.Second, func() { s.ask(nil) })
+	var starts []clock.Instant
+	for _, at := range s.started {
+		starts = append(starts, at)
+	}
+	most := 0
+	for _, from := range starts {
+		count := 0
+		for _, at := range starts {
+			if at >= from && at < from.Add(time.Second) {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	assert.Assert(t, most <= 17+paceSlack, "%d in one second", most)
+	assert.Assert(t, len(starts) >= 45, "%d in three seconds", len(starts))
+}
+
+// paceSlack is the number of requests beyond the rate that may come in one second.
+const paceSlack = 3
--- a/internal/door/running.go
+++ b/internal/door/running.go
@@ -12,6 +12,7 @@
 // fill hands queued calls to the upstream as long as the limit allows, those
 // with the earliest deadline first. Calls that can no longer run are refused.
 func (c *Core) fill(now clock.Instant) {
+	c.sweep(now)
 	for len(c.queue) > 0 {
 		j := c.queue[0]
 		if reason := c.stale(now, j); reason != verdict.ReasonNone {
@@ -47,6 +48,8 @@
 		return verdict.ReasonCancelled
 	case now >= j.call.Deadline:
 		return verdict.ReasonDeadline
+	case now >= j.expires:
+		return verdict.ReasonOverloaded
 	case now >= c.viewUntil:
 		return verdict.ReasonViewStale
 	case c.unfit(j.call.Service):
@@ -79,6 +82,7 @@
 	if j.call.Ranged {
 		run.Fence = min(run.Fence, c.keyring.until(c.view, j.call.KeyNumber))
 	}
+	j.rank = 0
 	c.timers.add(j)
 	c.output.Runs = append(c.output.Runs, run)
 }
@@ -104,6 +108,9 @@
 			c.decideLimit("completion")
 		}
 		answer.Upstream = j.upstream.Name
+		if answer.Verdict == verdict.Ran {
+			c.observeRun(j.call.Operation, now.Sub(j.started))
+		}
 	}
 	answer.Epoch = j.epoch
 	if !c.again(now, j, &answer) {
@@ -128,7 +135,7 @@
 		c.timers.remove(j)
 		c.delegated--
 		j.phase = jobQueued
-		c.queue.add(j)
+		c.join(now, j)
 		return true
 	}
 	return false
--- a/internal/routes/entry.go
+++ b/internal/routes/entry.go
@@ -1,11 +1,28 @@
 package routes
 
-import "endivespring/internal/fleet"
+import (
+	"time"
+
+	"endivespring/internal/fleet"
+)
 
 // Entry is a route and whose turn it is among its targets.
 type Entry struct {
 	Route *fleet.Route
 	turns []int
+	// longest is the longest time that a caller of the route gave.
+	longest time.Duration
+}
+
+// Elapsed returns how long ago the caller of a request first asked, judged by
+// the time that it still gives: callers of a route start with the same. Calls
+// of upstreams give what their own request has left.
+func (e *Entry) Elapsed(timeout time.Duration, nested bool) time.Duration {
+	if nested || timeout <= 0 {
+		return 0
+	}
+	e.longest = max(e.longest, timeout)
+	return e.longest - timeout
 }
 
 // Next returns the service that gets the next request. Each target gets its
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -16,17 +16,20 @@
 	hosts map[string][]*Entry
 }
 
-// NewTable returns the table of a preset, or an empty one for nil. Turns of
-// routes that an earlier table had go on.
+// NewTable returns the table of a preset, or an empty one for nil. What an
+// earlier table knew of its routes is kept.
 func NewTable(p *fleet.Preset, earlier *Table) *Table {
 	t := &Table{hosts: map[string][]*Entry{}}
 	if p == nil {
 		return t
 	}
-	turns := earlier.turns()
+	known := earlier.byName()
 	for i := range p.Routes {
 		r := &p.Routes[i]
-		entry := &Entry{Route: r, turns: turns[r.Name]}
+		entry := &Entry{Route: r}
+		if old := known[r.Name]; old != nil {
+			entry.turns, entry.longest = old.turns, old.longest
+		}
 		if len(entry.turns) != len(r.Targets) {
 			entry.turns = make([]int, len(r.Targets))
 		}
@@ -40,18 +43,18 @@
 	return t
 }
 
-// turns returns the turns of every route by its name.
-func (t *Table) turns() map[string][]int {
-	turns := map[string][]int{}
+// byName returns every entry by the name of its route.
+func (t *Table) byName() map[string]*Entry {
+	entries := map[string]*Entry{}
 	if t == nil {
-		return turns
+		return entries
 	}
-	for _, entries := range t.hosts {
-		for _, entry := range entries {
-			turns[entry.Route.Name] = entry.turns
+	for _, list := range t.hosts {
+		for _, entry := range list {
+			entries[entry.Route.Name] = entry
 		}
 	}
-	return turns
+	return entries
 }
 
 // Match returns the route of a host with the longest prefix of a path, or nil.
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
 
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
@@ -16,23 +17,31 @@
 
 // FromCall converts a call. Its deadline becomes the time left from now.
 func FromCall(c *call.Call, now clock.Instant) *wirepb.Call {
-	return &wirepb.Call{
+	out := &wirepb.Call{
 		Number: c.Number, RequestId: c.RequestID, Service: c.Service, Operation: c.Operation, Key: c.Key,
 		Idempotent: c.Idempotent, Sharded: c.Sharded, Shard: c.Shard, Resend: c.Resend, Hedge: c.Hedge, Recorded: c.Recorded,
 		Body: c.Body, TimeoutNs: int64(c.Deadline.Sub(now)), Method: c.Method, Target: c.Target, Host: c.Host,
 		Header: fromFields(c.Header), Priority: int32(c.Priority), Nested: c.Nested, Ranged: c.Ranged, KeyNumber: c.KeyNumber,
 	}
+	if c.Objective != 0 {
+		out.ObjectiveNs = proto.Int64(int64(c.Objective.Sub(now)))
+	}
+	return out
 }
 
 // ToCall converts a call that arrived now.
 func ToCall(c *wirepb.Call, now clock.Instant) call.Call {
-	return call.Call{
+	out := call.Call{
 		Number: c.GetNumber(), RequestID: c.GetRequestId(), Service: c.GetService(), Operation: c.GetOperation(), Key: c.GetKey(),
 		Idempotent: c.GetIdempotent(), Sharded: c.GetSharded(), Shard: c.GetShard(), Resend: c.GetResend(), Hedge: c.GetHedge(),
 		Recorded: c.GetRecorded(), Body: c.GetBody(), Deadline: now.Add(time.Duration(c.GetTimeoutNs())),
 		Method: c.GetMethod(), Target: c.GetTarget(), Host: c.GetHost(), Header: toFields(c.GetHeader()),
 		Priority: int(c.GetPriority()), Nested: c.GetNested(), Ranged: c.GetRanged(), KeyNumber: c.GetKeyNumber(),
 	}
+	if c.ObjectiveNs != nil {
+		out.Objective = now.Add(time.Duration(c.GetObjectiveNs()))
+	}
+	return out
 }
 
 // FromAnswer converts an answer and adds a checksum of its body.
