--- a/internal/controller/planning.go
+++ b/internal/controller/planning.go
@@ -13,7 +13,7 @@
 
 // balanceInterval is the time between looks whether the load of keys should be
 // divided anew, although nothing else changed.
-const balanceInterval = time.Second
+const balanceInterval = 300 * time.Millisecond
 
 // plan proposes what leads to the ownership that the view asks for.
 func (c *Core) plan(now clock.Instant) {
@@ -76,6 +76,7 @@
 		loads = placement.NewKeyLoads()
 		c.loads[service] = loads
 	}
+	loads.Ran(router.Upstream.Boot, up.RunTime)
 	for _, load := range up.KeyLoads {
 		loads.Set(load.First, load.Last, load.Rate)
 	}
--- a/internal/door/admitting.go
+++ b/internal/door/admitting.go
@@ -43,7 +43,9 @@
 		return verdict.ReasonViewStale
 	case now >= request.Deadline:
 		return verdict.ReasonDeadline
-	case !request.Sharded && c.unfit(request.Service):
+	case request.Ranged && c.unfitForRanges(now, request.Service):
+		return verdict.ReasonNoUpstream
+	case !request.Sharded && !request.Ranged && c.unfit(request.Service):
 		return verdict.ReasonNoUpstream
 	case request.Sharded:
 		return c.shardRefusal(now, request)
@@ -86,6 +88,23 @@
 		c.view.DataCentresOut[c.centre] || c.view.UpstreamsOut[c.upstream.Name]
 }
 
+// unfitForRanges reports whether the upstream must get no new calls for keys.
+// One that leaves, or whose data centre is taken out, goes on with the keys that
+// it holds while they are asked back, for a short time.
+func (c *Core) unfitForRanges(now clock.Instant, service string) bool {
+	if c.upstream.Name == "" || c.upstream.Service != service {
+		return true
+	}
+	if !c.unfit(service) {
+		c.unfitSince = 0
+		return false
+	}
+	if c.unfitSince == 0 {
+		c.unfitSince = now
+	}
+	return now >= c.unfitSince.Add(handBackTime)
+}
+
 // mayDelegate reports whether another door may run a call while this one keeps
 // its record: only keyed work is bound to its owner's upstream.
 func (c *Core) mayDelegate(request *call.Call) bool {
--- a/internal/door/core.go
+++ b/internal/door/core.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// handBackTime is how long an upstream that must get no new work goes on with
+	// the keys that it holds: about a heartbeat, in which they are asked back.
+	handBackTime  = 1200 * time.Millisecond
 	maxDelegated  = 1024        // calls at other doors at once
 	delegateGrace = time.Second // time beyond its deadline that a delegated call's outcome may take
 )
@@ -38,6 +41,10 @@
 	holdings *holdings
 	keyring  keyring
 	keys     *keyMeter
+	// unfitSince is when the upstream was first seen to be unfit for new work.
+	unfitSince clock.Instant
+	// lookAt is when ranges asked back are looked at.
+	lookAt clock.Instant
 	// lentLast and lentRenewed are what the upstream was answered last.
 	lentLast    []fleet.KeyRange
 	lentRenewed bool
@@ -64,7 +71,7 @@
 		self: self, centre: centre, view: fleet.NewView(), holdings: newHoldings(),
 		keyring: keyring{self: self}, keys: newKeyMeter(),
 		limiter: admission.NewLimiter(), jobs: map[uint64]*job{}, tickets: map[Ticket]*job{}, records: newRecordBook(),
-		paceAt: clock.Never, expireAt: clock.Never, typical: map[string]time.Duration{},
+		paceAt: clock.Never, lookAt: clock.Never, expireAt: clock.Never, typical: map[string]time.Duration{},
 	}
 }
 
@@ -89,7 +96,7 @@
 
 // Deadline returns when Tick must be called next.
 func (c *Core) Deadline() clock.Instant {
-	deadline := c.timers.first()
+	deadline := min(c.timers.first(), c.lookAt)
 	if len(c.queue) > 0 {
 		deadline = min(deadline, c.expireAt, c.paceAt)
 	}
@@ -123,6 +130,9 @@
 	if change.Preset != nil {
 		c.followPreset()
 	}
+	if len(change.KeySpaces) > 0 {
+		c.lookAt = min(c.lookAt, now)
+	}
 	if change.Full || len(change.Routers)+len(change.Removed)+len(change.DataCentres)+len(change.Upstreams) > 0 {
 		c.lookForOthers()
 	}
@@ -216,6 +226,9 @@
 // deadline has passed.
 func (c *Core) Tick(now clock.Instant) {
 	c.fill(now)
+	if now >= c.lookAt {
+		c.LookAtRanges(now)
+	}
 	if now >= c.ownUntil && c.keyed() {
 		for _, j := range append(jobHeap(nil), c.timers...) {
 			c.timeOut(now, j)
--- a/internal/door/key_meter.go
+++ b/internal/door/key_meter.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	loadInterval  = time.Second // time between reports of the load of keys
-	loadSmoothing = 0.4         // weight of the latest interval in a key's rate
-	leastKeyRate  = 0.02        // requests a second below which a key is forgotten
-	hotKeys       = 16          // keys reported one by one
-	loadRows      = 48          // parts of ranges reported
+	loadInterval  = 800 * time.Millisecond // least time between reports of the load of keys; each heartbeat brings one
+	loadSmoothing = 0.4                    // weight of the latest interval in a key's rate
+	leastKeyRate  = 0.02                   // requests a second below which a key is forgotten
+	hotKeys       = 16                     // keys reported one by one
+	loadRows      = 48                     // parts of ranges reported
 )
 
 // keyMeter counts the calls for each key that a door's upstream holds.
@@ -23,12 +23,31 @@
 	counts  map[uint32]int
 	rates   map[uint32]float64
 	started clock.Instant
+	// ran and runs sum up the run times since the last report.
+	ran  time.Duration
+	runs int
 }
 
 func newKeyMeter() *keyMeter { return &keyMeter{counts: map[uint32]int{}, rates: map[uint32]float64{}} }
 
 func (m *keyMeter) count(key uint32) { m.counts[key]++ }
 
+// ended takes the run time of a call.
+func (m *keyMeter) ended(took time.Duration) {
+	m.ran += took
+	m.runs++
+}
+
+// meanRun returns the mean run time since it was asked last, zero without runs.
+func (m *keyMeter) meanRun() time.Duration {
+	if m.runs == 0 {
+		return 0
+	}
+	mean := m.ran / time.Duration(m.runs)
+	m.ran, m.runs = 0, 0
+	return mean
+}
+
 // report returns the load of the owned ranges once every interval, else nothing.
 func (m *keyMeter) report(now clock.Instant, owned []fleet.KeyRange) []session.KeyLoad {
 	elapsed := now.Sub(m.started)
--- a/internal/door/keyring.go
+++ b/internal/door/keyring.go
@@ -80,6 +80,7 @@
 	// What is not renewed may be held until its last lease ends.
 	for _, l := range kept {
 		if !k.covered(&l, answer.Ranges) {
+			l.askedBack = true
 			k.lent = append(k.lent, l)
 		}
 	}
@@ -90,19 +91,20 @@
 	return slices.ContainsFunc(ranges, func(r fleet.KeyRange) bool { return r.First <= l.first && r.Last >= l.last })
 }
 
-// until returns when the upstream's hold on a key ends, or zero if it holds it
-// not under the epoch that control granted last.
+// until returns when the upstream's hold on a key ends, or zero if it does not
+// hold it under the epoch that control granted last. An upstream serves a range
+// that control asks back until it is told so.
 func (k *keyring) until(view *fleet.View, key uint32) clock.Instant {
 	space := view.KeySpaces[k.service]
 	if space == nil {
 		return 0
 	}
 	r := space.Find(key)
-	if r.Phase != fleet.ShardGranted || !r.HeldBy(k.self, k.boot) {
+	if !r.HeldBy(k.self, k.boot) {
 		return 0
 	}
 	for _, l := range k.lent {
-		if l.first <= key && l.last >= key && l.epoch == r.Epoch {
+		if l.first <= key && l.last >= key && l.epoch == r.Epoch && !l.askedBack {
 			return l.until
 		}
 	}
--- /dev/null
+++ b/internal/door/keyring_test.go
@@ -0,0 +1,132 @@
+package door
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/call"
+	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
+	"endivespring/internal/verdict"
+)
+
+// keyStage is a door whose upstream holds ranges of keys, in virtual time.
+type keyStage struct {
+	*loadStage
+	version fleet.Version
+	space   fleet.KeySpace
+}
+
+func newKeyStage(t *testing.T) *keyStage {
+	s := &keyStage{loadStage: newLoadStage(t), version: 1}
+	service := fleet.Service{Name: "s", Keyed: true, Ranged: true, QueueLimit: 18}
+	s.version++
+	assert.Assert(t, s.SetView(s.now, &fleet.Change{From: 1, To: 2, Preset: &fleet.Preset{Services: []fleet.Service{service}}}))
+	s.SetRangeLease(s.now.Add(5 * time.Second))
+	return s
+}
+
+// own sets the phase of the lower half of the keys, which is this upstream's.
+func (s *keyStage) own(t *testing.T, phase fleet.ShardPhase) {
+	t.Helper()
+	s.space = fleet.KeySpace{Service: "s", Revision: s.space.Revision + 1, LastEpoch: 7, Ranges: []fleet.KeyRange{
+		{First: 0, Last: 32767, Phase: phase, Owner: "r", Boot: "1", Epoch: 7}, {First: 32768, Last: fleet.Keys - 1},
+	}}
+	s.version++
+	assert.Assert(t, s.SetView(s.now, &fleet.Change{From: s.version - 1, To: s.version, KeySpaces: []fleet.KeySpace{s.space}}))
+}
+
+func (s *keyStage) beat(h Heartbeat) (LeaseAnswer, Output) {
+	h.Upstream = s.upstream
+	answer := s.Heartbeat(s.now, &h)
+	return answer, s.Take()
+}
+
+func (s *keyStage) askKey(key uint32) call.Answer {
+	number := s.ask(func(c *call.Call) { c.Ranged, c.KeyNumber = true, key })
+	if _, started := s.started[number]; started {
+		return call.Answer{Verdict: verdict.Ran}
+	}
+	return s.answers[number]
+}
+
+// TestKeysAreServedOnceLentAndUntilAskedBack follows a range through a move.
+func TestKeysAreServedOnceLentAndUntilAskedBack(t *testing.T) {
+	s := newKeyStage(t)
+	s.own(t, fleet.ShardGranted)
+	assert.Equal(t, s.askKey(5).Reason, verdict.ReasonNotOwner, "before the upstream knows of the range")
+	answer, _ := s.beat(Heartbeat{})
+	assert.Assert(t, answer.Renews && len(answer.Ranges) == 1)
+	assert.Equal(t, s.askKey(5).Verdict, verdict.Ran)
+	assert.Equal(t, s.askKey(40000).Reason, verdict.ReasonNotOwner)
+
+	s.own(t, fleet.ShardRevoking)
+	assert.Equal(t, s.askKey(6).Verdict, verdict.Ran, "the upstream was not told yet")
+	held := []HeldRange{{First: 0, Last: 32767, Epoch: 7}}
+	answer, out := s.beat(Heartbeat{Holds: held})
+	assert.Assert(t, answer.Renews && len(answer.Ranges) == 0)
+	assert.Equal(t, len(out.RangeReports), 0, "the upstream still works on it")
+	assert.Equal(t, s.askKey(7).Reason, verdict.ReasonNotOwner)
+
+	_, out = s.beat(Heartbeat{Released: []ReleasedRange{{First: 0, Last: 32767, Handover: "h"}}})
+	assert.Equal(t, len(out.RangeReports), 1)
+	assert.Equal(t, out.RangeReports[0].Releases[0].Handover, "h")
+	assert.Equal(t, out.RangeReports[0].Releases[0].Epoch, fleet.Epoch(7))
+}
+
+// TestNoKeyIsLentBeyondTheLease checks what a slow clock of the upstream makes
+// of each answer, down to the end of the lease.
+func TestNoKeyIsLentBeyondTheLease(t *testing.T) {
+	s := newKeyStage(t)
+	s.own(t, fleet.ShardGranted)
+	end := s.now.Add(5 * time.Second)
+	for ; s.now < end.Add(time.Second); s.now = s.now.Add(100 * time.Millisecond) {
+		answer, _ := s.beat(Heartbeat{})
+		if answer.Renews {
+			assert.Assert(t, s.now.Add(time.Duration(float64(answer.Hold)*1.02)) <= end)
+		} else {
+			assert.Assert(t, s.now.Add(leastHold) >= end.Add(-20*time.Millisecond), "no renewal %v before the end", end.Sub(s.now))
+		}
+	}
+}
+
+// TestSilentUpstreamKeepsItsKeysUntilTheyRunOut asks a range back from an
+// upstream that falls silent: it is free only once the hold has ended, on a
+// clock that runs 2% slow.
+func TestSilentUpstreamKeepsItsKeysUntilTheyRunOut(t *testing.T) {
+	s := newKeyStage(t)
+	s.own(t, fleet.ShardGranted)
+	answer, _ := s.beat(Heartbeat{})
+	lentAt := s.now
+	s.own(t, fleet.ShardRevoking)
+	reported := clock.Instant(0)
+	for reported == 0 {
+		s.now = s.now.Add(50 * time.Millisecond)
+		s.Tick(s.now)
+		if out := s.Take(); len(out.RangeReports) > 0 {
+			reported = s.now
+		}
+	}
+	assert.Assert(t, reported >= lentAt.Add(time.Duration(float64(answer.Hold)*1.02)))
+	assert.Assert(t, reported <= lentAt.Add(time.Duration(float64(answer.Hold)*1.02)+100*time.Millisecond))
+}
+
+// TestRestartedRouterWaitsForWhatItsPredecessorLent starts a door beside an
+// upstream that holds a range which control asks back.
+func TestRestartedRouterWaitsForWhatItsPredecessorLent(t *testing.T) {
+	s := newKeyStage(t)
+	s.own(t, fleet.ShardRevoking)
+	started := s.now
+	_, out := s.beat(Heartbeat{Holds: []HeldRange{{First: 0, Last: 100, Epoch: 7}}})
+	assert.Equal(t, len(out.RangeReports), 0)
+	for s.now < started.Add(maxHold) {
+		s.now = s.now.Add(time.Second)
+		s.Tick(s.now)
+		assert.Equal(t, len(s.Take().RangeReports), 0)
+	}
+	s.now = s.now.Add(time.Second)
+	s.Tick(s.now)
+	assert.Equal(t, len(s.Take().RangeReports), 1)
+}
--- a/internal/door/lending.go
+++ b/internal/door/lending.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"endivespring/internal/clock"
 	"endivespring/internal/event"
@@ -9,6 +10,9 @@
 	"endivespring/internal/session"
 )
 
+// lookInterval is the time between looks at ranges that are asked back.
+const lookInterval = 100 * time.Millisecond
+
 // Heartbeat takes what an upstream that holds ranges of keys says of itself and
 // returns what it is to hold.
 func (c *Core) Heartbeat(now clock.Instant, h *Heartbeat) LeaseAnswer {
@@ -16,14 +20,22 @@
 	c.limiter.ColdFor(now, h.ColdFor)
 	c.report(c.keyring.releases(now, c.view, h.Released, h.Holds))
 	answer := c.keyring.lend(now, c.view, c.rangesUntil)
-	c.output.KeyLoads = c.keys.report(now, answer.Ranges)
+	if loads := c.keys.report(now, answer.Ranges); loads != nil {
+		c.output.KeyLoads, c.output.RunTime = loads, c.keys.meanRun()
+	}
 	c.decideLent(&answer)
 	c.fill(now)
 	return answer
 }
 
-// LookAtRanges reports ranges asked back whose lease has run out.
+// LookAtRanges reports ranges asked back whose lease has run out. While some are
+// asked back it is due again.
 func (c *Core) LookAtRanges(now clock.Instant) {
+	c.lookAt = clock.Never
+	if len(c.keyring.owned(c.view, fleet.ShardRevoking)) == 0 {
+		return
+	}
+	c.lookAt = now.Add(lookInterval)
 	c.report(c.keyring.releases(now, c.view, nil, nil))
 }
 
--- a/internal/door/lent_range.go
+++ b/internal/door/lent_range.go
@@ -10,4 +10,6 @@
 	first, last uint32
 	epoch       fleet.Epoch
 	until       clock.Instant
+	// askedBack is set once the upstream was told to give the range back.
+	askedBack bool
 }
--- a/internal/door/output.go
+++ b/internal/door/output.go
@@ -1,6 +1,8 @@
 package door
 
 import (
+	"time"
+
 	"endivespring/internal/call"
 	"endivespring/internal/control"
 	"endivespring/internal/session"
@@ -18,6 +20,8 @@
 	// RangeReports are ranges of keys that the upstream no longer holds.
 	RangeReports []session.RangeReport
 	// KeyLoads is the load of the keys that the upstream holds.
-	KeyLoads  []session.KeyLoad
+	KeyLoads []session.KeyLoad
+	// RunTime is the mean run time since the last report of loads.
+	RunTime   time.Duration
 	Decisions []call.Decision
 }
--- a/internal/door/running.go
+++ b/internal/door/running.go
@@ -52,7 +52,7 @@
 		return verdict.ReasonOverloaded
 	case now >= c.viewUntil:
 		return verdict.ReasonViewStale
-	case c.unfit(j.call.Service):
+	case j.call.Ranged && c.unfitForRanges(now, j.call.Service), !j.call.Ranged && c.unfit(j.call.Service):
 		return verdict.ReasonNoUpstream
 	case j.call.Sharded && !c.owns(j):
 		return verdict.ReasonNotOwner
@@ -110,6 +110,7 @@
 		answer.Upstream = j.upstream.Name
 		if answer.Verdict == verdict.Ran {
 			c.observeRun(j.call.Operation, now.Sub(j.started))
+			c.keys.ended(now.Sub(j.started))
 		}
 	}
 	answer.Epoch = j.epoch
--- a/internal/placement/range_owner_list.go
+++ b/internal/placement/range_owner_list.go
@@ -11,12 +11,12 @@
 type rangeOwnerList []*rangeOwner
 
 // rangeOwners returns the upstreams of a service that may hold keys.
-func rangeOwners(view *fleet.View, service string) rangeOwnerList {
+func rangeOwners(view *fleet.View, service string, loads *KeyLoads) rangeOwnerList {
 	var owners rangeOwnerList
 	for _, router := range view.Routers {
 		if router.Serves(service) && view.Eligible(router) {
 			owners = append(owners, &rangeOwner{
-				router: router.ID, boot: router.Upstream.Boot, weight: float64(max(1, router.Upstream.Slots)),
+				router: router.ID, boot: router.Upstream.Boot, weight: float64(max(1, router.Upstream.Slots)) * loads.speed(router.Upstream.Boot),
 			})
 		}
 	}
--- a/internal/placement/range_plan.go
+++ b/internal/placement/range_plan.go
@@ -14,17 +14,17 @@
 }
 
 // PlanRanges returns the command that leads a service's key space from a view
-// towards eligible routers that serve loads in proportion to their slots, or
+// towards eligible routers that serve loads in proportion to what they bear, or
 // nil if there is nothing to do. Loads may be nil if none are known.
 func PlanRanges(view *fleet.View, service string, loads *KeyLoads, limits Limits) *control.AssignRanges {
 	space := view.KeySpaces[service]
 	if space == nil {
 		space = fleet.NewKeySpace(service)
 	}
-	p := &rangePlan{space: space.Clone(), owners: rangeOwners(view, service), load: loads}
-	if p.load == nil {
-		p.load = NewKeyLoads()
+	if loads == nil {
+		loads = NewKeyLoads()
 	}
+	p := &rangePlan{space: space.Clone(), owners: rangeOwners(view, service, loads), load: loads}
 	if len(p.owners) == 0 || limits.Starting && p.unowned() {
 		return nil
 	}
--- a/internal/router/door_duty.go
+++ b/internal/router/door_duty.go
@@ -213,6 +213,9 @@
 		delete(d.cancels, outcome.Run)
 	}
 	d.core.Complete(d.clock.Now(), outcome)
+	if outcome.Answer.Reason == verdict.ReasonUpstreamGone {
+		d.refused()
+	}
 }
 
 // dispatch carries out what the core asks for until it asks for nothing more.
--- a/internal/router/heartbeat.go
+++ b/internal/router/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"endivespring/internal/clock"
 	"endivespring/internal/door"
@@ -9,6 +10,10 @@
 	"endivespring/internal/upstream"
 )
 
+// silentBeats is the time without a heartbeat after which a refused connection
+// means that the upstream's process has ended; heartbeats come more often.
+const silentBeats = 1200 * time.Millisecond
+
 // heartbeat takes a heartbeat and answers it. One that is late, or comes after
 // the upstream said that it is gone, changes and renews nothing.
 func (d *doorDuty) heartbeat(ctx context.Context, notice *upstream.Notice) {
@@ -51,7 +56,20 @@
 	if len(out.RangeReports) == 0 && len(out.KeyLoads) == 0 {
 		return
 	}
-	if d.ranges.Put(ctx, rangeNews{reports: out.RangeReports, loads: out.KeyLoads}) != nil {
+	if d.ranges.Put(ctx, rangeNews{reports: out.RangeReports, loads: out.KeyLoads, runTime: out.RunTime}) != nil {
 		d.events.Record(event.RangesUnreported, event.F("reports", len(out.RangeReports)))
 	}
 }
+
+// refused takes a refused connection to the upstream. Nobody listens there; if
+// the upstream is silent as well, its process has ended and holds nothing.
+func (d *doorDuty) refused() {
+	now := d.clock.Now()
+	if d.beat == nil || d.ended || now.Sub(d.heardAt) < silentBeats {
+		return
+	}
+	d.ended = true
+	d.events.Record(event.UpstreamLost, event.F("upstream", d.upstream.Name))
+	d.core.UpstreamEnded()
+	d.leave(context.Background())
+}
--- a/internal/router/range_news.go
+++ b/internal/router/range_news.go
@@ -1,9 +1,14 @@
 package router
 
-import "endivespring/internal/session"
+import (
+	"time"
+
+	"endivespring/internal/session"
+)
 
 // rangeNews is what the door tells control of ranges of keys.
 type rangeNews struct {
 	reports []session.RangeReport
 	loads   []session.KeyLoad
+	runTime time.Duration
 }
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -188,7 +188,7 @@
 		d.core.ReportRanges(d.clock.Now(), news.reports)
 	}
 	if len(news.loads) > 0 {
-		d.core.ReportLoads(news.loads)
+		d.core.ReportLoads(news.loads, news.runTime)
 	}
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -106,7 +106,7 @@
 }
 
 // KeyOwner returns the router beside the upstream that holds a key of a ranged
-// service and may get new work for it.
+// service, also while the key is asked back.
 func (t *Table) KeyOwner(service string, key uint32) (fleet.Router, bool) {
 	space := t.view.KeySpaces[service]
 	if space == nil || key >= fleet.Keys {
@@ -114,7 +114,7 @@
 	}
 	r := space.Find(key)
 	router, ok := t.view.Routers[r.Owner]
-	return router, ok && r.Phase == fleet.ShardGranted && router.Upstream.Boot == r.Boot
+	return router, ok && r.HeldBy(router.ID, router.Upstream.Boot)
 }
 
 // InFlight returns the number of calls under way at a router's door.
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"reflect"
 	"slices"
 	"time"
 
@@ -33,6 +34,7 @@
 	// reports are ranges given back that the view does not show as such yet.
 	reports []RangeReport
 	loads   []KeyLoad
+	runTime time.Duration
 	// rangesUntil is the end of the ownership lease that came with a view in
 	// which no range had changed hands.
 	rangesUntil clock.Instant
@@ -109,8 +111,8 @@
 	for _, r := range c.releases {
 		up.Releases = append(up.Releases, r)
 	}
-	up.RangeReports, up.KeyLoads = c.reports, c.loads
-	c.loads = nil
+	up.RangeReports, up.KeyLoads, up.RunTime = c.reports, c.loads, c.runTime
+	c.loads, c.runTime = nil, 0
 	return up, true
 }
 
@@ -136,12 +138,20 @@
 // ReportRanges gives ranges of keys back with the next renewal, which becomes
 // due. It is repeated until the view shows it.
 func (c *Core) ReportRanges(now clock.Instant, reports []RangeReport) {
-	c.reports = append(c.reports, reports...)
+	for _, report := range reports {
+		same := func(other RangeReport) bool { return reflect.DeepEqual(other, report) }
+		if !slices.ContainsFunc(c.reports, same) {
+			c.reports = append(c.reports, report)
+		}
+	}
 	c.renewAt = now
 }
 
-// ReportLoads tells control of the load of keys with the next renewal.
-func (c *Core) ReportLoads(loads []KeyLoad) { c.loads = loads }
+// ReportLoads tells control of the load of keys, and of the mean run time of
+// requests, with the next renewal.
+func (c *Core) ReportLoads(loads []KeyLoad, runTime time.Duration) {
+	c.loads, c.runTime = loads, runTime
+}
 
 // Close asks to end the session and makes a renewal due.
 func (c *Core) Close(now clock.Instant) {
--- a/internal/session/up.go
+++ b/internal/session/up.go
@@ -3,6 +3,8 @@
 package session
 
 import (
+	"time"
+
 	"endivespring/internal/control"
 	"endivespring/internal/fleet"
 )
@@ -27,6 +29,9 @@
 	// KeyLoads is the load of the keys that the upstream holds; it is sent now
 	// and then.
 	KeyLoads []KeyLoad
+	// RunTime is the mean time that the upstream took for a request since the
+	// last report of loads.
+	RunTime time.Duration
 	// Closing asks to end the session.
 	Closing bool
 }
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -49,7 +50,9 @@
 	if reason := s.expired(run); reason != verdict.ReasonNone {
 		return outcome(run, verdict.NotRun, reason, admission.Neutral)
 	}
-	if err := s.connect(run.Upstream.Address); err != nil {
+	if err := s.connect(run.Upstream.Address); errors.Is(err, syscall.ECONNREFUSED) {
+		return outcome(run, verdict.NotRun, verdict.ReasonUpstreamGone, admission.Failed)
+	} else if err != nil {
 		return outcome(run, verdict.NotRun, verdict.ReasonConnection, admission.Failed)
 	}
 	if err := s.encode(run); err != nil {
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -23,6 +23,7 @@
 	ReasonShed            Reason = "shed"
 	ReasonStopping        Reason = "stopping"
 	ReasonConnection      Reason = "connection"
+	ReasonUpstreamGone    Reason = "upstream-gone"
 	ReasonUnreachable     Reason = "unreachable"
 	ReasonRequestExpired  Reason = "request-expired"
 	ReasonDuplicate       Reason = "duplicate"
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -20,7 +20,7 @@
 	return &wirepb.SessionUp{
 		Fleet: fleetName, Nonce: u.Nonce, Session: uint64(u.Session), Sequence: u.Sequence, Applied: uint64(u.Applied),
 		Router: router, Releases: FromReleases(u.Releases), Closing: u.Closing, NeedFull: u.NeedFull, Registers: u.Registers,
-		RangeReports: fromRangeReports(u.RangeReports), KeyLoads: fromKeyLoads(u.KeyLoads),
+		RangeReports: fromRangeReports(u.RangeReports), KeyLoads: fromKeyLoads(u.KeyLoads), RunTimeNs: int64(u.RunTime),
 	}
 }
 
@@ -29,7 +29,7 @@
 	return session.Up{
 		Nonce: u.GetNonce(), Session: fleet.Session(u.GetSession()), Sequence: u.GetSequence(), Applied: fleet.Version(u.GetApplied()),
 		Router: ToRouter(u.GetRouter()), Releases: ToReleases(u.GetReleases()), Closing: u.GetClosing(), NeedFull: u.GetNeedFull(), Registers: u.GetRegisters(),
-		RangeReports: toRangeReports(u.GetRangeReports()), KeyLoads: toKeyLoads(u.GetKeyLoads()),
+		RangeReports: toRangeReports(u.GetRangeReports()), KeyLoads: toKeyLoads(u.GetKeyLoads()), RunTime: time.Duration(u.GetRunTimeNs()),
 	}
 }
 
