--- a/internal/placement/range_balance.go
+++ b/internal/placement/range_balance.go
@@ -12,10 +12,10 @@
 	maxRangesPerOwner = 24
 	// overload is the share of its target that an owner may have before some of
 	// its keys move.
-	overload = 1.15
+	overload = 1.25
 	// countNoise is how many standard deviations of a count of independent
 	// requests an owner may have beyond that.
-	countNoise = 1.0
+	countNoise = 2.0
 	// pieceSlack is the factor by which a piece may exceed what its next owner
 	// lacks.
 	pieceSlack = 1.2
