Free only the ranges of the router whose session ended

A router had started again and did not know its upstream yet, when the session of another router ended: the check of every range for a lost holder took the unknown upstream for another start. Besides, control asked the keys of a router back that had just started again. Ruled out: the new process's report (it waits for what its predecessor lent), a second connection of the upstream, an early end of the lease. Change: an open session knows its router; only that router's ranges are looked at; a router without an upstream yet is not asked for its ranges.

--- a/internal/control/opened_session.go
+++ b/internal/control/opened_session.go
@@ -6,4 +6,5 @@
 type OpenedSession struct {
 	Nonce   string
 	Session fleet.Session
+	Router  fleet.RouterID
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -98,7 +98,7 @@
 		}
 	}
 	s.LastSession++
-	s.Opened = append(s.Opened, OpenedSession{Nonce: c.Nonce, Session: s.LastSession})
+	s.Opened = append(s.Opened, OpenedSession{Nonce: c.Nonce, Session: s.LastSession, Router: c.Router.ID})
 	router := c.Router
 	router.Session = s.LastSession
 	change.Routers = append(change.Routers, router)
@@ -113,6 +113,10 @@
 	for _, session := range c.Sessions {
 		closed[session] = true
 	}
+	ended := map[fleet.RouterID]bool{}
+	for _, o := range s.Opened {
+		ended[o.Router] = ended[o.Router] || closed[o.Session]
+	}
 	s.Opened = slices.DeleteFunc(s.Opened, func(o OpenedSession) bool { return closed[o.Session] })
 	for id, router := range s.View.Routers {
 		if closed[router.Session] {
@@ -125,12 +129,12 @@
 			change.Shards = append(change.Shards, freed(shard))
 		}
 	}
-	if len(closed) > 0 {
-		s.freeLostRanges(change, func(r *fleet.KeyRange) bool {
-			router, ok := s.View.Routers[r.Owner]
-			return !ok || closed[router.Session] || router.Upstream.Boot != r.Boot
-		})
-	}
+	// A router that started again has a newer session, by which its upstream goes
+	// on if it is the same start.
+	s.freeLostRanges(change, func(r *fleet.KeyRange) bool {
+		router, ok := s.View.Routers[r.Owner]
+		return ended[r.Owner] && (!ok || closed[router.Session] || router.Upstream.Boot != r.Boot)
+	})
 	return Result{Accepted: true}
 }
 
--- a/internal/placement/range_plan.go
+++ b/internal/placement/range_plan.go
@@ -44,14 +44,15 @@
 // unowned reports whether nobody ever held a key.
 func (p *rangePlan) unowned() bool { return p.space.LastEpoch == 0 }
 
-// askBack revokes ranges of routers that must get no new work.
+// askBack revokes ranges of routers that must get no new work. One that has
+// just started again may not know its upstream yet, which goes on.
 func (p *rangePlan) askBack(view *fleet.View) {
 	for i := range p.space.Ranges {
 		r := &p.space.Ranges[i]
 		if r.Phase != fleet.ShardGranted {
 			continue
 		}
-		if router, ok := view.Routers[r.Owner]; ok && !view.Eligible(router) {
+		if router, ok := view.Routers[r.Owner]; ok && router.Upstream.Name != "" && !view.Eligible(router) {
 			r.Phase = fleet.ShardRevoking
 			p.changed = true
 		}
--- a/internal/placement/range_plan_test.go
+++ b/internal/placement/range_plan_test.go
@@ -179,3 +179,12 @@
 		}
 	}
 }
+
+// TestRestartedRouterKeepsItsRanges opens a session of a router that does not
+// know its upstream yet: nothing is asked back.
+func TestRestartedRouterKeepsItsRanges(t *testing.T) {
+	s := newRangeStage(t, 3)
+	s.plan(t)
+	s.state.Apply(1, &control.Command{OpenSession: &control.OpenSession{Nonce: "again", Router: fleet.Router{ID: "r01"}}})
+	assert.Equal(t, s.plan(t), 0)
+}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -19,7 +19,7 @@
 		})
 	}
 	for _, o := range s.Opened {
-		out.Opened = append(out.Opened, &wirepb.OpenedSession{Nonce: o.Nonce, Session: uint64(o.Session)})
+		out.Opened = append(out.Opened, &wirepb.OpenedSession{Nonce: o.Nonce, Session: uint64(o.Session), Router: string(o.Router)})
 	}
 	for service, count := range s.ShardCounts {
 		out.ShardCounts = append(out.ShardCounts, &wirepb.ShardCount{Service: service, Shards: count})
@@ -49,7 +49,7 @@
 		}})
 	}
 	for _, o := range in.GetOpened() {
-		s.Opened = append(s.Opened, control.OpenedSession{Nonce: o.GetNonce(), Session: fleet.Session(o.GetSession())})
+		s.Opened = append(s.Opened, control.OpenedSession{Nonce: o.GetNonce(), Session: fleet.Session(o.GetSession()), Router: fleet.RouterID(o.GetRouter())})
 	}
 	for _, c := range in.GetShardCounts() {
 		s.ShardCounts[c.GetService()] = c.GetShards()
