--- a/internal/shape/shape_test.go
+++ b/internal/shape/shape_test.go
@@ -138,3 +138,54 @@
 	}
 	return false
 }
+
+// TestPlatformIsAtTheEdge checks that the product knows nothing of the users'
+// platform: only the command imports it, and its names stand in it alone.
+func TestPlatformIsAtTheEdge(t *testing.T) {
+	names := []string{
+		"X-Endivespring-", "ENDIVESPRING_NODE_FILE", "path_prefix", "cold_remaining_s", "heartbeat_address", "traffic_split",
+		"/api/instances", "/api/configuration", "/api/evacuations", "/api/readiness",
+	}
+	_, files := sources(t)
+	for path, file := range files {
+		if filepath.Base(filepath.Dir(path)) == "platform" || strings.HasSuffix(path, "shape_test.go") {
+			continue
+		}
+		for _, spec := range file.Imports {
+			if strings.Trim(spec.Path.Value, `"`) == "endivespring/platform" && !strings.HasSuffix(path, "cmd/endivespring/main.go") {
+				t.Errorf("%s imports the platform", path)
+			}
+		}
+		data, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		for _, name := range names {
+			if strings.Contains(string(data), name) {
+				t.Errorf("%s names %s of the platform", path, name)
+			}
+		}
+	}
+}
+
+// TestPlatformDecidesNothing checks that the platform's folder stays small and
+// holds no state of its own: what it needs comes with each call.
+func TestPlatformDecidesNothing(t *testing.T) {
+	const mostLines = 1500
+	lines := 0
+	_, files := sources(t)
+	for path, file := range files {
+		if filepath.Base(filepath.Dir(path)) != "platform" || isTest(path) {
+			continue
+		}
+		data, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		lines += strings.Count(string(data), "\n")
+		for _, spec := range file.Imports {
+			for _, core := range []string{"consensus", "controller", "placement", "routing", "routes", "session", "lease"} {
+				if strings.Trim(spec.Path.Value, `"`) == "endivespring/internal/"+core {
+					t.Errorf("%s imports the decisions of %s", path, core)
+				}
+			}
+		}
+	}
+	assert.Assert(t, lines > 0 && lines <= mostLines, "%d lines", lines)
+}
