Bound the lines of a log by kind, failures before successes

Change: 60 lines a second of a kind, 25 of those about requests that ran, and a line that counts what was left out; counters count everything. The check that each event is recorded passes over the log's own event, which has its test. Tests: volume_test.go.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -9,6 +9,7 @@
 	ProcessStopped     = define(102, "process-stopped", Info, "The process has finished and exits.")
 	SettingsReloaded   = define(103, "settings-reloaded", Info, "The process read its settings anew.")
 	SettingsRefused    = define(104, "settings-refused", Warn, "The process could not use its settings file as it is now; the settings that it had hold on.")
+	LinesOmitted       = define(105, "lines-omitted", Info, "Lines of one kind were left out of this log, since there were too many; counters count them all.")
 	LeaderElected      = define(200, "leader-elected", Info, "This voter leads the control log.")
 	LeaderLost         = define(201, "leader-lost", Warn, "This voter no longer leads the control log.")
 	DiskSetAside       = define(202, "disk-set-aside", Alarm, "The data folder was damaged; its files were moved aside and the process joins with a new disk identity.")
--- a/internal/event/catalogue_test.go
+++ b/internal/event/catalogue_test.go
@@ -49,6 +49,9 @@
 	})
 	assert.NilError(t, err)
 	for name, definition := range variables {
+		if definition == LinesOmitted {
+			continue // the log records it itself: TestOmittedLinesAreTold
+		}
 		assert.Assert(t, used[name], "%s is never recorded", name)
 		for _, field := range definition.Fields() {
 			assert.Assert(t, literals[field], "%s: no code writes field %s", definition.Name, field)
--- a/internal/event/guides.go
+++ b/internal/event/guides.go
@@ -7,6 +7,7 @@
 	SettingsReloaded: {fields: []string{"control"}},
 	SettingsRefused: {fields: []string{"cause"},
 		action: "Correct the field that the cause names; `check` shows all problems of a file."},
+	LinesOmitted:  {fields: []string{"kind", "successes", "lines"}},
 	LeaderElected: {fields: []string{"term"}},
 	LeaderLost: {fields: []string{"term"},
 		action: "Nothing if `status` names a leader within seconds. If it does not, see that most control processes run and reach each other."},
--- a/internal/event/log.go
+++ b/internal/event/log.go
@@ -23,6 +23,8 @@
 type Log struct {
 	ring   *ring.Ring[Entry]
 	logger zerolog.Logger
+	// volume bounds what is written; it is owned by the duty.
+	volume *volume
 	// counts holds the occurrences of each event of the catalogue.
 	counts []atomic.Int64
 }
@@ -32,6 +34,7 @@
 	return &Log{
 		ring:   ring.New[Entry]("event-log", logRingCapacity, ring.DropOldest),
 		logger: zerolog.New(w).With().Str("process", process).Logger(),
+		volume: newVolume(),
 		counts: make([]atomic.Int64, len(catalogue)),
 	}
 }
@@ -71,9 +74,26 @@
 	for l.ring.Depth() > 0 {
 		l.write(<-l.ring.Out())
 	}
+	l.tellOmitted(time.Now())
 }
 
+// write writes an entry, unless there were too many of its kind.
 func (l *Log) write(entry Entry) {
+	if l.volume.admits(&entry) {
+		l.writeLine(&entry)
+	}
+	if l.volume.due(entry.Time) {
+		l.tellOmitted(entry.Time)
+	}
+}
+
+func (l *Log) tellOmitted(now time.Time) {
+	for _, entry := range l.volume.omitted(now) {
+		l.writeLine(&entry)
+	}
+}
+
+func (l *Log) writeLine(entry *Entry) {
 	line := l.logger.WithLevel(zerologLevel(entry.Definition.Level))
 	line = line.Str("time", entry.Time.UTC().Format(timeFormat)).Int("event", entry.Definition.Number)
 	for _, field := range entry.Fields {
--- /dev/null
+++ b/internal/event/volume_test.go
@@ -0,0 +1,52 @@
+package event
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestVolumeIsBounded records ten times what may be written, for ten seconds:
+// failures keep their lines, and what was left out is counted.
+func TestVolumeIsBounded(t *testing.T) {
+	v := newVolume()
+	start := time.Unix(1000, 0)
+	written, omitted := map[string]int{}, 0
+	for i := range 10 * 1000 {
+		at := start.Add(time.Duration(i) * time.Millisecond)
+		for _, outcome := range []string{"ran", "not-run"} {
+			if v.admits(&Entry{Definition: RequestFinished, Time: at, Fields: []Field{F("verdict", outcome)}}) {
+				written[outcome]++
+			}
+		}
+		if !v.due(at) {
+			continue
+		}
+		for _, entry := range v.omitted(at) {
+			omitted += int(entry.Fields[2].Value.(int64))
+		}
+	}
+	for _, entry := range v.omitted(start.Add(time.Hour)) {
+		omitted += int(entry.Fields[2].Value.(int64))
+	}
+	assert.Assert(t, written["ran"] <= (10+2)*successesPerSecond, "%v", written)
+	assert.Assert(t, written["not-run"] <= (10+2)*linesPerSecond && written["not-run"] >= 10*linesPerSecond, "%v", written)
+	assert.Equal(t, written["ran"]+written["not-run"]+omitted, 20*1000)
+}
+
+// TestOmittedLinesAreTold writes a log through the duty's own code.
+func TestOmittedLinesAreTold(t *testing.T) {
+	var buffer bytes.Buffer
+	log := NewLog(&buffer, "p")
+	for range 1000 {
+		log.Record(RequestRefused, F("verdict", "not-run"))
+	}
+	log.Flush()
+	lines := strings.Split(strings.TrimSpace(buffer.String()), "\n")
+	assert.Assert(t, len(lines) <= 2*linesPerSecond+2, "%d lines", len(lines))
+	assert.Assert(t, strings.Contains(buffer.String(), LinesOmitted.Name))
+	assert.Equal(t, log.Count(RequestRefused), int64(1000))
+}
