Take the times that the platform sets from the settings

Cause: the time until a kill, the longest hold of keys and the time that a leaving upstream serves may differ elsewhere; ours were constants. Ruled out: reading the list of bounds in platform/ (a trial: the template gives a table there, and every router ended with a settings error). Change: three settings of the router, filled in by the template.

--- a/internal/door/admitting.go
+++ b/internal/door/admitting.go
@@ -102,7 +102,7 @@
 	if c.unfitSince == 0 {
 		c.unfitSince = now
 	}
-	return now >= c.unfitSince.Add(handBackTime)
+	return now >= c.unfitSince.Add(c.handBack)
 }
 
 // mayDelegate reports whether another door may run a call while this one keeps
--- a/internal/door/core.go
+++ b/internal/door/core.go
@@ -17,7 +17,10 @@
 const (
 	// handBackTime is how long an upstream that must get no new work goes on with
 	// the keys that it holds: about a heartbeat, in which they are asked back.
-	handBackTime  = 1200 * time.Millisecond
+	handBackTime = 1200 * time.Millisecond
+	// handBackShare is the share of the time that a leaving upstream serves in
+	// which it goes on with its keys.
+	handBackShare = 0.6
 	maxDelegated  = 1024        // calls at other doors at once
 	delegateGrace = time.Second // time beyond its deadline that a delegated call's outcome may take
 )
@@ -45,6 +48,9 @@
 	unfitSince clock.Instant
 	// lookAt is when ranges asked back are looked at.
 	lookAt clock.Instant
+	// handBack is how long an upstream that is unfit for new work goes on with the
+	// keys that it holds.
+	handBack time.Duration
 	// lentLast and lentRenewed are what the upstream was answered last.
 	lentLast    []fleet.KeyRange
 	lentRenewed bool
@@ -69,7 +75,7 @@
 func New(self fleet.RouterID, centre fleet.DataCentre) *Core {
 	return &Core{
 		self: self, centre: centre, view: fleet.NewView(), holdings: newHoldings(),
-		keyring: keyring{self: self}, keys: newKeyMeter(),
+		keyring: keyring{self: self, maxHold: maxHold}, handBack: handBackTime, keys: newKeyMeter(),
 		limiter: admission.NewLimiter(), jobs: map[uint64]*job{}, tickets: map[Ticket]*job{}, records: newRecordBook(),
 		paceAt: clock.Never, lookAt: clock.Never, expireAt: clock.Never, typical: map[string]time.Duration{},
 	}
--- a/internal/door/keyring.go
+++ b/internal/door/keyring.go
@@ -34,6 +34,8 @@
 	// lent to this start of the upstream.
 	unknown clock.Instant
 	lent    []lentRange
+	// maxHold is the longest time for which the upstream takes keys.
+	maxHold time.Duration
 }
 
 // follow makes the keyring follow a start of an upstream, which holds some
@@ -66,7 +68,7 @@
 // lend returns what the upstream is to hold, while the ownership lease runs.
 func (k *keyring) lend(now clock.Instant, view *fleet.View, ownUntil clock.Instant) LeaseAnswer {
 	hold := time.Duration(float64(ownUntil.Sub(now)) / (1 + clockDrift))
-	hold = min(maxHold, hold.Truncate(time.Millisecond))
+	hold = min(k.maxHold, hold.Truncate(time.Millisecond))
 	if hold < leastHold {
 		return LeaseAnswer{}
 	}
--- a/internal/door/lending.go
+++ b/internal/door/lending.go
@@ -73,3 +73,14 @@
 
 // HoldsRanges reports whether the upstream holds ranges of keys.
 func (c *Core) HoldsRanges() bool { return len(c.keyring.owned(c.view, fleet.ShardGranted)) > 0 }
+
+// Bound sets the longest time for which the upstream takes keys, and how long it
+// may get requests once it leaves. Zero keeps what holds without.
+func (c *Core) Bound(hold, drain time.Duration) {
+	if hold > 0 {
+		c.keyring.maxHold = min(maxHold, hold)
+	}
+	if drain > 0 {
+		c.handBack = min(handBackTime, time.Duration(handBackShare*float64(drain)))
+	}
+}
--- a/internal/router/stopping.go
+++ b/internal/router/stopping.go
@@ -11,7 +11,7 @@
 // process, each within the grace period.
 func (n *Node) Stop() {
 	n.events.Record(event.ProcessStopping, event.F("name", n.settings.Name))
-	ctx, cancel := context.WithTimeout(n.group.Context(), n.settings.Grace.Value())
+	ctx, cancel := context.WithTimeout(n.group.Context(), n.settings.GracePeriod())
 	defer cancel()
 	n.readiness.stopping.Store(true)
 	n.caller.Stop()
@@ -42,7 +42,7 @@
 // elsewhere. The session is left to lapse: a router that starts again soon
 // takes over what the upstream holds.
 func (n *Node) stopFrontEnd(ctx context.Context) {
-	linger := time.NewTimer(n.settings.Linger.Value())
+	linger := time.NewTimer(min(n.settings.Linger.Value(), n.settings.GracePeriod()/2))
 	defer linger.Stop()
 	_ = n.door.stop.Put(ctx, stopRetire)
 	select {
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/samber/lo"
 )
@@ -10,26 +11,32 @@
 // at least before it is lost, so that a lost upstream can be reported in time.
 const announceRenewals = 2
 
+// killMargin is kept of the time until a process is killed for its own end.
+const killMargin = 500 * time.Millisecond
+
 // Router holds the settings of a router.
 type Router struct {
-	Fleet       string   `json:"fleet" required:"true" kind:"name" doc:"Name of the fleet. Processes of other fleets are refused."`
-	Name        string   `json:"name" required:"true" kind:"name" doc:"Name of this router; unique in the fleet."`
-	DataCentre  string   `json:"dataCentre" required:"true" kind:"name" doc:"Data centre of this VM."`
-	Caller      string   `json:"caller" kind:"address" doc:"Address for callers; required without a front end."`
-	Announce    string   `json:"announce" kind:"address" doc:"Address where the upstream beside this router announces itself; required without a front end."`
-	FrontEnd    FrontEnd `json:"frontEnd" doc:"Another interface for callers and for the upstream."`
-	Service     string   `json:"service" doc:"Service of the upstream beside this router, as calls that it makes are marked."`
-	Upstream    string   `json:"upstream" kind:"address" doc:"Address of the upstream beside this router, if it may announce no other."`
-	Peer        string   `json:"peer" required:"true" kind:"address" doc:"Address for other routers."`
-	Advertise   string   `json:"advertise" kind:"address" doc:"Address by which other routers reach this one, if it differs from peer."`
-	Control     []string `json:"control" min:"1" required:"true" kind:"address" doc:"Peer addresses of the control processes."`
-	ControlPort int      `json:"controlPort" min:"0" max:"65535" doc:"Port of every control process if their number may change: of the addresses in control only the IP numbers count then, and the router follows the leader to any address. 0 if control lists them all."`
-	Metrics     string   `json:"metrics" kind:"address" doc:"Address where metrics are served at /metrics; none if not given."`
-	MaxBody     int      `json:"maxBody" default:"1048576" min:"1024" max:"67108864" doc:"Largest request or answer body, in bytes."`
-	Entries     int      `json:"maxRequests" default:"4096" min:"16" max:"65536" doc:"Largest number of callers' requests under way."`
-	Renewal     Duration `json:"renewal" default:"300ms" min:"20ms" max:"10s" doc:"Time between renewals; the same as timing.renewal at control."`
-	Grace       Duration `json:"grace" default:"20s" min:"100ms" max:"10m" doc:"Longest time to finish work after a request to stop."`
-	Linger      Duration `json:"linger" default:"2500ms" min:"0s" max:"1m" doc:"Time for which a stopping router with a front end takes work, so that callers learn from its readiness to go elsewhere."`
+	Fleet         string   `json:"fleet" required:"true" kind:"name" doc:"Name of the fleet. Processes of other fleets are refused."`
+	Name          string   `json:"name" required:"true" kind:"name" doc:"Name of this router; unique in the fleet."`
+	DataCentre    string   `json:"dataCentre" required:"true" kind:"name" doc:"Data centre of this VM."`
+	Caller        string   `json:"caller" kind:"address" doc:"Address for callers; required without a front end."`
+	Announce      string   `json:"announce" kind:"address" doc:"Address where the upstream beside this router announces itself; required without a front end."`
+	FrontEnd      FrontEnd `json:"frontEnd" doc:"Another interface for callers and for the upstream."`
+	Service       string   `json:"service" doc:"Service of the upstream beside this router, as calls that it makes are marked."`
+	Upstream      string   `json:"upstream" kind:"address" doc:"Address of the upstream beside this router, if it may announce no other."`
+	Peer          string   `json:"peer" required:"true" kind:"address" doc:"Address for other routers."`
+	Advertise     string   `json:"advertise" kind:"address" doc:"Address by which other routers reach this one, if it differs from peer."`
+	Control       []string `json:"control" min:"1" required:"true" kind:"address" doc:"Peer addresses of the control processes."`
+	ControlPort   int      `json:"controlPort" min:"0" max:"65535" doc:"Port of every control process if their number may change: of the addresses in control only the IP numbers count then, and the router follows the leader to any address. 0 if control lists them all."`
+	Metrics       string   `json:"metrics" kind:"address" doc:"Address where metrics are served at /metrics; none if not given."`
+	MaxBody       int      `json:"maxBody" default:"1048576" min:"1024" max:"67108864" doc:"Largest request or answer body, in bytes."`
+	Entries       int      `json:"maxRequests" default:"4096" min:"16" max:"65536" doc:"Largest number of callers' requests under way."`
+	Renewal       Duration `json:"renewal" default:"300ms" min:"20ms" max:"10s" doc:"Time between renewals; the same as timing.renewal at control."`
+	Grace         Duration `json:"grace" default:"20s" min:"100ms" max:"10m" doc:"Longest time to finish work after a request to stop."`
+	KillAfter     Duration `json:"killAfter" default:"0s" min:"0s" max:"1h" doc:"Time after which a process that was asked to stop is killed; its grace ends before. 0 if it is not."`
+	MaxHold       Duration `json:"maxHold" default:"10s" min:"500ms" max:"10m" doc:"Longest time for which the upstream takes ranges of keys."`
+	UpstreamDrain Duration `json:"upstreamDrain" default:"2s" min:"100ms" max:"10m" doc:"How long an upstream that said that it leaves may get requests."`
+	Linger        Duration `json:"linger" default:"2500ms" min:"0s" max:"1m" doc:"Time for which a stopping router with a front end takes work, so that callers learn from its readiness to go elsewhere."`
 	// RoutingPolicy names a baseline for measurements, or is empty.
 	RoutingPolicy string   `json:"routingPolicy" doc:"Baseline for measurements: round-robin or two-choices, both without hedging; empty for the usual policy."`
 	Announced     Duration `json:"announceTimeout" default:"3s" min:"100ms" max:"1m" doc:"An upstream that has not announced itself for this long is lost."`
@@ -78,6 +85,14 @@
 	return withPort(r.Control, strconv.Itoa(r.ControlPort))
 }
 
+// GracePeriod returns the longest time to finish work after a request to stop.
+func (r *Router) GracePeriod() time.Duration {
+	if r.KillAfter == 0 {
+		return r.Grace.Value()
+	}
+	return max(killMargin, min(r.Grace.Value(), r.KillAfter.Value()-killMargin))
+}
+
 // Reached returns the address by which other routers reach this one.
 func (r *Router) Reached() string {
 	if r.Advertise != "" {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -182,3 +182,14 @@
 		}
 	})
 }
+
+// TestGraceEndsBeforeTheKill compares grace periods with the time of a kill.
+func TestGraceEndsBeforeTheKill(t *testing.T) {
+	for _, test := range []struct{ grace, kill, want time.Duration }{
+		{10 * time.Second, 0, 10 * time.Second}, {10 * time.Second, 6 * time.Second, 5500 * time.Millisecond},
+		{2 * time.Second, 6 * time.Second, 2 * time.Second}, {2 * time.Second, 100 * time.Millisecond, killMargin},
+	} {
+		r := &Router{Grace: Duration(test.grace), KillAfter: Duration(test.kill)}
+		assert.Equal(t, r.GracePeriod(), test.want)
+	}
+}
