Log what decided a refusal, and runs without a whole answer

Cause: a refused request's lines said 'overloaded' and not against what, and a lost answer left no line at the door. Change: refusals carry what runs and waits, the limit, the typical run time and the view; queued requests that are refused have a line too; run-failed says how a run ended.

--- a/internal/attempt/core.go
+++ b/internal/attempt/core.go
@@ -108,5 +108,6 @@
 func (c *Core) decide(definition *event.Definition, r *Request, answer *call.Answer) {
 	c.output.Decisions = append(c.output.Decisions, call.Decide(definition,
 		event.F("request", r.ID), event.F("service", r.Service), event.F("operation", r.Operation),
-		event.F("verdict", answer.Verdict.String()), event.F("reason", string(answer.Reason)), event.F("upstream", answer.Upstream)))
+		event.F("verdict", answer.Verdict.String()), event.F("reason", string(answer.Reason)), event.F("upstream", answer.Upstream),
+		event.F("key", r.KeyNumber), event.F("view", uint64(c.view.Version)), event.F("retryAfter", answer.RetryAfter)))
 }
--- a/internal/door/admitting.go
+++ b/internal/door/admitting.go
@@ -245,8 +245,15 @@
 }
 
 func (c *Core) refuse(ticket Ticket, request *call.Call, v verdict.Verdict, reason verdict.Reason) {
+	c.decideRefusal(request, v, reason)
+	c.reply(ticket, call.Refusal(request, v, reason))
+}
+
+// decideRefusal logs a refusal with what decided it.
+func (c *Core) decideRefusal(request *call.Call, v verdict.Verdict, reason verdict.Reason) {
 	c.output.Decisions = append(c.output.Decisions, call.Decide(event.RequestRefused,
 		event.F("request", request.RequestID), event.F("service", request.Service), event.F("operation", request.Operation),
-		event.F("verdict", v.String()), event.F("reason", string(reason)), event.F("shard", request.Shard)))
-	c.reply(ticket, call.Refusal(request, v, reason))
+		event.F("verdict", v.String()), event.F("reason", string(reason)), event.F("shard", request.Shard),
+		event.F("key", request.KeyNumber), event.F("view", uint64(c.view.Version)), event.F("running", c.limiter.Running()),
+		event.F("queued", len(c.queue)), event.F("limit", c.limiter.Limit()), event.F("typical", c.typicalRun(request.Operation))))
 }
--- a/internal/door/queueing.go
+++ b/internal/door/queueing.go
@@ -104,7 +104,7 @@
 	if last == j {
 		return false
 	}
-	c.end(last, call.Refusal(&last.call, verdict.NotRun, verdict.ReasonOverloaded))
+	c.expel(last, verdict.ReasonOverloaded)
 	return true
 }
 
@@ -116,7 +116,7 @@
 	}
 	for _, j := range append(jobHeap(nil), c.queue...) {
 		if reason := c.stale(now, j); reason != verdict.ReasonNone {
-			c.end(j, call.Refusal(&j.call, verdict.NotRun, reason))
+			c.expel(j, reason)
 		}
 	}
 	c.expireAt = clock.Never
@@ -124,3 +124,9 @@
 		c.expireAt = min(c.expireAt, j.expires)
 	}
 }
+
+// expel refuses a queued job.
+func (c *Core) expel(j *job, reason verdict.Reason) {
+	c.decideRefusal(&j.call, verdict.NotRun, reason)
+	c.end(j, call.Refusal(&j.call, verdict.NotRun, reason))
+}
--- a/internal/door/running.go
+++ b/internal/door/running.go
@@ -6,6 +6,7 @@
 
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
+	"endivespring/internal/event"
 	"endivespring/internal/verdict"
 )
 
@@ -113,6 +114,10 @@
 			c.keys.ended(now.Sub(j.started))
 		}
 	}
+	if answer.Verdict != verdict.Ran {
+		c.decide(event.RunFailed, event.F("request", j.call.RequestID), event.F("upstream", j.upstream.Name), event.F("boot", j.upstream.Boot),
+			event.F("verdict", answer.Verdict.String()), event.F("reason", string(answer.Reason)), event.F("took", now.Sub(j.started)))
+	}
 	answer.Epoch = j.epoch
 	if !c.again(now, j, &answer) {
 		c.end(j, answer)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -35,6 +35,7 @@
 	RequestFinished    = define(512, "request-finished", Info, "The entry answered a request.")
 	AnswerDropped      = define(520, "answer-dropped", Warn, "A late or crossed answer was dropped.")
 	RequestRefused     = define(600, "request-refused", Info, "The door refused a request before it ran.")
+	RunFailed          = define(601, "run-failed", Info, "A request that was given to the upstream got no whole answer, or was refused there.")
 	UpstreamAnnounced  = define(610, "upstream-announced", Info, "An upstream announced itself to the router beside it.")
 	UpstreamLeft       = define(611, "upstream-left", Info, "An upstream announced that it leaves.")
 	UpstreamLost       = define(612, "upstream-lost", Warn, "An upstream stopped announcing itself.")
--- a/internal/event/guides.go
+++ b/internal/event/guides.go
@@ -37,10 +37,12 @@
 	RequestRouted: {fields: []string{
 		"request", "service", "operation", "router", "upstream", "try", "sharded", "shard", "key", "view", "left", "hedge", "why", "among"}},
 	RequestRetried:  {fields: []string{"request", "reason", "verdict"}},
-	RequestFinished: {fields: []string{"request", "service", "operation", "verdict", "reason", "upstream"}},
+	RequestFinished: {fields: []string{"request", "service", "operation", "verdict", "reason", "upstream", "key", "view", "retryAfter"}},
 	AnswerDropped: {fields: []string{"request", "router", "upstream"},
 		action: "Nothing for single ones: the caller was told the truth in time. Many from one router point at a slow upstream or network there."},
-	RequestRefused:    {fields: []string{"request", "service", "operation", "verdict", "reason", "shard"}},
+	RequestRefused: {fields: []string{
+		"request", "service", "operation", "verdict", "reason", "shard", "key", "view", "running", "queued", "limit", "typical"}},
+	RunFailed:         {fields: []string{"request", "upstream", "boot", "verdict", "reason", "took"}},
 	UpstreamAnnounced: {fields: []string{"upstream", "service", "boot"}},
 	UpstreamLeft:      {fields: []string{"upstream"}},
 	UpstreamLost: {fields: []string{"upstream"},
