End a stopping router within its grace period, whoever stays connected

The callers' server waited up to 5 s for open connections after a linger of 2.5 s, beyond the 5.5 s that the process has. Ruled out: the door (its runs end with their deadlines), control. Change: what is left of the grace period after the linger bounds that wait.

--- a/internal/router/stopping.go
+++ b/internal/router/stopping.go
@@ -42,7 +42,7 @@
 // elsewhere. The session is left to lapse: a router that starts again soon
 // takes over what the upstream holds.
 func (n *Node) stopFrontEnd(ctx context.Context) {
-	linger := time.NewTimer(min(n.settings.Linger.Value(), n.settings.GracePeriod()/2))
+	linger := time.NewTimer(n.settings.LingerTime())
 	defer linger.Stop()
 	_ = n.door.stop.Put(ctx, stopRetire)
 	select {
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -14,6 +14,9 @@
 // killMargin is kept of the time until a process is killed for its own end.
 const killMargin = 500 * time.Millisecond
 
+// finishMargin is kept of the grace period for the door's own end.
+const finishMargin = 200 * time.Millisecond
+
 // Router holds the settings of a router.
 type Router struct {
 	Fleet         string   `json:"fleet" required:"true" kind:"name" doc:"Name of the fleet. Processes of other fleets are refused."`
@@ -93,6 +96,12 @@
 	return max(killMargin, min(r.Grace.Value(), r.KillAfter.Value()-killMargin))
 }
 
+// LingerTime returns how long a stopping router with a front end takes work.
+func (r *Router) LingerTime() time.Duration { return min(r.Linger.Value(), r.GracePeriod()/2) }
+
+// FinishTime returns how long a stopping router then waits for what it has read.
+func (r *Router) FinishTime() time.Duration { return r.GracePeriod() - r.LingerTime() - finishMargin }
+
 // Reached returns the address by which other routers reach this one.
 func (r *Router) Reached() string {
 	if r.Advertise != "" {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -191,5 +191,6 @@
 	} {
 		r := &Router{Grace: Duration(test.grace), KillAfter: Duration(test.kill)}
 		assert.Equal(t, r.GracePeriod(), test.want)
+		assert.Assert(t, r.LingerTime()+r.FinishTime() < r.GracePeriod() && r.FinishTime() > 0)
 	}
 }
