--- /dev/null
+++ b/internal/control/operating.go
@@ -0,0 +1,110 @@
+package control
+
+import (
+	"fmt"
+
+	"endivespring/internal/fleet"
+)
+
+// operate executes an operator's command once; a resend gets the first result.
+func (s *State) operate(c *OperatorChange, change *fleet.Change) (Result, *fleet.Change) {
+	if first, ok := s.byCommand[c.CommandID]; ok && first.Digest == c.Digest {
+		return first.Result, nil
+	} else if ok {
+		return Result{Reason: "command id " + c.CommandID + " was used for another command", Config: s.View.Config, Version: s.View.Version}, nil
+	}
+	result, preset := s.checkOperator(c)
+	if result.Accepted {
+		s.fillOperator(c, preset, change)
+		change.Config = s.View.Config + 1
+	}
+	result, changed := s.commit(result, change)
+	if result.Accepted {
+		s.ConfigAt = result.Version
+	}
+	s.remember(OperatorResult{CommandID: c.CommandID, Digest: c.Digest, Result: result})
+	return result, changed
+}
+
+// checkOperator decides whether a command is accepted, and returns the preset
+// that it brings into force, if any.
+func (s *State) checkOperator(c *OperatorChange) (Result, *fleet.Preset) {
+	preset := c.Preset
+	switch {
+	case c.Amendment != nil:
+		if result := s.checkNumber(c.Amendment.Number, c.Amendment.Base); !result.Accepted {
+			return result, nil
+		}
+		if s.View.Preset == nil {
+			return Result{Refusal: RefusalConflict, Reason: "no preset is in force"}, nil
+		}
+		preset = c.Amendment.apply(s.View.Preset)
+	case preset != nil && preset.Number > 0:
+		if result := s.checkNumber(preset.Number, preset.Base); !result.Accepted {
+			return result, nil
+		}
+	case !c.Unconditional && c.Expected != s.View.Config:
+		return Result{Refusal: RefusalConflict, Reason: fmt.Sprintf("expected config version %d, but %d is in force", c.Expected, s.View.Config)}, nil
+	}
+	if preset == nil {
+		return Result{Accepted: true}, nil
+	}
+	return s.checkPreset(preset), preset
+}
+
+// checkNumber compares the numbers of a preset with the one in force.
+func (s *State) checkNumber(number, base uint64) Result {
+	current := uint64(0)
+	if s.View.Preset != nil {
+		current = s.View.Preset.Number
+	}
+	if base != current {
+		return Result{Refusal: RefusalConflict, Reason: fmt.Sprintf("built on preset %d, but %d is in force", base, current)}
+	}
+	if number <= current {
+		return Result{Refusal: RefusalInvalid, Reason: fmt.Sprintf("number %d is not above %d, which is in force", number, current)}
+	}
+	return Result{Accepted: true}
+}
+
+func (s *State) checkPreset(preset *fleet.Preset) Result {
+	if problem := preset.Problem(); problem != "" {
+		return Result{Refusal: RefusalInvalid, Reason: problem}
+	}
+	for _, service := range preset.Services {
+		if service.Ranged {
+			continue
+		}
+		if count, ok := s.ShardCounts[service.Name]; ok && count != service.Shards {
+			return Result{Refusal: RefusalInvalid, Reason: fmt.Sprintf("service %s has %d shards, which cannot change to %d", service.Name, count, service.Shards)}
+		}
+	}
+	return Result{Accepted: true}
+}
+
+func (s *State) fillOperator(c *OperatorChange, accepted *fleet.Preset, change *fleet.Change) {
+	switch {
+	case accepted != nil:
+		preset := *accepted
+		preset.Version = s.View.Config + 1
+		change.Preset = &preset
+		for _, service := range preset.Services {
+			if !service.Ranged {
+				s.ShardCounts[service.Name] = service.Shards
+			}
+		}
+	case c.DataCentre != nil:
+		change.DataCentres = append(change.DataCentres, *c.DataCentre)
+	case c.Upstream != nil:
+		change.Upstreams = append(change.Upstreams, *c.Upstream)
+	}
+}
+
+func (s *State) remember(result OperatorResult) {
+	if len(s.Results) >= ResultsKept {
+		delete(s.byCommand, s.Results[0].CommandID)
+		s.Results = s.Results[1:]
+	}
+	s.Results = append(s.Results, result)
+	s.byCommand[result.CommandID] = result
+}
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -136,31 +136,6 @@
 	return nil
 }
 
-// startOperators serves operators at the addresses that the settings give.
-func (n *Node) startOperators(injector do.Injector, token string, requests *ring.Ring[operator.Request]) error {
-	n.app = operator.NewServer(token, requests).App()
-	if address := n.settings.Self().Operator; address != "" {
-		listener, err := peer.Listen(address)
-		if err != nil {
-			return err
-		}
-		n.group.Go("operator-server", func(context.Context) error { return n.app.Listener(listener) })
-	}
-	if n.settings.FrontEnd.Name == "" {
-		return nil
-	}
-	frontEnd, err := do.InvokeNamed[FrontEnd](injector, n.settings.FrontEnd.Name+FrontEndSuffix)
-	if err != nil {
-		return eris.Errorf("frontEnd.name = %s: unknown front end", n.settings.FrontEnd.Name)
-	}
-	listener, err := peer.Listen(n.settings.FrontEnd.Operator)
-	if err != nil {
-		return err
-	}
-	n.group.Go("front-end", func(ctx context.Context) error { return frontEnd.ServeOperators(ctx, listener, requests, n.events) })
-	return nil
-}
-
 // startMetrics serves the metrics if the settings give an address.
 func (n *Node) startMetrics() error {
 	n.metrics = metrics.NewServer(n.registry)
