--- a/internal/caller/front_test.go
+++ b/internal/caller/front_test.go
@@ -23,14 +23,14 @@
 type front struct {
 	t        *testing.T
 	server   *Server
-	requests *ring.Ring[Request]
+	requests *ring.Ring[*Request]
 	address  string
 }
 
 func newFront(t *testing.T, capacity int) *front {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	f := &front{t: t, requests: ring.New[Request]("requests", capacity, ring.Refuse), address: listener.Addr().String()}
+	f := &front{t: t, requests: ring.New[*Request]("requests", capacity, ring.Refuse), address: listener.Addr().String()}
 	f.server = NewServer(f.requests, testBody, func(*call.Answer, time.Duration) {})
 	go func() { _ = f.server.App().Listener(listener) }()
 	t.Cleanup(func() { _ = f.server.App().ShutdownWithTimeout(time.Second) })
@@ -47,7 +47,7 @@
 	return connection
 }
 
-func (f *front) take() Request {
+func (f *front) take() *Request {
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	request, err := f.requests.Take(ctx)
@@ -112,7 +112,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFront(t, 1)
 			if c.full {
-				assert.NilError(t, f.requests.Put(context.Background(), Request{}))
+				assert.NilError(t, f.requests.Put(context.Background(), &Request{}))
 			}
 			response := f.read(f.open(c.headers, c.body))
 			assert.Equal(t, response.StatusCode, c.status)
--- a/internal/caller/gate.go
+++ b/internal/caller/gate.go
@@ -15,7 +15,7 @@
 // Gate is the way of a front end to the entry duty: it hands requests over and
 // waits for their answers.
 type Gate struct {
-	requests *ring.Ring[Request]
+	requests *ring.Ring[*Request]
 	observe  Observer
 	stopping atomic.Bool
 	next     atomic.Uint64
@@ -23,7 +23,7 @@
 
 // NewGate returns a gate that hands requests to a ring and shows each answer to
 // observe.
-func NewGate(requests *ring.Ring[Request], observe Observer) *Gate {
+func NewGate(requests *ring.Ring[*Request], observe Observer) *Gate {
 	return &Gate{requests: requests, observe: observe}
 }
 
@@ -43,7 +43,7 @@
 	reply := ring.NewReply[call.Answer]()
 	number := g.next.Add(1)
 	answer := refusal(request.ID, verdict.ReasonOverloaded)
-	if err := g.requests.Put(noContext, Request{Number: number, Request: request, Reply: reply}); err == nil {
+	if err := g.requests.Put(noContext, &Request{Number: number, Request: request, Reply: reply}); err == nil {
 		answer = g.wait(connection, number, &request, reply)
 	} else if request.Resend { // what was sent before may have run
 		answer.Verdict = verdict.MayHaveRun
@@ -66,7 +66,7 @@
 		case <-patience.C:
 			return call.Answer{RequestID: request.ID, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline}
 		case <-look.C:
-			if peer.Look(connection) == peer.SocketClosed && g.requests.Put(noContext, Request{Number: number, Abandoned: true}) == nil {
+			if peer.Look(connection) == peer.SocketClosed && g.requests.Put(noContext, &Request{Number: number, Abandoned: true}) == nil {
 				look.Stop()
 			}
 		}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -55,7 +55,7 @@
 
 // NewServer returns a server that hands requests to a ring and shows each
 // answer to observe. Bodies are limited to maxBody bytes.
-func NewServer(requests *ring.Ring[Request], maxBody int, observe Observer) *Server {
+func NewServer(requests *ring.Ring[*Request], maxBody int, observe Observer) *Server {
 	s := &Server{gate: NewGate(requests, observe)}
 	s.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true, BodyLimit: maxBody, ReadBufferSize: readBufferBytes,
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -36,7 +36,7 @@
 func newEntry(t *testing.T) *entry {
 	t.Helper()
 	e := &entry{listener: fasthttputil.NewInmemoryListener(), observed: map[string]int{}}
-	requests := ring.New[Request]("requests", 64, ring.Refuse)
+	requests := ring.New[*Request]("requests", 64, ring.Refuse)
 	server := NewServer(requests, testMaxBody, e.observe)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = server.App().Listener(e.listener) }()
@@ -214,8 +214,8 @@
 }
 
 func TestOverloadAndStop(t *testing.T) {
-	requests := ring.New[Request]("requests", 1, ring.Refuse)
-	_ = requests.Put(context.Background(), Request{})
+	requests := ring.New[*Request]("requests", 1, ring.Refuse)
+	_ = requests.Put(context.Background(), &Request{})
 	server := NewServer(requests, testMaxBody, func(*call.Answer, time.Duration) {})
 	e := &entry{listener: fasthttputil.NewInmemoryListener()}
 	go func() { _ = server.App().Listener(e.listener) }()
@@ -234,10 +234,10 @@
 	f.Add([]byte("POST /v1/s/o HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"))
 	f.Add([]byte("GET /v1/%2F/%00 HTTP/1.0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		requests := ring.New[Request]("requests", 64, ring.Refuse)
+		requests := ring.New[*Request]("requests", 64, ring.Refuse)
 		server := NewServer(requests, testMaxBody, func(*call.Answer, time.Duration) {})
 		for range requests.Capacity() {
-			_ = requests.Put(context.Background(), Request{})
+			_ = requests.Put(context.Background(), &Request{})
 		}
 		server.App().Handler()
 		_ = server.App().Server().ServeConn(&memoryConnection{in: bytes.NewReader(raw)})
--- a/internal/router/door_duty.go
+++ b/internal/router/door_duty.go
@@ -25,7 +25,7 @@
 	core        *door.Core
 	clock       clock.Clock
 	events      event.Recorder
-	submissions *ring.Ring[submission]
+	submissions *ring.Ring[*submission]
 	outcomes    *ring.Ring[door.Outcome]
 	updates     *ring.Ring[session.Update]
 	notices     *ring.Ring[upstream.Notice]
@@ -76,7 +76,7 @@
 		case <-timer.C:
 			d.tick(ctx)
 		case s := <-d.submissions.Out():
-			d.submit(&s)
+			d.submit(s)
 		case outcome := <-d.outcomes.Out():
 			d.complete(outcome)
 		case update := <-d.updates.Out():
--- a/internal/router/door_server.go
+++ b/internal/router/door_server.go
@@ -18,7 +18,7 @@
 	"endivespring/internal/wire/wirepb"
 )
 
-const answerCapacity = 4096 // answers waiting for one stream
+const answerCapacity = 512 // answers waiting for one stream, as many as calls wait for a link
 
 // doorServer takes calls of other routers' entries.
 type doorServer struct {
@@ -26,7 +26,7 @@
 	fleet  string
 	events event.Recorder
 	clock  clock.Clock
-	door   *ring.Ring[submission]
+	door   *ring.Ring[*submission]
 	next   atomic.Uint64
 }
 
@@ -40,7 +40,7 @@
 	defer cancel()
 	id := localLink + s.next.Add(1)
 	sink := &linkSink{out: ring.New[*wirepb.DoorDown]("link-answers", answerCapacity, ring.Refuse), cut: cancel}
-	if s.door.Put(ctx, submission{link: id, open: sink}) != nil {
+	if s.door.Put(ctx, &submission{link: id, open: sink}) != nil {
 		return status.Error(codes.ResourceExhausted, "door is overloaded")
 	}
 	go func() {
@@ -68,7 +68,7 @@
 // forget tells the door duty that the link is gone. The ring may be full for a
 // moment, so this waits for room.
 func (s *doorServer) forget(id uint64) {
-	_ = s.door.PutWait(context.Background(), submission{link: id, closed: true})
+	_ = s.door.PutWait(context.Background(), &submission{link: id, closed: true})
 }
 
 func (s *doorServer) send(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.DoorUp, wirepb.DoorDown], sink *linkSink) {
@@ -99,11 +99,11 @@
 		return
 	}
 	if up.GetCancel() != 0 {
-		_ = s.door.Put(ctx, submission{link: id, cancel: up.GetCancel()})
+		_ = s.door.Put(ctx, &submission{link: id, cancel: up.GetCancel()})
 		return
 	}
 	request := wire.ToCall(up.GetCall(), s.clock.Now())
-	if s.door.Put(ctx, submission{link: id, call: request}) != nil {
+	if s.door.Put(ctx, &submission{link: id, call: request}) != nil {
 		sink.answer(ctx, call.Refusal(&request, unseen(&request), verdict.ReasonOverloaded))
 	}
 }
--- a/internal/router/entry_duty.go
+++ b/internal/router/entry_duty.go
@@ -27,10 +27,10 @@
 	clock    clock.Clock
 	events   event.Recorder
 	group    *duty.Group
-	requests *ring.Ring[caller.Request]
-	answers  *ring.Ring[inboundAnswer]
+	requests *ring.Ring[*caller.Request]
+	answers  *ring.Ring[*inboundAnswer]
 	updates  *ring.Ring[session.Update]
-	door     *ring.Ring[submission]
+	door     *ring.Ring[*submission]
 
 	registry *metrics.Registry
 	// readiness is told once there is a preset.
@@ -42,7 +42,7 @@
 	delegated   map[uint64]uint64
 
 	token   uint64
-	waiting map[uint64]caller.Request
+	waiting map[uint64]*caller.Request
 	callers map[uint64]uint64 // tokens by the caller server's numbers
 	links   map[fleet.RouterID]*link
 }
@@ -62,7 +62,7 @@
 		case delegation := <-d.delegations.Out():
 			d.delegate(&delegation)
 		case answer := <-d.answers.Out():
-			d.answered(&answer)
+			d.answered(answer)
 		case update := <-d.updates.Out():
 			d.core.SetViewLease(update.ViewUntil)
 			if update.Change != nil {
@@ -83,7 +83,7 @@
 	return max(0, deadline.Sub(d.clock.Now()))
 }
 
-func (d *entryDuty) start(request caller.Request) {
+func (d *entryDuty) start(request *caller.Request) {
 	if request.Abandoned {
 		d.core.Abandon(d.clock.Now(), d.callers[request.Number])
 		return
@@ -161,7 +161,7 @@
 func (d *entryDuty) finish(ctx context.Context, finish attempt.Finish) {
 	if run, ok := d.delegated[finish.Token]; ok {
 		delete(d.delegated, finish.Token)
-		_ = d.door.Put(ctx, submission{outcome: &door.Outcome{Run: run, Answer: finish.Answer}})
+		_ = d.door.Put(ctx, &submission{outcome: &door.Outcome{Run: run, Answer: finish.Answer}})
 		return
 	}
 	if request, ok := d.waiting[finish.Token]; ok {
@@ -174,9 +174,9 @@
 func (d *entryDuty) send(ctx context.Context, send attempt.Send) {
 	var err error
 	if send.Router.ID == d.self {
-		err = d.door.Put(ctx, submission{link: localLink, call: send.Call})
+		err = d.door.Put(ctx, &submission{link: localLink, call: send.Call})
 	} else {
-		err = d.link(send.Router).calls.Put(ctx, outgoing{call: send.Call})
+		err = d.link(send.Router).calls.Put(ctx, &outgoing{call: send.Call})
 	}
 	if err != nil {
 		d.core.Lost(d.clock.Now(), send.Call.Number, verdict.NotRun)
@@ -185,11 +185,11 @@
 
 func (d *entryDuty) cancel(ctx context.Context, cancel attempt.Cancel) {
 	if cancel.Router == d.self {
-		_ = d.door.Put(ctx, submission{link: localLink, cancel: cancel.Number})
+		_ = d.door.Put(ctx, &submission{link: localLink, cancel: cancel.Number})
 		return
 	}
 	if l := d.links[cancel.Router]; l != nil {
-		_ = l.calls.Put(ctx, outgoing{call: call.Call{Number: cancel.Number}, cancel: true})
+		_ = l.calls.Put(ctx, &outgoing{call: call.Call{Number: cancel.Number}, cancel: true})
 	}
 }
 
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -22,7 +22,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	log := event.NewLog(&bytes.Buffer{}, "test")
-	submissions := ring.New[submission]("submissions", 8, ring.Refuse)
+	submissions := ring.New[*submission]("submissions", 8, ring.Refuse)
 	server := peer.NewServer()
 	wirepb.RegisterDoorsServer(server, &doorServer{fleet: "own", events: log, clock: clock.NewMonotonic(), door: submissions})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	linkCapacity  = 4096                   // calls waiting for one link
+	linkCapacity  = 512                    // calls waiting for one link, above what a door runs and queues; 4 KB
 	pingInterval  = 250 * time.Millisecond // time between probes of a link in use
 	silentTimeout = time.Second            // silence after which a link in use is given up
 	idleTimeout   = 30 * time.Second       // time without calls after which a link is closed
@@ -30,16 +30,16 @@
 	router  fleet.RouterID
 	address string
 	clock   clock.Clock
-	calls   *ring.Ring[outgoing]
-	answers *ring.Ring[inboundAnswer]
+	calls   *ring.Ring[*outgoing]
+	answers *ring.Ring[*inboundAnswer]
 	events  event.Recorder
 	heard   *ring.Ring[clock.Instant]
 }
 
-func newLink(fleetName string, r fleet.Router, c clock.Clock, answers *ring.Ring[inboundAnswer], events event.Recorder) *link {
+func newLink(fleetName string, r fleet.Router, c clock.Clock, answers *ring.Ring[*inboundAnswer], events event.Recorder) *link {
 	return &link{
 		fleet: fleetName, router: r.ID, address: r.Address, clock: c, answers: answers, events: events,
-		calls: ring.New[outgoing]("link-"+string(r.ID), linkCapacity, ring.Refuse),
+		calls: ring.New[*outgoing]("link-"+string(r.ID), linkCapacity, ring.Refuse),
 		heard: ring.New[clock.Instant]("link-heard", 1, ring.DropOldest),
 	}
 }
@@ -53,11 +53,11 @@
 		if out.cancel {
 			continue
 		}
-		lost := inboundAnswer{from: l.router, lost: true, verdict: verdict.NotRun}
+		lost := &inboundAnswer{from: l.router, lost: true, verdict: verdict.NotRun}
 		lost.answer.Number = out.call.Number
 		_ = l.answers.Put(ctx, lost)
 	}
-	_ = l.answers.Put(ctx, inboundAnswer{from: l.router, ended: l})
+	_ = l.answers.Put(ctx, &inboundAnswer{from: l.router, ended: l})
 	return nil
 }
 
@@ -98,7 +98,7 @@
 			continue
 		case out := <-l.calls.Out():
 			used = l.clock.Now()
-			up = l.message(&out, used)
+			up = l.message(out, used)
 		case <-ping.C:
 			now := l.clock.Now()
 			if now.Sub(heard) > silentTimeout {
@@ -142,7 +142,7 @@
 			continue
 		}
 		answer, whole := wire.ToAnswer(down.GetAnswer())
-		in := inboundAnswer{from: l.router, answer: answer}
+		in := &inboundAnswer{from: l.router, answer: answer}
 		if !whole {
 			in.lost, in.verdict = true, verdict.MayHaveRun
 		}
--- /dev/null
+++ b/internal/router/link_test.go
@@ -0,0 +1,29 @@
+package router
+
+import (
+	"runtime"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/fleet"
+	"endivespring/internal/ring"
+	"endivespring/internal/wire/wirepb"
+)
+
+// TestLinksToAWholeFleetFitInMemory holds the rings of both ends of a link to
+// what a router may spend at full size: 32 MB over links to 2,400 routers.
+func TestLinksToAWholeFleetFitInMemory(t *testing.T) {
+	const links, most = 100, 32 << 20 / 2400 // bytes a link
+	var before, after runtime.MemStats
+	kept := make([]any, 0, 2*links)
+	runtime.ReadMemStats(&before)
+	for range links {
+		kept = append(kept, newLink("fleet", fleet.Router{ID: "r"}, nil, nil, nil),
+			ring.New[*wirepb.DoorDown]("link-answers", answerCapacity, ring.Refuse))
+	}
+	runtime.ReadMemStats(&after)
+	used := (after.TotalAlloc - before.TotalAlloc) / links
+	assert.Assert(t, used <= most, "a link takes %d bytes, at most %d fit", used, most)
+	runtime.KeepAlive(kept)
+}
--- a/internal/router/local_sink.go
+++ b/internal/router/local_sink.go
@@ -11,9 +11,9 @@
 // localSink brings answers of the door to the entry of the same process.
 type localSink struct {
 	self    fleet.RouterID
-	answers *ring.Ring[inboundAnswer]
+	answers *ring.Ring[*inboundAnswer]
 }
 
 func (s *localSink) answer(ctx context.Context, a call.Answer) bool {
-	return s.answers.Put(ctx, inboundAnswer{from: s.self, answer: a}) == nil
+	return s.answers.Put(ctx, &inboundAnswer{from: s.self, answer: a}) == nil
 }
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -111,14 +111,14 @@
 func (n *Node) build() {
 	s := n.settings
 	self := fleet.Router{ID: fleet.RouterID(s.Name), DataCentre: fleet.DataCentre(s.DataCentre), Address: s.Reached()}
-	answers := ring.New[inboundAnswer]("answers", answerRingLength, ring.Wait)
-	submissions := ring.New[submission]("submissions", doorCapacity, ring.Refuse)
+	answers := ring.New[*inboundAnswer]("answers", answerRingLength, ring.Wait)
+	submissions := ring.New[*submission]("submissions", doorCapacity, ring.Refuse)
 	delegations := ring.New[door.Delegation]("delegations", delegationCapacity, ring.Refuse)
 	n.entry = &entryDuty{
 		self: self.ID, fleet: s.Fleet, core: attempt.New(attemptSettings(s, self)), clock: n.clock, events: n.events, group: n.group,
-		requests: ring.New[caller.Request]("requests", s.Entries, ring.Refuse), answers: answers, door: submissions,
+		requests: ring.New[*caller.Request]("requests", s.Entries, ring.Refuse), answers: answers, door: submissions,
 		updates: ring.New[session.Update]("entry-updates", updateCapacity, ring.Wait),
-		waiting: map[uint64]caller.Request{}, callers: map[uint64]uint64{}, links: map[fleet.RouterID]*link{},
+		waiting: map[uint64]*caller.Request{}, callers: map[uint64]uint64{}, links: map[fleet.RouterID]*link{},
 		readiness:   &n.readiness,
 		delegations: delegations, delegated: map[uint64]uint64{},
 	}
@@ -171,7 +171,7 @@
 }
 
 // measure registers the rings and the figures of the duties.
-func (n *Node) measure(answers *ring.Ring[inboundAnswer], submissions *ring.Ring[submission]) {
+func (n *Node) measure(answers *ring.Ring[*inboundAnswer], submissions *ring.Ring[*submission]) {
 	n.registry.Rings(n.events.Ring(), n.entry.requests, answers, submissions, n.entry.updates,
 		n.door.outcomes, n.door.delegations, n.door.updates, n.door.notices, n.door.runs, n.door.aborts, n.door.releases, n.door.registered, n.door.ranges)
 	n.entry.registry = n.registry
