--- a/internal/standin/announce_duty.go
+++ b/internal/standin/announce_duty.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"endivespring/internal/clock"
 	"endivespring/internal/upstream"
 )
 
@@ -28,7 +29,7 @@
 	}
 	for ctx.Err() == nil {
 		_ = d.post("/v1/announce", body)
-		pause(ctx, d.every)
+		clock.Pause(ctx, d.every)
 	}
 	return nil
 }
--- a/internal/standin/answering.go
+++ b/internal/standin/answering.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gofiber/fiber/v2"
 
+	"endivespring/internal/clock"
 	"endivespring/internal/upstream"
 )
 
@@ -16,7 +17,7 @@
 func (s *Server) answer(c *fiber.Ctx, out *result) error {
 	switch out.fault {
 	case FaultLate:
-		pause(s.group.Context(), out.delay)
+		clock.Pause(s.group.Context(), out.delay)
 	case FaultDuplicated, FaultTruncated, FaultReset, FaultSilent:
 		spoiled := *out
 		c.Context().HijackSetNoResponse(true)
@@ -39,7 +40,7 @@
 	switch out.fault {
 	case FaultDuplicated:
 		_, _ = io.WriteString(connection, whole)
-		pause(s.group.Context(), out.delay)
+		clock.Pause(s.group.Context(), out.delay)
 		_, _ = io.WriteString(connection, whole)
 		_, _ = io.Copy(io.Discard, connection)
 	case FaultTruncated:
--- a/internal/standin/scheduler_duty.go
+++ b/internal/standin/scheduler_duty.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"endivespring/internal/clock"
 	"endivespring/internal/ring"
 	"endivespring/internal/upstream"
 )
@@ -54,7 +55,7 @@
 		case change := <-d.changes.Out():
 			problem, freeze := d.change(change.body)
 			change.reply.Send(problem)
-			pause(ctx, freeze)
+			clock.Pause(ctx, freeze)
 		}
 	}
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -11,6 +11,7 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/rotisserie/eris"
 
+	"endivespring/internal/clock"
 	"endivespring/internal/duty"
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
@@ -149,7 +150,7 @@
 func (s *Server) Stop() {
 	s.stopAnnouncing()
 	_ = s.announce.leave()
-	pause(s.group.Context(), leaveTime)
+	clock.Pause(s.group.Context(), leaveTime)
 	_ = s.app.ShutdownWithTimeout(shutdownTimeout)
 	s.group.Stop()
 }
--- a/internal/standin/slot_duty.go
+++ b/internal/standin/slot_duty.go
@@ -56,12 +56,3 @@
 		j.result.status = http.StatusInternalServerError
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"endivespring/internal/relay"
 )
 
 // fleet is the processes of one scenario. Scripts of one scenario run on one
@@ -22,7 +24,7 @@
 	processes map[string]*process
 	// relaying is set if the processes reach each other through relays.
 	relaying bool
-	relays   map[pathName]*relay
+	relays   map[pathName]*relay.Relay
 }
 
 type process struct {
@@ -34,7 +36,7 @@
 type fleetKey struct{}
 
 func setup(env *testscript.Env) error {
-	f := &fleet{processes: map[string]*process{}, relays: map[pathName]*relay{}}
+	f := &fleet{processes: map[string]*process{}, relays: map[pathName]*relay.Relay{}}
 	env.Values[fleetKey{}] = f
 	env.Defer(f.stop)
 	return os.WriteFile(filepath.Join(env.WorkDir, "token"), []byte("scenario-token\n"), 0o600)
@@ -51,7 +53,7 @@
 		<-p.done
 	}
 	for _, r := range f.relays {
-		r.stop()
+		_ = r.Stop()
 	}
 }
 
--- a/scenarios/path_test.go
+++ b/scenarios/path_test.go
@@ -1,11 +1,14 @@
 package scenarios
 
 import (
+	"context"
 	"path"
 	"strings"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"endivespring/internal/relay"
 )
 
 // pathName names the path from one process to another. Paths between routers
@@ -18,12 +21,12 @@
 	if !f.relaying || from == to {
 		return target
 	}
-	r, err := newRelay(target)
+	r, err := relay.New(context.Background(), target)
 	ts.Check(err)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.relays[pathName{from, to}] = r
-	return r.address()
+	return r.Address()
 }
 
 // cmdPath changes paths of a fleet written by "fleet relayed ...":
@@ -59,20 +62,21 @@
 	return matchedFrom && matchedTo
 }
 
-func changePath(ts *testscript.TestScript, r *relay, args []string) {
+func changePath(ts *testscript.TestScript, r *relay.Relay, args []string) {
 	switch args[0] {
 	case "cut":
-		r.set(cutPath, 0)
+		r.Set(relay.Condition{Refuse: true})
+		r.Reset()
 	case "hold":
-		r.set(heldPath, 0)
+		r.Set(relay.Condition{Towards: relay.Hold, Back: relay.Hold})
 	case "silence":
-		r.silence()
+		r.Silence()
 	case "delay":
 		delay, err := time.ParseDuration(args[3])
 		ts.Check(err)
-		r.set(openPath, delay)
+		r.Set(relay.Condition{Delay: delay})
 	case "heal":
-		r.set(openPath, 0)
+		r.Set(relay.Condition{})
 	default:
 		ts.Fatalf("unknown change of a path: %s", args[0])
 	}
