--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -32,7 +32,7 @@
 	return []group{
 		{"processes", []subcommands.Command{&Control{frontEnds: frontEnds}, &Router{frontEnds: frontEnds}}},
 		{"operators", []subcommands.Command{&Preset{}, &DataCentre{}, &Upstream{}, &Status{}, &Explain{}, &Check{}, &Reference{}}},
-		{"tests and measurements", []subcommands.Command{&Standin{}, &Load{}}},
+		{"tests and measurements", []subcommands.Command{&Standin{}, &Load{}, &Soak{}}},
 	}
 }
 
--- a/internal/command/standin.go
+++ b/internal/command/standin.go
@@ -36,6 +36,7 @@
 	f.StringVar(&c.settings.Name, "name", "", "name of the upstream")
 	f.StringVar(&c.settings.Service, "service", "", "service that it serves")
 	f.StringVar(&c.settings.Address, "address", "", "own address")
+	f.StringVar(&c.settings.Advertise, "advertise", "", "address by which the router reaches it, if not --address")
 	f.StringVar(&c.settings.Announce, "announce", "", "announce address of the router beside it")
 	f.IntVar(&c.settings.Slots, "slots", 10, "requests that run at once when warm")
 	f.IntVar(&c.settings.ColdSlots, "cold-slots", 2, "requests that it bears right after a start")
--- /dev/null
+++ b/internal/soak/check_recovery.go
@@ -0,0 +1,44 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"endivespring/internal/verdict"
+)
+
+// slowRecovery finds whether requests were not served though every fault was
+// over for as long as the recovery may take.
+func slowRecovery(h *History) []string {
+	from := h.Start
+	for _, i := range h.Injected {
+		if i.Ended.After(from) {
+			from = i.Ended
+		}
+	}
+	for _, o := range h.Orders {
+		if o.Acked.After(from) {
+			from = o.Acked
+		}
+	}
+	from = from.Add(recoveryBound + restartTime)
+	asked, served := 0, 0
+	var first *Send
+	for i := range h.Sends {
+		s := &h.Sends[i]
+		if s.At.Before(from) || s.Attempt > 1 {
+			continue
+		}
+		asked++
+		if s.Verdict == verdict.Ran.String() {
+			served++
+		} else if first == nil {
+			first = s
+		}
+	}
+	if first == nil || float64(served) >= servedShare*float64(asked) {
+		return nil
+	}
+	return []string{fmt.Sprintf("%d of %d requests were served later than %s after the last fault; the first not served: %s to %s at %s (%s %s)",
+		served, asked, recoveryBound+restartTime, first.ID, first.Router, first.At.Sub(h.Start).Round(time.Millisecond), first.Verdict, first.Reason)}
+}
--- /dev/null
+++ b/internal/soak/check_stops.go
@@ -0,0 +1,44 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/samber/lo"
+)
+
+// cutRequests finds requests that were running when their router was stopped
+// with SIGTERM and got no answer, with no other fault from just before.
+func cutRequests(h *History) []string {
+	var out []string
+	runs := h.runsByID()
+	for i := range h.Injected {
+		stop := &h.Injected[i]
+		if stop.Kind != Terminate || !isRouter(stop.Target) || h.disturbed(stop) {
+			continue
+		}
+		for _, s := range h.Sends {
+			during := s.Ended.After(stop.Begun) && s.At.Before(stop.Ended)
+			if s.Broken && during && s.Router == stop.Target && len(runs[s.ID]) > 0 {
+				out = append(out, fmt.Sprintf("request %s to %s ran and was cut %s after SIGTERM", s.ID, s.Router, s.Ended.Sub(stop.Begun)))
+			}
+		}
+	}
+	return out
+}
+
+// disturbed reports whether a fault lasted at some time from shortly before a
+// stop to its end.
+func (h *History) disturbed(stop *Injected) bool {
+	from := stop.Begun.Add(-recoveryBound - restartTime)
+	return lo.ContainsBy(h.Injected, func(i Injected) bool {
+		return !i.Kind.planned() && i.Begun.Before(stop.Ended) && i.Ended.After(from)
+	})
+}
+
+// overdueProcesses finds processes that did not end after SIGTERM.
+func overdueProcesses(h *History) []string {
+	return lo.FilterMap(h.Injected, func(i Injected, _ int) (string, bool) {
+		return fmt.Sprintf("%s still ran %s after SIGTERM", i.Target, i.Ended.Sub(i.Begun).Round(time.Millisecond)), i.Overdue && !h.froze(i.Target, i.Begun, i.Ended)
+	})
+}
--- /dev/null
+++ b/internal/soak/kind.go
@@ -0,0 +1,55 @@
+package soak
+
+// Kind is a kind of fault or planned work.
+type Kind string
+
+// The kinds. Those of processes name a process, those of paths a path.
+const (
+	// Kill ends a process with SIGKILL and starts it again afterwards.
+	Kill Kind = "kill"
+	// Terminate ends a process with SIGTERM and starts it again afterwards.
+	Terminate Kind = "terminate"
+	// Freeze stops a process with SIGSTOP and wakes it afterwards.
+	Freeze Kind = "freeze"
+	// Wipe kills a control process, empties its data folder and starts it again.
+	Wipe Kind = "wipe"
+	// Hang is SIGHUP: the settings are read anew.
+	Hang Kind = "hang-up"
+	// Delay holds all bytes of a path back for a while each.
+	Delay Kind = "delay"
+	// Reset resets the open connections of a path.
+	Reset Kind = "reset"
+	// Silence loses the bytes of a path's open connections for good.
+	Silence Kind = "silence"
+	// Refuse closes each new connection of a path.
+	Refuse Kind = "refuse"
+	// Cut lets nothing pass on a path, CutTowards nothing from the side that
+	// connects, CutBack nothing to it.
+	Cut        Kind = "cut"
+	CutTowards Kind = "cut-towards"
+	CutBack    Kind = "cut-back"
+	// Change puts another preset in force.
+	Change Kind = "change"
+	// TakeOut takes a data centre out, and back afterwards.
+	TakeOut Kind = "take-out"
+)
+
+// ofPath reports whether the kind changes a path.
+func (k Kind) ofPath() bool {
+	switch k {
+	case Delay, Reset, Silence, Refuse, Cut, CutTowards, CutBack:
+		return true
+	default:
+		return false
+	}
+}
+
+// planned reports whether the kind is an operator's work rather than a fault.
+func (k Kind) planned() bool {
+	switch k {
+	case Terminate, Hang, Change, TakeOut:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/soak/layout.go
@@ -0,0 +1,58 @@
+package soak
+
+import (
+	"strings"
+	"time"
+
+	"endivespring/internal/preset"
+	"endivespring/internal/settings"
+)
+
+// Services and operations of the fleet under test.
+const (
+	services     = 2
+	deskService  = "desk"
+	lanesService = "lanes"
+	lookup       = "lookup"
+	reserve      = "reserve"
+	keys         = 60   // keys that callers draw from
+	shards       = 16   // shards of the keyed service
+	retryShare   = 0.1  // share of requests that may be tried again, as the preset says
+	hedgeShare   = 0.05 // share of lookups that may be hedged, as the preset says
+	budgetBurst  = 10   // retries that may follow each other after a quiet time
+)
+
+// presetFile returns a preset with the fleet's services. Presets differ by name
+// and by the deadline of lookups.
+func presetFile(name string) *preset.File {
+	deadline := settings.Duration(operationDeadline)
+	if name != "ordinary" {
+		deadline /= 2
+	}
+	operations := []preset.Operation{
+		{Name: lookup, Idempotent: true, Deadline: deadline}, {Name: reserve, Deadline: settings.Duration(operationDeadline)},
+	}
+	service := func(name string, keyed bool) preset.Service {
+		return preset.Service{
+			Name: name, Keyed: keyed, Shards: shards, Operations: operations, HedgeQuantile: 0.95, HedgeBudget: hedgeShare,
+			RetryBudget: retryShare, QueueLimit: 64, RecordWindow: settings.Duration(time.Minute),
+		}
+	}
+	return &preset.File{Name: name, Services: []preset.Service{service(deskService, false), service(lanesService, true)}}
+}
+
+func idempotent(operation string) bool { return operation == lookup }
+
+func isUpstream(name string) bool { return strings.HasPrefix(name, "upstream-") }
+
+func isRouter(name string) bool { return strings.HasPrefix(name, "router-") }
+
+func isControl(name string) bool { return strings.HasPrefix(name, "control-") }
+
+// serviceOf returns the service of the upstream with a number from 0.
+func serviceOf(i int) string {
+	if i%services == 0 {
+		return deskService
+	}
+	return lanesService
+}
--- /dev/null
+++ b/internal/soak/pacer_duty.go
@@ -0,0 +1,47 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"endivespring/internal/ring"
+)
+
+// pacerDuty puts requests on a ring at the plan's rate.
+type pacerDuty struct {
+	plan     *Plan
+	routers  []string
+	requests *ring.Ring[request]
+	done     ring.Reply[struct{}]
+}
+
+// Run sends for the plan's length. Requests wait while all callers are busy.
+func (d *pacerDuty) Run(ctx context.Context) error {
+	random := rand.New(rand.NewPCG(uint64(d.plan.Seed), 1))
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / d.plan.Rate))
+	defer ticker.Stop()
+	end := time.NewTimer(d.plan.Length.Value())
+	defer end.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-end.C:
+			d.done.Send(struct{}{})
+			return nil
+		case <-ticker.C:
+		}
+		next := request{id: "soak-" + strconv.Itoa(i), service: serviceOf(i), operation: lookup, first: random.IntN(len(d.routers))}
+		if random.IntN(2) == 0 {
+			next.operation = reserve
+		}
+		if next.service == lanesService {
+			next.key = "lane-" + strconv.Itoa(random.IntN(keys))
+		}
+		if d.requests.Put(ctx, next) != nil {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,34 @@
+package soak
+
+import (
+	"strconv"
+
+	"endivespring/internal/settings"
+)
+
+// Plan is a fleet, its load and the faults of one run. The same plan gives the
+// same faults at the same times.
+type Plan struct {
+	Seed     int64             `json:"seed" min:"0" max:"9007199254740991" doc:"Seed from which the faults were drawn and by which callers choose."`
+	Length   settings.Duration `json:"length" default:"20s" min:"1s" max:"1h" doc:"How long requests are sent."`
+	Controls int               `json:"controls" default:"3" min:"1" max:"7" doc:"Control processes; an odd number."`
+	Routers  int               `json:"routers" default:"6" min:"1" max:"150" doc:"Routers, each with one stand-in."`
+	Rate     float64           `json:"rate" default:"150" min:"1" max:"5000" doc:"Requests a second."`
+	Faults   []Fault           `json:"faults" doc:"Faults and planned work."`
+}
+
+// Check reports problems across fields.
+func (p *Plan) Check() settings.Problems {
+	var problems settings.Problems
+	if p.Controls%2 == 0 {
+		problems = append(problems, settings.Problem{Field: "controls", Value: p.Controls, Message: "must be odd"})
+	}
+	known := newRoster(p)
+	for i := range p.Faults {
+		field := "faults[" + strconv.Itoa(i) + "]."
+		if f := &p.Faults[i]; !known.allows(f) {
+			problems = append(problems, settings.Problem{Field: field + "target", Value: f.Target, Message: "is nothing that " + strconv.Quote(string(f.Kind)) + " applies to"})
+		}
+	}
+	return problems
+}
--- /dev/null
+++ b/internal/soak/plan_test.go
@@ -0,0 +1,74 @@
+package soak
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/settings"
+)
+
+func drawn(seed int64) *Plan {
+	p := &Plan{Seed: seed, Length: settings.Duration(20 * time.Second), Controls: 3, Routers: 6, Rate: 150}
+	Draw(p)
+	return p
+}
+
+func TestTheSameSeedGivesTheSamePlan(t *testing.T) {
+	assert.DeepEqual(t, drawn(7), drawn(7))
+	assert.Assert(t, len(drawn(7).Faults) > 0)
+}
+
+// TestPlansAreWhatReplayReads checks drawn plans as a replay does, and that
+// every kind comes up and every fault ends before the time of recovery.
+func TestPlansAreWhatReplayReads(t *testing.T) {
+	seen := map[Kind]bool{}
+	for seed := range int64(200) {
+		plan := drawn(seed)
+		data, err := json.Marshal(plan)
+		assert.NilError(t, err)
+		var read Plan
+		assert.NilError(t, settings.Parse("plan.json", data, &read))
+		assert.DeepEqual(t, &read, plan)
+		for _, f := range plan.Faults {
+			seen[f.Kind] = true
+			assert.Assert(t, f.end().Value() <= plan.Length.Value()-quietEnd)
+		}
+	}
+	for _, w := range weights {
+		assert.Assert(t, seen[w.kind], "%s never comes up", w.kind)
+	}
+}
+
+func TestPlansAreChecked(t *testing.T) {
+	for text, problem := range map[string]string{
+		`{"faults": [{"at": "1s", "kind": "kill", "target": "router-9"}]}`:         `faults[0].target`,
+		`{"faults": [{"at": "1s", "kind": "wipe", "target": "router-1"}]}`:         `"wipe" applies to`,
+		`{"faults": [{"at": "1s", "kind": "melt", "target": "router-1"}]}`:         `"melt" applies to`,
+		`{"faults": [{"at": "1s", "kind": "cut", "target": "router-1>router-2"}]}`: `faults[0].target`,
+		`{"controls": 2}`: `controls`,
+		`{"speed": 2}`:    `speed`,
+	} {
+		assert.ErrorContains(t, settings.Parse("plan.json", []byte(text), &Plan{}), problem)
+	}
+}
+
+func TestShrinkKeepsWhatIsNeeded(t *testing.T) {
+	plan := drawn(3)
+	assert.Assert(t, len(plan.Faults) > 6)
+	a, b := plan.Faults[1], plan.Faults[5]
+	tries := 0
+	smaller, err := Shrink(plan, func(p *Plan) (bool, error) {
+		tries++
+		hasA, hasB := false, false
+		for _, f := range p.Faults {
+			hasA, hasB = hasA || f == a, hasB || f == b
+		}
+		return hasA && hasB, nil
+	})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, smaller.Faults, []Fault{a, b})
+	assert.Assert(t, tries < 4*len(plan.Faults), "%d tries", tries)
+}
--- a/internal/standin/ledger_line.go
+++ b/internal/standin/ledger_line.go
@@ -1,5 +1,8 @@
 package standin
 
+// LedgerSuffix ends the names of ledger files.
+const LedgerSuffix = ".ledger"
+
 // LedgerLine is one line of the ledger.
 type LedgerLine struct {
 	Event     LedgerEvent `json:"event"`
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/rand"
 	"os"
@@ -88,7 +89,7 @@
 		s.group.Go("slot", (&slotDuty{name: s.settings.Name, jobs: slots, done: done}).Run)
 	}
 	s.announce = &announceDuty{address: s.settings.Announce, every: s.settings.AnnounceEvery, announcement: upstream.Announcement{
-		Name: s.settings.Name, Service: s.settings.Service, Address: s.settings.Address, Boot: rand.Text(),
+		Name: s.settings.Name, Service: s.settings.Service, Address: cmp.Or(s.settings.Advertise, s.settings.Address), Boot: rand.Text(),
 		Slots: s.settings.Slots, ColdSlots: s.settings.ColdSlots, Connections: s.settings.Connections, ChecksGrants: s.settings.ChecksGrants,
 	}}
 	s.group.Go("announce", func(context.Context) error { return s.announce.Run(announcing) })
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -9,6 +9,8 @@
 	Name     string
 	Service  string
 	Address  string
+	// Advertise is the address that it announces, if not Address.
+	Advertise string
 	Announce string
 	// Slots is the number of requests that run at once when warm.
 	Slots int
