--- a/internal/soak/bounds.go
+++ b/internal/soak/bounds.go
@@ -16,9 +16,6 @@
 	// servedShare is the share of requests served in time, by the users' target
 	// for 99 in 100 requests.
 	servedShare = 0.99
-	// inForceBound is how long a change takes to be in force everywhere, by the
-	// users' target.
-	inForceBound = 13 * time.Second
 	// graceBound is how long a process may take to end after SIGTERM: the
 	// default grace of a router and a second for its own end.
 	graceBound = 21 * time.Second
--- a/internal/soak/layout.go
+++ b/internal/soak/layout.go
@@ -47,8 +47,6 @@
 
 func isRouter(name string) bool { return strings.HasPrefix(name, "router-") }
 
-func isControl(name string) bool { return strings.HasPrefix(name, "control-") }
-
 // serviceOf returns the service of the upstream with a number from 0.
 func serviceOf(i int) string {
 	if i%services == 0 {
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -6,12 +6,12 @@
 
 // Settings holds what a stand-in is and how it behaves at first.
 type Settings struct {
-	Name     string
-	Service  string
-	Address  string
+	Name    string
+	Service string
+	Address string
 	// Advertise is the address that it announces, if not Address.
 	Advertise string
-	Announce string
+	Announce  string
 	// Slots is the number of requests that run at once when warm.
 	Slots int
 	// ColdSlots is the number of requests that it bears right after a start.
