--- a/internal/soak/injector_duty.go
+++ b/internal/soak/injector_duty.go
@@ -26,15 +26,17 @@
 	steps  []step
 	orders *ring.Ring[Order]
 	seen   *ring.Ring[*observation]
-	// begun holds the faults under way; changed the last fault of each path.
+	// begun holds when faults began; told which start of a process was told to
+	// end by one; changed the last fault of each path.
 	begun   map[int]time.Time
+	told    map[int]int
 	changed map[string]int
 	done    ring.Reply[struct{}]
 }
 
 func newInjector(w *world, start time.Time, orders *ring.Ring[Order], seen *ring.Ring[*observation]) *injectorDuty {
 	d := &injectorDuty{
-		world: w, start: start, orders: orders, seen: seen, begun: map[int]time.Time{}, changed: map[string]int{}, done: ring.NewReply[struct{}](),
+		world: w, start: start, orders: orders, seen: seen, begun: map[int]time.Time{}, told: map[int]int{}, changed: map[string]int{}, done: ring.NewReply[struct{}](),
 	}
 	for i := range w.plan.Faults {
 		f := &w.plan.Faults[i]
@@ -72,10 +74,13 @@
 		d.report(ctx, s.fault, d.begun[s.fault].Add(stillLasts), false)
 		return d.begin(ctx, s.fault, f)
 	}
-	if f.Kind == Terminate && d.awaits(s, f) {
+	lives := f.Kind == Terminate && d.lives(s.fault, f)
+	overdue := lives && time.Since(d.begun[s.fault]) >= graceBound
+	if lives && !overdue {
+		d.steps = append(d.steps, step{at: time.Since(d.start) + lookAgain, fault: s.fault})
+		d.sort()
 		return nil
 	}
-	overdue := f.Kind == Terminate && d.world.members[f.Target].alive() && d.since(s.fault) >= graceBound
 	if err := d.finish(ctx, s.fault, f); err != nil {
 		return err
 	}
@@ -83,18 +88,12 @@
 	return nil
 }
 
-// awaits looks again later if a process that was told to end has not.
-func (d *injectorDuty) awaits(s step, f *Fault) bool {
-	if !d.world.members[f.Target].alive() || d.since(s.fault) >= graceBound {
-		return false
-	}
-	d.steps = append(d.steps, step{at: time.Since(d.start) + lookAgain, fault: s.fault})
-	d.sort()
-	return true
+// lives reports whether the process that a fault told to end still runs.
+func (d *injectorDuty) lives(fault int, f *Fault) bool {
+	m := d.world.members[f.Target]
+	return m.alive() && m.starts == d.told[fault]
 }
 
-func (d *injectorDuty) since(fault int) time.Duration { return time.Since(d.begun[fault]) }
-
 func (d *injectorDuty) report(ctx context.Context, fault int, ended time.Time, overdue bool) {
 	i := &Injected{Fault: d.world.plan.Faults[fault], Number: fault, Begun: d.begun[fault], Ended: ended, Overdue: overdue}
 	_ = d.seen.Put(ctx, &observation{injected: i})
@@ -111,6 +110,7 @@
 	case Kill:
 		m.kill()
 	case Terminate:
+		d.told[number] = m.starts
 		m.signal(syscall.SIGTERM)
 	case Freeze:
 		m.signal(syscall.SIGSTOP)
@@ -160,7 +160,9 @@
 	case Kill, Wipe:
 		return m.start()
 	case Terminate:
-		m.kill()
+		if d.lives(number, f) {
+			m.kill()
+		}
 		return m.start()
 	case Freeze:
 		m.signal(syscall.SIGCONT)
--- a/internal/soak/member.go
+++ b/internal/soak/member.go
@@ -24,6 +24,8 @@
 	name, binary, folder string
 	args                 []string
 
+	// starts counts the processes that there were.
+	starts  int
 	process *os.Process
 	ended   ring.Reply[error]
 }
@@ -46,6 +48,7 @@
 		return eris.Wrapf(err, "start %s", m.name)
 	}
 	ended := ring.NewReply[error]()
+	m.starts++
 	m.process, m.ended = cmd.Process, ended
 	go func() {
 		err := cmd.Wait()
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -72,3 +73,13 @@
 	assert.DeepEqual(t, smaller.Faults, []Fault{a, b})
 	assert.Assert(t, tries < 4*len(plan.Faults), "%d tries", tries)
 }
+
+// TestKeptPlansCanBeReplayed reads the plans that once broke a promise.
+func TestKeptPlansCanBeReplayed(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.json")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		assert.NilError(t, settings.Read(file, &Plan{}))
+	}
+}
