--- a/internal/caller/gate.go
+++ b/internal/caller/gate.go
@@ -7,6 +7,7 @@
 
 	"endivespring/internal/attempt"
 	"endivespring/internal/call"
+	"endivespring/internal/fleet"
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
@@ -19,6 +20,7 @@
 	observe  Observer
 	stopping atomic.Bool
 	next     atomic.Uint64
+	limits   atomic.Pointer[fleet.CallerLimits]
 }
 
 // NewGate returns a gate that hands requests to a ring and shows each answer to
@@ -27,6 +29,17 @@
 	return &Gate{requests: requests, observe: observe}
 }
 
+// SetLimits bounds what callers may send from now on.
+func (g *Gate) SetLimits(limits fleet.CallerLimits) { g.limits.Store(&limits) }
+
+// Limits returns what callers may send; fields are zero if nothing bounds them.
+func (g *Gate) Limits() fleet.CallerLimits {
+	if limits := g.limits.Load(); limits != nil {
+		return *limits
+	}
+	return fleet.CallerLimits{}
+}
+
 // Stop makes front ends close each connection after its next answer.
 func (g *Gate) Stop() { g.stopping.Store(true) }
 
--- a/internal/router/entry_duty.go
+++ b/internal/router/entry_duty.go
@@ -42,6 +42,7 @@
 	delegated   map[uint64]uint64
 
 	token   uint64
+	gate    *caller.Gate
 	waiting map[uint64]*caller.Request
 	callers map[uint64]uint64 // tokens by the caller server's numbers
 	links   map[fleet.RouterID]*link
@@ -67,7 +68,7 @@
 			d.core.SetViewLease(update.ViewUntil)
 			if update.Change != nil {
 				d.core.SetView(d.clock.Now(), update.Change)
-				d.readiness.informed.Store(d.core.View().Preset != nil)
+				d.inform(d.core.View().Preset)
 			}
 		}
 		d.dispatch(ctx)
@@ -75,6 +76,14 @@
 	}
 }
 
+// inform tells the front end of a preset, nil if there is none.
+func (d *entryDuty) inform(preset *fleet.Preset) {
+	d.readiness.informed.Store(preset != nil)
+	if preset != nil {
+		d.gate.SetLimits(preset.Limits)
+	}
+}
+
 func (d *entryDuty) sleep() time.Duration {
 	deadline := d.core.Deadline()
 	if deadline == clock.Never {
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -149,6 +149,7 @@
 	observe := metrics.NewRequestMeter(n.registry).Observe
 	n.caller = caller.NewServer(n.entry.requests, s.MaxBody, observe)
 	n.gate = caller.NewGate(n.entry.requests, observe)
+	n.entry.gate = n.gate
 	n.callersDone = ring.New[struct{}]("callers-done", 1, ring.DropOldest)
 	n.announce = upstream.NewServer(n.door.notices).App()
 	n.grpc = peer.NewServer()
--- a/internal/verdict/reason.go
+++ b/internal/verdict/reason.go
@@ -13,6 +13,7 @@
 	ReasonUnknownOp       Reason = "unknown-operation"
 	ReasonMissingKey      Reason = "missing-key"
 	ReasonBadRequest      Reason = "bad-request"
+	ReasonHeaderTooLarge  Reason = "header-too-large"
 	ReasonBodyTooLarge    Reason = "body-too-large"
 	ReasonNoUpstream      Reason = "no-upstream"
 	ReasonNoOwner         Reason = "no-owner"
