--- a/internal/command/preset.go
+++ b/internal/command/preset.go
@@ -5,10 +5,12 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/google/subcommands"
 	"github.com/rotisserie/eris"
+	"github.com/samber/lo"
 
 	"endivespring/internal/operator"
 	"endivespring/internal/preset"
@@ -133,10 +135,34 @@
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "SERVICE\tBY KEY\tSHARDS\tQUEUE\tOPERATION\tIDEMPOTENT\tDEADLINE")
 	for _, s := range body.Preset.Services {
+		if len(s.Operations) == 0 {
+			fmt.Fprintf(w, "%s\t%t\t-\t%d\t-\t-\t-\n", s.Name, s.Keyed, s.QueueLimit)
+		}
 		for _, o := range s.Operations {
 			fmt.Fprintf(w, "%s\t%t\t%d\t%d\t%s\t%t\t%s\n", s.Name, s.Keyed, s.Shards, s.QueueLimit, o.Name, o.Idempotent, o.Deadline.Value())
 		}
 	}
 	_ = w.Flush()
+	showRoutes(body.Preset)
 	return subcommands.ExitSuccess
 }
+
+// showRoutes prints how requests find their services, if routes do that.
+func showRoutes(p *preset.File) {
+	if len(p.Routes) == 0 {
+		return
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "\nROUTE\tHOST\tPREFIX\tIDEMPOTENT\tTIMEOUT\tOBJECTIVE\tPRIORITY\tUPSTREAMS\tTARGETS")
+	for _, r := range p.Routes {
+		targets := lo.Map(r.Targets, func(t preset.Target, _ int) string {
+			if r.Split {
+				return fmt.Sprintf("%s=%d", t.Name, t.Weight)
+			}
+			return t.Name
+		})
+		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%s\t%s\t%d\t%d\t%s\n", r.Name, r.Host, r.Prefix, r.Idempotent, r.Timeout.Value(), r.Objective.Value(),
+			r.Priority, r.MaxUpstreams, strings.Join(targets, " "))
+	}
+	_ = w.Flush()
+}
--- a/internal/preset/file.go
+++ b/internal/preset/file.go
@@ -16,6 +16,8 @@
 type File struct {
 	Name     string    `json:"name" required:"true" kind:"name" doc:"Name shown to operators."`
 	Services []Service `json:"services" required:"true" min:"1" doc:"All services of the fleet."`
+	Routes   []Route   `json:"routes" doc:"Requests by host and path; none if callers name services themselves."`
+	Limits   Limits    `json:"limits" doc:"What callers may send."`
 }
 
 // ReadFile reads and checks a preset file.
@@ -53,24 +55,45 @@
 		problems = append(problems, settings.Problem{Field: "services", Value: duplicate, Message: "name is used twice"})
 	}
 	for i, service := range f.Services {
-		problems = append(problems, service.problems("services["+strconv.Itoa(i)+"]")...)
+		path := "services[" + strconv.Itoa(i) + "]"
+		problems = append(problems, service.problems(path)...)
+		if len(service.Operations) == 0 && !f.leadsTo(service.Name) {
+			problems = append(problems, settings.Problem{Field: path + ".operations", Message: "missing, and no route leads to the service"})
+		}
+	}
+	if problem := f.Preset().Problem(); problem != "" {
+		problems = append(problems, settings.Problem{Field: "routes", Message: problem})
 	}
 	return problems
 }
 
+// leadsTo reports whether a route leads to a service.
+func (f *File) leadsTo(service string) bool {
+	return lo.ContainsBy(f.Routes, func(r Route) bool {
+		return lo.ContainsBy(r.Targets, func(t Target) bool { return t.Name == service })
+	})
+}
+
 // Preset returns the checked preset with sorted services and operations.
 func (f *File) Preset() *fleet.Preset {
-	p := &fleet.Preset{Name: f.Name, Services: lo.Map(f.Services, func(s Service, _ int) fleet.Service { return s.service() })}
+	p := &fleet.Preset{Name: f.Name, Limits: f.Limits.limits(), Services: lo.Map(f.Services, func(s Service, _ int) fleet.Service { return s.service() })}
 	slices.SortFunc(p.Services, func(a, b fleet.Service) int { return cmp.Compare(a.Name, b.Name) })
+	for _, r := range f.Routes {
+		p.Routes = append(p.Routes, r.route())
+	}
+	slices.SortFunc(p.Routes, func(a, b fleet.Route) int { return cmp.Compare(a.Name, b.Name) })
 	return p
 }
 
 func (s Service) service() fleet.Service {
 	out := fleet.Service{
-		Name: s.Name, Keyed: s.Keyed, Shards: uint32(s.Shards),
+		Name: s.Name, Keyed: s.Keyed, Ranged: s.Ranged, Shards: uint32(s.Shards), Profile: s.Upstreams.profile(),
 		HedgeQuantile: s.HedgeQuantile, HedgeBudget: s.HedgeBudget, RetryBudget: s.RetryBudget,
 		QueueLimit: s.QueueLimit, RecordWindow: s.RecordWindow.Value(),
 	}
+	if s.Ranged || len(s.Operations) == 0 {
+		out.Shards = 0
+	}
 	for _, o := range s.Operations {
 		out.Operations = append(out.Operations, fleet.Operation{Name: o.Name, Idempotent: o.Idempotent, Deadline: o.Deadline.Value()})
 	}
@@ -78,7 +101,12 @@
 	return out
 }
 
-// NewFile returns the file form of a preset.
+// NewFile returns the file form of a preset. One without a name is named by its
+// number.
 func NewFile(p *fleet.Preset) *File {
-	return &File{Name: p.Name, Services: lo.Map(p.Services, func(s fleet.Service, _ int) Service { return newService(s) })}
+	return &File{
+		Name: cmp.Or(p.Name, "number-"+strconv.FormatUint(p.Number, 10)), Limits: newLimits(p.Limits),
+		Services: lo.Map(p.Services, func(s fleet.Service, _ int) Service { return newService(s) }),
+		Routes:   lo.Map(p.Routes, func(r fleet.Route, _ int) Route { return newRoute(r) }),
+	}
 }
--- a/internal/preset/service.go
+++ b/internal/preset/service.go
@@ -9,17 +9,22 @@
 	"endivespring/internal/settings"
 )
 
+// defaultShards is the number of shards of a service that names none.
+const defaultShards = 64
+
 // Service is a service as a preset file writes it.
 type Service struct {
 	Name          string            `json:"name" required:"true" kind:"name" doc:"Name in the caller's path."`
 	Keyed         bool              `json:"keyed" doc:"Divided by key: one upstream owns each key."`
 	Shards        int               `json:"shards" default:"64" min:"1" max:"65536" doc:"Number of shards; fixed for the life of the service."`
-	Operations    []Operation       `json:"operations" required:"true" min:"1" doc:"Kinds of request."`
+	Ranged        bool              `json:"ranged" doc:"Keyed by number: upstreams hold ranges of keys, and shards are not used. Needs keyed."`
+	Operations    []Operation       `json:"operations" doc:"Kinds of request by the project's own interface; may be left out if a route leads to the service."`
 	HedgeQuantile float64           `json:"hedgeQuantile" default:"0.95" min:"0" max:"0.9999" doc:"Latency quantile after which an idempotent lookup of an unkeyed service is sent again; 0 turns hedging off."`
 	HedgeBudget   float64           `json:"hedgeBudget" default:"0.05" min:"0" max:"1" doc:"Largest share of requests that are hedged."`
 	RetryBudget   float64           `json:"retryBudget" default:"0.1" min:"0" max:"1" doc:"Largest share of requests that are retried."`
 	QueueLimit    int               `json:"queueLimit" default:"64" min:"0" max:"65536" doc:"Requests that may wait at one door."`
-	RecordWindow  settings.Duration `json:"recordWindow" default:"10m" min:"1s" max:"24h" doc:"How long a door remembers the ids of non-idempotent requests."`
+	RecordWindow  settings.Duration `json:"recordWindow" default:"10m" min:"0s" max:"24h" doc:"How long a door remembers the ids of non-idempotent requests; 0 if callers never send one twice."`
+	Upstreams     Upstreams         `json:"upstreams" doc:"What holds for every upstream of the service."`
 }
 
 // problems reports what does not fit together within the service at a path.
@@ -37,12 +42,19 @@
 			})
 		}
 	}
+	if s.Ranged && !s.Keyed {
+		problems = append(problems, settings.Problem{Field: path + ".ranged", Value: true, Message: "needs keyed"})
+	}
 	return problems
 }
 
 func newService(s fleet.Service) Service {
+	shards := int(s.Shards)
+	if shards == 0 { // not divided into shards
+		shards = defaultShards
+	}
 	return Service{
-		Name: s.Name, Keyed: s.Keyed, Shards: int(s.Shards),
+		Name: s.Name, Keyed: s.Keyed, Ranged: s.Ranged, Shards: shards, Upstreams: newUpstreams(s.Profile),
 		HedgeQuantile: s.HedgeQuantile, HedgeBudget: s.HedgeBudget, RetryBudget: s.RetryBudget,
 		QueueLimit: s.QueueLimit, RecordWindow: settings.Duration(s.RecordWindow),
 		Operations: lo.Map(s.Operations, func(o fleet.Operation, _ int) Operation {
