--- a/internal/soak/check_stops.go
+++ b/internal/soak/check_stops.go
@@ -19,7 +19,7 @@
 		}
 		for _, s := range h.Sends {
 			during := s.Ended.After(stop.Begun) && s.At.Before(stop.Ended)
-			if s.Broken && during && s.Router == stop.Target && len(runs[s.ID]) > 0 {
+			if s.Broken && during && s.Router == stop.Target && ranDuring(runs[s.ID], &s) {
 				out = append(out, fmt.Sprintf("request %s to %s ran and was cut %s after SIGTERM", s.ID, s.Router, s.Ended.Sub(stop.Begun)))
 			}
 		}
@@ -27,6 +27,12 @@
 	return out
 }
 
+// ranDuring reports whether one of a request's runs began while a sending was
+// under way. A run of a later sending is none of its.
+func ranDuring(runs []Run, s *Send) bool {
+	return lo.ContainsBy(runs, func(r Run) bool { return r.From.After(s.At) && r.From.Before(s.Ended) })
+}
+
 // disturbed reports whether a fault lasted at some time from shortly before a
 // stop to its end.
 func (h *History) disturbed(stop *Injected) bool {
