--- a/internal/soak/layout.go
+++ b/internal/soak/layout.go
@@ -38,7 +38,9 @@
 			RetryBudget: retryShare, QueueLimit: 64, RecordWindow: settings.Duration(time.Minute),
 		}
 	}
-	return &preset.File{Name: name, Services: []preset.Service{service(deskService, false), service(lanesService, true)}}
+	return &preset.File{
+		Name: name, Services: []preset.Service{service(deskService, false), service(lanesService, true)}, Routes: []preset.Route{},
+	}
 }
 
 func idempotent(operation string) bool { return operation == lookup }
--- a/internal/soak/operator_duty.go
+++ b/internal/soak/operator_duty.go
@@ -34,7 +34,11 @@
 		if err != nil {
 			return nil
 		}
-		if !d.send(ctx, &order) {
+		acknowledged, err := d.send(ctx, &order)
+		if err != nil {
+			return err
+		}
+		if !acknowledged {
 			continue
 		}
 		if order.Kind == TakeOut && order.Out {
@@ -47,8 +51,9 @@
 }
 
 // send returns whether the order was acknowledged. An order that may have been
-// taken is sent again under the same id.
-func (d *operatorDuty) send(ctx context.Context, order *Order) bool {
+// taken is sent again under the same id, one that was based on an older version
+// under a new one. It returns an error if control cannot read the order.
+func (d *operatorDuty) send(ctx context.Context, order *Order) (bool, error) {
 	order.At = time.Now()
 	var body *operator.ChangeBody
 	for ctx.Err() == nil {
@@ -57,17 +62,19 @@
 		}
 		if body != nil {
 			result, err := d.client.Change(body)
-			if err == nil && result.Accepted {
+			switch {
+			case err == nil && result.Accepted:
 				order.Acked, order.Version = time.Now(), result.Config
-				return true
-			}
-			if err == nil || eris.Is(err, operator.ErrRefused) {
-				body = nil // it was based on an older version
+				return true, nil
+			case err == nil: // it was based on an older version
+				body = nil
+			case eris.Is(err, operator.ErrRefused):
+				return false, eris.Wrapf(err, "order %s %s", order.Kind, order.Target)
 			}
 		}
 		clock.Pause(ctx, operatorPause)
 	}
-	return false
+	return false, nil
 }
 
 // body returns the order based on the present version, or nil if that is not
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"endivespring/internal/preset"
 	"endivespring/internal/settings"
 )
 
@@ -83,3 +84,13 @@
 		assert.NilError(t, settings.Read(file, &Plan{}))
 	}
 }
+
+// TestPresetsCanBeRead reads the orders' presets as control does.
+func TestPresetsCanBeRead(t *testing.T) {
+	for _, name := range newRoster(&Plan{Controls: 1, Routers: 2}).presets {
+		data, err := json.Marshal(presetFile(name))
+		assert.NilError(t, err)
+		_, err = preset.Parse(name, data)
+		assert.NilError(t, err)
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"os"
@@ -60,8 +61,9 @@
 	group := duty.NewGroup(ctx)
 	defer group.Stop()
 	group.Go("operator", (&operatorDuty{client: w.operator(), orders: orders, seen: seen}).Run)
-	if err := w.ready(ctx, orders); err != nil {
-		return nil, err
+	if err := w.ready(group.Context(), orders); err != nil {
+		group.Stop()
+		return nil, cmp.Or(group.Wait(), err)
 	}
 	history := &History{Plan: w.plan, Start: time.Now(), Centres: w.centreOf}
 	historian := &historianDuty{history: history, folder: w.folder, seen: seen, broken: ring.NewReply[[]Violation]()}
