--- a/internal/door/keyring.go
+++ b/internal/door/keyring.go
@@ -1,6 +1,7 @@
 package door
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -146,6 +147,31 @@
 	return slices.ContainsFunc(holds, func(h HeldRange) bool { return h.First <= last && h.Last >= first })
 }
 
+// superseded returns the ranges that a view gives to earlier starts of the
+// upstream. They ended before the one that the keyring follows began, also if
+// an earlier process of this router lent to them.
+func (k *keyring) superseded(view *fleet.View) []session.RangeReport {
+	if k.boot == "" {
+		return nil
+	}
+	var reports []session.RangeReport
+	for service, space := range view.KeySpaces {
+		byBoot := map[string][]control.RangeRelease{}
+		for i := range space.Ranges {
+			if r := &space.Ranges[i]; r.Phase != fleet.ShardFree && r.Owner == k.self && r.Boot != k.boot {
+				byBoot[r.Boot] = append(byBoot[r.Boot], control.RangeRelease{First: r.First, Last: r.Last, Epoch: r.Epoch})
+			}
+		}
+		for boot, releases := range byBoot {
+			reports = append(reports, session.RangeReport{Service: service, Boot: boot, Releases: releases})
+		}
+	}
+	slices.SortFunc(reports, func(a, b session.RangeReport) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Boot, b.Boot))
+	})
+	return reports
+}
+
 // end returns the ranges of an upstream whose process has ended: it holds
 // nothing.
 func (k *keyring) end(view *fleet.View) session.RangeReport {
--- a/internal/door/keyring_test.go
+++ b/internal/door/keyring_test.go
@@ -8,7 +8,9 @@
 
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
+	"endivespring/internal/control"
 	"endivespring/internal/fleet"
+	"endivespring/internal/session"
 	"endivespring/internal/verdict"
 )
 
@@ -130,3 +132,42 @@
 	s.Tick(s.now)
 	assert.Equal(t, len(s.Take().RangeReports), 1)
 }
+
+// TestEarlierStartsAreReportedAsEnded starts the upstream again beside a router
+// that started again as well, as after a loss of power: nobody else can tell
+// control that the keys of the earlier start are free.
+func TestEarlierStartsAreReportedAsEnded(t *testing.T) {
+	want := []session.RangeReport{{Service: "s", Boot: "1", Releases: []control.RangeRelease{{First: 0, Last: 32767, Epoch: 7}}}}
+	for name, viewFirst := range map[string]bool{"the view comes first": true, "the heartbeat comes first": false} {
+		t.Run(name, func(t *testing.T) {
+			for _, phase := range []fleet.ShardPhase{fleet.ShardGranted, fleet.ShardRevoking} {
+				s := newKeyStage(t)
+				s.upstream.Boot = "2"
+				var out Output
+				if viewFirst {
+					s.own(t, phase)
+					_, out = s.beat(Heartbeat{})
+				} else {
+					_, out = s.beat(Heartbeat{})
+					assert.Equal(t, len(out.RangeReports), 0)
+					s.own(t, phase)
+					assert.Assert(t, s.Deadline() <= s.now)
+					s.Tick(s.now)
+					out = s.Take()
+				}
+				assert.DeepEqual(t, out.RangeReports, want)
+			}
+		})
+	}
+}
+
+// TestALivingStartIsNotReported starts only the router again: the upstream goes
+// on with its keys, and a router that has not heard its upstream says nothing.
+func TestALivingStartIsNotReported(t *testing.T) {
+	s := newKeyStage(t)
+	s.own(t, fleet.ShardGranted)
+	s.Tick(s.now)
+	assert.Equal(t, len(s.Take().RangeReports), 0, "before the first heartbeat")
+	_, out := s.beat(Heartbeat{Holds: []HeldRange{{First: 0, Last: 32767, Epoch: 7}}})
+	assert.Equal(t, len(out.RangeReports), 0)
+}
--- a/internal/door/lending.go
+++ b/internal/door/lending.go
@@ -18,6 +18,7 @@
 func (c *Core) Heartbeat(now clock.Instant, h *Heartbeat) LeaseAnswer {
 	c.keyring.follow(now, h.Upstream, h.Holds)
 	c.limiter.ColdFor(now, h.ColdFor)
+	c.reportSuperseded()
 	c.report(c.keyring.releases(now, c.view, h.Released, h.Holds))
 	answer := c.keyring.lend(now, c.view, c.rangesUntil)
 	if loads := c.keys.report(now, answer.Ranges); loads != nil {
@@ -28,10 +29,11 @@
 	return answer
 }
 
-// LookAtRanges reports ranges asked back whose lease has run out. While some are
-// asked back it is due again.
+// LookAtRanges reports ranges of earlier starts of the upstream, and ranges
+// asked back whose lease has run out. While some are asked back it is due again.
 func (c *Core) LookAtRanges(now clock.Instant) {
 	c.lookAt = clock.Never
+	c.reportSuperseded()
 	if len(c.keyring.owned(c.view, fleet.ShardRevoking)) == 0 {
 		return
 	}
@@ -42,6 +44,12 @@
 // UpstreamEnded takes the end of the upstream's process: it holds nothing.
 func (c *Core) UpstreamEnded() { c.report(c.keyring.end(c.view)) }
 
+func (c *Core) reportSuperseded() {
+	for _, r := range c.keyring.superseded(c.view) {
+		c.report(r)
+	}
+}
+
 func (c *Core) report(r session.RangeReport) {
 	if len(r.Releases) > 0 {
 		c.output.RangeReports = append(c.output.RangeReports, r)
