--- a/internal/peer/socket_state.go
+++ b/internal/peer/socket_state.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // SocketState is what a look at a connection shows without taking anything.
@@ -13,7 +15,8 @@
 	SocketQuiet SocketState = iota
 	// SocketReadable has bytes to read.
 	SocketReadable
-	// SocketClosed was closed or reset by the other end.
+	// SocketClosed was closed or reset by the other end, which may have sent
+	// bytes before.
 	SocketClosed
 )
 
@@ -36,13 +39,20 @@
 	return state
 }
 
+// hungUp reports whether the other end has closed, also behind unread bytes.
+func hungUp(fd int) bool {
+	state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(state, 0)
+	return err == nil && n > 0 && state[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 func look(fd int) SocketState {
 	var buffer [1]byte
 	n, _, err := syscall.Recvfrom(fd, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	switch {
 	case err == syscall.EAGAIN || err == syscall.EINTR:
 		return SocketQuiet
-	case err == nil && n > 0:
+	case err == nil && n > 0 && !hungUp(fd):
 		return SocketReadable
 	default:
 		return SocketClosed
