--- a/internal/attempt/finishing.go
+++ b/internal/attempt/finishing.go
@@ -49,6 +49,10 @@
 	if answer.Verdict == verdict.NotRun && t.route != nil {
 		answer.RetryAfter = c.retryAfter(t.route)
 	}
+	answer.Service = t.request.Service
+	if t.route != nil {
+		answer.Route = t.route.Name
+	}
 	for _, number := range t.calls {
 		f := c.flights[number]
 		c.table.Outlived(f.outstanding, now)
--- a/internal/call/answer.go
+++ b/internal/call/answer.go
@@ -25,6 +25,10 @@
 	Upstream string
 	Epoch    fleet.Epoch
 	Load     Load
+	// Service and Route are what the entry took the request for, if it knew; they
+	// are for its own figures and not sent on.
+	Service string
+	Route   string
 }
 
 // Refusal returns an answer without a body.
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -12,7 +12,7 @@
 	Events        = define("events_total", Counter, "event, name", "Occurrences of each numbered event.")
 	EventsDropped = define("events_dropped_total", Counter, "", "Events that were not written because the log was too slow.")
 
-	Requests       = define("requests_total", Counter, "verdict, reason", "Callers' requests answered by this entry.")
+	Requests       = define("requests_total", Counter, "verdict, reason, service, route", "Callers' requests answered by this entry. Service and route are empty if the entry did not know them, and other beyond 512 counters.")
 	RequestLatency = define("request_latency_microseconds", Summary, "quantile", "Time from reading a caller's request to its answer, in microseconds.")
 
 	DoorLimit   = define("door_limit", Gauge, "", "Requests that the door gives the upstream at once.")
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -1,7 +1,9 @@
 package metrics
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http/httptest"
 	"regexp"
@@ -46,7 +48,7 @@
 	for range 8 {
 		group.Go(func() {
 			for range 500 {
-				meter.Observe(&call.Answer{Verdict: verdict.Ran}, 2*time.Millisecond)
+				meter.Observe(&call.Answer{Verdict: verdict.Ran, Service: "s", Route: "a"}, 2*time.Millisecond)
 				meter.Observe(&call.Answer{Verdict: verdict.NotRun, Reason: verdict.ReasonShed}, time.Millisecond)
 			}
 		})
@@ -72,7 +74,8 @@
 		`endivespring_ring_depth{ring="tiny"} 1`, `endivespring_ring_refused_total{ring="tiny"} 1`,
 		`endivespring_ring_dropped_total{ring="dropping"} 2`, `endivespring_ring_capacity{ring="dropping"} 1`,
 		`endivespring_events_total{event="711",name="peer-lost"} 1`, `endivespring_events_total{event="700",name="connection-retired"} 0`,
-		`endivespring_requests_total{verdict="ran",reason=""} 4000`, `endivespring_requests_total{verdict="not-run",reason="shed"} 4000`,
+		`endivespring_requests_total{verdict="ran",reason="",service="s",route="a"} 4000`,
+		`endivespring_requests_total{verdict="not-run",reason="shed",service="",route=""} 4000`,
 		`endivespring_request_latency_microseconds_count 8000`, `endivespring_request_latency_microseconds{quantile="0.999"} 2000`,
 		`endivespring_door_limit 10`, `endivespring_door_running 7`, `endivespring_door_queued 3`,
 		`endivespring_ownership_lease_left_milliseconds 500`, `endivespring_view_lease_left_milliseconds 0`,
@@ -109,3 +112,18 @@
 	(*ControlMeter)(nil).Leadership(&controller.Leadership{})
 	(*ControlMeter)(nil).State(1, control.NewState())
 }
+
+// TestCountersAreBounded counts requests of more routes than are told apart.
+func TestCountersAreBounded(t *testing.T) {
+	registry := NewRegistry(event.NewLog(&bytes.Buffer{}, "test"))
+	meter := NewRequestMeter(registry)
+	const routes = 3 * mostOutcomes
+	for i := range routes {
+		meter.Observe(&call.Answer{Verdict: verdict.Ran, Route: fmt.Sprint(i)}, time.Millisecond)
+	}
+	var text bytes.Buffer
+	registry.WriteText(&text)
+	assert.Assert(t, strings.Count(text.String(), "endivespring_requests_total{") <= mostOutcomes+1)
+	want := fmt.Sprintf(`endivespring_requests_total{verdict="ran",reason="",service="other",route="other"} %d`, routes-mostOutcomes)
+	assert.Assert(t, strings.Contains(text.String(), want), want)
+}
--- a/internal/metrics/request_meter.go
+++ b/internal/metrics/request_meter.go
@@ -10,8 +10,11 @@
 )
 
 const (
-	latencySample = 1028  // observations kept for quantiles
-	latencyDecay  = 0.015 // weight of the last five minutes against older ones
+	latencySample = 1028 // observations kept for quantiles
+	// mostOutcomes bounds the counters, each of which is copied when one is added
+	// and written at each scrape: 64 KB of text.
+	mostOutcomes = 512
+	latencyDecay = 0.015 // weight of the last five minutes against older ones
 )
 
 // RequestMeter counts callers' requests. Any number of goroutines may use it;
@@ -32,7 +35,7 @@
 
 // Observe counts an answer and how long it took.
 func (m *RequestMeter) Observe(answer *call.Answer, took time.Duration) {
-	m.counter(outcome{answer.Verdict, answer.Reason}).Inc(1)
+	m.counter(outcomeOf(answer)).Inc(1)
 	m.latency.Update(took.Microseconds())
 }
 
@@ -44,11 +47,15 @@
 		if counter, ok := (*present)[o]; ok {
 			return counter
 		}
+		if len(*present) >= mostOutcomes && o != o.merged() {
+			return m.counter(o.merged())
+		}
 		grown := make(map[outcome]gometrics.Counter, len(*present)+1)
 		for key, counter := range *present {
 			grown[key] = counter
 		}
-		name := series(Requests, label{"verdict", o.verdict.String()}, label{"reason", string(o.reason)})
+		name := series(Requests, label{"verdict", o.verdict.String()}, label{"reason", string(o.reason)},
+			label{"service", o.service}, label{"route", o.route})
 		grown[o] = gometrics.GetOrRegisterCounter(name, m.registry.metrics)
 		m.counters.CompareAndSwap(present, &grown)
 	}
--- a/internal/wire/roundtrip_test.go
+++ b/internal/wire/roundtrip_test.go
@@ -95,6 +95,7 @@
 	})
 	check("answer", func(t *rapid.T) {
 		a := rapid.MakeCustom[call.Answer](bounded).Draw(t, "answer")
+		a.Service, a.Route = "", "" // the entry's own; not sent
 		back, whole := ToAnswer(resend(t, FromAnswer(&a)))
 		assert.Assert(t, whole)
 		assert.DeepEqual(t, back, a, emptyIsNil)
