--- a/internal/command/control.go
+++ b/internal/command/control.go
@@ -20,6 +20,7 @@
 	settingsFile string
 	// settingsVariable names the environment variable that holds the file's path.
 	settingsVariable string
+	trial            trialFlags
 	frontEnds        []FrontEnd
 }
 
@@ -41,6 +42,7 @@
 func (c *Control) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settingsFile, "settings", "", "settings file")
 	f.StringVar(&c.settingsVariable, "settings-variable", "", "environment variable that holds the path of the settings file")
+	c.trial.set(f)
 }
 
 // Execute runs the process.
@@ -61,6 +63,7 @@
 	do.ProvideValue(injector, s)
 	do.ProvideValue(injector, settings.NewSource[settings.Control](file))
 	provide(injector, c.frontEnds)
+	c.trial.provide(injector)
 	node, err := controlnode.Start(ctx, injector, token)
 	if err != nil {
 		return fail(err)
--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -17,6 +17,7 @@
 	settingsFile string
 	// settingsVariable names the environment variable that holds the file's path.
 	settingsVariable string
+	trial            trialFlags
 	frontEnds        []FrontEnd
 }
 
@@ -39,6 +40,7 @@
 func (c *Router) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settingsFile, "settings", "", "settings file")
 	f.StringVar(&c.settingsVariable, "settings-variable", "", "environment variable that holds the path of the settings file")
+	c.trial.set(f)
 }
 
 // Execute runs the process.
@@ -55,6 +57,7 @@
 	do.ProvideValue(injector, s)
 	do.ProvideValue(injector, settings.NewSource[settings.Router](file))
 	provide(injector, c.frontEnds)
+	c.trial.provide(injector)
 	node, err := router.Start(ctx, injector)
 	if err != nil {
 		return fail(err)
--- /dev/null
+++ b/internal/command/trial_faults.go
@@ -0,0 +1,41 @@
+//go:build faults
+
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/samber/do/v2"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/storage"
+	"endivespring/internal/trial"
+)
+
+// trialBuilt is set in builds whose clocks and disks can misbehave.
+const trialBuilt = true
+
+// trialFlags says where a process reads what misbehaves.
+type trialFlags struct{ file string }
+
+func (t *trialFlags) set(f *flag.FlagSet) {
+	f.StringVar(&t.file, "trial", "", "`file` that says how clock and disk misbehave; it may change at any time")
+}
+
+// provide puts a clock and a disk that can misbehave in place of the right ones.
+func (t *trialFlags) provide(injector do.Injector) {
+	if t.file == "" {
+		return
+	}
+	source := trial.NewSource(t.file)
+	go func() {
+		if err := source.Run(context.Background()); err != nil {
+			fmt.Fprintf(os.Stderr, "trial: %v\n", err)
+		}
+	}()
+	do.OverrideValue[clock.Clock](injector, trial.NewClock(clock.NewMonotonic(), source))
+	do.ProvideValue[storage.Through](injector, func(f storage.File) storage.File { return trial.NewFile(f, source) })
+}
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -72,6 +72,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if through, err := do.Invoke[storage.Through](injector); err == nil { // only test builds have it
+		disk.SetThrough(through)
+	}
 	n := &Node{
 		settings: s, source: do.MustInvoke[*settings.Source[settings.Control]](injector), disk: disk,
 		contacts: ring.New[[]string]("contacts", 1, ring.DropOldest), group: duty.NewGroup(ctx), events: events,
--- a/internal/storage/disk.go
+++ b/internal/storage/disk.go
@@ -38,9 +38,11 @@
 // Disk is an open data folder. It is owned by one duty. A folder restored from
 // an older copy is not recognised: it must never be put back under its name.
 type Disk struct {
-	folder   string
-	lock     *os.File
-	log      logFile
+	folder string
+	lock   *os.File
+	log    File
+	// through stands between the disk and its log, or is nil.
+	through  Through
 	identity Identity
 	hard     consensus.HardState
 	size     int64
@@ -113,6 +115,12 @@
 	return eris.Wrap(d.log.Sync(), "sync log")
 }
 
+// SetThrough puts something between the disk and its log, from now on.
+func (d *Disk) SetThrough(through Through) {
+	d.through = through
+	d.log = through(d.log)
+}
+
 // Compact stores a snapshot and replaces the log by the entries after it.
 func (d *Disk) Compact(s *consensus.Snapshot, rest []consensus.Entry) error {
 	payload, err := proto.Marshal(wire.FromSnapshot(s))
@@ -181,6 +189,9 @@
 		return eris.Wrap(err, "stat log")
 	}
 	d.log, d.size = file, info.Size()
+	if d.through != nil {
+		d.log = d.through(file)
+	}
 	return syncFolder(d.folder)
 }
 
--- a/internal/storage/disk_test.go
+++ b/internal/storage/disk_test.go
@@ -15,7 +15,7 @@
 
 // failingLog is a log file whose writes or syncs fail.
 type failingLog struct {
-	logFile
+	File
 	write, sync error
 }
 
@@ -23,7 +23,7 @@
 	if f.write != nil {
 		return 0, f.write
 	}
-	return f.logFile.Write(data)
+	return f.File.Write(data)
 }
 
 func (f failingLog) Sync() error { return f.sync }
--- a/internal/storage/log_file.go
+++ /dev/null
@@ -1,9 +0,0 @@
-package storage
-
-import "io"
-
-// logFile is the open log. A write counts only after Sync.
-type logFile interface {
-	io.WriteCloser
-	Sync() error
-}
--- /dev/null
+++ b/internal/storage/through.go
@@ -0,0 +1,4 @@
+package storage
+
+// Through returns a file in place of another one, for fault injection.
+type Through func(File) File
