--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,12 @@
 # Targets for people; CI runs .ci/run.
-.PHONY: build demo test
+.PHONY: build demo soak test
 build:
 	go build -o bin/endivespring ./cmd/endivespring
 demo: build
 	scripts/demo.sh
+# soak plays a fixed plan with misbehaving clocks and disks.
+soak:
+	go build -tags faults -o bin/endivespring-faults ./cmd/endivespring
+	bin/endivespring-faults soak --replay internal/soak/testdata/disks-and-clocks.json --folder $$(mktemp -d)
 test:
 	go test -race -count=1 ./...
--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -26,6 +26,9 @@
 	soakFileMode   = 0o640
 )
 
+// errNoTrial means that a plan has faults that this build cannot carry out.
+var errNoTrial = eris.New("the plan needs a build whose clocks and disks can misbehave: go build -tags faults")
+
 var errPromiseBroken = eris.New("a promise is broken")
 
 // Soak runs fleets of processes under random faults.
@@ -117,12 +120,15 @@
 	if c.replay != "" {
 		var plan soak.Plan
 		err := settings.Read(c.replay, &plan)
+		if err == nil && plan.Trial && !trialBuilt {
+			err = errNoTrial
+		}
 		return []*soak.Plan{&plan}, err
 	}
 	if c.plan.Seed == 0 {
 		c.plan.Seed = time.Now().UnixNano() % 1_000_000_000 // short enough to be typed again
 	}
-	c.plan.Length = settings.Duration(c.length)
+	c.plan.Length, c.plan.Trial = settings.Duration(c.length), trialBuilt
 	var plans []*soak.Plan
 	for i := range c.seeds {
 		plan := c.plan
--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -21,17 +21,21 @@
 )
 
 // weights is how often each kind is drawn.
-var weights = []struct {
-	kind  Kind
-	share int
-}{
+var weights = []weight{
 	{Kill, 6}, {Terminate, 5}, {Freeze, 5}, {Wipe, 1}, {Hang, 1}, {Delay, 3}, {Reset, 3}, {Silence, 3}, {Refuse, 2},
 	{Cut, 3}, {CutTowards, 2}, {CutBack, 2}, {Change, 4}, {TakeOut, 3},
 }
 
+// trialWeights is how often each kind is drawn besides if clocks and disks can
+// misbehave.
+var trialWeights = []weight{{SlowDisk, 6}, {FullDisk, 3}, {SlowClock, 4}, {FastClock, 4}}
+
 // Draw fills a plan with faults drawn from its seed.
 func Draw(p *Plan) {
-	d := &draw{random: rand.New(rand.NewPCG(uint64(p.Seed), 0)), roster: newRoster(p), end: p.Length.Value() - quietEnd}
+	d := &draw{random: rand.New(rand.NewPCG(uint64(p.Seed), 0)), roster: newRoster(p), end: p.Length.Value() - quietEnd, weights: weights}
+	if p.Trial {
+		d.weights = slices.Concat(weights, trialWeights)
+	}
 	for at := quietStart; at < d.end; at += time.Duration(d.random.ExpFloat64() * float64(faultsEvery)) {
 		p.Faults = append(p.Faults, d.series(at)...)
 	}
--- a/internal/soak/draw_state.go
+++ b/internal/soak/draw_state.go
@@ -11,6 +11,8 @@
 type draw struct {
 	random *rand.Rand
 	roster *roster
+	// weights are those of the kinds that can be drawn.
+	weights []weight
 	// end is when all faults are over.
 	end time.Duration
 	// wiped is when the last emptied disk is whole again.
@@ -48,11 +50,11 @@
 
 func (d *draw) kind() Kind {
 	sum := 0
-	for _, w := range weights {
+	for _, w := range d.weights {
 		sum += w.share
 	}
 	left := d.random.IntN(sum)
-	for _, w := range weights {
+	for _, w := range d.weights {
 		if left -= w.share; left < 0 {
 			return w.kind
 		}
--- a/internal/soak/injector_duty.go
+++ b/internal/soak/injector_duty.go
@@ -105,6 +105,10 @@
 		d.change(f)
 		return nil
 	}
+	if f.Kind.ofTrial() {
+		d.changed[f.Target] = number
+		return d.world.misbehave(f.Target, misbehaviourOf(f.Kind))
+	}
 	m := d.world.members[f.Target]
 	switch f.Kind {
 	case Kill:
@@ -156,8 +160,13 @@
 		return nil
 	}
 	m := d.world.members[f.Target]
+	if f.Kind.ofTrial() && d.changed[f.Target] == number {
+		if err := d.world.misbehave(f.Target, misbehaviourOf("")); err != nil {
+			return err
+		}
+	}
 	switch f.Kind {
-	case Kill, Wipe:
+	case Kill, Wipe, FullDisk: // a process whose disk is full ends by itself
 		return m.start()
 	case Terminate:
 		if d.lives(number, f) {
--- a/internal/soak/kind.go
+++ b/internal/soak/kind.go
@@ -28,6 +28,13 @@
 	Cut        Kind = "cut"
 	CutTowards Kind = "cut-towards"
 	CutBack    Kind = "cut-back"
+	// SlowDisk delays each durable write of a control process, FullDisk fails
+	// them. SlowClock and FastClock change the speed of a process's clock. These
+	// need a build whose clocks and disks can misbehave.
+	SlowDisk  Kind = "slow-disk"
+	FullDisk  Kind = "full-disk"
+	SlowClock Kind = "slow-clock"
+	FastClock Kind = "fast-clock"
 	// Change puts another preset in force.
 	Change Kind = "change"
 	// TakeOut takes a data centre out, and back afterwards.
@@ -44,6 +51,17 @@
 	}
 }
 
+// ofTrial reports whether the kind needs a build whose clocks and disks can
+// misbehave.
+func (k Kind) ofTrial() bool {
+	switch k {
+	case SlowDisk, FullDisk, SlowClock, FastClock:
+		return true
+	default:
+		return false
+	}
+}
+
 // planned reports whether the kind is an operator's work rather than a fault.
 func (k Kind) planned() bool {
 	switch k {
--- a/internal/soak/roster.go
+++ b/internal/soak/roster.go
@@ -16,10 +16,12 @@
 type roster struct {
 	controls, routers, upstreams []string
 	paths, centres, presets      []string
+	// trial is set if clocks and disks can misbehave.
+	trial bool
 }
 
 func newRoster(p *Plan) *roster {
-	r := &roster{centres: numbered("dc-", min(centres, p.Routers/2)), presets: []string{"ordinary", "peak", "maintenance"}}
+	r := &roster{trial: p.Trial, centres: numbered("dc-", min(centres, p.Routers/2)), presets: []string{"ordinary", "peak", "maintenance"}}
 	r.controls, r.routers, r.upstreams = numbered("control-", p.Controls), numbered("router-", p.Routers), numbered("upstream-", p.Routers)
 	for _, from := range r.controls {
 		r.paths = append(r.paths, pathsFrom(from, r.controls)...)
@@ -54,7 +56,9 @@
 	switch {
 	case kind.ofPath():
 		return r.paths
-	case kind == Wipe:
+	case kind.ofTrial() && !r.trial:
+		return nil
+	case kind == Wipe, kind == SlowDisk, kind == FullDisk:
 		return r.controls
 	case kind == Change:
 		return r.presets
@@ -62,7 +66,7 @@
 		return r.centres
 	case kind == Kill, kind == Terminate, kind == Freeze:
 		return slices.Concat(r.controls, r.routers, r.upstreams)
-	case kind == Hang:
+	case kind == Hang, kind == SlowClock, kind == FastClock:
 		return slices.Concat(r.controls, r.routers)
 	default:
 		return nil
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -82,7 +82,12 @@
 	return eris.Wrap(os.WriteFile(filepath.Join(w.folder, name), data, logMode), "write settings")
 }
 
+// add adds a process. Clock and disk of control processes and routers can
+// misbehave in builds for that.
 func (w *world) add(name string, args ...string) {
+	if w.plan.Trial && !isUpstream(name) {
+		args = append(args, "--trial", w.trialFile(name))
+	}
 	w.members[name] = &member{name: name, binary: w.binary, folder: w.folder, args: args}
 }
 
