--- a/internal/attempt/core.go
+++ b/internal/attempt/core.go
@@ -64,6 +64,9 @@
 		c.routes = routes.NewTable(c.view.Preset, c.routes)
 	}
 	c.table.Update(c.view, change)
+	for _, s := range c.services {
+		s.bound(burstOf(len(c.view.Routers)))
+	}
 	c.wakeParked(now, change)
 	return true
 }
@@ -99,7 +102,7 @@
 func (c *Core) service(name string) *serviceState {
 	s := c.services[name]
 	if s == nil {
-		s = newServiceState()
+		s = newServiceState(burstOf(len(c.view.Routers)))
 		c.services[name] = s
 	}
 	return s
--- a/internal/attempt/core_test.go
+++ b/internal/attempt/core_test.go
@@ -54,8 +54,8 @@
 			handed += r.handed
 		}
 		n := float64(len(w.requests))
-		assert.Assert(t, float64(handed) <= n*(1+w.service.RetryBudget+w.service.HedgeBudget)+2*budgetBurst, "seed %d: %d calls for %.0f requests", seed, handed, n)
-		assert.Assert(t, float64(w.hedges) <= n*w.service.HedgeBudget+budgetBurst, "seed %d: %d hedges", seed, w.hedges)
+		assert.Assert(t, float64(handed) <= n*(1+w.service.RetryBudget+w.service.HedgeBudget)+2*mostBurst, "seed %d: %d calls for %.0f requests", seed, handed, n)
+		assert.Assert(t, float64(w.hedges) <= n*w.service.HedgeBudget+mostBurst, "seed %d: %d hedges", seed, w.hedges)
 		w.assertIdle(t, seed)
 	}
 }
@@ -103,7 +103,7 @@
 	for _, r := range w.requests {
 		handed += r.handed
 	}
-	limit := requests*(1+w.service.RetryBudget+w.service.HedgeBudget) + 2*budgetBurst
+	limit := requests*(1+w.service.RetryBudget+w.service.HedgeBudget) + 2*mostBurst
 	assert.Assert(t, float64(handed) <= limit, "%d calls for %d requests", handed, requests)
 }
 
--- a/internal/attempt/hedge_test.go
+++ b/internal/attempt/hedge_test.go
@@ -122,7 +122,7 @@
 		assert.Assert(t, s.Call.Hedge)
 		hedges++
 	}
-	assert.Assert(t, hedges > 0 && hedges <= requests/20+budgetBurst, "%d hedges", hedges)
+	assert.Assert(t, hedges > 0 && hedges <= requests/20+mostBurst, "%d hedges", hedges)
 }
 
 func TestLatencyHistogramFollowsTheSamples(t *testing.T) {
--- a/internal/attempt/service_state.go
+++ b/internal/attempt/service_state.go
@@ -20,7 +20,15 @@
 	due   int
 }
 
-func newServiceState() *serviceState { return &serviceState{retries: newBudget(), hedges: newBudget()} }
+func newServiceState(burst float64) *serviceState {
+	return &serviceState{retries: newBudget(burst), hedges: newBudget(burst)}
+}
+
+// bound sets how many retries and hedges may follow each other.
+func (s *serviceState) bound(burst float64) {
+	s.retries.bound(burst)
+	s.hedges.bound(burst)
+}
 
 // observe takes the latency of the first call of a lookup.
 func (s *serviceState) observe(latency time.Duration) {
