--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -155,7 +155,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "make folder")
 	}
-	report, err := soak.Go(ctx, plan, folder, binary)
+	report, err := soak.Play(ctx, plan, folder, binary)
 	if err == nil && len(report.Violations) == 0 && !c.keep {
 		err = eris.Wrap(os.RemoveAll(folder), "remove folder")
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -27,9 +27,9 @@
 	requestsHeld = 16                     // requests waiting for a caller
 )
 
-// Go carries out a plan with processes of a binary in an empty folder. It
+// Play carries out a plan with processes of a binary in an empty folder. It
 // returns an error if the run itself failed; broken promises are in the report.
-func Go(ctx context.Context, plan *Plan, folder, binary string) (*Report, error) {
+func Play(ctx context.Context, plan *Plan, folder, binary string) (*Report, error) {
 	folder, err := filepath.Abs(folder)
 	if err != nil {
 		return nil, eris.Wrap(err, "folder")
