--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -17,10 +18,8 @@
 )
 
 const (
-	linkCapacity  = 512                    // calls waiting for one link, above what a door runs and queues; 4 KB
-	pingInterval  = 250 * time.Millisecond // time between probes of a link in use
-	silentTimeout = time.Second            // silence after which a link in use is given up
-	idleTimeout   = 30 * time.Second       // time without calls after which a link is closed
+	linkCapacity = 512              // calls waiting for one link, above what a door runs and queues; 4 KB
+	idleTimeout  = 30 * time.Second // time without calls after which a link is closed
 )
 
 // link carries calls to one router's door over one stream. It ends for good
@@ -34,6 +33,8 @@
 	answers *ring.Ring[*inboundAnswer]
 	events  event.Recorder
 	heard   *ring.Ring[clock.Instant]
+	// waiting counts the calls that have no answer yet.
+	waiting atomic.Int64
 }
 
 func newLink(fleetName string, r fleet.Router, c clock.Clock, answers *ring.Ring[*inboundAnswer], events event.Recorder) *link {
@@ -88,26 +89,31 @@
 func (l *link) send(ctx context.Context, stream grpc.BidiStreamingClient[wirepb.DoorUp, wirepb.DoorDown], cancel func()) error {
 	ping := time.NewTicker(pingInterval)
 	defer ping.Stop()
-	heard, used := l.clock.Now(), l.clock.Now()
+	used, probes := l.clock.Now(), probing{}
 	for {
 		var up *wirepb.DoorUp
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case heard = <-l.heard.Out():
+		case <-l.heard.Out():
+			probes.heard()
 			continue
 		case out := <-l.calls.Out():
 			used = l.clock.Now()
 			up = l.message(out, used)
+			l.count(out)
 		case <-ping.C:
 			now := l.clock.Now()
-			if now.Sub(heard) > silentTimeout {
+			if probes.silent(now) {
 				l.events.Record(event.ConnectionRetired, event.F("router", string(l.router)), event.F("address", l.address))
 				return context.DeadlineExceeded
 			}
 			if now.Sub(used) > idleTimeout {
 				return nil
 			}
+			if !probes.due(now, l.waiting.Load() > 0) {
+				continue
+			}
 			up = &wirepb.DoorUp{Fleet: l.fleet, Ping: uint64(now)}
 		}
 		watchdog := time.AfterFunc(silentTimeout, cancel)
@@ -126,6 +132,23 @@
 	return &wirepb.DoorUp{Fleet: l.fleet, Call: wire.FromCall(&out.call, now)}
 }
 
+// count takes a call that waits from now on, or one that does so no longer.
+func (l *link) count(out *outgoing) {
+	if out.cancel {
+		l.answered()
+		return
+	}
+	l.waiting.Add(1)
+}
+
+// answered takes the end of a call. An answer and a cancellation may cross, so
+// that one call ends twice.
+func (l *link) answered() {
+	if l.waiting.Add(-1) < 0 {
+		l.waiting.Store(0)
+	}
+}
+
 // receive brings answers to the entry. An answer whose body does not match its
 // checksum is taken as a lost one.
 func (l *link) receive(ctx context.Context, stream grpc.BidiStreamingClient[wirepb.DoorUp, wirepb.DoorDown]) {
@@ -141,6 +164,7 @@
 		if down.GetAnswer() == nil {
 			continue
 		}
+		l.answered()
 		answer, whole := wire.ToAnswer(down.GetAnswer())
 		in := &inboundAnswer{from: l.router, answer: answer}
 		if !whole {
