--- a/internal/event/log.go
+++ b/internal/event/log.go
@@ -110,6 +110,16 @@
 		return line.Str(field.Name, value.Error())
 	case time.Duration:
 		return line.Str(field.Name, value.String())
+	case int:
+		return line.Int(field.Name, value)
+	case int64:
+		return line.Int64(field.Name, value)
+	case uint32:
+		return line.Uint32(field.Name, value)
+	case uint64:
+		return line.Uint64(field.Name, value)
+	case bool:
+		return line.Bool(field.Name, value)
 	default:
 		return line.Interface(field.Name, value)
 	}
--- a/internal/event/quota.go
+++ b/internal/event/quota.go
@@ -6,8 +6,9 @@
 	// linesPerSecond bounds the lines a second of one kind of event. A request has
 	// up to four events, so that some tens of requests a second are logged whole.
 	linesPerSecond = 60
-	// successesPerSecond bounds those about requests that ran: failures go first.
-	successesPerSecond = 25
+	// successesPerSecond bounds those about requests that ran: failures go first. A
+	// router that answers 35 requests a second then spends under 3 % on its log.
+	successesPerSecond = 15
 	// quotaBurst is the number of seconds whose lines may come at once.
 	quotaBurst = 2.0
 )
