--- a/internal/soak/injector_duty.go
+++ b/internal/soak/injector_duty.go
@@ -13,6 +13,7 @@
 )
 
 const (
+	endTime     = time.Second            // longest time that a process takes to end after a failed write
 	lookAgain   = 200 * time.Millisecond // time between looks at a process that is to end
 	pathDelay   = 40 * time.Millisecond  // added by a delayed path; far above that between regions
 	stillLasts  = time.Hour              // end of a fault that is not over; past every run
@@ -76,7 +77,14 @@
 	}
 	lives := f.Kind == Terminate && d.lives(s.fault, f)
 	overdue := lives && time.Since(d.begun[s.fault]) >= graceBound
-	if lives && !overdue {
+	again := lives && !overdue
+	if f.Kind == FullDisk {
+		var err error
+		if again, err = d.mayYetEnd(s.fault, f); err != nil {
+			return err
+		}
+	}
+	if again {
 		d.steps = append(d.steps, step{at: time.Since(d.start) + lookAgain, fault: s.fault})
 		d.sort()
 		return nil
@@ -94,6 +102,18 @@
 	return m.alive() && m.starts == d.told[fault]
 }
 
+// mayYetEnd makes a full disk right again and reports whether the process may
+// still end because of it.
+func (d *injectorDuty) mayYetEnd(fault int, f *Fault) (bool, error) {
+	if d.changed[f.Target] == fault {
+		delete(d.changed, f.Target)
+		if err := d.world.misbehave(f.Target, misbehaviourOf("")); err != nil {
+			return false, err
+		}
+	}
+	return time.Since(d.begun[fault]) < f.For.Value()+endTime && d.world.members[f.Target].alive(), nil
+}
+
 func (d *injectorDuty) report(ctx context.Context, fault int, ended time.Time, overdue bool) {
 	i := &Injected{Fault: d.world.plan.Faults[fault], Number: fault, Begun: d.begun[fault], Ended: ended, Overdue: overdue}
 	_ = d.seen.Put(ctx, &observation{injected: i})
