--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,10 @@
 	go build -o bin/endivespring ./cmd/endivespring
 demo: build
 	scripts/demo.sh
-# soak plays a fixed plan with misbehaving clocks and disks.
+# soak plays a fixed plan with misbehaving clocks and disks, in memory if it can,
+# so that the machine's own disk adds nothing to them.
 soak:
 	go build -tags faults -o bin/endivespring-faults ./cmd/endivespring
-	bin/endivespring-faults soak --replay internal/soak/testdata/disks-and-clocks.json --folder $$(mktemp -d)
+	bin/endivespring-faults soak --replay internal/soak/testdata/disks-and-clocks.json --folder $$(mktemp -d -p /dev/shm || mktemp -d)
 test:
 	go test -race -count=1 ./...
--- a/scenarios/fleet_test.go
+++ b/scenarios/fleet_test.go
@@ -39,9 +39,26 @@
 	f := &fleet{processes: map[string]*process{}, relays: map[pathName]*relay.Relay{}}
 	env.Values[fleetKey{}] = f
 	env.Defer(f.stop)
+	if err := setMemory(env); err != nil {
+		return err
+	}
 	return os.WriteFile(filepath.Join(env.WorkDir, "token"), []byte("scenario-token\n"), 0o600)
 }
 
+// setMemory sets MEMORY to a folder of the script's own, in memory if the machine
+// has such a place: the disk may be busy with other work for seconds.
+func setMemory(env *testscript.Env) error {
+	folder, err := os.MkdirTemp("/dev/shm", "scenario-")
+	if err != nil {
+		if folder, err = os.MkdirTemp("", "scenario-"); err != nil {
+			return err
+		}
+	}
+	env.Setenv("MEMORY", folder)
+	env.Defer(func() { _ = os.RemoveAll(folder) })
+	return nil
+}
+
 func fleetOf(ts *testscript.TestScript) *fleet { return ts.Value(fleetKey{}).(*fleet) }
 
 func (f *fleet) stop() {
