--- a/Makefile
+++ b/Makefile
@@ -8,6 +8,7 @@
 # so that the machine's own disk adds nothing to them.
 soak:
 	go build -tags faults -o bin/endivespring-faults ./cmd/endivespring
-	bin/endivespring-faults soak --replay internal/soak/testdata/disks-and-clocks.json --folder $$(mktemp -d -p /dev/shm || mktemp -d)
+	folder=$$(mktemp -d -p /dev/shm || mktemp -d) && \
+	bin/endivespring-faults soak --replay internal/soak/testdata/disks-and-clocks.json --folder $$folder && rm -r $$folder
 test:
 	go test -race -count=1 ./...
