--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -93,6 +93,23 @@
 	assert.Assert(t, len(replies) == 1 && replies[0].Redirect)
 }
 
+// TestOrdersWaitForEnoughVoters leads with fewer voters than the fleet's tolerance
+// asks for: nothing is proposed, and the operator is told that nothing was done.
+func TestOrdersWaitForEnoughVoters(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	core, _ := leadingWith(t, now)
+	core.RequireVoters(5)
+	change := &control.OperatorChange{CommandID: "c", Expected: 1, DataCentre: &fleet.DataCentreSetting{Name: "lodz", Out: true}}
+	for voters, want := range map[int]bool{3: false, 4: false, 5: true} {
+		core.Lead(now, controller.Leadership{Leads: true, Term: 1, LeaseUntil: clock.Never, Voters: make([]string, voters)})
+		core.Take()
+		core.Operate(now, 1, change)
+		out := core.Take()
+		assert.Equal(t, len(out.Proposals) > 0, want, "%d voters", voters)
+		assert.Equal(t, len(out.Replies) == 1 && out.Replies[0].Unready, !want, "%d voters", voters)
+	}
+}
+
 // TestInForceEverywhere follows a change until no router works under an older one.
 func TestInForceEverywhere(t *testing.T) {
 	now := clock.Instant(time.Hour)
--- a/internal/door/keyring_test.go
+++ b/internal/door/keyring_test.go
@@ -171,3 +171,19 @@
 	_, out := s.beat(Heartbeat{Holds: []HeldRange{{First: 0, Last: 32767, Epoch: 7}}})
 	assert.Equal(t, len(out.RangeReports), 0)
 }
+
+// TestKeysOfADataCentreTakenOutEnd takes the data centre of the upstream out: the
+// keys that it holds are served while they are asked back, for a short time only.
+func TestKeysOfADataCentreTakenOutEnd(t *testing.T) {
+	s := newKeyStage(t)
+	s.own(t, fleet.ShardGranted)
+	s.beat(Heartbeat{})
+	s.version++
+	out := []fleet.DataCentreSetting{{Name: s.centre, Out: true}}
+	assert.Assert(t, s.SetView(s.now, &fleet.Change{From: s.version - 1, To: s.version, DataCentres: out}))
+	assert.Equal(t, s.askKey(5).Verdict, verdict.Ran)
+	s.now = s.now.Add(handBackTime - time.Millisecond)
+	assert.Equal(t, s.askKey(6).Verdict, verdict.Ran)
+	s.now = s.now.Add(time.Millisecond)
+	assert.Equal(t, s.askKey(7).Reason, verdict.ReasonNoUpstream)
+}
