--- a/internal/soak/draw.go
+++ b/internal/soak/draw.go
@@ -32,12 +32,12 @@
 
 // Draw fills a plan with faults drawn from its seed.
 func Draw(p *Plan) {
-	d := &draw{random: rand.New(rand.NewPCG(uint64(p.Seed), 0)), roster: newRoster(p), end: p.Length.Value() - quietEnd, weights: weights}
+	g := &generator{random: rand.New(rand.NewPCG(uint64(p.Seed), 0)), roster: newRoster(p), end: p.Length.Value() - quietEnd, weights: weights}
 	if p.Trial {
-		d.weights = slices.Concat(weights, trialWeights)
+		g.weights = slices.Concat(weights, trialWeights)
 	}
-	for at := quietStart; at < d.end; at += time.Duration(d.random.ExpFloat64() * float64(faultsEvery)) {
-		p.Faults = append(p.Faults, d.series(at)...)
+	for at := quietStart; at < g.end; at += time.Duration(g.random.ExpFloat64() * float64(faultsEvery)) {
+		p.Faults = append(p.Faults, g.series(at)...)
 	}
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 }
--- a/internal/soak/draw_state.go
+++ b/internal/soak/generator.go
@@ -7,8 +7,8 @@
 	"endivespring/internal/settings"
 )
 
-// draw is the drawing of the faults of one plan.
-type draw struct {
+// generator draws the faults of one plan.
+type generator struct {
 	random *rand.Rand
 	roster *roster
 	// weights are those of the kinds that can be drawn.
@@ -20,41 +20,41 @@
 }
 
 // series returns one fault, or several of one kind that follow each other.
-func (d *draw) series(at time.Duration) []Fault {
-	kind, n := d.kind(), 1
-	if d.random.Float64() < seriesShare {
-		n = 2 + d.random.IntN(mostSeries-1)
+func (g *generator) series(at time.Duration) []Fault {
+	kind, n := g.kind(), 1
+	if g.random.Float64() < seriesShare {
+		n = 2 + g.random.IntN(mostSeries-1)
 	}
 	if kind == Wipe {
 		n = 1
-		if at < d.wiped {
+		if at < g.wiped {
 			kind = Kill
 		}
-		d.wiped = at + longest + repairTime
+		g.wiped = at + longest + repairTime
 	}
-	targets := d.roster.targets(kind)
+	targets := g.roster.targets(kind)
 	if len(targets) == 0 {
 		return nil
 	}
 	var out []Fault
 	for range n {
-		length := shortest + time.Duration(d.random.Int64N(int64(longest-shortest)))
-		if at+length > d.end {
+		length := shortest + time.Duration(g.random.Int64N(int64(longest-shortest)))
+		if at+length > g.end {
 			break
 		}
-		out = append(out, Fault{At: rounded(at), For: rounded(length), Kind: kind, Target: targets[d.random.IntN(len(targets))]})
-		at += time.Duration(d.random.Int64N(int64(length)))
+		out = append(out, Fault{At: rounded(at), For: rounded(length), Kind: kind, Target: targets[g.random.IntN(len(targets))]})
+		at += time.Duration(g.random.Int64N(int64(length)))
 	}
 	return out
 }
 
-func (d *draw) kind() Kind {
+func (g *generator) kind() Kind {
 	sum := 0
-	for _, w := range d.weights {
+	for _, w := range g.weights {
 		sum += w.share
 	}
-	left := d.random.IntN(sum)
-	for _, w := range d.weights {
+	left := g.random.IntN(sum)
+	for _, w := range g.weights {
 		if left -= w.share; left < 0 {
 			return w.kind
 		}
--- a/internal/soak/roster.go
+++ b/internal/soak/roster.go
@@ -6,10 +6,10 @@
 )
 
 const (
-	centres  = 3 // data centres that routers are spread over
-	callers  = "callers"
-	routers  = "routers"
-	betweens = ">" // joins the two ends of a path's name
+	centres       = 3 // data centres that routers are spread over
+	callers       = "callers"
+	routers       = "routers"
+	pathSeparator = ">" // joins the two ends of a path's name
 )
 
 // roster is the names of all that a plan's faults may concern.
@@ -28,7 +28,7 @@
 	}
 	for i, router := range r.routers {
 		r.paths = append(r.paths, pathsFrom(router, r.controls)...)
-		r.paths = append(r.paths, callers+betweens+router, routers+betweens+router, router+betweens+r.upstreams[i], r.upstreams[i]+betweens+router)
+		r.paths = append(r.paths, callers+pathSeparator+router, routers+pathSeparator+router, router+pathSeparator+r.upstreams[i], r.upstreams[i]+pathSeparator+router)
 	}
 	return r
 }
@@ -45,7 +45,7 @@
 	var paths []string
 	for _, name := range to {
 		if name != from {
-			paths = append(paths, from+betweens+name)
+			paths = append(paths, from+pathSeparator+name)
 		}
 	}
 	return paths
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -47,12 +47,12 @@
 	if err := os.WriteFile(filepath.Join(folder, "token"), []byte(token+"\n"), secretMode); err != nil {
 		return nil, eris.Wrap(err, "write token")
 	}
-	peers, err := w.layControls(ctx)
+	peers, err := w.addControls(ctx)
 	if err != nil {
 		return w, err
 	}
 	for i := range w.roster.routers {
-		if err := w.layRouter(ctx, i, peers); err != nil {
+		if err := w.addRouter(ctx, i, peers); err != nil {
 			return w, err
 		}
 	}
@@ -66,7 +66,7 @@
 	if err != nil {
 		return "", err
 	}
-	w.paths[from+betweens+to] = r
+	w.paths[from+pathSeparator+to] = r
 	return r.Address(), nil
 }
 
--- a/internal/soak/world_settings.go
+++ b/internal/soak/world_settings.go
@@ -21,8 +21,8 @@
 	standinEvery = "500ms" // time between announcements
 )
 
-// layControls lays out the control processes and returns their addresses.
-func (w *world) layControls(ctx context.Context) ([]settings.ControlPeer, error) {
+// addControls adds the control processes and returns their addresses.
+func (w *world) addControls(ctx context.Context) ([]settings.ControlPeer, error) {
 	peers := make([]settings.ControlPeer, len(w.roster.controls))
 	for i, name := range w.roster.controls {
 		addresses, err := w.addresses(2)
@@ -33,16 +33,16 @@
 		w.operators = append(w.operators, addresses[1])
 	}
 	for i, name := range w.roster.controls {
-		if err := w.layControl(ctx, i, name, peers); err != nil {
+		if err := w.addControl(ctx, i, name, peers); err != nil {
 			return nil, err
 		}
 	}
 	return peers, nil
 }
 
-// layControl writes the settings of one control process, which reaches each of
+// addControl writes the settings of one control process, which reaches each of
 // the others by a path of its own.
-func (w *world) layControl(ctx context.Context, i int, name string, peers []settings.ControlPeer) error {
+func (w *world) addControl(ctx context.Context, i int, name string, peers []settings.ControlPeer) error {
 	reached := append([]settings.ControlPeer(nil), peers...)
 	for j := range reached {
 		if j == i {
@@ -64,8 +64,8 @@
 	}, &settings.Control{})
 }
 
-// layRouter writes the settings of a router and lays out the stand-in beside it.
-func (w *world) layRouter(ctx context.Context, i int, peers []settings.ControlPeer) error {
+// addRouter writes the settings of a router and adds the stand-in beside it.
+func (w *world) addRouter(ctx context.Context, i int, peers []settings.ControlPeer) error {
 	name, upstream := w.roster.routers[i], w.roster.upstreams[i]
 	own, err := w.addresses(3)
 	if err != nil {
@@ -94,12 +94,12 @@
 	}, &settings.Router{}); err != nil {
 		return err
 	}
-	return w.layUpstream(ctx, i, name, upstream, announce)
+	return w.addUpstream(ctx, i, name, upstream, announce)
 }
 
-// layUpstream lays out a stand-in that its router reaches by a path, and the
+// addUpstream adds a stand-in that its router reaches by a path, and the
 // other way round.
-func (w *world) layUpstream(ctx context.Context, i int, router, name, announce string) error {
+func (w *world) addUpstream(ctx context.Context, i int, router, name, announce string) error {
 	own, err := w.addresses(1)
 	if err != nil {
 		return err
