--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -14,18 +13,13 @@
 
 	"endivespring/internal/clock"
 	"endivespring/internal/consensus"
-	"endivespring/internal/controller"
 	"endivespring/internal/duty"
 	"endivespring/internal/event"
-	"endivespring/internal/lease"
 	"endivespring/internal/metrics"
-	"endivespring/internal/operator"
 	"endivespring/internal/peer"
-	"endivespring/internal/placement"
 	"endivespring/internal/ring"
 	"endivespring/internal/settings"
 	"endivespring/internal/storage"
-	"endivespring/internal/wire"
 	"endivespring/internal/wire/wirepb"
 )
 
@@ -139,90 +133,6 @@
 	return nil
 }
 
-// startMetrics serves the metrics if the settings give an address.
-func (n *Node) startMetrics() error {
-	n.metrics = metrics.NewServer(n.registry)
-	if n.settings.Metrics == "" {
-		return nil
-	}
-	listener, err := peer.Listen(n.settings.Metrics)
-	if err != nil {
-		return err
-	}
-	n.group.Go("metrics-server", func(context.Context) error { return n.metrics.Listener(listener) })
-	return nil
-}
-
-// startPeers starts the duties that send to other control processes.
-func (n *Node) startPeers() *outbound {
-	out := &outbound{messages: ring.New[consensus.Message]("consensus-out", outboundCapacity, ring.DropOldest)}
-	n.registry.Rings(out.messages)
-	d := &dispatchDuty{
-		fleet: n.settings.Fleet, self: n.settings.Self().Name, events: n.events, group: n.group, registry: n.registry,
-		messages: out.messages, address: n.settings.PeerAddress, peers: map[string]*dispatchedPeer{},
-	}
-	n.group.Go("dispatch", d.Run)
-	return out
-}
-
-func (n *Node) consensusDuty(timeSource clock.Clock, stored *consensus.Stored, out *outbound, writes *ring.Ring[write], done *ring.Ring[persisted]) *consensusDuty {
-	timing := n.settings.Timing
-	config := consensus.Config{
-		ID: n.disk.NodeID(), HeartbeatInterval: timing.Heartbeat.Value(), ElectionTimeout: timing.Election.Value(),
-		DriftMargin: timing.Drift.Value(), MaxBatch: maxBatch, Seed: seedOf(n.disk.Identity().Disk),
-	}
-	n.addPeers(&config)
-	return &consensusDuty{
-		core: consensus.New(config, stored, timeSource.Now()), clock: timeSource, outbound: out, writes: writes, persisted: done,
-		events:    n.events,
-		transfer:  n.transfer,
-		contacts:  n.contacts,
-		released:  ring.New[struct{}]("released", 1, ring.Refuse),
-		inbound:   ring.New[*consensus.Message]("consensus-in", inboundCapacity, ring.DropOldest),
-		proposals: ring.New[[]byte]("proposals", proposalCapacity, ring.Refuse),
-		compact:   ring.New[compaction]("compactions", 1, ring.Refuse),
-		updates:   ring.New[logUpdate]("log-updates", updateCapacity, ring.Wait),
-	}
-}
-
-func (n *Node) controllerDuty(timeSource clock.Clock, c *consensusDuty, stored *consensus.Stored) (*controllerDuty, error) {
-	timing := n.settings.Timing
-	leases := lease.Timing{Ownership: timing.Ownership.Value(), View: timing.View.Value(), Margin: timing.Drift.Value()}
-	core := controller.New(leases, placement.Limits{MaxRebalancing: n.settings.MaxRebalancing}, n.settings.PeerAddress)
-	if n.settings.Discovery.InUse() {
-		core.RequireVoters(2 * n.settings.Discovery.Tolerance)
-	}
-	d := &controllerDuty{
-		core: core, clock: timeSource, events: n.events, updates: c.updates, proposals: c.proposals, compact: c.compact, released: c.released,
-		every:     uint64(n.settings.SnapshotEntries),
-		arrivals:  ring.New[arrival]("renewals", arrivalCapacity, ring.Refuse),
-		operators: ring.New[operator.Request]("operators", operatorCapacity, ring.Refuse),
-		meter:     metrics.NewControlMeter(n.registry),
-		streams:   map[controller.StreamID]arrival{}, replies: map[uint64]operator.Request{},
-	}
-	if stored.Snapshot != nil {
-		state, err := wire.DecodeState(stored.Snapshot.Data)
-		if err != nil {
-			return nil, err
-		}
-		core.Restore(state)
-		d.applied, d.compacted = stored.Snapshot.Index, stored.Snapshot.Index
-	}
-	return d, nil
-}
-
-// addPeers tells the consensus core of the other control processes.
-func (n *Node) addPeers(config *consensus.Config) {
-	if discovery := n.settings.Discovery; discovery.InUse() {
-		config.Peers, config.Open, config.JoinsOnly = discovery.Contacts(), true, !discovery.FirstStart
-		config.Voters, config.Copies = discovery.Voters(), discovery.Tolerance+1
-		return
-	}
-	for _, p := range n.settings.Peers {
-		config.Peers = append(config.Peers, p.Name)
-	}
-}
-
 // Stop hands leadership over and stops the process.
 func (n *Node) Stop() {
 	n.events.Record(event.ProcessStopping, event.F("name", n.settings.Name))
@@ -247,9 +157,3 @@
 	_ = n.disk.Close()
 	return err
 }
-
-func seedOf(text string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(text))
-	return h.Sum64()
-}
