Log and meter when each operators' change is committed, applied and in force

Change: command-accepted and command-refused carry number, base and view; leader-elected carries what the new leader knows; the leader follows each change until every open session has applied it (config-in-force), and names routers that have not within a second (config-delayed). A router logs when its gateway uses a newer configuration and how long the change waited in the process (config-applied), a change that it had to skip (view-skipped), and the start and end of its stream to the leader with the cause (control-connected, control-lost). Metrics: config_version and view_age_milliseconds at routers, routers_behind at the leader. No decision changes.

--- a/internal/controller/committing.go
+++ b/internal/controller/committing.go
@@ -39,6 +39,9 @@
 	case command.ReleaseShards != nil:
 		c.logShards(event.ShardsReleased, change, fleet.ShardFree)
 	case command.OperatorChange != nil:
+		if change != nil && c.leadership.IsLeader {
+			c.rollout.commit(now, result.Config, result.Version)
+		}
 		c.operatorChangeApplied(command.OperatorChange, result)
 	}
 	c.logRanges(change, before)
@@ -91,8 +94,10 @@
 	if !result.Accepted {
 		definition = event.CommandRefused
 	}
+	number, base := command.PresetNumbers()
 	c.logEvent(definition, event.F("command", command.CommandID), event.F("operator", command.Operator),
-		event.F("config", uint64(result.Config)), event.F("reason", result.Reason))
+		event.F("config", uint64(result.Config)), event.F("number", number), event.F("base", base),
+		event.F("view", uint64(result.Version)), event.F("reason", result.Reason))
 	var remaining []pendingRequest
 	for _, request := range c.pendingRequests {
 		if request.commandID == command.CommandID {
@@ -104,6 +109,14 @@
 	c.pendingRequests = remaining
 }
 
+// presetNumber returns the operator's number of the preset in force, or zero.
+func (c *Core) presetNumber() uint64 {
+	if c.state.View.Preset == nil {
+		return 0
+	}
+	return c.state.View.Preset.Number
+}
+
 func (c *Core) logAssign(change *fleet.Change) {
 	c.logShards(event.ShardsGranted, change, fleet.ShardGranted)
 	c.logShards(event.ShardsRevoked, change, fleet.ShardRevoking)
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -88,6 +88,8 @@
 	// proposed something.
 	planDue bool
 	joins   joinTracker
+	// rollout follows the operators' commands that are not in force everywhere yet.
+	rollout rollout
 	// keyLoads holds the reported load of keys, by service.
 	keyLoads map[string]*placement.KeyLoads
 	// replanAt is when a plan is due without a change of the view.
@@ -197,6 +199,7 @@
 	c.lastTick = now
 	c.expireSessions(now)
 	c.plan(now)
+	c.followRollout(now)
 	c.cleanUp(now)
 }
 
--- a/internal/controller/leading.go
+++ b/internal/controller/leading.go
@@ -20,10 +20,16 @@
 		c.assignProposedAt, c.lastTick = 0, 0
 		c.planDue = true
 		c.joins = joinTracker{}
-		c.logEvent(event.LeaderElected, event.F("term", lead.Term))
+		c.rollout = rollout{}
+		if c.state.View.Config > 0 {
+			c.rollout.commit(now, c.state.View.Config, c.state.ConfigChangedAt)
+		}
+		c.logEvent(event.LeaderElected, event.F("term", lead.Term), event.F("config", uint64(c.state.View.Config)),
+			event.F("number", c.presetNumber()), event.F("view", uint64(c.state.View.Version)))
 	}
 	if wasLeader && !lead.IsLeader {
 		c.logEvent(event.LeaderLost, event.F("term", lead.Term))
+		c.rollout = rollout{}
 		c.stepDown()
 	}
 }
--- a/internal/executor/view.go
+++ b/internal/executor/view.go
@@ -42,6 +42,9 @@
 	return true
 }
 
+// ViewVersion returns the version of the view in use.
+func (c *Core) ViewVersion() fleet.Version { return c.view.Version }
+
 // applyPreset takes the settings of the upstream's service from the preset.
 func (c *Core) applyPreset() {
 	if s := c.view.Preset.Service(c.upstream.Service); s != nil {
--- a/internal/fsm/operator_change.go
+++ b/internal/fsm/operator_change.go
@@ -20,3 +20,16 @@
 	DataCentre    *fleet.DataCentreSetting
 	Upstream      *fleet.UpstreamSetting
 }
+
+// PresetNumbers returns the number and the base of the preset or amendment. Both are
+// zero for other commands.
+func (c *OperatorChange) PresetNumbers() (number, base uint64) {
+	switch {
+	case c.Preset != nil:
+		return c.Preset.Number, c.Preset.Base
+	case c.Amendment != nil:
+		return c.Amendment.Number, c.Amendment.Base
+	default:
+		return 0, 0
+	}
+}
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -18,6 +18,7 @@
 	sequence        uint64
 	ownershipExpiry clock.Instant
 	viewExpiry      clock.Instant
+	viewConfirmedAt clock.Instant
 }
 
 // NewHolder returns a holder without a lease.
@@ -41,6 +42,9 @@
 	delete(h.sentAt, sequence)
 	h.ownershipExpiry = max(h.ownershipExpiry, sent.Add(ownership))
 	h.viewExpiry = max(h.viewExpiry, sent.Add(view))
+	if view > 0 {
+		h.viewConfirmedAt = max(h.viewConfirmedAt, sent)
+	}
 }
 
 // DropOwnership ends the ownership lease because the session ended or was abandoned.
@@ -58,3 +62,7 @@
 // ViewUntil returns the expiry of the view lease: from then on no new requests
 // may be accepted.
 func (h *Holder) ViewUntil() clock.Instant { return h.viewExpiry }
+
+// ViewConfirmedAt returns when the latest renewal was sent whose answer extended the
+// view lease, or zero: the view in use was current then or later.
+func (h *Holder) ViewConfirmedAt() clock.Instant { return h.viewConfirmedAt }
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -21,6 +21,7 @@
 
 	OwnershipLeft = define("ownership_lease_left_milliseconds", Gauge, "", "Time left on the ownership lease, under which this router serves its shards, in milliseconds; 0 once it has expired.")
 	ViewLeft      = define("view_lease_left_milliseconds", Gauge, "", "Time left on the view lease, under which this router accepts new requests, in milliseconds; 0 once it has expired.")
+	ViewAge       = define("view_age_milliseconds", Gauge, "", "Time since the view in use is known to have been current, in milliseconds; -1 if there is no view.")
 	ViewVersion   = define("view_version", Gauge, "", "Version of the view in use.")
 
 	LogCommit     = define("log_commit_index", Gauge, "", "Index of the last committed entry of the control log.")
@@ -29,7 +30,8 @@
 	LogTerm       = define("log_term", Gauge, "", "Current term of the control log.")
 	IsLeader      = define("leads", Gauge, "", "1 if this control process is the leader, else 0.")
 	Sessions      = define("sessions", Gauge, "", "Open sessions of routers.")
-	ConfigVersion = define("config_version", Gauge, "", "Operator changes accepted so far.")
+	ConfigVersion = define("config_version", Gauge, "", "Operator changes in use at this process's gateway, or accepted so far at a control process.")
+	RoutersBehind = define("routers_behind", Gauge, "", "Routers with an open session that have not reported the latest operator change as applied to this leader; 0 at other processes.")
 
 	Goroutines   = define("goroutines", Gauge, "", "Goroutines of the process.")
 	HeapBytes    = define("heap_bytes", Gauge, "", "Memory in use by the Go heap, in bytes.")
--- a/internal/metrics/control_meter.go
+++ b/internal/metrics/control_meter.go
@@ -11,7 +11,7 @@
 // process. The methods of a nil meter do nothing.
 type ControlMeter struct {
 	commit, applied, snapshot, term, isLeader gometrics.Gauge
-	sessions, view, config                    gometrics.Gauge
+	sessions, view, config, behind            gometrics.Gauge
 }
 
 // NewControlMeter returns a meter whose gauges are registered and zero.
@@ -19,6 +19,7 @@
 	return &ControlMeter{
 		commit: r.gauge(LogCommit), applied: r.gauge(LogApplied), snapshot: r.gauge(LogSnapshot), term: r.gauge(LogTerm),
 		isLeader: r.gauge(IsLeader), sessions: r.gauge(Sessions), view: r.gauge(ViewVersion), config: r.gauge(ConfigVersion),
+		behind: r.gauge(RoutersBehind),
 	}
 }
 
@@ -47,3 +48,10 @@
 	m.view.Update(int64(state.View.Version))
 	m.config.Update(int64(state.View.Config))
 }
+
+// SetRoutersBehind sets the number of routers that lack an operator change.
+func (m *ControlMeter) SetRoutersBehind(n int) {
+	if m != nil {
+		m.behind.Update(int64(n))
+	}
+}
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -160,8 +160,8 @@
 
 func (d *executorDuty) update(update *session.Update) {
 	now := d.clock.Now()
-	if update.Change != nil {
-		d.core.SetView(now, update.Change)
+	if update.Change != nil && !d.core.SetView(now, update.Change) {
+		recordSkippedView(d.events, d.core.ViewVersion(), update.Change)
 	}
 	d.core.SetLease(now, update.Session, update.OwnershipUntil, update.ViewUntil)
 	d.core.SetRangeLease(update.RangeLeaseUntil)
--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -33,6 +33,7 @@
 	executor *ring.Ring[*submission]
 
 	registry *metrics.Registry
+	meter    *metrics.SessionMeter
 	// readiness is updated when the view gains or loses its preset.
 	readiness *readiness
 
@@ -67,8 +68,7 @@
 		case update := <-d.updates.Out():
 			d.core.SetViewLease(update.ViewUntil)
 			if update.Change != nil {
-				d.core.SetView(d.clock.Now(), update.Change)
-				d.applyPreset(d.core.View().Preset)
+				d.setView(&update)
 			}
 		}
 		d.dispatch(ctx)
@@ -76,6 +76,34 @@
 	}
 }
 
+// setView applies a change of the view and logs a newer configuration.
+func (d *gatewayDuty) setView(update *session.Update) {
+	now := d.clock.Now()
+	view := d.core.View()
+	config := view.Config
+	if !d.core.SetView(now, update.Change) {
+		recordSkippedView(d.events, view.Version, update.Change)
+		return
+	}
+	d.applyPreset(view.Preset)
+	if view.Config == config {
+		return
+	}
+	d.meter.SetConfig(view.Config)
+	var number uint64
+	routes := 0
+	if view.Preset != nil {
+		number, routes = view.Preset.Number, len(view.Preset.Routes)
+	}
+	d.events.Record(event.ConfigApplied, event.F("config", uint64(view.Config)), event.F("number", number), event.F("view", uint64(view.Version)),
+		event.F("routes", routes), event.F("waited", now.Sub(update.ReceivedAt)))
+}
+
+// recordSkippedView logs a change that does not follow the version in use.
+func recordSkippedView(events event.Recorder, version fleet.Version, change *fleet.Change) {
+	events.Record(event.ViewSkipped, event.F("view", uint64(version)), event.F("from", uint64(change.From)), event.F("to", uint64(change.To)))
+}
+
 // applyPreset updates readiness and the limits on callers' requests. preset is nil
 // if the view has none.
 func (d *gatewayDuty) applyPreset(preset *fleet.Preset) {
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -189,6 +189,7 @@
 	n.gateway.registry = n.registry
 	n.executor.meter = metrics.NewExecutorMeter(n.registry)
 	n.session.meter = metrics.NewSessionMeter(n.registry, n.clock)
+	n.gateway.meter = n.session.meter
 	n.metrics = metrics.NewServer(n.registry)
 }
 
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -43,6 +43,8 @@
 	// to the leader, which is then tried without delay.
 	address    string
 	redirected bool
+	// connected is set once the leader has renewed the session on the stream in use.
+	connected bool
 	// consecutiveRefusals counts successive streams refused by control processes
 	// of another fleet.
 	consecutiveRefusals int
@@ -113,7 +115,12 @@
 	go func() {
 		_ = ended.Put(ctx, d.pump(ctx, wirepb.NewSessionsClient(connection), outgoing, incoming))
 	}()
-	d.serve(ctx, outgoing, incoming, ended)
+	d.connected = false
+	cause := d.serve(ctx, outgoing, incoming, ended)
+	if d.connected {
+		d.events.Record(event.ControlLost, event.F("address", address), event.F("cause", cause),
+			event.F("silent", d.core.Silence(d.clock.Now())), event.F("view", uint64(d.core.Applied())))
+	}
 }
 
 // pump copies messages between the stream and two rings until the stream fails.
@@ -148,25 +155,26 @@
 	}
 }
 
-func (d *sessionDuty) serve(ctx context.Context, outgoing *ring.Ring[session.RouterMessage], incoming *ring.Ring[session.ControlMessage], ended *ring.Ring[error]) {
+// serve drives the session on a stream. It returns why the stream is not used any more.
+func (d *sessionDuty) serve(ctx context.Context, outgoing *ring.Ring[session.RouterMessage], incoming *ring.Ring[session.ControlMessage], ended *ring.Ring[error]) (cause string) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return "stopped"
 		case err := <-ended.Out():
 			d.recordFleetRefusal(err)
-			return
+			return err.Error()
 		case <-timer.C:
 			if d.core.TimedOut(d.clock.Now()) {
 				d.finder.MarkUnresponsive(d.clock.Now())
 				d.events.Record(event.ConnectionRetired, event.F("peer", "control"))
-				return
+				return "timed out"
 			}
 		case down := <-incoming.Out():
-			if !d.receive(ctx, &down) {
-				return
+			if cause := d.receive(ctx, &down); cause != "" {
+				return cause
 			}
 		case r := <-d.registrations.Out():
 			d.core.SetRegistration(d.clock.Now(), r.upstream, r.leaving)
@@ -224,16 +232,17 @@
 	d.events.Record(event.ViewRenewed)
 }
 
-// receive handles a message and reports whether to keep the stream.
-func (d *sessionDuty) receive(ctx context.Context, down *session.ControlMessage) bool {
+// receive handles a message. It returns why the stream must not be used any more, or an
+// empty string.
+func (d *sessionDuty) receive(ctx context.Context, down *session.ControlMessage) (cause string) {
 	if down.Redirect {
 		d.core.Redirected(d.clock.Now())
 		d.redirected = d.finder.Redirected(d.clock.Now(), down.Leader)
-		return false
+		return "redirected"
 	}
 	if d.core.IsRejection(down) {
 		d.publish(ctx, d.core.HandleRejection(d.clock.Now(), down, rand.Text()))
-		return true
+		return ""
 	}
 	d.finder.SetMembers(down.Members)
 	update, resync := d.core.Receive(d.clock.Now(), down)
@@ -241,12 +250,30 @@
 		d.events.Record(event.ViewApplied, event.F("version", uint64(update.Change.To)), event.F("full", update.Change.Full))
 	}
 	d.publish(ctx, update)
-	return !resync && !d.core.Closed()
+	d.recordConnection(down)
+	switch {
+	case resync:
+		return "change lost"
+	case d.core.Closed():
+		return "closed"
+	default:
+		return ""
+	}
+}
+
+// recordConnection logs the first lease on a stream.
+func (d *sessionDuty) recordConnection(down *session.ControlMessage) {
+	if d.connected || !down.Lease {
+		return
+	}
+	d.connected = true
+	d.events.Record(event.ControlConnected, event.F("address", d.address), event.F("view", uint64(d.core.Applied())))
 }
 
 func (d *sessionDuty) publish(ctx context.Context, update session.Update) {
 	d.viewExpiry = update.ViewUntil
 	d.meter.SetLeases(update.OwnershipUntil, update.ViewUntil)
+	d.meter.SetViewConfirmed(d.core.ViewConfirmedAt())
 	if update.Change != nil {
 		d.meter.SetView(update.Change.To)
 	}
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -155,6 +155,17 @@
 // Session returns the open session, or zero.
 func (c *Core) Session() fleet.Session { return c.session }
 
+// Applied returns the view version that the router has applied.
+func (c *Core) Applied() fleet.Version { return c.applied }
+
+// Silence returns the time since the last message on the present stream, or since the
+// stream was opened.
+func (c *Core) Silence(now clock.Instant) time.Duration { return now.Sub(c.lastReceivedAt) }
+
+// ViewConfirmedAt returns an instant at which the applied view is known to have been
+// current, or zero.
+func (c *Core) ViewConfirmedAt() clock.Instant { return c.holder.ViewConfirmedAt() }
+
 // Receive handles a message from control other than a redirect or a rejection. It
 // returns the update for gateway and executor; resync is set if a change of the view
 // was lost, so that the stream must be opened again.
@@ -178,7 +189,7 @@
 	}
 	update = c.update()
 	if !resync {
-		update.Change = down.Change
+		update.Change, update.ReceivedAt = down.Change, now
 	}
 	return update, resync
 }
--- a/internal/session/update.go
+++ b/internal/session/update.go
@@ -7,8 +7,9 @@
 
 // Update is what the session passes on to gateway and executor.
 type Update struct {
-	// Change is the view change to apply, if any.
-	Change *fleet.Change
+	// Change is the view change to apply, if any, and ReceivedAt when it arrived.
+	Change     *fleet.Change
+	ReceivedAt clock.Instant
 	// Session is the open session, or zero.
 	Session fleet.Session
 	// OwnershipUntil is the expiry of the ownership lease: from then on no shard may be
