Let the timeouts of a router's stream follow control's response times

Cause: a router waited 300 ms for the first message on a new stream to control, 600 ms at the second try, and any message, a redirect too, set it back to 300 ms; a stream in use was closed after 600 ms of silence. A router whose messages take longer, by a busy processor or link, closed every stream before its first message, for as long as that lasted, and with a view lease of 60 s it used the old configuration all the while. Connecting anew costs processor time too, which keeps it slow.

Change: the timeout is twice the latest response time, at least 300 ms (600 ms for a stream in use) and at most 2.4 s; it doubles with each stream on which nothing arrives.

--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -33,11 +33,12 @@
 }
 
 // Granted handles the answer to a renewal. The leases last for the given times
-// from the sending of the renewal. An answer never shortens a lease.
-func (h *Holder) Granted(sequence uint64, ownership, view time.Duration) {
-	sent, ok := h.sentAt[sequence]
+// from the sending of the renewal. An answer never shortens a lease. It returns when
+// the renewal was sent, or false if that is not known.
+func (h *Holder) Granted(sequence uint64, ownership, view time.Duration) (sent clock.Instant, ok bool) {
+	sent, ok = h.sentAt[sequence]
 	if !ok {
-		return
+		return 0, false
 	}
 	delete(h.sentAt, sequence)
 	h.ownershipExpiry = max(h.ownershipExpiry, sent.Add(ownership))
@@ -45,6 +46,7 @@
 	if view > 0 {
 		h.viewConfirmedAt = max(h.viewConfirmedAt, sent)
 	}
+	return sent, true
 }
 
 // DropOwnership ends the ownership lease because the session ended or was abandoned.
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -9,9 +9,16 @@
 	"endivespring/internal/lease"
 )
 
-// maxUnansweredRenewals is the number of renewal intervals without a message after
-// which the stream to control is closed and another control process is tried.
-const maxUnansweredRenewals = 2
+const (
+	// maxUnansweredRenewals is the number of renewal intervals without a message after
+	// which the stream to control is closed and another control process is tried,
+	// unless control is known to answer more slowly.
+	maxUnansweredRenewals = 2
+	// maxTimeoutRenewals is the longest such time, in renewal intervals.
+	maxTimeoutRenewals = 8
+	// timeoutFactor is the timeout in times of the latest response time.
+	timeoutFactor = 2
+)
 
 // Core is the router's side of its session. It is a pure state machine: time,
 // nonces and messages are arguments. It is owned by one duty.
@@ -50,9 +57,12 @@
 	renewAt         clock.Instant
 	lastReceivedAt  clock.Instant
 	// awaitingFirst is set until the first message on a new stream, which must
-	// arrive within firstTimeout.
+	// arrive within responseTimeout.
 	awaitingFirst bool
-	firstTimeout  time.Duration
+	connectedAt   clock.Instant
+	// responseTimeout is how long control may take to answer. It follows the
+	// response times, and doubles with each stream on which nothing arrives.
+	responseTimeout time.Duration
 	// closing is set once the router wants to close its session, closed once
 	// control has closed it for that reason.
 	closing bool
@@ -63,7 +73,7 @@
 // interval given; the nonce must be unique among all requests for a session.
 func New(router fleet.Router, renewalInterval time.Duration, nonce string) *Core {
 	return &Core{
-		router: router, renewalInterval: renewalInterval, nonce: nonce, firstTimeout: renewalInterval,
+		router: router, renewalInterval: renewalInterval, nonce: nonce, responseTimeout: renewalInterval,
 		holder: lease.NewHolder(), pendingReleases: map[fleet.ShardID]fsm.ShardRelease{},
 	}
 }
@@ -72,34 +82,42 @@
 // now.
 func (c *Core) Connected(now clock.Instant) {
 	if c.awaitingFirst {
-		c.firstTimeout = min(2*c.firstTimeout, maxUnansweredRenewals*c.renewalInterval)
+		c.setResponseTimeout(2 * c.responseTimeout)
 	}
 	c.renewAt = now
-	c.lastReceivedAt = now
+	c.lastReceivedAt, c.connectedAt = now, now
 	c.awaitingFirst = true
 }
 
 // TimedOut reports whether the stream must be closed and another control process
 // tried because nothing arrived on it in time. A new stream has less time for its
 // first message, so that a stopped process delays the search for the leader only
-// briefly; that time is doubled, up to the usual limit, with each stream in a row on
-// which nothing arrives.
+// briefly. Both times grow with the response times of control: a timeout below them
+// would close every stream before its first message, and no change would arrive.
 func (c *Core) TimedOut(now clock.Instant) bool {
 	return now >= c.timeoutAt()
 }
 
 func (c *Core) timeoutAt() clock.Instant {
 	if c.awaitingFirst {
-		return c.lastReceivedAt.Add(c.firstTimeout)
+		return c.lastReceivedAt.Add(c.responseTimeout)
 	}
-	return c.lastReceivedAt.Add(maxUnansweredRenewals * c.renewalInterval)
+	return c.lastReceivedAt.Add(max(maxUnansweredRenewals*c.renewalInterval, c.responseTimeout))
+}
+
+// setResponseTimeout sets the response timeout within its limits.
+func (c *Core) setResponseTimeout(timeout time.Duration) {
+	c.responseTimeout = min(max(timeout, c.renewalInterval), maxTimeoutRenewals*c.renewalInterval)
 }
 
 // Redirected records that the process at the other end answered but is not leader.
 func (c *Core) Redirected(now clock.Instant) { c.received(now) }
 
 func (c *Core) received(now clock.Instant) {
-	c.lastReceivedAt, c.awaitingFirst, c.firstTimeout = now, false, c.renewalInterval
+	if c.awaitingFirst {
+		c.setResponseTimeout(timeoutFactor * now.Sub(c.connectedAt))
+	}
+	c.lastReceivedAt, c.awaitingFirst = now, false
 }
 
 // Deadline returns the instant at which TimedOut and DueRenewal must be called next.
@@ -178,7 +196,7 @@
 		c.session = down.Session
 	}
 	if down.Lease && down.Session == c.session {
-		resync = c.applyLease(down)
+		resync = c.applyLease(now, down)
 	}
 	if down.Closed && c.closing {
 		c.closed = true
@@ -197,12 +215,14 @@
 // applyLease takes the leases that a message grants. It reports whether a change of
 // the view was lost before it. If so, it extends only the ownership lease, and neither
 // the view lease nor the lease on ranges.
-func (c *Core) applyLease(down *ControlMessage) (lost bool) {
+func (c *Core) applyLease(now clock.Instant, down *ControlMessage) (lost bool) {
 	view := down.View
 	if lost = c.applied < down.Version; lost {
 		view = 0
 	}
-	c.holder.Granted(down.Sequence, down.Ownership, view)
+	if sent, ok := c.holder.Granted(down.Sequence, down.Ownership, view); ok {
+		c.setResponseTimeout(timeoutFactor * now.Sub(sent))
+	}
 	if !lost {
 		c.rangeLeaseUntil = c.holder.OwnershipUntil()
 	}
