Count a request's time limits from its arrival

Callers saw (suspected): requests sent behind another one on their connection are unanswered half a second after the time-out of their route.

Cause: the callers' servers read a request only once the one before it on the connection is answered, and the gateway counted time-out, objective and the time left for the upstream from then. With a time-out of 0.8 s and a slow upstream the second request was answered up to 1.6 s after it was sent, the third after 2.4 s.

Change: caller.Connection records when the bytes that were read last arrived, or when unread ones were first seen (checked every 100 ms while a request is answered). The gateway counts from then; what is due already is refused at once, not-run. This also counts the wait in the ring of requests.

--- a/internal/caller/gateway_client.go
+++ b/internal/caller/gateway_client.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"endivespring/internal/call"
+	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
 	"endivespring/internal/gateway"
 	"endivespring/internal/peer"
@@ -16,6 +17,7 @@
 // GatewayClient is the client side of the gateway duty for front ends: it submits
 // requests and waits for their answers. It is safe for concurrent use.
 type GatewayClient struct {
+	clock    clock.Clock
 	requests *ring.Ring[*Request]
 	observe  Observer
 	stopping atomic.Bool
@@ -25,8 +27,8 @@
 
 // NewGatewayClient returns a client that submits requests over a ring and passes
 // each answer to observe.
-func NewGatewayClient(requests *ring.Ring[*Request], observe Observer) *GatewayClient {
-	return &GatewayClient{requests: requests, observe: observe}
+func NewGatewayClient(c clock.Clock, requests *ring.Ring[*Request], observe Observer) *GatewayClient {
+	return &GatewayClient{clock: c, requests: requests, observe: observe}
 }
 
 // SetLimits replaces the limits on callers' requests.
@@ -50,12 +52,13 @@
 func (g *GatewayClient) Observe(answer *call.Answer, took time.Duration) { g.observe(answer, took) }
 
 // Do submits a request from a connection to the gateway duty and blocks until its
-// answer. If the ring is full, it answers overloaded. The request must not share
+// answer. On a Connection, the time that the request waited behind an earlier one counts. If the ring is full, it answers overloaded. The request must not share
 // memory with the connection's buffers, which are reused while it is in flight.
 func (g *GatewayClient) Do(connection net.Conn, request gateway.Request) call.Answer {
 	start := time.Now()
 	reply := ring.NewReply[call.Answer]()
 	number := g.next.Add(1)
+	request.Received = takeArrival(connection, g.clock.Now())
 	answer := refusal(request.ID, verdict.ReasonOverloaded)
 	if err := g.requests.Put(noContext, &Request{Number: number, Request: request, Reply: reply}); err == nil {
 		answer = g.wait(connection, number, &request, reply)
@@ -67,7 +70,8 @@
 }
 
 // wait waits for the gateway's answer. Meanwhile it checks at intervals whether
-// the caller has disconnected, and then reports the request as abandoned.
+// the caller has disconnected, and then reports the request as abandoned, or has sent
+// more.
 func (g *GatewayClient) wait(connection net.Conn, number uint64, request *gateway.Request, reply ring.Reply[call.Answer]) call.Answer {
 	timeout := time.NewTimer(answerTimeout)
 	defer timeout.Stop()
@@ -80,8 +84,15 @@
 		case <-timeout.C:
 			return call.Answer{RequestID: request.ID, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonDeadline}
 		case <-disconnectCheck.C:
-			if peer.SocketStateOf(connection) == peer.SocketClosed && g.requests.Put(noContext, &Request{Number: number, Abandoned: true}) == nil {
-				disconnectCheck.Stop()
+			switch peer.SocketStateOf(connection) {
+			case peer.SocketClosed:
+				if g.requests.Put(noContext, &Request{Number: number, Abandoned: true}) == nil {
+					disconnectCheck.Stop()
+				}
+			case peer.SocketReadable:
+				if c, ok := connection.(*Connection); ok {
+					c.markUnread()
+				}
 			}
 		}
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -14,6 +14,7 @@
 	"github.com/gofiber/fiber/v2"
 
 	"endivespring/internal/call"
+	"endivespring/internal/clock"
 	"endivespring/internal/gateway"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
@@ -57,8 +58,8 @@
 
 // NewServer returns a server that submits requests over a ring and passes each
 // answer to observe. Request bodies are limited to maxBody bytes.
-func NewServer(requests *ring.Ring[*Request], maxBody int, observe Observer) *Server {
-	s := &Server{gateway: NewGatewayClient(requests, observe)}
+func NewServer(c clock.Clock, requests *ring.Ring[*Request], maxBody int, observe Observer) *Server {
+	s := &Server{gateway: NewGatewayClient(c, requests, observe)}
 	s.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true, BodyLimit: maxBody, ReadBufferSize: readBufferBytes,
 		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, ErrorHandler: s.handleError,
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -38,7 +38,7 @@
 	t.Helper()
 	e := &fakeGateway{listener: fasthttputil.NewInmemoryListener(), observed: map[string]int{}}
 	requests := ring.New[*Request]("requests", 64, ring.Refuse)
-	server := NewServer(requests, testMaxBody, e.observe)
+	server := NewServer(testClock, requests, testMaxBody, e.observe)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = server.App().Listener(e.listener) }()
 	go func() {
@@ -160,8 +160,9 @@
 	assert.NilError(t, zip.Close())
 	_ = e.send(t, post("/v1/s/o", "Content-Encoding: gzip\r\n", packed.String()))
 	taken := e.requests()
+	assert.Assert(t, taken[0].Received > 0)
 	assert.DeepEqual(t, taken[0], gateway.Request{
-		ID: "r1", Service: "lanes", Operation: "block", Key: "k/1", Resend: true, Timeout: 1500 * time.Millisecond, Body: []byte("lane"),
+		Received: taken[0].Received, ID: "r1", Service: "lanes", Operation: "block", Key: "k/1", Resend: true, Timeout: 1500 * time.Millisecond, Body: []byte("lane"),
 	})
 	assert.Assert(t, taken[1].ID != "" && taken[1].ID != taken[2].ID, "a request without an id gets one")
 	assert.DeepEqual(t, taken[2].Body, packed.Bytes())
@@ -219,7 +220,7 @@
 func TestOverloadAndStop(t *testing.T) {
 	requests := ring.New[*Request]("requests", 1, ring.Refuse)
 	_ = requests.Put(context.Background(), &Request{})
-	server := NewServer(requests, testMaxBody, func(*call.Answer, time.Duration) {})
+	server := NewServer(testClock, requests, testMaxBody, func(*call.Answer, time.Duration) {})
 	e := &fakeGateway{listener: fasthttputil.NewInmemoryListener()}
 	go func() { _ = server.App().Listener(e.listener) }()
 	defer func() { _ = server.App().Shutdown() }()
@@ -238,7 +239,7 @@
 	f.Add([]byte("GET /v1/%2F/%00 HTTP/1.0\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		requests := ring.New[*Request]("requests", 64, ring.Refuse)
-		server := NewServer(requests, testMaxBody, func(*call.Answer, time.Duration) {})
+		server := NewServer(testClock, requests, testMaxBody, func(*call.Answer, time.Duration) {})
 		for range requests.Capacity() {
 			_ = requests.Put(context.Background(), &Request{})
 		}
--- a/internal/caller/test_server_test.go
+++ b/internal/caller/test_server_test.go
@@ -13,12 +13,15 @@
 	"gotest.tools/v3/assert"
 
 	"endivespring/internal/call"
+	"endivespring/internal/clock"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
 )
 
 const testBody = 1 << 10 // limit on request bodies, in bytes
 
+var testClock = clock.NewMonotonic()
+
 // testServer is a caller server on a TCP port. The test takes its requests from the
 // ring.
 type testServer struct {
@@ -32,8 +35,8 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	f := &testServer{t: t, requests: ring.New[*Request]("requests", capacity, ring.Refuse), address: listener.Addr().String()}
-	f.server = NewServer(f.requests, testBody, func(*call.Answer, time.Duration) {})
-	go func() { _ = f.server.App().Listener(listener) }()
+	f.server = NewServer(testClock, f.requests, testBody, func(*call.Answer, time.Duration) {})
+	go func() { _ = f.server.App().Listener(NewListener(listener, testClock)) }()
 	t.Cleanup(func() { _ = f.server.App().ShutdownWithTimeout(time.Second) })
 	return f
 }
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -32,9 +32,22 @@
 	c.requestsByToken[r.Token] = p
 	p.timer = p.deadline
 	heap.Push(&c.timers, p)
+	if p.deadline <= now {
+		p.reason = verdict.ReasonDeadline
+		c.expire(now, p)
+		return
+	}
 	c.dispatch(now, p)
 }
 
+// receivedAt returns the instant from which a request's limits count.
+func (r *Request) receivedAt(now clock.Instant) clock.Instant {
+	if r.Received == 0 {
+		return now
+	}
+	return min(now, r.Received)
+}
+
 // admit returns the pending request, or why the view lease, the preset or the
 // request itself does not allow it.
 func (c *Core) admit(now clock.Instant, r Request) (*pendingRequest, verdict.Reason) {
@@ -85,7 +98,7 @@
 		p.assignShard(service)
 	}
 	if entry.Route.Objective > 0 {
-		p.objective = now.Add(entry.Route.Objective - entry.Elapsed(r.Timeout, r.Nested))
+		p.objective = r.receivedAt(now).Add(entry.Route.Objective - entry.Elapsed(r.Timeout, r.Nested))
 	}
 	p.waitUntil = now.Add(maxWait(entry.Route, p.deadline.Sub(now)))
 	c.fillBudgets(p, service)
@@ -103,13 +116,13 @@
 }
 
 // newPendingRequest returns a request whose deadline is the given limit or the
-// caller's timeout, whichever is shorter.
+// caller's timeout, whichever is shorter, after its arrival.
 func (c *Core) newPendingRequest(now clock.Instant, r Request, service *fleet.Service, idempotent bool, limit time.Duration) *pendingRequest {
 	if r.Timeout > 0 {
 		limit = min(limit, r.Timeout)
 	}
 	return &pendingRequest{
-		request: r, idempotent: idempotent, deadline: now.Add(limit), waitUntil: clock.Never, reason: verdict.ReasonNoOwner,
+		request: r, idempotent: idempotent, deadline: r.receivedAt(now).Add(limit), waitUntil: clock.Never, reason: verdict.ReasonNoOwner,
 		service: c.service(service.Name), parkedIndex: notParked,
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"endivespring/internal/call"
+	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
 )
 
@@ -19,7 +20,10 @@
 	Resend bool
 	// Timeout is the caller's own limit, or zero.
 	Timeout time.Duration
-	Body    []byte
+	// Received is when the request arrived, or zero for now. Its limits count from
+	// then, since it may have waited before it came here.
+	Received clock.Instant
+	Body     []byte
 	// Method, Target, Path, Host and Header are those of an HTTP request, which is
 	// matched to a route. Method is empty for an operation called by name.
 	Method string
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -158,8 +158,8 @@
 	}
 	n.registerMetrics(answers, submissions)
 	observe := metrics.NewRequestMeter(n.registry).Observe
-	n.caller = caller.NewServer(n.gateway.requests, s.MaxBody, observe)
-	n.gatewayClient = caller.NewGatewayClient(n.gateway.requests, observe)
+	n.caller = caller.NewServer(n.clock, n.gateway.requests, s.MaxBody, observe)
+	n.gatewayClient = caller.NewGatewayClient(n.clock, n.gateway.requests, observe)
 	n.gateway.client = n.gatewayClient
 	n.callersDone = ring.New[struct{}]("callers-done", 1, ring.DropOldest)
 	n.announce = upstream.NewServer(n.executor.notifications).App()
--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -6,6 +6,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	"endivespring/internal/caller"
 	"endivespring/internal/peer"
 	"endivespring/internal/upstream"
 )
@@ -31,7 +32,9 @@
 		aborts.canceller = upstream.NewCanceller()
 	}
 	n.group.Go("aborts", aborts.Run)
-	n.serveApp("caller-server", n.caller.App(), l.caller)
+	if l.caller != nil {
+		n.serveApp("caller-server", n.caller.App(), caller.NewListener(l.caller, n.clock))
+	}
 	n.serveApp("announce-server", n.announce, l.announce)
 	n.serveApp("metrics-server", n.metrics, l.metrics)
 	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, l.peer) })
@@ -51,7 +54,7 @@
 	n.stopCallers = stopCallers
 	n.group.Go("front-callers", func(context.Context) error {
 		defer func() { _ = n.callersDone.Put(context.Background(), struct{}{}) }()
-		return n.frontEnd.ServeCallers(callers, l.frontCaller, n.gatewayClient, n.settings)
+		return n.frontEnd.ServeCallers(callers, caller.NewListener(l.frontCaller, n.clock), n.gatewayClient, n.settings)
 	})
 	n.group.Go("front-announcements", func(ctx context.Context) error {
 		return n.frontEnd.ServeAnnouncements(ctx, l.frontAnnounce, n.executor.notifications, n.settings, n.events)
