Send each answer of the native front end before the next request is read

Callers saw: of two requests sent at once on a connection, the first one's answer arrives only together with the second one's.

Cause: fasthttp keeps responses in its buffer while further requests are in the read buffer, unless ReduceMemoryUsage is set; platform/ sets it, the native server did not.

Change: it is set. Result: TestPipelinedAnswersAreNotHeldBack timed out after 5 s before, and passes now.

--- a/internal/caller/pipelining_test.go
+++ b/internal/caller/pipelining_test.go
@@ -1,7 +1,9 @@
 package caller
 
 import (
+	"bufio"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -45,3 +47,21 @@
 		})
 	}
 }
+
+// Guards against a finished answer that is held back until the next request on the
+// connection has been answered too.
+func TestPipelinedAnswersAreNotHeldBack(t *testing.T) {
+	f := newTestServer(t, 8)
+	connection, err := net.Dial("tcp", f.address)
+	assert.NilError(t, err)
+	defer func() { _ = connection.Close() }()
+	_, err = connection.Write([]byte(pipelined + pipelined))
+	assert.NilError(t, err)
+	f.take().Reply.Send(call.Answer{Verdict: verdict.Ran, Status: 200})
+	running := f.take()
+	assert.NilError(t, connection.SetReadDeadline(time.Now().Add(5*time.Second)))
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, 200)
+	running.Reply.Send(call.Answer{Verdict: verdict.Ran, Status: 200})
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -63,6 +63,7 @@
 	s.app = fiber.New(fiber.Config{
 		DisableStartupMessage: true, BodyLimit: maxBody, ReadBufferSize: readBufferBytes,
 		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, ErrorHandler: s.handleError,
+		ReduceMemoryUsage: true, // also makes fasthttp flush each response before it reads the next request
 	})
 	s.app.Add(fiber.MethodPost, "/v1/:service/:operation", s.serve)
 	s.app.Add(fiber.MethodGet, "/v1/:service/:operation", s.serve)
