Take no repetition of an earlier refusal for a new one

Callers saw (reported by other operators): "not run, try again" for requests that an upstream had run or was running, or such a request ran at a second upstream.

Cause: a faulty upstream writes an earlier refusal once more on a kept connection, while the next request crosses it. A refusal with the request's ID was taken for one of this try, though the same request had been refused on that very connection before; in platform/ a refusal without any ID, and a 421, were taken for one of whatever request was sent last. A look for unread bytes before the write cannot see what crosses it.

Change: a request that was refused goes to another connection when it is tried again, and a refusal that does not name the request proves not-run only as the first response of a connection; otherwise the request may have run. Those of other requests were skipped by their IDs before, and are now.

Records of requests need nothing: they are kept by ID, not by connection.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"endivespring/internal/clock"
+	"endivespring/internal/executor"
 	"endivespring/internal/peer"
 )
 
@@ -20,6 +21,7 @@
 	idleTimeout        = 4 * time.Second
 	maxResponseHeaders = 4       // headers read per response, interim (1xx) ones included
 	maxStrayResponses  = 2       // late responses to earlier requests skipped before the matching one
+	maxRefusals        = 64      // refusals after which a connection is not reused
 	readBuffer         = 4 << 10 // read buffer size in bytes; also the limit on a response header
 	lengthUntilClose   = -2      // fasthttp's content length for a body terminated by connection close
 )
@@ -36,6 +38,10 @@
 	net      net.Conn
 	reader   *bufio.Reader
 	lastUsed clock.Instant
+	// requests counts the requests written.
+	requests int
+	// refused holds the IDs of the requests that the upstream refused.
+	refused map[string]bool
 	// atEOF is set after a response whose body was terminated by connection close.
 	atEOF bool
 }
@@ -47,14 +53,19 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to %s", address)
 	}
-	return &connection{address: address, net: c, reader: bufio.NewReaderSize(c, readBuffer), lastUsed: now}, nil
+	return newConnection(address, c, now), nil
 }
 
-// reusable reports whether another request may be sent: the connection leads to
-// address, was used recently, has not been closed by the upstream, and has no
-// unread bytes.
-func (c *connection) reusable(address string, now clock.Instant) bool {
-	return c.address == address && now.Sub(c.lastUsed) < idleTimeout && c.reader.Buffered() == 0 && peer.SocketStateOf(c.net) == peer.SocketQuiet
+func newConnection(address string, c net.Conn, now clock.Instant) *connection {
+	return &connection{address: address, net: c, reader: bufio.NewReaderSize(c, readBuffer), lastUsed: now, refused: map[string]bool{}}
+}
+
+// reusable reports whether a request may be sent: the connection leads to address, was
+// used recently, has not been closed by the upstream, and has no unread bytes. A request
+// that was refused on it must go to another one, where a repetition of that refusal
+// cannot be taken for a new one.
+func (c *connection) reusable(address, requestID string, now clock.Instant) bool {
+	return !c.refused[requestID] && len(c.refused) < maxRefusals && c.address == address && now.Sub(c.lastUsed) < idleTimeout && c.reader.Buffered() == 0 && peer.SocketStateOf(c.net) == peer.SocketQuiet
 }
 
 // markIdle clears the deadline of the finished request and records the time of use.
@@ -63,26 +74,26 @@
 	_ = c.net.SetDeadline(time.Time{})
 }
 
-// read reads the first response for which answers reports true, or one terminated by
-// connection close, which nothing can follow. The body may have up to maxBody bytes.
+// read reads the first response that answers a run, or one terminated by connection
+// close, which nothing can follow. The body may have up to maxBody bytes.
 // It skips at most maxStrayResponses others.
-func (c *connection) read(response *fasthttp.Response, maxBody int, answers func() bool) error {
+func (c *connection) read(response *fasthttp.Response, maxBody int, run *executor.Run, dialect Dialect) error {
 	for range maxStrayResponses + 1 {
 		response.Reset()
-		if err := c.readOne(response, maxBody); err != nil {
+		if err := c.readHeader(response); err != nil {
+			return err
+		}
+		if err := c.readBody(response, maxBody); err != nil {
 			return err
 		}
-		if answers() || c.atEOF {
+		if dialect.Answers(run, response) || c.atEOF {
 			return nil
 		}
 	}
 	return errStray
 }
 
-func (c *connection) readOne(response *fasthttp.Response, maxBody int) error {
-	if err := c.readHeader(response); err != nil {
-		return err
-	}
+func (c *connection) readBody(response *fasthttp.Response, maxBody int) error {
 	status := response.StatusCode()
 	if status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		return nil
--- a/internal/upstream/dialect.go
+++ b/internal/upstream/dialect.go
@@ -14,10 +14,14 @@
 	// Encode writes a run into request. left is the time the upstream has to
 	// process it, and grantEnd the expiry of its grant by the wall clock.
 	Encode(request *fasthttp.Request, run *executor.Run, left time.Duration, grantEnd time.Time)
-	// Answers reports whether a response belongs to a run. The sender skips those
+	// Names reports whether the header of a response names the request of a run.
+	Names(run *executor.Run, response *fasthttp.Response) bool
+	// Answers reports whether a response may belong to a run. The sender skips those
 	// that do not.
 	Answers(run *executor.Run, response *fasthttp.Response) bool
-	// Decode returns the outcome of a run from a completely read response.
+	// Decode returns the outcome of a run from a completely read response. The sender
+	// takes not-run from a response that does not name the request only if the
+	// connection carried no other request.
 	Decode(run *executor.Run, response *fasthttp.Response) executor.Outcome
 	// Cancels reports whether the upstream has a cancellation endpoint. Without
 	// one, closing the connection of a run is its cancellation.
--- a/internal/upstream/native_dialect.go
+++ b/internal/upstream/native_dialect.go
@@ -35,6 +35,11 @@
 	request.SetBody(run.Call.Body)
 }
 
+// Names reports whether the response has the run's request ID.
+func (NativeDialect) Names(run *executor.Run, response *fasthttp.Response) bool {
+	return string(response.Header.Peek(HeaderRequestID)) == run.Call.RequestID
+}
+
 // Answers accepts every response: Decode rejects one with another request ID.
 func (NativeDialect) Answers(*executor.Run, *fasthttp.Response) bool { return true }
 
@@ -55,7 +60,7 @@
 	if response.Header.ContentLength() == lengthUntilClose && !empty {
 		return outcome(run, verdict.MayHaveRun, verdict.ReasonTruncated, admission.Good)
 	}
-	if string(response.Header.Peek(HeaderRequestID)) != run.Call.RequestID || !checksumMatches(response, body) {
+	if !(NativeDialect{}).Names(run, response) || !checksumMatches(response, body) {
 		return outcome(run, verdict.MayHaveRun, verdict.ReasonTruncated, admission.Failed)
 	}
 	switch string(response.Header.Peek(HeaderRan)) {
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -51,7 +51,7 @@
 	if reason := s.expiryReason(run); reason != verdict.ReasonNone {
 		return outcome(run, verdict.NotRun, reason, admission.Neutral)
 	}
-	if err := s.connect(run.Upstream.Address); errors.Is(err, syscall.ECONNREFUSED) {
+	if err := s.connect(run.Upstream.Address, run.Call.RequestID); errors.Is(err, syscall.ECONNREFUSED) {
 		return outcome(run, verdict.NotRun, verdict.ReasonUpstreamGone, admission.Failed)
 	} else if err != nil {
 		return outcome(run, verdict.NotRun, verdict.ReasonConnection, admission.Failed)
@@ -97,9 +97,9 @@
 }
 
 // connect reuses the connection to address if possible, or opens a new one.
-func (s *Sender) connect(address string) error {
+func (s *Sender) connect(address, requestID string) error {
 	now := s.clock.Now()
-	if s.connection != nil && s.connection.reusable(address, now) {
+	if s.connection != nil && s.connection.reusable(address, requestID, now) {
 		return nil
 	}
 	s.Close()
@@ -132,6 +132,7 @@
 	if reason := s.expiryReason(run); reason != verdict.ReasonNone {
 		return outcome(run, verdict.NotRun, reason, admission.Neutral)
 	}
+	s.connection.requests++
 	if n, err := s.connection.net.Write(s.buffer.Bytes()); err != nil {
 		s.retire("write")
 		if n == 0 {
@@ -141,12 +142,19 @@
 	}
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	if err := s.connection.read(response, s.maxBody, func() bool { return s.dialect.Answers(run, response) }); err != nil {
+	if err := s.connection.read(response, s.maxBody, run, s.dialect); err != nil {
 		s.retire("read")
 		return failureOutcome(run, err)
 	}
 	s.connection.markIdle(s.clock.Now())
 	out := s.dialect.Decode(run, response)
+	if out.Answer.Verdict == verdict.NotRun {
+		if s.connection.requests > 1 && !s.dialect.Names(run, response) {
+			// It may be an earlier refusal written once more.
+			out = outcome(run, verdict.MayHaveRun, verdict.ReasonTruncated, out.Health)
+		}
+		s.connection.refused[run.Call.RequestID] = true
+	}
 	switch {
 	case out.Answer.Reason == verdict.ReasonTruncated:
 		s.events.Record(event.AnswerDropped, event.F("request", run.Call.RequestID), event.F("upstream", run.Upstream.Name))
