Bound the memory of answers that a router reads at the same time

Users report upstreams in trouble whose bytes are no answer and come without end, in a head or a body, until the caller closes. Here each of up to nine runs read up to maxBody, 64 MiB in deploy/router.json, on a VM of 184 MB: by reckoning three such bodies end the router.

Cause: the limit of a body was the only one, and it held for each answer alone, also for one to another request; the response to a cancellation had none.

A response that does not name the request may have 64 KiB, the response to a cancellation 4 KiB. The run may have run, the connection is closed.

Evidence: TestEndlessAnswersAreGivenUp; without the limits 60 to 138 MB were read of a body without length, of chunks, of one large chunk and of another request's body, and TestAnswersShareTheirMemory failed. TestEndlessAnswerToACancellation: 74 MB before. Heads, trailers, interim heads, chunk extensions and empty lines were bounded before.

--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -17,9 +17,10 @@
 	if n.frontEnd != nil {
 		dialect = n.frontEnd.Dialect()
 	}
+	answers := upstream.NewAnswerBudget(n.settings.AnswerMemory)
 	n.executor.startSender = func() {
 		sender := &senderDuty{
-			sender: upstream.NewSender(n.clock, n.events, n.settings.MaxBody, dialect), runs: n.executor.runs, outcomes: n.executor.outcomes,
+			sender: upstream.NewSender(n.clock, n.events, n.settings.MaxBody, answers, dialect), runs: n.executor.runs, outcomes: n.executor.outcomes,
 		}
 		n.group.Go("sender", sender.Run)
 	}
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -34,6 +34,7 @@
 	ControlPort     int      `json:"controlPort" min:"0" max:"65535" doc:"Port of every control process, if their number may change: only the IP addresses in control are used then, and the router follows the leader to any address. 0 if control lists all control processes."`
 	Metrics         string   `json:"metrics" kind:"address" doc:"Address where metrics are served at /metrics; not served if not set."`
 	MaxBody         int      `json:"maxBody" default:"1048576" min:"1024" max:"67108864" doc:"Largest body of a request or answer, in bytes."`
+	AnswerMemory    int      `json:"answerMemory" default:"67108864" min:"65536" max:"1073741824" doc:"Bytes that all answers of the upstream being read at the same time may use, beside 64 KiB each. An answer that needs more is given up."`
 	MaxRequests     int      `json:"maxRequests" default:"4096" min:"16" max:"65536" doc:"Largest number of callers' requests in progress."`
 	Renewal         Duration `json:"renewal" default:"300ms" min:"20ms" max:"10s" doc:"Time between renewals; must equal timing.renewal of the control processes."`
 	Grace           Duration `json:"grace" default:"20s" min:"100ms" max:"10m" doc:"Longest time to finish running work after a stop signal."`
--- a/internal/upstream/canceller.go
+++ b/internal/upstream/canceller.go
@@ -6,7 +6,10 @@
 	"github.com/valyala/fasthttp"
 )
 
-const cancelTimeout = 500 * time.Millisecond // limit on one cancellation request
+const (
+	cancelTimeout = 500 * time.Millisecond // limit on one cancellation request
+	maxCancelBody = 4 << 10                // body size in bytes of its response, which is ignored
+)
 
 // Canceller sends cancellations to an upstream. It has its own connection pool,
 // since the connections that carry the cancelled requests may be unresponsive.
@@ -16,7 +19,7 @@
 // retries a cancellation.
 func NewCanceller() *Canceller {
 	return &Canceller{http: &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: idleTimeout,
+		MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: idleTimeout, MaxResponseBodySize: maxCancelBody,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		Dial:       dial,
 	}}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -19,16 +19,19 @@
 	// idleTimeout is the time after which an idle connection is not reused. It is
 	// below the idle timeouts that HTTP servers commonly have.
 	idleTimeout        = 4 * time.Second
-	maxResponseHeaders = 4       // headers read per response, interim (1xx) ones included
-	maxStrayResponses  = 2       // late responses to earlier requests skipped before the matching one
-	maxRefusals        = 64      // refusals after which a connection is not reused
-	readBuffer         = 4 << 10 // read buffer size in bytes; also the limit on a response header
-	lengthUntilClose   = -2      // fasthttp's content length for a body terminated by connection close
+	maxResponseHeaders = 4        // headers read per response, interim (1xx) ones included
+	maxStrayResponses  = 2        // late responses to earlier requests skipped before the matching one
+	maxStrayBody       = 64 << 10 // body size in bytes of a response that does not name the request
+	maxRefusals        = 64       // refusals after which a connection is not reused
+	readBuffer         = 4 << 10  // read buffer size in bytes; also the limit on a response header
+	lengthUntilClose   = -2       // fasthttp's content length for a body terminated by connection close
 )
 
 var (
 	errInterim = eris.New("too many interim responses before the final response")
 	errStray   = eris.New("too many responses to earlier requests before the matching response")
+	// errNoMemory means that an answer is larger than the memory that answers may use.
+	errNoMemory = eris.New("not enough memory for the response")
 )
 
 // connection is an HTTP/1.1 connection to an upstream. It carries one request at
@@ -36,6 +39,7 @@
 type connection struct {
 	address  string
 	net      net.Conn
+	answer   *answerReader
 	reader   *bufio.Reader
 	lastUsed clock.Instant
 	// requests counts the requests written.
@@ -48,16 +52,17 @@
 
 func dial(address string) (net.Conn, error) { return fasthttp.DialTimeout(address, dialTimeout) }
 
-func connect(address string, now clock.Instant) (*connection, error) {
+func connect(address string, now clock.Instant, budget *AnswerBudget) (*connection, error) {
 	c, err := dial(address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to %s", address)
 	}
-	return newConnection(address, c, now), nil
+	return newConnection(address, c, now, budget), nil
 }
 
-func newConnection(address string, c net.Conn, now clock.Instant) *connection {
-	return &connection{address: address, net: c, reader: bufio.NewReaderSize(c, readBuffer), lastUsed: now, refused: map[string]bool{}}
+func newConnection(address string, c net.Conn, now clock.Instant, budget *AnswerBudget) *connection {
+	answer := &answerReader{source: c, budget: budget}
+	return &connection{address: address, net: c, answer: answer, reader: bufio.NewReaderSize(answer, readBuffer), lastUsed: now, refused: map[string]bool{}}
 }
 
 // reusable reports whether a request may be sent: the connection leads to address, was
@@ -75,15 +80,21 @@
 }
 
 // read reads the first response that answers a run, or one terminated by connection
-// close, which nothing can follow. The body may have up to maxBody bytes.
-// It skips at most maxStrayResponses others.
+// close, which nothing can follow. The body may have up to maxBody bytes, that of a
+// response that does not name the run's request maxStrayBody. It skips at most
+// maxStrayResponses others.
 func (c *connection) read(response *fasthttp.Response, maxBody int, run *executor.Run, dialect Dialect) error {
+	defer c.answer.release()
 	for range maxStrayResponses + 1 {
 		response.Reset()
 		if err := c.readHeader(response); err != nil {
 			return err
 		}
-		if err := c.readBody(response, maxBody); err != nil {
+		limit := min(maxBody, c.answer.limit())
+		if !dialect.Names(run, response) {
+			limit = min(limit, maxStrayBody)
+		}
+		if err := c.readBody(response, limit); err != nil {
 			return err
 		}
 		if dialect.Answers(run, response) || c.atEOF {
@@ -102,6 +113,12 @@
 	if length == lengthUntilClose {
 		return c.readUntilClose(response, maxBody)
 	}
+	if length > maxBody {
+		return fasthttp.ErrBodyTooLarge
+	}
+	if !c.answer.reserve(length) {
+		return errNoMemory
+	}
 	if err := response.ReadBody(c.reader, maxBody); err != nil {
 		return err
 	}
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -31,6 +31,7 @@
 	clock      clock.Clock
 	events     event.Recorder
 	maxBody    int
+	budget     *AnswerBudget
 	dialect    Dialect
 	connection *connection
 	buffer     bytes.Buffer
@@ -38,9 +39,9 @@
 }
 
 // NewSender returns a sender that connects on the first run and accepts response
-// bodies of up to maxBody bytes.
-func NewSender(c clock.Clock, events event.Recorder, maxBody int, dialect Dialect) *Sender {
-	s := &Sender{clock: c, events: events, maxBody: maxBody, dialect: dialect}
+// bodies of up to maxBody bytes, as far as the budget, shared by all senders, allows.
+func NewSender(c clock.Clock, events event.Recorder, maxBody int, budget *AnswerBudget, dialect Dialect) *Sender {
+	s := &Sender{clock: c, events: events, maxBody: maxBody, budget: budget, dialect: dialect}
 	s.writer = bufio.NewWriter(&s.buffer)
 	return s
 }
@@ -104,7 +105,7 @@
 	}
 	s.Close()
 	var err error
-	s.connection, err = connect(address, now)
+	s.connection, err = connect(address, now, s.budget)
 	return err
 }
 
@@ -179,7 +180,7 @@
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return outcome(run, verdict.MayHaveRun, verdict.ReasonDeadline, admission.TimedOut)
-	case eris.Is(err, fasthttp.ErrBodyTooLarge):
+	case eris.Is(err, fasthttp.ErrBodyTooLarge), eris.Is(err, errNoMemory):
 		return outcome(run, verdict.MayHaveRun, verdict.ReasonBodyTooLarge, admission.Good)
 	default:
 		return outcome(run, verdict.MayHaveRun, verdict.ReasonConnection, admission.Failed)
