Report the end of a router's stream after its messages

Cause: Attach sent the stream's messages to the controller duty from one goroutine and its end from another, through one variable. The end could come first, after which a message made the controller take the stream up again, and a message could carry the end's mark.

Change: the goroutine that passes on the messages reports the end too.

--- a/internal/controlnode/session_server.go
+++ b/internal/controlnode/session_server.go
@@ -40,10 +40,9 @@
 	go func() {
 		receiveError.Send(s.receive(ctx, stream, e))
 		cancel()
+		s.reportEnd(e.stream)
 	}()
 	s.send(ctx, stream, e.down)
-	e.closed = true
-	_ = s.streamEvents.Put(stream.Context(), e)
 	select {
 	case err := <-receiveError.Out():
 		return err
@@ -52,6 +51,15 @@
 	}
 }
 
+// reportEnd tells the controller duty that a stream has ended. It is called by the
+// goroutine that passes on the stream's messages, so that it follows them. If the ring is
+// full, the controller removes the stream after a time without messages.
+func (s *sessionServer) reportEnd(stream controller.StreamID) {
+	_ = s.streamEvents.Put(context.Background(), streamEvent{stream: stream, closed: true})
+}
+
+// receive passes on the messages of a router's stream until it ends, or the ring to the
+// controller duty is full.
 func (s *sessionServer) receive(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.SessionUp, wirepb.SessionDown], e streamEvent) error {
 	for {
 		up, err := stream.Recv()
