Call an interruption during a soak's start an interruption

Cause: awaitReady looked only at its own context, which ends at an interruption as well, and the command printed that error before it looked for the interruption.

Change: awaitReady returns the error of the context that it was given, and the command prints "interrupted" with whatever error the interruption led to.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -88,12 +89,12 @@
 	violated := false
 	for _, plan := range plans {
 		report, err := c.run(ctx, plan)
+		if ctx.Err() != nil {
+			return fail(eris.Wrap(cmp.Or(err, ctx.Err()), "interrupted"))
+		}
 		if err != nil {
 			return fail(err)
 		}
-		if ctx.Err() != nil {
-			return fail(eris.Wrap(ctx.Err(), "interrupted"))
-		}
 		c.printProgress(report)
 		reports = append(reports, report)
 		violated = violated || len(report.Violations) > 0
--- a/internal/soak/test_fleet_ready.go
+++ b/internal/soak/test_fleet_ready.go
@@ -16,9 +16,10 @@
 const probeInterval = 50 * time.Millisecond // time between two probes of a router
 
 // awaitReady puts the first preset in force and waits until every router serves both
-// services, at most readyTimeout.
-func (f *testFleet) awaitReady(ctx context.Context, commands *ring.Ring[Command]) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+// services, at most readyTimeout. If the parent context ends first, it returns that
+// context's error.
+func (f *testFleet) awaitReady(parent context.Context, commands *ring.Ring[Command]) error {
+	ctx, cancel := context.WithTimeout(parent, readyTimeout)
 	defer cancel()
 	if err := commands.Put(ctx, Command{Kind: ChangePreset, Target: f.topology.presets[0]}); err != nil {
 		return err
@@ -27,6 +28,9 @@
 	for _, router := range f.topology.routers {
 		for i := range serviceCount {
 			for !f.serves(client, router, serviceOf(i)) {
+				if parent.Err() != nil {
+					return eris.Wrap(parent.Err(), "wait until the fleet serves")
+				}
 				if ctx.Err() != nil {
 					return eris.Errorf("%s did not serve %s within %s of the start; see the logs in %s", router, serviceOf(i), readyTimeout, f.folder)
 				}
