Let a split follow its new weights at once, and from its first requests on

Cause: the rotation of a split kept what it owed each target in units of the old weights. From 900:100 to 1:1, a router sent its next 20 requests and more to one target. Besides, every router began its rotation with the heaviest target: of one request at each of 89 routers all went to the first of two equal targets.

Change: the rotation is kept only while targets and weights stay as they are, and a new one starts at a random point.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -44,9 +44,10 @@
 // New returns a core without requests. It refuses every request until it has a view lease
 // and a view with a preset.
 func New(s Settings) *Core {
+	random := rand.New(rand.NewPCG(s.Balancer.Seed, s.Balancer.Seed+1))
 	return &Core{
 		settings: s, table: balancer.NewTable(s.Balancer), view: fleet.NewView(),
-		routes: routes.NewTable(nil, nil), random: rand.New(rand.NewPCG(s.Balancer.Seed, s.Balancer.Seed+1)),
+		routes: routes.NewTable(nil, nil, random), random: random,
 		requestsByToken: map[uint64]*pendingRequest{}, callsByNumber: map[uint64]pendingCall{}, services: map[string]*serviceState{},
 	}
 }
@@ -72,7 +73,7 @@
 		return false
 	}
 	if change.Preset != nil || change.Full {
-		c.routes = routes.NewTable(c.view.Preset, c.routes)
+		c.routes = routes.NewTable(c.view.Preset, c.routes, c.random)
 	}
 	c.table.Update(c.view, change)
 	for _, s := range c.services {
--- a/internal/routes/entry.go
+++ b/internal/routes/entry.go
@@ -1,11 +1,15 @@
 package routes
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"endivespring/internal/fleet"
 )
 
+// maxRotation bounds the steps of a rotation from which its start is drawn.
+const maxRotation = 1000
+
 // Entry is a route in a Table, with the round-robin state of its targets and the
 // longest timeout of its requests.
 type Entry struct {
@@ -16,6 +20,23 @@
 	maxTimeout time.Duration
 }
 
+// startRotation sets the round-robin state to a random point of the rotation. Routers
+// that all start at the same point would send the first requests of a split to the same
+// target.
+func (e *Entry) startRotation(random *rand.Rand) {
+	e.credits = make([]int, len(e.Route.Targets))
+	total := 0
+	for _, target := range e.Route.Targets {
+		total += target.Weight
+	}
+	if len(e.credits) < 2 || total == 0 {
+		return
+	}
+	for range random.IntN(min(total, maxRotation)) {
+		e.Next()
+	}
+}
+
 // Elapsed estimates how long ago a caller first sent a request, from its remaining
 // timeout: all callers of a route are taken to start with the same timeout, the longest
 // one seen. It is zero for nested requests, whose timeout is what their parent request
--- a/internal/routes/table.go
+++ b/internal/routes/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -17,8 +18,9 @@
 }
 
 // NewTable returns the table of a preset, or an empty one if the preset is nil. Routes
-// keep the state that they have in the earlier table, which may be nil.
-func NewTable(p *fleet.Preset, earlier *Table) *Table {
+// keep the state that they have in the earlier table, which may be nil. A route whose
+// targets or weights are new starts at a random point of its rotation.
+func NewTable(p *fleet.Preset, earlier *Table, random *rand.Rand) *Table {
 	t := &Table{hosts: map[string][]*Entry{}}
 	if p == nil {
 		return t
@@ -28,10 +30,13 @@
 		r := &p.Routes[i]
 		entry := &Entry{Route: r}
 		if before := previous[r.Name]; before != nil {
-			entry.credits, entry.maxTimeout = before.credits, before.maxTimeout
+			entry.maxTimeout = before.maxTimeout
+			if slices.Equal(before.Route.Targets, r.Targets) {
+				entry.credits = before.credits
+			}
 		}
-		if len(entry.credits) != len(r.Targets) {
-			entry.credits = make([]int, len(r.Targets))
+		if entry.credits == nil {
+			entry.startRotation(random)
 		}
 		t.hosts[r.Host] = append(t.hosts[r.Host], entry)
 	}
