Answer a stand-in's request only after its lines are in the ledger

Cause: the stand-in queued the line for the duty that writes the ledger and answered without waiting for it, so a script could read the ledger first. A stand-in killed in between lost the line for good.

Change: the answer goes through the ledger's ring with the last line of its request, and is sent once that is written.

--- a/internal/standin/ledger_duty.go
+++ b/internal/standin/ledger_duty.go
@@ -10,31 +10,43 @@
 	"endivespring/internal/ring"
 )
 
-// ledgerDuty appends lines to the ledger as JSON, one per event.
+// ledgerDuty appends lines to the ledger as JSON, one per event, and then sends the
+// answers that wait for them.
 type ledgerDuty struct {
-	lines *ring.Ring[LedgerLine]
-	out   io.Writer
+	entries *ring.Ring[ledgerEntry]
+	out     io.Writer
 }
 
-// Run writes lines until the context ends, then those that are still queued.
+// Run writes entries until the context ends, then those that are still queued.
 func (d *ledgerDuty) Run(ctx context.Context) error {
 	encoder := json.NewEncoder(d.out)
 	for {
-		line, err := d.lines.Take(ctx)
+		entry, err := d.entries.Take(ctx)
 		if err != nil {
 			return d.flush(encoder)
 		}
-		if err := encoder.Encode(line); err != nil {
-			return eris.Wrap(err, "write ledger")
+		if err := write(encoder, &entry); err != nil {
+			return err
 		}
 	}
 }
 
 func (d *ledgerDuty) flush(encoder *json.Encoder) error {
-	for d.lines.Depth() > 0 {
-		if err := encoder.Encode(<-d.lines.Out()); err != nil {
-			return eris.Wrap(err, "write ledger")
+	for d.entries.Depth() > 0 {
+		entry := <-d.entries.Out()
+		if err := write(encoder, &entry); err != nil {
+			return err
 		}
 	}
 	return nil
 }
+
+func write(encoder *json.Encoder, entry *ledgerEntry) error {
+	if err := encoder.Encode(entry.line); err != nil {
+		return eris.Wrap(err, "write ledger")
+	}
+	if entry.reply != nil {
+		entry.reply.Send(entry.answer)
+	}
+	return nil
+}
--- a/internal/standin/scheduler_duty.go
+++ b/internal/standin/scheduler_duty.go
@@ -21,7 +21,7 @@
 	finished *ring.Ring[*job]
 	cancels  *ring.Ring[string]
 	changes  *ring.Ring[behaviourRequest]
-	ledger   *ring.Ring[LedgerLine]
+	ledger   *ring.Ring[ledgerEntry]
 
 	started            time.Time
 	behaviour          Behaviour
@@ -70,20 +70,18 @@
 	case j.connectedAt.Before(d.silencedAt):
 		j.reply.Send(result{fault: FaultNoAnswer})
 	case d.settings.ChecksGrants && d.fenced(j, now):
-		d.record(ctx, j, LedgerFenced)
-		d.refuse(j, http.StatusPreconditionFailed)
+		d.recordAnswer(ctx, j, LedgerFenced, refusal(j, http.StatusPreconditionFailed))
 	case d.behaviour.ShedEvery > 0 && d.arrivalCount%d.behaviour.ShedEvery == 0, now.After(j.deadline), d.inFlight >= d.settings.Slots:
-		d.refuse(j, http.StatusServiceUnavailable)
+		j.reply.Send(refusal(j, http.StatusServiceUnavailable))
 	case d.inFlight >= d.capacity:
-		d.record(ctx, j, LedgerOverloaded)
-		j.reply.Send(result{fault: FaultReset})
+		d.recordAnswer(ctx, j, LedgerOverloaded, result{fault: FaultReset})
 	default:
 		d.start(ctx, j, now)
 	}
 }
 
-func (d *schedulerDuty) refuse(j *job, status int) {
-	j.reply.Send(result{status: status, ran: upstream.RanNo, requestID: j.line.RequestID})
+func refusal(j *job, status int) result {
+	return result{status: status, ran: upstream.RanNo, requestID: j.line.RequestID}
 }
 
 // fenced reports whether the job's grant has expired or has an older epoch than the
@@ -115,16 +113,15 @@
 		delete(d.running, j.line.RequestID)
 	}
 	if j.cancelled {
-		d.record(ctx, j, LedgerCancelled)
-		j.reply.Send(j.result)
+		d.recordAnswer(ctx, j, LedgerCancelled, j.result)
 		return
 	}
-	d.record(ctx, j, LedgerFinished)
+	line := d.line(j, LedgerFinished)
 	d.warmUp()
 	correct := j.result
 	d.applyFault(j)
 	d.lastAnswer = correct
-	j.reply.Send(j.result)
+	_ = d.ledger.Put(ctx, ledgerEntry{line: line, reply: &j.reply, answer: j.result})
 }
 
 // warmUp raises the capacity by one, up to Slots, after every WarmCompletions jobs
@@ -173,9 +170,20 @@
 	return "", milliseconds(change.FreezeMs)
 }
 
+// record adds an event to the ledger.
 func (d *schedulerDuty) record(ctx context.Context, j *job, event LedgerEvent) {
+	_ = d.ledger.Put(ctx, ledgerEntry{line: d.line(j, event)})
+}
+
+// recordAnswer adds an event to the ledger and answers the job once it is written.
+func (d *schedulerDuty) recordAnswer(ctx context.Context, j *job, event LedgerEvent, answer result) {
+	_ = d.ledger.Put(ctx, ledgerEntry{line: d.line(j, event), reply: &j.reply, answer: answer})
+}
+
+// line returns the line of an event that happens now.
+func (d *schedulerDuty) line(j *job, event LedgerEvent) LedgerLine {
 	line := j.line
 	line.Event, line.Upstream, line.UnixNanos = event, d.settings.Name, time.Now().UnixNano()
 	line.InFlight, line.PeakInFlight, line.Capacity = d.inFlight, d.peakInFlight, d.capacity
-	_ = d.ledger.Put(ctx, line)
+	return line
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -73,15 +73,15 @@
 func (s *Server) startDuties() {
 	announcing, stop := context.WithCancel(s.group.Context())
 	s.stopAnnouncing = stop
-	lines := ring.New[LedgerLine]("ledger", ledgerCapacity, ring.Wait)
+	entries := ring.New[ledgerEntry]("ledger", ledgerCapacity, ring.Wait)
 	slots := ring.New[*job]("slots", s.settings.Slots, ring.Wait)
 	finished := ring.New[*job]("done", s.settings.Slots, ring.Wait)
 	s.arrivals = ring.New[*job]("arrivals", schedulerCapacity, ring.Wait)
 	s.cancels = ring.New[string]("cancels", schedulerCapacity, ring.Wait)
 	s.changes = ring.New[behaviourRequest]("changes", 1, ring.Wait)
-	s.group.Go("ledger", (&ledgerDuty{lines: lines, out: s.ledger}).Run)
+	s.group.Go("ledger", (&ledgerDuty{entries: entries, out: s.ledger}).Run)
 	scheduler := &schedulerDuty{
-		settings: s.settings, arrivals: s.arrivals, slots: slots, finished: finished, cancels: s.cancels, changes: s.changes, ledger: lines,
+		settings: s.settings, arrivals: s.arrivals, slots: slots, finished: finished, cancels: s.cancels, changes: s.changes, ledger: entries,
 	}
 	s.group.Go("scheduler", scheduler.Run)
 	for range s.settings.Slots {
