--- a/internal/caller/gateway_client.go
+++ b/internal/caller/gateway_client.go
@@ -52,8 +52,9 @@
 func (g *GatewayClient) Observe(answer *call.Answer, took time.Duration) { g.observe(answer, took) }
 
 // Do submits a request from a connection to the gateway duty and blocks until its
-// answer. On a Connection, the time that the request waited behind an earlier one counts. If the ring is full, it answers overloaded. The request must not share
-// memory with the connection's buffers, which are reused while it is in flight.
+// answer. If the ring is full, it answers overloaded. The request counts from its
+// arrival, which a Connection knows. It must not share memory with the connection's
+// buffers, which are reused while it is in flight.
 func (g *GatewayClient) Do(connection net.Conn, request gateway.Request) call.Answer {
 	start := time.Now()
 	reply := ring.NewReply[call.Answer]()
@@ -71,7 +72,7 @@
 
 // wait waits for the gateway's answer. Meanwhile it checks at intervals whether
 // the caller has disconnected, and then reports the request as abandoned, or has sent
-// more.
+// its next request.
 func (g *GatewayClient) wait(connection net.Conn, number uint64, request *gateway.Request, reply ring.Reply[call.Answer]) call.Answer {
 	timeout := time.NewTimer(answerTimeout)
 	defer timeout.Stop()
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -40,14 +40,6 @@
 	c.dispatch(now, p)
 }
 
-// receivedAt returns the instant from which a request's limits count.
-func (r *Request) receivedAt(now clock.Instant) clock.Instant {
-	if r.Received == 0 {
-		return now
-	}
-	return min(now, r.Received)
-}
-
 // admit returns the pending request, or why the view lease, the preset or the
 // request itself does not allow it.
 func (c *Core) admit(now clock.Instant, r Request) (*pendingRequest, verdict.Reason) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -43,3 +43,11 @@
 	Delegated bool
 	Exclude   fleet.RouterID
 }
+
+// receivedAt returns the instant from which a request's limits count.
+func (r *Request) receivedAt(now clock.Instant) clock.Instant {
+	if r.Received == 0 {
+		return now
+	}
+	return min(now, r.Received)
+}
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -16,7 +16,7 @@
 	maxUnansweredRenewals = 2
 	// maxTimeoutRenewals is the longest such time, in renewal intervals.
 	maxTimeoutRenewals = 8
-	// timeoutFactor is the timeout in times of the latest response time.
+	// timeoutFactor times the latest response time is the timeout.
 	timeoutFactor = 2
 )
 
