Take a refusal of an earlier run, repeated on another connection, for no proof

Callers saw (reported by other operators, and now in a scenario of ours): a request that must not repeat runs twice, or is called not run although it ran.

A refusal of a marked run proves not-run only if it names the run: the native protocol has Endivespring-Run for that, which the upstream may repeat; the platform's upstreams repeat the request ID alone, so there it is may-have-run. Why that is enough: each upstream is reached through one executor only.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -68,6 +68,7 @@
 	delegated   int
 	tickets     map[Ticket]*job
 	records     *recordStore
+	refused     *refusedRequests
 	nextRun     uint64
 	// runTimes are the moving averages of run times, by operation.
 	runTimes map[string]time.Duration
@@ -83,7 +84,7 @@
 	return &Core{
 		self: self, dataCentre: dataCentre, view: fleet.NewView(), shards: newOwnedShards(),
 		rangeLeases: rangeLeases{self: self, maxHold: maxHold}, revocationGrace: maxRevocationGrace, keyMeter: newKeyMeter(),
-		limiter: admission.NewLimiter(), jobs: map[uint64]*job{}, tickets: map[Ticket]*job{}, records: newRecordStore(),
+		limiter: admission.NewLimiter(), jobs: map[uint64]*job{}, tickets: map[Ticket]*job{}, records: newRecordStore(), refused: newRefusedRequests(),
 		nextPacedStart: clock.Never, revocationCheckAt: clock.Never, nextStartBy: clock.Never, runTimes: map[string]time.Duration{},
 	}
 }
--- a/internal/executor/run.go
+++ b/internal/executor/run.go
@@ -22,4 +22,7 @@
 	// Fence is when the call's deadline passes or the lease that covers it
 	// expires. From then on the call must not be handed over.
 	Fence clock.Instant
+	// RefusedBefore is set if the upstream refused an earlier run of the request. A
+	// refusal that names the request, but not this run, then proves nothing.
+	RefusedBefore bool
 }
--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -79,6 +79,7 @@
 func (c *Core) start(now clock.Instant, j *job) {
 	j.phase, j.started, j.upstream = jobRunning, now, c.upstream
 	run := Run{ID: j.run, Upstream: c.upstream, Call: j.call, Epoch: j.epoch, Deadline: j.call.Deadline, Fence: j.call.Deadline}
+	run.RefusedBefore = c.refused.has(j.call.RequestID)
 	if j.call.Sharded {
 		run.Fence = min(run.Fence, c.ownershipExpiry)
 		if c.keyed() {
@@ -114,6 +115,9 @@
 			c.logLimit("completion")
 		}
 		answer.Upstream = j.upstream.Name
+		if refusedByUpstream(&answer) {
+			c.refused.add(j.call.RequestID)
+		}
 		if answer.Verdict == verdict.Ran {
 			c.observeRun(j.call.Operation, now.Sub(j.started))
 			c.keyMeter.observeRun(now.Sub(j.started))
@@ -130,6 +134,11 @@
 	c.startQueued(now)
 }
 
+// refusedByUpstream reports whether the upstream itself refused a run.
+func refusedByUpstream(answer *call.Answer) bool {
+	return answer.Verdict == verdict.NotRun && (answer.Reason == verdict.ReasonShed || answer.Reason == verdict.ReasonFenced)
+}
+
 // retryNotRun retries a recorded call that is known not to have run: at another
 // executor if this one's upstream refused it, or in the local queue if no other
 // executor accepted it. It reports whether the call is retried.
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -19,11 +19,30 @@
 	FaultReset Fault = "reset"
 	// FaultNoAnswer keeps the connection open and never answers.
 	FaultNoAnswer Fault = "silent"
+	// FaultTruncatedHead closes the connection in the middle of the header.
+	FaultTruncatedHead Fault = "truncated-head"
+	// FaultEndlessHead writes a header without end until the connection is closed.
+	FaultEndlessHead Fault = "endless-head"
+	// FaultEndlessBody writes a body without length until the connection is closed.
+	FaultEndlessBody Fault = "endless-body"
+	// FaultRepeatedRefusal writes the last refusal once more, before the answer.
+	FaultRepeatedRefusal Fault = "repeated-refusal"
 )
 
 func (f Fault) known() bool {
 	switch f {
-	case FaultNone, FaultMismatched, FaultDuplicated, FaultLate, FaultTruncated, FaultReset, FaultNoAnswer:
+	case FaultNone, FaultMismatched, FaultLate:
+		return true
+	default:
+		return f.writesRaw()
+	}
+}
+
+// writesRaw reports whether a faulty answer is written to the connection directly, after
+// which the connection is closed.
+func (f Fault) writesRaw() bool {
+	switch f {
+	case FaultDuplicated, FaultTruncated, FaultReset, FaultNoAnswer, FaultTruncatedHead, FaultEndlessHead, FaultEndlessBody, FaultRepeatedRefusal:
 		return true
 	default:
 		return false
--- a/internal/standin/job.go
+++ b/internal/standin/job.go
@@ -8,8 +8,10 @@
 
 // job is a request that passes through the scheduler to a slot and back.
 type job struct {
-	line     LedgerLine
-	body     []byte
+	line LedgerLine
+	body []byte
+	// run is the number of the run, which the answer repeats.
+	run      string
 	deadline time.Time
 	// grantEnd is when the grant expires; zero if there is none.
 	grantEnd time.Time
--- a/internal/standin/scheduler_duty.go
+++ b/internal/standin/scheduler_duty.go
@@ -32,6 +32,7 @@
 	arrivalCount       int
 	answers            int
 	lastAnswer         result
+	lastRefusal        result
 	running            map[string]*job
 	inFlight           int
 	newestEpoch        map[string]uint64
@@ -70,9 +71,9 @@
 	case j.connectedAt.Before(d.silencedAt):
 		j.reply.Send(result{fault: FaultNoAnswer})
 	case d.settings.ChecksGrants && d.fenced(j, now):
-		d.recordAnswer(ctx, j, LedgerFenced, refusal(j, http.StatusPreconditionFailed))
+		d.recordAnswer(ctx, j, LedgerFenced, d.refusal(j, http.StatusPreconditionFailed))
 	case d.behaviour.ShedEvery > 0 && d.arrivalCount%d.behaviour.ShedEvery == 0, now.After(j.deadline), d.inFlight >= d.settings.Slots:
-		j.reply.Send(refusal(j, http.StatusServiceUnavailable))
+		j.reply.Send(d.refusal(j, http.StatusServiceUnavailable))
 	case d.inFlight >= d.capacity:
 		d.recordAnswer(ctx, j, LedgerOverloaded, result{fault: FaultReset})
 	default:
@@ -80,8 +81,10 @@
 	}
 }
 
-func refusal(j *job, status int) result {
-	return result{status: status, ran: upstream.RanNo, requestID: j.line.RequestID}
+// refusal returns the result of a job that does not run.
+func (d *schedulerDuty) refusal(j *job, status int) result {
+	d.lastRefusal = result{status: status, ran: upstream.RanNo, requestID: j.line.RequestID, run: j.run}
+	return d.lastRefusal
 }
 
 // fenced reports whether the job's grant has expired or has an older epoch than the
@@ -146,8 +149,10 @@
 		}
 		return
 	}
-	j.result.fault = d.behaviour.Fault
-	j.result.delay = milliseconds(d.behaviour.LateMs)
+	j.result.fault, j.result.delay = d.behaviour.Fault, milliseconds(d.behaviour.LateMs)
+	if d.behaviour.Fault == FaultRepeatedRefusal && d.lastRefusal.requestID != "" {
+		j.result.repeated = d.lastRefusal.text()
+	}
 }
 
 // change applies a change of behaviour. It returns an error text, empty on success,
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -117,7 +117,7 @@
 			RequestID: copied(upstream.HeaderRequestID), Operation: string(bytes.Clone([]byte(c.Params("operation")))),
 			Key: copied(upstream.HeaderKey), Shard: copied(upstream.HeaderShard), Epoch: epoch,
 		},
-		body: bytes.Clone(c.Body()), deadline: time.Now().Add(milliseconds(remaining)), connectedAt: c.Context().ConnTime(),
+		body: bytes.Clone(c.Body()), run: copied(upstream.HeaderRun), deadline: time.Now().Add(milliseconds(remaining)), connectedAt: c.Context().ConnTime(),
 		cancel: ring.NewReply[struct{}](), reply: ring.NewReply[result](),
 	}
 	if end, err := strconv.ParseInt(copied(upstream.HeaderGrantEnd), 10, 64); err == nil {
--- a/internal/standin/server_test.go
+++ b/internal/standin/server_test.go
@@ -103,10 +103,11 @@
 		FaultMismatched: func(response *http.Response, body string, err error) bool {
 			return err == nil && response.Header.Get(upstream.HeaderRequestID) != "crossed" && !strings.Contains(body, `"crossed"`)
 		},
-		FaultTruncated:  func(_ *http.Response, _ string, err error) bool { return err != nil },
-		FaultReset:      func(_ *http.Response, _ string, err error) bool { return err != nil },
-		FaultDuplicated: func(_ *http.Response, body string, err error) bool { return err == nil },
-		FaultLate:       func(_ *http.Response, body string, err error) bool { return err == nil },
+		FaultTruncated:     func(_ *http.Response, _ string, err error) bool { return err != nil },
+		FaultTruncatedHead: func(_ *http.Response, _ string, err error) bool { return err != nil },
+		FaultReset:         func(_ *http.Response, _ string, err error) bool { return err != nil },
+		FaultDuplicated:    func(_ *http.Response, body string, err error) bool { return err == nil },
+		FaultLate:          func(_ *http.Response, body string, err error) bool { return err == nil },
 	} {
 		ts.changeBehaviour(`{"fault":"` + string(fault) + `","faultEvery":1,"lateMs":1}`)
 		response, body, err := ts.run(string(fault))
--- a/internal/standin/slot_duty.go
+++ b/internal/standin/slot_duty.go
@@ -46,7 +46,7 @@
 	case <-ctx.Done():
 		j.cancelled = true
 	}
-	j.result = result{requestID: j.line.RequestID, fault: j.fault, delay: j.delay}
+	j.result = result{requestID: j.line.RequestID, run: j.run, fault: j.fault, delay: j.delay}
 	if j.cancelled {
 		j.result.status, j.result.ran = http.StatusServiceUnavailable, upstream.RanUnknown
 		return
--- a/internal/upstream/dialect.go
+++ b/internal/upstream/dialect.go
@@ -16,12 +16,14 @@
 	Encode(request *fasthttp.Request, run *executor.Run, left time.Duration, grantEnd time.Time)
 	// Names reports whether the header of a response names the request of a run.
 	Names(run *executor.Run, response *fasthttp.Response) bool
+	// NamesRun reports whether the header of a response names this very run, so that it
+	// is no response to an earlier run of the same request.
+	NamesRun(run *executor.Run, response *fasthttp.Response) bool
 	// Answers reports whether a response may belong to a run. The sender skips those
 	// that do not.
 	Answers(run *executor.Run, response *fasthttp.Response) bool
 	// Decode returns the outcome of a run from a completely read response. The sender
-	// takes not-run from a response that does not name the request only if the
-	// connection carried no other request.
+	// decides whether a refusal proves that this run did not begin.
 	Decode(run *executor.Run, response *fasthttp.Response) executor.Outcome
 	// Cancels reports whether the upstream has a cancellation endpoint. Without
 	// one, closing the connection of a run is its cancellation.
--- a/internal/upstream/headers.go
+++ b/internal/upstream/headers.go
@@ -5,9 +5,12 @@
 // Header names of requests to an upstream and of its responses.
 const (
 	HeaderRequestID = "Endivespring-Request-Id"
-	HeaderKey       = "Endivespring-Key"
-	HeaderShard     = "Endivespring-Shard"
-	HeaderEpoch     = "Endivespring-Epoch"
+	// HeaderRun is the number of the run. An upstream that repeats it in its response
+	// tells a refusal of this run from an earlier one of the same request. Optional.
+	HeaderRun   = "Endivespring-Run"
+	HeaderKey   = "Endivespring-Key"
+	HeaderShard = "Endivespring-Shard"
+	HeaderEpoch = "Endivespring-Epoch"
 	// HeaderDeadline is the time left to process the request, in milliseconds.
 	HeaderDeadline = "Endivespring-Deadline-Ms"
 	// HeaderGrantEnd is the expiry of the grant, in nanoseconds since the Unix
--- a/internal/upstream/native_dialect.go
+++ b/internal/upstream/native_dialect.go
@@ -23,6 +23,7 @@
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.SetRequestURI("http://" + run.Upstream.Address + "/run/" + url.PathEscape(run.Call.Operation))
 	request.Header.Set(HeaderRequestID, run.Call.RequestID)
+	request.Header.Set(HeaderRun, strconv.FormatUint(run.ID, 10))
 	request.Header.Set(HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
 	if run.Call.Key != "" {
 		request.Header.Set(HeaderKey, run.Call.Key)
@@ -40,6 +41,11 @@
 	return string(response.Header.Peek(HeaderRequestID)) == run.Call.RequestID
 }
 
+// NamesRun reports whether the response has the run's number.
+func (d NativeDialect) NamesRun(run *executor.Run, response *fasthttp.Response) bool {
+	return d.Names(run, response) && string(response.Header.Peek(HeaderRun)) == strconv.FormatUint(run.ID, 10)
+}
+
 // Answers accepts every response: Decode rejects one with another request ID.
 func (NativeDialect) Answers(*executor.Run, *fasthttp.Response) bool { return true }
 
--- a/internal/upstream/repeated_refusal_test.go
+++ b/internal/upstream/repeated_refusal_test.go
@@ -35,3 +35,27 @@
 		})
 	}
 }
+
+// Guards against a request that runs a second time because the upstream repeats its refusal
+// of an earlier run on another connection: the refusal names the request, but not the run.
+func TestRefusalOfAnEarlierRunProvesNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		refusal       string
+		refusedBefore bool
+		want          verdict.Verdict
+	}{
+		"first refusal":         {reply("a", "", HeaderRan+": "+RanNo), false, verdict.NotRun},
+		"second refusal":        {reply("a", "", HeaderRan+": "+RanNo), true, verdict.MayHaveRun},
+		"of the run":            {reply("a", "", HeaderRan+": "+RanNo, HeaderRun+": 1"), true, verdict.NotRun},
+		"of another run":        {reply("a", "", HeaderRan+": "+RanNo, HeaderRun+": 2"), true, verdict.MayHaveRun},
+		"of the run, other one": {reply("b", "", HeaderRan+": "+RanNo, HeaderRun+": 1"), true, verdict.MayHaveRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFakeUpstream(t, script{c.refusal})
+			s, _ := newSender(t)
+			run := newRun("a", f.listener.Addr().String(), time.Minute)
+			run.RefusedBefore = c.refusedBefore
+			assert.Equal(t, s.Run(context.Background(), run).Answer.Verdict, c.want)
+		})
+	}
+}
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -150,8 +150,7 @@
 	s.connection.markIdle(s.clock.Now())
 	out := s.dialect.Decode(run, response)
 	if out.Answer.Verdict == verdict.NotRun {
-		if s.connection.requests > 1 && !s.dialect.Names(run, response) {
-			// It may be an earlier refusal written once more.
+		if !s.provesNotRun(run, response) {
 			out = outcome(run, verdict.MayHaveRun, verdict.ReasonTruncated, out.Health)
 		}
 		s.connection.refused[run.Call.RequestID] = true
@@ -166,6 +165,21 @@
 	return out
 }
 
+// provesNotRun reports whether a refusal is the answer to this run, and no earlier refusal
+// that the upstream writes once more: it names the run; or it names the request, which the
+// upstream has not refused before; or it names nothing on a connection that carried no
+// other request.
+func (s *Sender) provesNotRun(run *executor.Run, response *fasthttp.Response) bool {
+	switch {
+	case s.dialect.NamesRun(run, response):
+		return true
+	case s.dialect.Names(run, response):
+		return !run.RefusedBefore
+	default:
+		return s.connection.requests == 1
+	}
+}
+
 // retire closes a connection whose state is unknown, so that a late response is
 // never taken for that of a later request.
 func (s *Sender) retire(cause string) {
