Send routers what a change of the configuration changes, not all of it

Cause: the view's change held the whole preset, so each change of one route sent 101 KB to every router with 1,400 routes. The class: a message whose size follows the state and not the change.

Change: fleet.PresetChange is the difference between two presets; the state machine makes it, merged changes chain it, views apply it.

--- a/internal/controller/broadcasting.go
+++ b/internal/controller/broadcasting.go
@@ -81,7 +81,13 @@
 		s.sentVersion, s.needsFull = full.To, false
 	}
 	if s.sentVersion != c.state.View.Version {
-		c.sendChange(s, c.mergedSince(s.sentVersion))
+		change := c.mergedSince(s.sentVersion)
+		if change.PresetChange != nil && !s.presetChanges {
+			whole := *change
+			whole.Preset, whole.PresetChange = c.state.View.Preset, nil
+			change = &whole
+		}
+		c.sendChange(s, change)
 		s.sentVersion = c.state.View.Version
 	}
 }
--- a/internal/executor/view.go
+++ b/internal/executor/view.go
@@ -15,7 +15,7 @@
 	if !c.view.Apply(change) {
 		return false
 	}
-	if change.Preset != nil {
+	if change.ChangesPreset() {
 		c.applyPreset()
 	}
 	if len(change.KeySpaces) > 0 {
--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -6,8 +6,11 @@
 type Change struct {
 	From, To Version
 	Full     bool
-	Preset   *Preset
-	Routers  []Router
+	// Preset is the whole preset, and PresetChange what differs from the preset at From.
+	// At most one of them is set.
+	Preset       *Preset
+	PresetChange *PresetChange
+	Routers      []Router
 	// Removed lists the routers that were removed from the view.
 	Removed []RouterID
 	Shards  []Shard
@@ -23,6 +26,9 @@
 // Empty reports whether the change carries no objects; it may still advance the
 // version and Config.
 func (c *Change) Empty() bool {
-	return c.Preset == nil && len(c.Routers) == 0 && len(c.Removed) == 0 && len(c.Shards) == 0 && len(c.KeySpaces) == 0 &&
+	return !c.ChangesPreset() && len(c.Routers) == 0 && len(c.Removed) == 0 && len(c.Shards) == 0 && len(c.KeySpaces) == 0 &&
 		len(c.DataCentres) == 0 && len(c.Upstreams) == 0
 }
+
+// ChangesPreset reports whether the change brings another preset into force.
+func (c *Change) ChangesPreset() bool { return c.Preset != nil || c.PresetChange != nil }
--- a/internal/fleet/merge.go
+++ b/internal/fleet/merge.go
@@ -24,7 +24,7 @@
 	upstreams := map[string]bool{}
 	for _, c := range changes {
 		merged.Config = max(merged.Config, c.Config)
-		merged.Preset = cmp.Or(c.Preset, merged.Preset)
+		merged.addPreset(c)
 		for _, r := range c.Routers {
 			routers[r.ID] = r
 			delete(removed, r.ID)
@@ -70,3 +70,15 @@
 		return cmp.Or(cmp.Compare(a.ID.Service, b.ID.Service), cmp.Compare(a.ID.Number, b.ID.Number))
 	})
 }
+
+// addPreset adds the preset of a later change.
+func (c *Change) addPreset(later *Change) {
+	switch {
+	case later.Preset != nil:
+		c.Preset, c.PresetChange = later.Preset, nil
+	case later.PresetChange != nil && c.Preset != nil:
+		c.Preset = later.PresetChange.Apply(c.Preset)
+	default:
+		c.PresetChange = c.PresetChange.then(later.PresetChange)
+	}
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -36,7 +36,7 @@
 // Otherwise the view stays as it is, and the receiver must ask for a full
 // change.
 func (v *View) Apply(c *Change) bool {
-	if c.To < v.Version || (!c.Full && c.From != v.Version) {
+	if c.To < v.Version || (!c.Full && c.From != v.Version) || (c.PresetChange != nil && v.Preset == nil) {
 		return false
 	}
 	if c.Full {
@@ -53,6 +53,9 @@
 	if c.Preset != nil {
 		v.Preset = c.Preset
 	}
+	if c.PresetChange != nil {
+		v.Preset = c.PresetChange.Apply(v.Preset)
+	}
 	v.Config = max(v.Config, c.Config)
 	for _, router := range c.Routers {
 		v.Routers[router.ID] = router
--- a/internal/fsm/operators.go
+++ b/internal/fsm/operators.go
@@ -92,7 +92,7 @@
 	case accepted != nil:
 		preset := *accepted
 		preset.Version = s.View.Config + 1
-		change.Preset = &preset
+		setPreset(change, s.View.Preset, &preset)
 		for _, service := range preset.Services {
 			if !service.Ranged {
 				s.ShardCounts[service.Name] = service.Shards
@@ -105,6 +105,16 @@
 	}
 }
 
+// setPreset adds a new preset to a change of the view: as the difference from the one in
+// force, if there is one.
+func setPreset(change *fleet.Change, current, next *fleet.Preset) {
+	if current == nil {
+		change.Preset = next
+		return
+	}
+	change.PresetChange = fleet.DiffPresets(current, next)
+}
+
 // recordResult keeps the result of a command for resends and discards the oldest one
 // above MaxOperatorResults.
 func (s *State) recordResult(result OperatorResult) {
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -72,7 +72,7 @@
 	if !c.view.Apply(change) {
 		return false
 	}
-	if change.Preset != nil || change.Full {
+	if change.ChangesPreset() || change.Full {
 		c.routes = routes.NewTable(c.view.Preset, c.routes, c.random)
 	}
 	c.table.Update(c.view, change)
--- a/internal/gateway/parking.go
+++ b/internal/gateway/parking.go
@@ -57,7 +57,7 @@
 	if len(c.parked) == 0 || change.Empty() {
 		return
 	}
-	all := change.Full || change.Preset != nil || len(change.Routers)+len(change.DataCentres)+len(change.Upstreams) > 0
+	all := change.Full || change.ChangesPreset() || len(change.Routers)+len(change.DataCentres)+len(change.Upstreams) > 0
 	changed := make(map[fleet.ShardID]bool, len(change.Shards))
 	for _, shard := range change.Shards {
 		changed[shard.ID] = true
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -132,7 +132,7 @@
 	c.renewAt = now.Add(c.renewalInterval)
 	up := RouterMessage{
 		Nonce: c.nonce, Session: c.session, Sequence: c.holder.Renew(now), Applied: c.applied, NeedFull: c.needFull,
-		Router: c.router, Closing: c.closing,
+		Router: c.router, PresetChanges: true, Closing: c.closing,
 	}
 	up.Router.Session = c.session
 	if c.session != 0 {
--- a/internal/session/router_message.go
+++ b/internal/session/router_message.go
@@ -42,6 +42,8 @@
 	// RunTime is the mean run time of requests at the upstream since the last
 	// report of loads.
 	RunTime time.Duration
+	// PresetChanges is set if the router understands changes with a PresetChange.
+	PresetChanges bool
 	// Closing asks to close the session.
 	Closing bool
 }
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -57,7 +57,7 @@
 		return nil
 	}
 	return &wirepb.Change{
-		From: uint64(c.From), To: uint64(c.To), Full: c.Full, Preset: FromPreset(c.Preset), Config: uint64(c.Config),
+		From: uint64(c.From), To: uint64(c.To), Full: c.Full, Preset: FromPreset(c.Preset), PresetChange: fromPresetChange(c.PresetChange), Config: uint64(c.Config),
 		Routers:   lo.Map(c.Routers, func(r fleet.Router, _ int) *wirepb.Router { return FromRouter(r) }),
 		Removed:   lo.Map(c.Removed, func(id fleet.RouterID, _ int) string { return string(id) }),
 		Shards:    lo.Map(c.Shards, func(s fleet.Shard, _ int) *wirepb.Shard { return fromShard(s) }),
@@ -78,7 +78,7 @@
 	}
 	return &fleet.Change{
 		From: fleet.Version(c.GetFrom()), To: fleet.Version(c.GetTo()), Full: c.GetFull(), Preset: ToPreset(c.GetPreset()),
-		Config:    fleet.Version(c.GetConfig()),
+		PresetChange: toPresetChange(c.GetPresetChange()), Config: fleet.Version(c.GetConfig()),
 		Routers:   lo.Map(c.GetRouters(), func(r *wirepb.Router, _ int) fleet.Router { return ToRouter(r) }),
 		Removed:   lo.Map(c.GetRemoved(), func(id string, _ int) fleet.RouterID { return fleet.RouterID(id) }),
 		Shards:    lo.Map(c.GetShards(), func(s *wirepb.Shard, _ int) fleet.Shard { return toShard(s) }),
--- a/internal/wire/preset.go
+++ b/internal/wire/preset.go
@@ -31,6 +31,26 @@
 	}
 }
 
+func fromPresetChange(c *fleet.PresetChange) *wirepb.PresetChange {
+	if c == nil {
+		return nil
+	}
+	return &wirepb.PresetChange{
+		Version: uint64(c.Version), Name: c.Name, Number: c.Number, Base: c.Base, Limits: fromCallerLimits(&c.Limits),
+		Services: fromServices(c.Services), Routes: fromRoutes(c.Routes), RemovedServices: c.RemovedServices, RemovedRoutes: c.RemovedRoutes,
+	}
+}
+
+func toPresetChange(c *wirepb.PresetChange) *fleet.PresetChange {
+	if c == nil {
+		return nil
+	}
+	return &fleet.PresetChange{
+		Version: fleet.Version(c.GetVersion()), Name: c.GetName(), Number: c.GetNumber(), Base: c.GetBase(), Limits: *toCallerLimits(c.GetLimits()),
+		Services: toServices(c.GetServices()), Routes: toRoutes(c.GetRoutes()), RemovedServices: c.GetRemovedServices(), RemovedRoutes: c.GetRemovedRoutes(),
+	}
+}
+
 func fromServices(services []fleet.Service) []*wirepb.Service {
 	return lo.Map(services, func(s fleet.Service, _ int) *wirepb.Service { return fromService(s) })
 }
