Bound the answers that operators' commands read

Users report bytes that are no answer and come without end until the caller closes.

Cause: the operators' client had no limit on a body; a command that is pointed at a wrong address, or meets a faulty process, read until its time-out of 8 s or its memory ended.

Change: 16 MiB at most. Evidence: TestEndlessAnswersAreGivenUp (operator): before, 574 MB of a body without length and 143 MB of chunks were taken in 8 s, now less than 32 MB, what sockets buffer included; an endless head was bounded before. What reads answers elsewhere: upstream, the links and streams between processes (gRPC limits each message), and stand-in, load generator and soak, which are tests' own and read only routers.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -21,6 +21,7 @@
 	dialTimeout    = time.Second            // bound on opening a connection
 	retryDelay     = 200 * time.Millisecond // wait between rounds over all control processes
 	pollInterval   = 100 * time.Millisecond // time between polls of the version in force
+	maxAnswerBody  = 16 << 20               // bytes of an answer; a status of 2,400 routers takes about one MiB
 )
 
 // Errors of the client.
@@ -58,7 +59,7 @@
 // may be repeated.
 func NewClient(addresses []string, token string, retryPeriod time.Duration) *Client {
 	return &Client{addresses: addresses, token: token, retryPeriod: retryPeriod, http: fasthttp.Client{
-		MaxIdemponentCallAttempts: 1, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout,
+		MaxIdemponentCallAttempts: 1, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, MaxResponseBodySize: maxAnswerBody,
 		Dial:       func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, dialTimeout) },
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
