Send routers the key ranges that changed, not whole key spaces

Each move of a range of keys sent all ranges of its service to every router, on the link that changes of the configuration take too.

Cause: a change of the view held whole key spaces. Change: fleet.KeySpaceChange holds the ranges of the later revision that the earlier one lacks; the state machine makes it, merged changes chain it, views apply it. The session core keeps the key spaces of its view, from which it tells which of its reports are confirmed. Routers say that they understand differences, of presets and key spaces alike.

TestChangeOfOneRangeIsSmall: 83 bytes for one of 128 or 2,048 ranges; 7.8 and 126 KB before.

--- a/internal/controller/broadcasting.go
+++ b/internal/controller/broadcasting.go
@@ -82,16 +82,28 @@
 	}
 	if s.sentVersion != c.state.View.Version {
 		change := c.mergedSince(s.sentVersion)
-		if change.PresetChange != nil && !s.presetChanges {
-			whole := *change
-			whole.Preset, whole.PresetChange = c.state.View.Preset, nil
-			change = &whole
+		if !s.differences {
+			change = c.withoutDifferences(change)
 		}
 		c.sendChange(s, change)
 		s.sentVersion = c.state.View.Version
 	}
 }
 
+// withoutDifferences returns a change that leads to the present view with whole presets and
+// key spaces in place of differences.
+func (c *Core) withoutDifferences(change *fleet.Change) *fleet.Change {
+	whole := *change
+	if whole.PresetChange != nil {
+		whole.Preset, whole.PresetChange = c.state.View.Preset, nil
+	}
+	whole.KeySpaces, whole.KeySpaceChanges = nil, nil
+	for _, service := range change.ChangedKeySpaces() {
+		whole.KeySpaces = append(whole.KeySpaces, *c.state.View.KeySpaces[service])
+	}
+	return &whole
+}
+
 func (c *Core) sendChange(s *stream, change *fleet.Change) {
 	c.output.Sends = append(c.output.Sends, StreamMessage{Stream: s.id, Message: session.ControlMessage{Session: s.session, Change: change}})
 }
--- a/internal/controller/planning.go
+++ b/internal/controller/planning.go
@@ -91,17 +91,17 @@
 	if change == nil || !c.leadership.IsLeader {
 		return
 	}
-	for i := range change.KeySpaces {
-		space := &change.KeySpaces[i]
-		for j := range space.Ranges {
-			r := &space.Ranges[j]
-			old := before[space.Service]
+	for i := range change.KeySpaceChanges {
+		changed := &change.KeySpaceChanges[i]
+		for j := range changed.Ranges {
+			r := &changed.Ranges[j]
+			old := before[changed.Service]
 			if old != nil {
 				if known := old.Find(r.First); known.Phase == r.Phase && known.Epoch == r.Epoch && known.First <= r.First && known.Last >= r.Last {
 					continue
 				}
 			}
-			c.logEvent(rangeEvent(r.Phase), event.F("service", space.Service), event.F("first", r.First), event.F("last", r.Last),
+			c.logEvent(rangeEvent(r.Phase), event.F("service", changed.Service), event.F("first", r.First), event.F("last", r.Last),
 				event.F("owner", string(r.Owner)), event.F("boot", r.Boot), event.F("epoch", uint64(r.Epoch)), event.F("handover", r.Handover != ""))
 		}
 	}
--- a/internal/controller/renewing.go
+++ b/internal/controller/renewing.go
@@ -23,7 +23,7 @@
 	}
 	s := c.streams[id]
 	if s == nil {
-		s = &stream{id: id, router: up.Router.ID, session: up.Session, sentVersion: up.Applied, needsFull: up.NeedFull, presetChanges: up.PresetChanges}
+		s = &stream{id: id, router: up.Router.ID, session: up.Session, sentVersion: up.Applied, needsFull: up.NeedFull, differences: up.Differences}
 		c.streams[id] = s
 	}
 	s.nonce, s.sequence, s.applied, s.lastReceivedAt = up.Nonce, up.Sequence, up.Applied, now
--- a/internal/controller/stream.go
+++ b/internal/controller/stream.go
@@ -22,8 +22,9 @@
 	synced bool
 	// needsFull is set if the router asked for a full view.
 	needsFull bool
-	// presetChanges is set if the router understands changes with a PresetChange.
-	presetChanges bool
+	// differences is set if the router understands changes with differences of presets
+	// and key spaces.
+	differences bool
 	// applied is the view version that the router last reported as applied.
 	applied        fleet.Version
 	lastReceivedAt clock.Instant
--- a/internal/executor/view.go
+++ b/internal/executor/view.go
@@ -18,7 +18,7 @@
 	if change.ChangesPreset() {
 		c.applyPreset()
 	}
-	if len(change.KeySpaces) > 0 {
+	if len(change.ChangedKeySpaces()) > 0 {
 		c.revocationCheckAt = min(c.revocationCheckAt, now)
 	}
 	if change.Full || len(change.Routers)+len(change.Removed)+len(change.DataCentres)+len(change.Upstreams) > 0 {
--- a/internal/fleet/change.go
+++ b/internal/fleet/change.go
@@ -14,8 +14,10 @@
 	// Removed lists the routers that were removed from the view.
 	Removed []RouterID
 	Shards  []Shard
-	// KeySpaces lists the key spaces that changed, each with all of its ranges.
-	KeySpaces []KeySpace
+	// KeySpaces lists whole key spaces, and KeySpaceChanges what differs from those at
+	// From. A service is in one of them at most.
+	KeySpaces       []KeySpace
+	KeySpaceChanges []KeySpaceChange
 	// DataCentres and Upstreams list the operators' settings that changed.
 	DataCentres []DataCentreSetting
 	Upstreams   []UpstreamSetting
@@ -26,9 +28,21 @@
 // Empty reports whether the change carries no objects; it may still advance the
 // version and Config.
 func (c *Change) Empty() bool {
-	return !c.ChangesPreset() && len(c.Routers) == 0 && len(c.Removed) == 0 && len(c.Shards) == 0 && len(c.KeySpaces) == 0 &&
+	return !c.ChangesPreset() && len(c.Routers) == 0 && len(c.Removed) == 0 && len(c.Shards) == 0 && len(c.ChangedKeySpaces()) == 0 &&
 		len(c.DataCentres) == 0 && len(c.Upstreams) == 0
 }
 
 // ChangesPreset reports whether the change brings another preset into force.
 func (c *Change) ChangesPreset() bool { return c.Preset != nil || c.PresetChange != nil }
+
+// ChangedKeySpaces returns the services whose key spaces change.
+func (c *Change) ChangedKeySpaces() []string {
+	var services []string
+	for i := range c.KeySpaces {
+		services = append(services, c.KeySpaces[i].Service)
+	}
+	for i := range c.KeySpaceChanges {
+		services = append(services, c.KeySpaceChanges[i].Service)
+	}
+	return services
+}
--- a/internal/fleet/merge.go
+++ b/internal/fleet/merge.go
@@ -19,7 +19,7 @@
 	routers := map[RouterID]Router{}
 	removed := map[RouterID]bool{}
 	shards := map[ShardID]Shard{}
-	keySpaces := map[string]KeySpace{}
+	keySpaces, keySpaceChanges := map[string]KeySpace{}, map[string]KeySpaceChange{}
 	dataCentres := map[DataCentre]bool{}
 	upstreams := map[string]bool{}
 	for _, c := range changes {
@@ -38,6 +38,10 @@
 		}
 		for _, s := range c.KeySpaces {
 			keySpaces[s.Service] = s
+			delete(keySpaceChanges, s.Service)
+		}
+		for _, change := range c.KeySpaceChanges {
+			mergeKeySpace(keySpaces, keySpaceChanges, change)
 		}
 		for _, s := range c.DataCentres {
 			dataCentres[s.Name] = s.Out
@@ -50,6 +54,9 @@
 	for _, service := range sortedKeys(keySpaces) {
 		merged.KeySpaces = append(merged.KeySpaces, keySpaces[service])
 	}
+	for _, service := range sortedKeys(keySpaceChanges) {
+		merged.KeySpaceChanges = append(merged.KeySpaceChanges, keySpaceChanges[service])
+	}
 	for _, name := range sortedKeys(dataCentres) {
 		merged.DataCentres = append(merged.DataCentres, DataCentreSetting{Name: name, Out: dataCentres[name]})
 	}
@@ -59,6 +66,19 @@
 	return merged
 }
 
+// mergeKeySpace adds a difference to the whole key space of its service, if there is one,
+// or else to the earlier difference.
+func mergeKeySpace(spaces map[string]KeySpace, changes map[string]KeySpaceChange, change KeySpaceChange) {
+	if whole, ok := spaces[change.Service]; ok {
+		spaces[change.Service] = *change.Apply(&whole)
+		return
+	}
+	if earlier, ok := changes[change.Service]; ok {
+		change = earlier.then(change)
+	}
+	changes[change.Service] = change
+}
+
 // setRoutersAndShards sets the lists of routers, sorted by ID, and of shards, sorted
 // by service and number.
 func (c *Change) setRoutersAndShards(routers map[RouterID]Router, removed map[RouterID]bool, shards map[ShardID]Shard) {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -69,6 +69,10 @@
 	for _, space := range c.KeySpaces {
 		v.KeySpaces[space.Service] = &space
 	}
+	for i := range c.KeySpaceChanges {
+		change := &c.KeySpaceChanges[i]
+		v.KeySpaces[change.Service] = change.Apply(v.KeySpaces[change.Service])
+	}
 	v.mergeSettings(c)
 }
 
--- a/internal/fsm/ranges.go
+++ b/internal/fsm/ranges.go
@@ -37,7 +37,7 @@
 	}
 	next := c.Next.Clone()
 	next.Revision = space.Revision + 1
-	change.KeySpaces = append(change.KeySpaces, *next)
+	change.KeySpaceChanges = append(change.KeySpaceChanges, fleet.DiffKeySpaces(s.View.KeySpaces[next.Service], next))
 	return Result{Accepted: true}
 }
 
@@ -64,7 +64,7 @@
 		}
 	}
 	if changed {
-		appendKeySpace(change, space)
+		s.appendKeySpace(change, space)
 	}
 	return Result{Accepted: true}
 }
@@ -88,14 +88,14 @@
 			}
 		}
 		if changed {
-			appendKeySpace(change, space)
+			s.appendKeySpace(change, space)
 		}
 	}
 }
 
 // appendKeySpace adds a key space with its next revision to the change of the view.
-func appendKeySpace(change *fleet.Change, space *fleet.KeySpace) {
+func (s *State) appendKeySpace(change *fleet.Change, space *fleet.KeySpace) {
 	space.Normalize()
 	space.Revision++
-	change.KeySpaces = append(change.KeySpaces, *space)
+	change.KeySpaceChanges = append(change.KeySpaceChanges, fleet.DiffKeySpaces(s.View.KeySpaces[space.Service], space))
 }
--- a/internal/gateway/parking.go
+++ b/internal/gateway/parking.go
@@ -62,9 +62,9 @@
 	for _, shard := range change.Shards {
 		changed[shard.ID] = true
 	}
-	spaces := make(map[string]bool, len(change.KeySpaces))
-	for i := range change.KeySpaces {
-		spaces[change.KeySpaces[i].Service] = true
+	spaces := map[string]bool{}
+	for _, service := range change.ChangedKeySpaces() {
+		spaces[service] = true
 	}
 	for _, p := range slices.Clone(c.parked) {
 		if all || p.sharded && changed[p.shard] || p.ranged && spaces[p.request.Service] {
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -43,6 +43,8 @@
 	// pendingReleases holds the released shards that the view does not show as
 	// released yet.
 	pendingReleases map[fleet.ShardID]fsm.ShardRelease
+	// keySpaces are those of the applied view.
+	keySpaces map[string]*fleet.KeySpace
 	// pendingReports holds the released ranges that the view does not show as
 	// released yet.
 	pendingReports []RangeReport
@@ -75,6 +77,7 @@
 	return &Core{
 		router: router, renewalInterval: renewalInterval, nonce: nonce, responseTimeout: renewalInterval,
 		holder: lease.NewHolder(), pendingReleases: map[fleet.ShardID]fsm.ShardRelease{},
+		keySpaces: map[string]*fleet.KeySpace{},
 	}
 }
 
@@ -132,7 +135,7 @@
 	c.renewAt = now.Add(c.renewalInterval)
 	up := RouterMessage{
 		Nonce: c.nonce, Session: c.session, Sequence: c.holder.Renew(now), Applied: c.applied, NeedFull: c.needFull,
-		Router: c.router, PresetChanges: true, Closing: c.closing,
+		Router: c.router, Differences: true, Closing: c.closing,
 	}
 	up.Router.Session = c.session
 	if c.session != 0 {
@@ -278,9 +281,7 @@
 			c.registered = router
 		}
 	}
-	for i := range change.KeySpaces {
-		c.dropConfirmedReports(&change.KeySpaces[i])
-	}
+	c.applyKeySpaces(change)
 	for _, shard := range change.Shards {
 		if r, ok := c.pendingReleases[shard.ID]; ok && (shard.Epoch != r.Epoch || shard.Phase == fleet.ShardFree) {
 			delete(c.pendingReleases, shard.ID)
--- a/internal/session/reporting.go
+++ b/internal/session/reporting.go
@@ -37,6 +37,23 @@
 	c.keyLoads, c.runTime = loads, runTime
 }
 
+// applyKeySpaces follows the key spaces by a change and drops the reports that it confirms.
+func (c *Core) applyKeySpaces(change *fleet.Change) {
+	if change.Full {
+		clear(c.keySpaces)
+	}
+	for _, space := range change.KeySpaces {
+		c.keySpaces[space.Service] = &space
+	}
+	for i := range change.KeySpaceChanges {
+		changed := &change.KeySpaceChanges[i]
+		c.keySpaces[changed.Service] = changed.Apply(c.keySpaces[changed.Service])
+	}
+	for _, service := range change.ChangedKeySpaces() {
+		c.dropConfirmedReports(c.keySpaces[service])
+	}
+}
+
 // dropConfirmedReports removes the released ranges that a key space no longer shows
 // as held, and the reports that have none left.
 func (c *Core) dropConfirmedReports(space *fleet.KeySpace) {
--- a/internal/session/router_message.go
+++ b/internal/session/router_message.go
@@ -42,8 +42,9 @@
 	// RunTime is the mean run time of requests at the upstream since the last
 	// report of loads.
 	RunTime time.Duration
-	// PresetChanges is set if the router understands changes with a PresetChange.
-	PresetChanges bool
+	// Differences is set if the router understands changes with differences of presets
+	// and key spaces.
+	Differences bool
 	// Closing asks to close the session.
 	Closing bool
 }
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -62,6 +62,9 @@
 		Removed:   lo.Map(c.Removed, func(id fleet.RouterID, _ int) string { return string(id) }),
 		Shards:    lo.Map(c.Shards, func(s fleet.Shard, _ int) *wirepb.Shard { return fromShard(s) }),
 		KeySpaces: lo.Map(c.KeySpaces, func(s fleet.KeySpace, _ int) *wirepb.KeySpace { return fromKeySpace(s) }),
+		KeySpaceChanges: lo.Map(c.KeySpaceChanges, func(s fleet.KeySpaceChange, _ int) *wirepb.KeySpace {
+			return fromKeySpace(fleet.KeySpace(s))
+		}),
 		DataCentres: lo.Map(c.DataCentres, func(d fleet.DataCentreSetting, _ int) *wirepb.NamedSetting {
 			return &wirepb.NamedSetting{Name: string(d.Name), Out: d.Out}
 		}),
@@ -83,6 +86,9 @@
 		Removed:   lo.Map(c.GetRemoved(), func(id string, _ int) fleet.RouterID { return fleet.RouterID(id) }),
 		Shards:    lo.Map(c.GetShards(), func(s *wirepb.Shard, _ int) fleet.Shard { return toShard(s) }),
 		KeySpaces: lo.Map(c.GetKeySpaces(), func(s *wirepb.KeySpace, _ int) fleet.KeySpace { return toKeySpace(s) }),
+		KeySpaceChanges: lo.Map(c.GetKeySpaceChanges(), func(s *wirepb.KeySpace, _ int) fleet.KeySpaceChange {
+			return fleet.KeySpaceChange(toKeySpace(s))
+		}),
 		DataCentres: lo.Map(c.GetDataCentres(), func(d *wirepb.NamedSetting, _ int) fleet.DataCentreSetting {
 			return fleet.DataCentreSetting{Name: fleet.DataCentre(d.GetName()), Out: d.GetOut()}
 		}),
