--- a/internal/controlnode/controller_duty.go
+++ b/internal/controlnode/controller_duty.go
@@ -28,8 +28,10 @@
 	// leaseReleased reports to the consensus duty that the controller no longer
 	// relies on the leader lease, which was released for a leadership transfer.
 	leaseReleased *ring.Ring[struct{}]
-	// snapshotInterval is the number of applied entries between snapshots.
+	// snapshotInterval is the largest number of applied entries between snapshots, and
+	// snapshotBytes the size of entries after which one is taken even if they are fewer.
 	snapshotInterval uint64
+	snapshotBytes    int
 	meter            *metrics.ControlMeter
 	changeCache      changeCache
 
@@ -41,6 +43,8 @@
 	lastToken       uint64
 	applied         uint64
 	compacted       uint64
+	// uncompactedBytes is the size of the entries applied since the latest snapshot.
+	uncompactedBytes int
 }
 
 // Run steps the core until the context ends.
@@ -79,7 +83,7 @@
 			return err
 		}
 		d.core.Restore(state)
-		d.applied, d.compacted = update.snapshot.Index, update.snapshot.Index
+		d.applied, d.compacted, d.uncompactedBytes = update.snapshot.Index, update.snapshot.Index, 0
 	}
 	for _, entry := range update.committed {
 		if err := d.apply(&entry); err != nil {
@@ -99,6 +103,7 @@
 
 func (d *controllerDuty) apply(entry *consensus.Entry) error {
 	d.applied = entry.Index
+	d.uncompactedBytes += len(entry.Data)
 	if entry.Kind != consensus.EntryCommand {
 		return nil
 	}
@@ -110,10 +115,10 @@
 	return nil
 }
 
-// compactIfDue asks for a snapshot after every snapshotInterval entries. If the
-// ring is still full with an earlier request, the next update tries again.
+// compactIfDue asks for a snapshot after every snapshotInterval entries or snapshotBytes
+// of them. If the ring is still full with an earlier request, the next update tries again.
 func (d *controllerDuty) compactIfDue(ctx context.Context) error {
-	if d.applied < d.compacted+d.snapshotInterval {
+	if d.applied < d.compacted+d.snapshotInterval && d.uncompactedBytes < d.snapshotBytes {
 		return nil
 	}
 	data, err := wire.EncodeState(d.core.State())
@@ -121,7 +126,7 @@
 		return err
 	}
 	if d.compactions.Put(ctx, compaction{index: d.applied, data: data}) == nil {
-		d.compacted = d.applied
+		d.compacted, d.uncompactedBytes = d.applied, 0
 	}
 	return nil
 }
--- a/internal/controlnode/duties_test.go
+++ b/internal/controlnode/duties_test.go
@@ -227,7 +227,7 @@
 	ctx := context.Background()
 	d := &controllerDuty{
 		core:        controller.New(lease.Timing{}, placement.Limits{}, func(string) string { return "" }),
-		compactions: ring.New[compaction]("compactions", 1, ring.Refuse), snapshotInterval: 10, applied: 10,
+		compactions: ring.New[compaction]("compactions", 1, ring.Refuse), snapshotInterval: 10, snapshotBytes: 1 << 20, applied: 10,
 	}
 	assert.NilError(t, d.compactions.Put(ctx, compaction{}))
 	assert.NilError(t, d.compactIfDue(ctx))
@@ -240,6 +240,25 @@
 	assert.Equal(t, d.compactions.Depth(), 0)
 }
 
+// Guards against control processes whose memory and disk fill with a log of few large
+// entries, such as whole configurations.
+func TestLargeEntriesAreCompactedSooner(t *testing.T) {
+	ctx := context.Background()
+	d := &controllerDuty{
+		core:        controller.New(lease.Timing{}, placement.Limits{}, func(string) string { return "" }),
+		compactions: ring.New[compaction]("compactions", 1, ring.Refuse), snapshotInterval: 1000, snapshotBytes: 100,
+	}
+	for index := uint64(1); index <= 6; index++ {
+		entry := consensus.Entry{Index: index, Term: 1, Kind: consensus.EntryBarrier, Data: make([]byte, 40)}
+		assert.NilError(t, d.applyUpdate(ctx, &logUpdate{committed: []consensus.Entry{entry}}))
+		due := index%3 == 0
+		assert.Equal(t, d.compactions.Depth() == 1, due, "after %d entries", index)
+		if due {
+			assert.Equal(t, (<-d.compactions.Out()).index, index)
+		}
+	}
+}
+
 // Guards against two leaders that both rely on a lease: a stopping leader must
 // tell its successor to start an election only after the controller has
 // reported that it no longer relies on the lease.
--- a/internal/controlnode/node_duties.go
+++ b/internal/controlnode/node_duties.go
@@ -79,6 +79,7 @@
 	d := &controllerDuty{
 		core: core, clock: timeSource, events: n.events, updates: c.updates, proposals: c.proposals, compactions: c.compactions, leaseReleased: c.leaseReleased,
 		snapshotInterval: uint64(n.settings.SnapshotEntries),
+		snapshotBytes:    n.settings.SnapshotBytes,
 		streamEvents:     ring.New[streamEvent]("renewals", streamEventCapacity, ring.Refuse),
 		operators:        ring.New[operator.Request]("operators", operatorCapacity, ring.Refuse),
 		meter:            metrics.NewControlMeter(n.registry),
