--- a/internal/capacity/key_space_change_test.go
+++ b/internal/capacity/key_space_change_test.go
@@ -76,7 +76,7 @@
 				next := state.View.KeySpaces[serviceName(0)].Clone()
 				grantRange(next, i%ranges, newRouter((i+1)%2*services))
 				core.ApplyCommitted(clock.Instant(i+1)*clock.Instant(time.Second), 1, assignCommand(state, next))
-				received += applyBroadcast(t, core, view)
+				received += applyBroadcast(t, core, view, understood)
 			}
 			t.Logf("understood=%v: %d bytes a change of one in %d ranges", understood, received/changes, ranges)
 			assert.DeepEqual(t, view.KeySpaces, state.View.KeySpaces)
--- a/internal/capacity/preset_change_test.go
+++ b/internal/capacity/preset_change_test.go
@@ -66,7 +66,7 @@
 						change.Preset, change.Amendment = &next, nil
 					}
 					core.ApplyCommitted(clock.Instant(i+1)*clock.Instant(time.Second), 1, &fsm.Command{OperatorChange: change})
-					received += applyBroadcast(t, core, view)
+					received += applyBroadcast(t, core, view, understood)
 				}
 				assert.DeepEqual(t, view.Preset, state.View.Preset)
 				t.Logf("%d bytes a change", received/changes)
@@ -79,8 +79,8 @@
 }
 
 // applyBroadcast applies the changes that a leader sends, as encoded, to a router's view,
-// and returns their size in bytes.
-func applyBroadcast(t *testing.T, core *controller.Core, view *fleet.View) (bytes int) {
+// and returns their size in bytes. They have differences only if those are understood.
+func applyBroadcast(t *testing.T, core *controller.Core, view *fleet.View, understood bool) (bytes int) {
 	t.Helper()
 	for _, send := range core.Take().Sends {
 		data, err := wire.EncodeChange(send.Message.Change)
@@ -90,6 +90,7 @@
 		assert.Assert(t, proto.Size(message) >= len(data))
 		down, err := wire.ToDown(message)
 		assert.NilError(t, err)
+		assert.Assert(t, understood || down.Change.PresetChange == nil && len(down.Change.KeySpaceChanges) == 0)
 		assert.Assert(t, view.Apply(down.Change))
 	}
 	return bytes
