Share the set-up of the tests of differences

Cause: the tests of presets and key spaces repeated the merging of changes and a leader with one router.

--- a/internal/capacity/change_storm_test.go
+++ b/internal/capacity/change_storm_test.go
@@ -10,7 +10,6 @@
 	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
 	"endivespring/internal/fsm"
-	"endivespring/internal/session"
 	"endivespring/internal/wire"
 )
 
@@ -33,11 +32,7 @@
 	preset := numberedRoutes(1400)
 	state.Apply(0, &fsm.Command{OperatorChange: &fsm.OperatorChange{CommandID: "routes", Preset: preset}})
 	now := clock.Instant(time.Second)
-	core := newLeader(state, now)
-	router := newRouter(0)
-	router.Session = 1
-	core.HandleRenewal(now, 1, &session.RouterMessage{Session: 1, Applied: state.View.Version, Router: router, Differences: true})
-	core.Take()
+	core := newLeaderOfOne(state, now, true)
 
 	view := state.View.Clone()
 	linkFreeAt, latest := now, time.Duration(0)
--- a/internal/capacity/control_test.go
+++ b/internal/capacity/control_test.go
@@ -32,6 +32,17 @@
 	return core
 }
 
+// newLeaderOfOne returns a leader with the stream of router 0, whose session is 1. The
+// router has applied the state's view and, if differences is set, understands those.
+func newLeaderOfOne(state *fsm.State, now clock.Instant, differences bool) *controller.Core {
+	core := newLeader(state, now)
+	router := newRouter(0)
+	router.Session = 1
+	core.HandleRenewal(now, 1, &session.RouterMessage{Session: 1, Applied: state.View.Version, Router: router, Differences: differences})
+	core.Take()
+	return core
+}
+
 // BenchmarkRenewal measures the leader's processing of one session renewal, including
 // encoding and decoding, and the bytes sent each way.
 func BenchmarkRenewal(b *testing.B) {
--- a/internal/capacity/key_space_change_test.go
+++ b/internal/capacity/key_space_change_test.go
@@ -10,7 +10,6 @@
 	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
 	"endivespring/internal/fsm"
-	"endivespring/internal/session"
 )
 
 // rangedState returns the state of a fleet with one ranged service, whose keys are divided
@@ -65,11 +64,7 @@
 	for _, understood := range []bool{true, false} {
 		for _, ranges := range []int{16, 128, 2048} {
 			state := rangedState(t, ranges)
-			core := newLeader(state, 1)
-			router := newRouter(0)
-			router.Session = 1
-			core.HandleRenewal(1, 1, &session.RouterMessage{Session: 1, Applied: state.View.Version, Router: router, Differences: understood})
-			core.Take()
+			core := newLeaderOfOne(state, 1, understood)
 			view := state.View.Clone()
 			received := 0
 			for i := range changes {
--- a/internal/capacity/preset_change_test.go
+++ b/internal/capacity/preset_change_test.go
@@ -12,7 +12,6 @@
 	"endivespring/internal/controller"
 	"endivespring/internal/fleet"
 	"endivespring/internal/fsm"
-	"endivespring/internal/session"
 	"endivespring/internal/wire"
 )
 
@@ -44,11 +43,7 @@
 				state := newFleet(4, 16)
 				preset := numberedRoutes(1400)
 				state.Apply(0, &fsm.Command{OperatorChange: &fsm.OperatorChange{CommandID: "routes", Preset: preset}})
-				core := newLeader(state, 1)
-				router := newRouter(0)
-				router.Session = 1
-				core.HandleRenewal(1, 1, &session.RouterMessage{Session: 1, Applied: state.View.Version, Router: router, Differences: understood})
-				core.Take()
+				core := newLeaderOfOne(state, 1, understood)
 
 				view := state.View.Clone()
 				received := 0
--- a/internal/fleet/key_space_change_test.go
+++ b/internal/fleet/key_space_change_test.go
@@ -44,17 +44,8 @@
 			changes = append(changes, &Change{From: version, To: version + 1, KeySpaceChanges: []KeySpaceChange{difference}})
 			spaces = append(spaces, next)
 		}
-		start := random.IntN(len(changes))
-		view := NewView()
-		for _, change := range changes[:start] {
-			assert.Assert(t, view.Apply(change))
+		for _, view := range mergedViews(t, changes, random.IntN(len(changes))) {
+			assert.Check(t, cmp.DeepEqual(view.KeySpaces["s"], spaces[len(spaces)-1]), "seed %d", seed)
 		}
-		full := view.Full()
-		assert.Assert(t, view.Apply(MergeChanges(changes[start:])))
-		assert.Check(t, cmp.DeepEqual(view.KeySpaces["s"], spaces[len(spaces)-1]), "seed %d", seed)
-
-		fromFull := NewView()
-		assert.Assert(t, fromFull.Apply(MergeChanges(append([]*Change{full}, changes[start:]...))))
-		assert.Check(t, cmp.DeepEqual(fromFull.KeySpaces["s"], view.KeySpaces["s"]), "seed %d", seed)
 	}
 }
--- a/internal/fleet/merge_test.go
+++ b/internal/fleet/merge_test.go
@@ -48,3 +48,17 @@
 	}
 	return c
 }
+
+// mergedViews returns two views to which changes were applied: one by one up to start and
+// merged from there, and merged with the full view that those before start lead to.
+func mergedViews(t *testing.T, changes []*Change, start int) []*View {
+	t.Helper()
+	view, fromFull := NewView(), NewView()
+	for _, change := range changes[:start] {
+		assert.Assert(t, view.Apply(change))
+	}
+	full := view.Full()
+	assert.Assert(t, view.Apply(MergeChanges(changes[start:])))
+	assert.Assert(t, fromFull.Apply(MergeChanges(append([]*Change{full}, changes[start:]...))))
+	return []*View{view, fromFull}
+}
--- a/internal/fleet/preset_change_test.go
+++ b/internal/fleet/preset_change_test.go
@@ -39,18 +39,9 @@
 			changes = append(changes, &Change{From: version - 1, To: version, PresetChange: difference})
 			presets = append(presets, next)
 		}
-		start := random.IntN(len(changes))
-		view := NewView()
-		for _, change := range changes[:start] {
-			assert.Assert(t, view.Apply(change))
+		for _, view := range mergedViews(t, changes, random.IntN(len(changes))) {
+			assert.Check(t, cmp.DeepEqual(view.Preset, presets[len(presets)-1]), "seed %d", seed)
 		}
-		full := view.Full()
-		assert.Assert(t, view.Apply(MergeChanges(changes[start:])))
-		assert.Check(t, cmp.DeepEqual(view.Preset, presets[len(presets)-1]), "seed %d", seed)
-
-		fromFull := NewView()
-		assert.Assert(t, fromFull.Apply(MergeChanges(append([]*Change{full}, changes[start:]...))))
-		assert.Check(t, cmp.DeepEqual(fromFull.Preset, view.Preset), "seed %d", seed)
 	}
 }
 
--- a/internal/session/range_report_test.go
+++ b/internal/session/range_report_test.go
@@ -11,7 +11,7 @@
 	"endivespring/internal/fsm"
 )
 
-// Guards against released ranges of keys that nobody serves: a report is repeated until
+// Guards against released ranges of keys that stay without an owner: a report is repeated until
 // the view shows the release, and a change of other ranges confirms nothing.
 func TestReportIsRepeatedUntilItsRangeChanges(t *testing.T) {
 	now := clock.Instant(time.Hour)
