Grant and release key ranges by requests to upstreams

Cause: upstreams of services whose grants go by request take no keys from the answers to their heartbeats, so nobody held any key: every request to such a service was refused with 421. Change: executor.rangeRequests, a pure book beside rangeLeases, chosen by the service's grantsBy alone; duties of their own for grants and for releases; both dialects encode them. An unknown mechanism is refused with the configuration. An unanswered grant counts until its lease must have ended, whatever comes after it.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -47,7 +47,10 @@
 
 	shards      *ownedShards
 	rangeLeases rangeLeases
-	keyMeter    *keyMeter
+	// rangeRequests takes the place of rangeLeases if the service's upstreams learn
+	// their key ranges by requests.
+	rangeRequests *rangeRequests
+	keyMeter      *keyMeter
 	// unavailableSince is when the upstream was first seen to be unavailable
 	// for new work, or zero.
 	unavailableSince clock.Instant
@@ -83,7 +86,7 @@
 func New(self fleet.RouterID, dataCentre fleet.DataCentre) *Core {
 	return &Core{
 		self: self, dataCentre: dataCentre, view: fleet.NewView(), shards: newOwnedShards(),
-		rangeLeases: rangeLeases{self: self, maxHold: maxHold}, revocationGrace: maxRevocationGrace, keyMeter: newKeyMeter(),
+		rangeLeases: rangeLeases{self: self, maxHold: maxHold}, rangeRequests: newRangeRequests(self), revocationGrace: maxRevocationGrace, keyMeter: newKeyMeter(),
 		limiter: admission.NewLimiter(), jobs: map[uint64]*job{}, tickets: map[Ticket]*job{}, records: newRecordStore(), refused: newRefusedRequests(),
 		nextPacedStart: clock.Never, revocationCheckAt: clock.Never, nextStartBy: clock.Never, runTimes: map[string]time.Duration{},
 	}
@@ -111,6 +114,9 @@
 // Deadline returns when Tick must be called next.
 func (c *Core) Deadline() clock.Instant {
 	deadline := min(c.timers.first(), c.revocationCheckAt)
+	if c.grantsByRequest() {
+		deadline = min(deadline, c.rangeRequests.nextAt)
+	}
 	if len(c.queue) > 0 {
 		deadline = min(deadline, c.nextStartBy, c.nextPacedStart)
 	}
@@ -167,6 +173,9 @@
 	if now >= c.revocationCheckAt {
 		c.CheckRevokedRanges(now)
 	}
+	if c.grantsByRequest() && now >= c.rangeRequests.nextAt {
+		c.stepRangeRequests(now)
+	}
 	if now >= c.ownershipExpiry && c.keyed() {
 		for _, j := range append(jobHeap(nil), c.timers...) {
 			c.timeOut(now, j)
--- a/internal/executor/key_ranges.go
+++ b/internal/executor/key_ranges.go
@@ -18,23 +18,38 @@
 // the ranges that it may hold from now on.
 func (c *Core) Heartbeat(now clock.Instant, h *Heartbeat) LeaseAnswer {
 	c.rangeLeases.track(now, h.Upstream, h.Holds)
+	c.rangeRequests.track(now, h.Upstream, c.view)
 	c.limiter.SetColdTime(now, h.ColdFor)
+	if c.grantsByRequest() {
+		c.stepRangeRequests(now)
+		c.reportLoads(now, c.rangeRequests.granted)
+		c.startQueued(now)
+		return LeaseAnswer{}
+	}
 	c.reportEarlierBoots()
 	c.reportRanges(c.rangeLeases.releases(now, c.view, h.Released, h.Holds))
 	answer := c.rangeLeases.renew(now, c.view, c.rangeLeaseExpiry)
-	if loads := c.keyMeter.report(now, answer.Ranges); loads != nil {
-		c.output.KeyLoads, c.output.RunTime = loads, c.keyMeter.meanRun()
-	}
+	c.reportLoads(now, answer.Ranges)
 	c.logRangeLease(&answer)
 	c.startQueued(now)
 	return answer
 }
 
+func (c *Core) reportLoads(now clock.Instant, owned []fleet.KeyRange) {
+	if loads := c.keyMeter.report(now, owned); loads != nil {
+		c.output.KeyLoads, c.output.RunTime = loads, c.keyMeter.meanRun()
+	}
+}
+
 // CheckRevokedRanges reports the ranges of earlier boots of the upstream, and
 // revoked ranges whose lease has expired. It schedules itself again while any
 // range is revoked and not released.
 func (c *Core) CheckRevokedRanges(now clock.Instant) {
 	c.revocationCheckAt = clock.Never
+	if c.grantsByRequest() {
+		c.stepRangeRequests(now)
+		return
+	}
 	c.reportEarlierBoots()
 	if len(c.rangeLeases.owned(c.view, fleet.ShardRevoking)) == 0 {
 		return
@@ -45,7 +60,14 @@
 
 // UpstreamEnded releases all ranges of the upstream because its process has
 // exited.
-func (c *Core) UpstreamEnded() { c.reportRanges(c.rangeLeases.releaseAll(c.view)) }
+func (c *Core) UpstreamEnded(now clock.Instant) {
+	c.rangeRequests.end(c.view)
+	if c.grantsByRequest() {
+		c.stepRangeRequests(now)
+		return
+	}
+	c.reportRanges(c.rangeLeases.releaseAll(c.view))
+}
 
 func (c *Core) reportEarlierBoots() {
 	for _, r := range c.rangeLeases.releaseEarlierBoots(c.view) {
@@ -92,6 +114,7 @@
 func (c *Core) SetHoldLimits(hold, drain time.Duration) {
 	if hold > 0 {
 		c.rangeLeases.maxHold = min(maxHold, hold)
+		c.rangeRequests.maxHold = c.rangeLeases.maxHold
 	}
 	if drain > 0 {
 		c.revocationGrace = min(maxRevocationGrace, time.Duration(revocationShareOfDrain*float64(drain)))
--- a/internal/executor/output.go
+++ b/internal/executor/output.go
@@ -19,6 +19,8 @@
 	Releases []fsm.ShardRelease
 	// RangeReports are key ranges that the upstream no longer holds.
 	RangeReports []session.RangeReport
+	// RangeRequests are requests to the upstream about its key ranges.
+	RangeRequests []RangeRequest
 	// KeyLoads is the load of the upstream's keys.
 	KeyLoads []session.KeyLoad
 	// RunTime is the mean run time since the last report of loads.
--- a/internal/executor/refusal.go
+++ b/internal/executor/refusal.go
@@ -48,7 +48,7 @@
 // rangeRefusal returns why a call must not run at the upstream for its key: the
 // upstream doesn't hold the key's range, or its lease has expired.
 func (c *Core) rangeRefusal(now clock.Instant, request *call.Call) verdict.Reason {
-	switch expiry := c.rangeLeases.keyExpiry(c.view, request.KeyNumber); {
+	switch expiry := c.keyExpiry(request.KeyNumber); {
 	case expiry == 0:
 		return verdict.ReasonNotOwner
 	case now >= expiry:
--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -87,7 +87,7 @@
 		}
 	}
 	if j.call.Ranged {
-		run.Fence = min(run.Fence, c.rangeLeases.keyExpiry(c.view, j.call.KeyNumber))
+		run.Fence = min(run.Fence, c.keyExpiry(j.call.KeyNumber))
 	}
 	j.rank = 0
 	c.timers.add(j)
@@ -118,6 +118,9 @@
 		if refusedByUpstream(&answer) {
 			c.refused.add(j.call.RequestID)
 		}
+		if j.call.Ranged && answer.Reason == verdict.ReasonFenced {
+			c.rangeRequests.keyRefused(now, j.call.KeyNumber)
+		}
 		if answer.Verdict == verdict.Ran {
 			c.observeRun(j.call.Operation, now.Sub(j.started))
 			c.keyMeter.observeRun(now.Sub(j.started))
--- a/internal/executor/view.go
+++ b/internal/executor/view.go
@@ -15,10 +15,15 @@
 	if !c.view.Apply(change) {
 		return false
 	}
+	c.rangeRequests.begin(now)
 	if change.ChangesPreset() {
 		c.applyPreset()
 	}
-	if len(change.ChangedKeySpaces()) > 0 {
+	spaces := len(change.ChangedKeySpaces()) > 0
+	if change.Full || spaces {
+		c.rangeRequests.refresh(c.view)
+	}
+	if spaces {
 		c.revocationCheckAt = min(c.revocationCheckAt, now)
 	}
 	if change.Full || len(change.Routers)+len(change.Removed)+len(change.DataCentres)+len(change.Upstreams) > 0 {
--- a/internal/fleet/upstream_profile.go
+++ b/internal/fleet/upstream_profile.go
@@ -21,7 +21,6 @@
 	// WarmUp is how long requests for a key are slower after it was granted
 	// without a handover.
 	WarmUp time.Duration
-	// GrantsBy names the mechanism by which upstreams learn which keys are
-	// granted to them.
-	GrantsBy string
+	// GrantsBy is how upstreams learn which keys are granted to them.
+	GrantsBy GrantMechanism
 }
--- a/internal/preset/service.go
+++ b/internal/preset/service.go
@@ -47,6 +47,9 @@
 	if s.Ranged && !s.Keyed {
 		problems = append(problems, settings.Problem{Field: path + ".ranged", Value: true, Message: "requires keyed"})
 	}
+	if !fleet.GrantMechanism(s.Upstreams.GrantsBy).Known() {
+		problems = append(problems, settings.Problem{Field: path + ".upstreams.grantsBy", Value: s.Upstreams.GrantsBy, Message: "is neither heartbeat nor request"})
+	}
 	return problems
 }
 
--- a/internal/router/executor_dispatching.go
+++ b/internal/router/executor_dispatching.go
@@ -15,6 +15,7 @@
 	for again := true; again; {
 		out := d.core.Take()
 		again = d.startRuns(ctx, &out)
+		again = d.sendRangeRequests(ctx, out.RangeRequests) || again
 		d.emit(ctx, &out)
 	}
 	d.sendReleases(ctx)
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -34,6 +34,7 @@
 	aborts        *ring.Ring[executor.Abort]
 	releases      *ring.Ring[[]fsm.ShardRelease]
 	rangeUpdates  *ring.Ring[rangeUpdate]
+	ranges        rangeRings
 	registrations *ring.Ring[registration]
 	// contactTimeout is the time without an announcement or heartbeat after which
 	// the upstream is lost.
@@ -85,6 +86,8 @@
 			d.update(&update)
 		case notification := <-d.notifications.Out():
 			d.handleNotification(ctx, &notification)
+		case response := <-d.ranges.responses.Out():
+			d.completeRange(response)
 		case step := <-d.stop.Out():
 			d.advanceStop(ctx, step)
 		}
--- a/internal/router/heartbeat.go
+++ b/internal/router/heartbeat.go
@@ -73,6 +73,6 @@
 	}
 	d.upstreamExited = true
 	d.events.Record(event.UpstreamLost, event.F("upstream", d.upstream.Name))
-	d.core.UpstreamEnded()
+	d.core.UpstreamEnded(now)
 	d.withdrawUpstream(context.Background())
 }
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -143,6 +143,7 @@
 		delegations:   delegations, cancels: map[uint64]context.CancelFunc{},
 		aborts:         ring.New[executor.Abort]("aborts", runCapacity, ring.DropOldest),
 		releases:       ring.New[[]fsm.ShardRelease]("releases", updateCapacity, ring.Refuse),
+		ranges:         newRangeRings(),
 		rangeUpdates:   ring.New[rangeUpdate]("range-news", updateCapacity, ring.Refuse),
 		registrations:  ring.New[registration]("registrations", notificationCapacity, ring.DropOldest),
 		contactTimeout: s.AnnounceTimeout.Value(), drained: ring.New[struct{}]("door-drained", 1, ring.DropOldest),
@@ -185,7 +186,8 @@
 // registerMetrics registers the metrics of the rings and duties.
 func (n *Node) registerMetrics(answers *ring.Ring[*inboundAnswer], submissions *ring.Ring[*submission]) {
 	n.registry.RegisterRings(n.events.Ring(), n.gateway.requests, answers, submissions, n.gateway.updates,
-		n.executor.outcomes, n.executor.delegations, n.executor.updates, n.executor.notifications, n.executor.runs, n.executor.aborts, n.executor.releases, n.executor.registrations, n.executor.rangeUpdates)
+		n.executor.outcomes, n.executor.delegations, n.executor.updates, n.executor.notifications, n.executor.runs, n.executor.aborts, n.executor.releases, n.executor.registrations, n.executor.rangeUpdates,
+		n.executor.ranges.grants, n.executor.ranges.releases, n.executor.ranges.responses)
 	n.gateway.registry = n.registry
 	n.executor.meter = metrics.NewExecutorMeter(n.registry)
 	n.session.meter = metrics.NewSessionMeter(n.registry, n.clock)
--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -24,6 +24,7 @@
 		}
 		n.group.Go("sender", sender.Run)
 	}
+	n.executor.ranges.start = func() { n.startRangeDuties(dialect) }
 	n.group.Go("event-log", n.events.Run)
 	n.group.Go("entry", n.gateway.Run)
 	n.group.Go("door", n.executor.Run)
@@ -44,6 +45,17 @@
 	}
 }
 
+func (n *Node) startRangeDuties(dialect upstream.Dialect) {
+	ranges := &n.executor.ranges
+	for i := range grantSenders + releaseSenders {
+		d := &rangeDuty{client: upstream.NewRangeClient(n.clock, dialect), requests: ranges.grants, responses: ranges.responses}
+		if i >= grantSenders {
+			d.requests = ranges.releases
+		}
+		n.group.Go("ranges", d.Run)
+	}
+}
+
 func (n *Node) serveApp(name string, app *fiber.App, listener net.Listener) {
 	if listener != nil {
 		n.group.Go(name, func(context.Context) error { return app.Listener(listener) })
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -104,6 +104,15 @@
 	return errStray
 }
 
+// readAnswer reads the next response, whose body may have up to maxBody bytes.
+func (c *connection) readAnswer(response *fasthttp.Response, maxBody int) error {
+	defer c.answer.release()
+	if err := c.readHeader(response); err != nil {
+		return err
+	}
+	return c.readBody(response, min(maxBody, c.answer.limit()))
+}
+
 func (c *connection) readBody(response *fasthttp.Response, maxBody int) error {
 	status := response.StatusCode()
 	if status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
--- a/internal/upstream/dialect.go
+++ b/internal/upstream/dialect.go
@@ -25,6 +25,10 @@
 	// Decode returns the outcome of a run from a completely read response. The sender
 	// decides whether a refusal proves that this run did not begin.
 	Decode(run *executor.Run, response *fasthttp.Response) executor.Outcome
+	// EncodeRange writes a range request into request. hold is the lease of a grant.
+	EncodeRange(request *fasthttp.Request, r *executor.RangeRequest, hold time.Duration) error
+	// DecodeRange returns the outcome of a range request from a completely read response.
+	DecodeRange(r *executor.RangeRequest, response *fasthttp.Response) executor.RangeResponse
 	// Cancels reports whether the upstream has a cancellation endpoint. Without
 	// one, closing the connection of a run is its cancellation.
 	Cancels() bool
--- a/internal/upstream/headers.go
+++ b/internal/upstream/headers.go
@@ -16,6 +16,8 @@
 	// HeaderGrantEnd is the expiry of the grant, in nanoseconds since the Unix
 	// epoch by the wall clock of the VM that router and upstream share.
 	HeaderGrantEnd = "Endivespring-Grant-End"
+	// HeaderHandover is opaque data for the next holder of a released key range.
+	HeaderHandover = "Endivespring-Handover"
 	// HeaderRan is RanNo if the request did not run, RanUnknown if it was
 	// cancelled while running, and absent if it ran.
 	HeaderRan = "Endivespring-Ran"
--- a/internal/wire/preset.go
+++ b/internal/wire/preset.go
@@ -84,7 +84,7 @@
 func fromProfile(p *fleet.UpstreamProfile) *wirepb.UpstreamProfile {
 	return &wirepb.UpstreamProfile{
 		HealthPath: p.HealthPath, MaxConnections: int32(p.MaxConnections), Protocol: p.Protocol, Tls: p.TLS,
-		ColdTimeNs: int64(p.ColdTime), ColdRate: p.ColdRate, WarmUpNs: int64(p.WarmUp), GrantsBy: p.GrantsBy,
+		ColdTimeNs: int64(p.ColdTime), ColdRate: p.ColdRate, WarmUpNs: int64(p.WarmUp), GrantsBy: string(p.GrantsBy),
 	}
 }
 
@@ -92,7 +92,7 @@
 	return fleet.UpstreamProfile{
 		HealthPath: p.GetHealthPath(), MaxConnections: int(p.GetMaxConnections()), Protocol: p.GetProtocol(), TLS: p.GetTls(),
 		ColdTime: time.Duration(p.GetColdTimeNs()), ColdRate: p.GetColdRate(), WarmUp: time.Duration(p.GetWarmUpNs()),
-		GrantsBy: p.GetGrantsBy(),
+		GrantsBy: fleet.GrantMechanism(p.GetGrantsBy()),
 	}
 }
 
