End a stopping router's links in order and keep its upstream in use while it lingers

Cause: in planned stops in calm, answers were cut off when the process ended with its links (502), nested calls of runs failed once the callers' listener was closed (500 from the upstream), connections waiting to be accepted were reset, and the upstream idled through the whole linger time. Change: a stopping router asks other routers to send no more calls on their links (DoorDown.closing); they half-close, and the links end after the last answer. The front end goes on taking the requests of running work until the executor has drained, refuses others at once, and closes its listener last. The upstream is withdrawn shortly before the router takes no new calls. A starting router lets callers' connections wait up to 700 ms for its first preset. The loss of an earlier link to a router no longer fails the calls on a later one.

--- a/internal/caller/gateway_client.go
+++ b/internal/caller/gateway_client.go
@@ -14,6 +14,10 @@
 	"endivespring/internal/verdict"
 )
 
+// restartTime is the Retry-After of a stopping router: the time in which it usually runs
+// again.
+const restartTime = 500 * time.Millisecond
+
 // GatewayClient is the client side of the gateway duty for front ends: it submits
 // requests and waits for their answers. It is safe for concurrent use.
 type GatewayClient struct {
@@ -21,6 +25,7 @@
 	requests *ring.Ring[*Request]
 	observe  Observer
 	stopping atomic.Bool
+	refusing atomic.Bool
 	next     atomic.Uint64
 	limits   atomic.Pointer[fleet.CallerLimits]
 }
@@ -48,6 +53,10 @@
 // Stopping reports whether connections are to be closed.
 func (g *GatewayClient) Stopping() bool { return g.stopping.Load() }
 
+// Refuse makes the client refuse new requests, but for those that the upstream beside
+// the router sends for a request that it runs.
+func (g *GatewayClient) Refuse() { g.refusing.Store(true) }
+
 // Observe passes on an answer that a front end gave without the gateway.
 func (g *GatewayClient) Observe(answer *call.Answer, took time.Duration) { g.observe(answer, took) }
 
@@ -57,6 +66,12 @@
 // buffers, which are reused while it is in flight.
 func (g *GatewayClient) Do(connection net.Conn, request gateway.Request) call.Answer {
 	start := time.Now()
+	if g.refusing.Load() && !request.Nested && !request.Resend {
+		answer := refusal(request.ID, verdict.ReasonStopping)
+		answer.RetryAfter = restartTime
+		g.observe(&answer, time.Since(start))
+		return answer
+	}
 	reply := ring.NewReply[call.Answer]()
 	number := g.next.Add(1)
 	request.Received = takeArrival(connection, g.clock.Now())
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -84,7 +85,7 @@
 		sim.freeShard(shard)
 		sim.after(50*time.Millisecond, func() { sim.grantShard(shard, i) })
 	case 2:
-		sim.core.HandleLostLink(sim.now, routerID(i))
+		sim.core.HandleLostLink(sim.now, routerID(i), math.MaxUint64)
 	case 3:
 		left := testRouter(i)
 		left.Leaving = true
--- a/internal/gateway/outcomes.go
+++ b/internal/gateway/outcomes.go
@@ -72,12 +72,12 @@
 	c.completeCall(now, &call.Answer{Number: number, RequestID: pc.parent.request.ID, Verdict: v, Reason: reason})
 }
 
-// HandleLostLink handles the loss of the link to a router: all calls in flight on it
-// may have run.
-func (c *Core) HandleLostLink(now clock.Instant, id fleet.RouterID) {
+// HandleLostLink handles the loss of a link to a router: all calls in flight on it, those
+// up to the number last, may have run.
+func (c *Core) HandleLostLink(now clock.Instant, id fleet.RouterID, last uint64) {
 	var lost []uint64
 	for number, pc := range c.callsByNumber {
-		if pc.router == id {
+		if pc.router == id && number <= last {
 			lost = append(lost, number)
 		}
 	}
--- a/internal/router/answer_sink.go
+++ b/internal/router/answer_sink.go
@@ -10,4 +10,8 @@
 type answerSink interface {
 	// answer queues an answer and reports whether the link still accepts answers.
 	answer(ctx context.Context, a call.Answer) bool
+	// retire asks the gateway to send no more calls on the link.
+	retire(ctx context.Context)
+	// finish ends the link after the answers that are queued.
+	finish(ctx context.Context)
 }
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -128,15 +128,27 @@
 // advanceStop performs a step of the shutdown. An upstream that holds ranges of keys
 // keeps them, and continues to receive calls, until the last step.
 func (d *executorDuty) advanceStop(ctx context.Context, step executorStop) {
+	if step == stopLinks {
+		for _, sink := range d.sinks {
+			sink.finish(ctx)
+		}
+		return
+	}
 	holdsRanges := d.core.HoldsRanges()
 	d.shutdownStarted = true
 	d.stopping = step == stopFinish
 	if !holdsRanges {
 		d.withdrawUpstream(ctx)
 	}
-	if d.stopping && holdsRanges {
+	if !d.stopping {
+		return
+	}
+	if holdsRanges {
 		d.core.Stop()
 	}
+	for _, sink := range d.sinks {
+		sink.retire(ctx)
+	}
 }
 
 func (d *executorDuty) withdrawUpstream(ctx context.Context) {
@@ -151,6 +163,9 @@
 		d.complete(*s.outcome)
 	case s.open != nil:
 		d.sinks[s.link] = s.open
+		if d.stopping {
+			s.open.retire(context.Background())
+		}
 	case s.closed:
 		delete(d.sinks, s.link)
 		d.core.CancelLink(d.clock.Now(), s.link)
--- a/internal/router/executor_duty_test.go
+++ b/internal/router/executor_duty_test.go
@@ -37,6 +37,10 @@
 	return true
 }
 
+func (c *answerRecorder) retire(context.Context) {}
+
+func (c *answerRecorder) finish(context.Context) {}
+
 // executorHarness is an executor duty without goroutines: the test calls its steps.
 type executorHarness struct {
 	*executorDuty
--- a/internal/router/executor_server.go
+++ b/internal/router/executor_server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync/atomic"
 
 	"google.golang.org/grpc"
@@ -45,9 +47,10 @@
 		return status.Error(codes.ResourceExhausted, "executor is overloaded: submission queue is full")
 	}
 	go func() {
-		defer cancel()
 		s.handle(ctx, first, id, sink)
-		s.receive(ctx, stream, id, sink)
+		if !s.receive(ctx, stream, id, sink) {
+			cancel()
+		}
 	}()
 	s.send(ctx, stream, sink)
 	s.unregisterLink(id)
@@ -76,7 +79,7 @@
 func (s *executorServer) send(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.DoorUp, wirepb.DoorDown], sink *linkSink) {
 	for {
 		down, err := sink.out.Take(ctx)
-		if err != nil {
+		if err != nil || down == nil {
 			return
 		}
 		if stream.Send(down) != nil {
@@ -85,11 +88,14 @@
 	}
 }
 
-func (s *executorServer) receive(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.DoorUp, wirepb.DoorDown], id uint64, sink *linkSink) {
+// receive handles messages until the stream fails, or the gateway half-closes it because
+// it sends no more calls. It reports whether the latter is the case: answers then may
+// still be sent.
+func (s *executorServer) receive(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.DoorUp, wirepb.DoorDown], id uint64, sink *linkSink) (halfClosed bool) {
 	for {
 		up, err := stream.Recv()
 		if err != nil {
-			return
+			return errors.Is(err, io.EOF)
 		}
 		s.handle(ctx, up, id, sink)
 	}
--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -36,6 +36,8 @@
 	meter    *metrics.SessionMeter
 	// readiness is updated when the view gains or loses its preset.
 	readiness *readiness
+	// hasPreset is signalled whenever the view has a preset.
+	hasPreset *ring.Ring[struct{}]
 
 	// delegations are calls that the executor of this router delegates to other
 	// executors. delegatedRuns maps their tokens to the executor's run IDs.
@@ -110,6 +112,7 @@
 	d.readiness.hasPreset.Store(preset != nil)
 	if preset != nil {
 		d.client.SetLimits(preset.Limits)
+		_ = d.hasPreset.Put(context.Background(), struct{}{})
 	}
 }
 
@@ -151,6 +154,8 @@
 	switch {
 	case in.ended != nil:
 		d.handleLinkEnd(now, in)
+	case in.retired != nil:
+		d.retireLink(now, in.retired)
 	case in.lost:
 		d.core.HandleLostCall(now, in.answer.Number, in.verdict)
 	default:
@@ -158,20 +163,27 @@
 	}
 }
 
-// handleLinkEnd settles the calls of a link that has ended. Calls queued on its
-// ring after it stopped sending were never written and did not run; the outcome
-// of the others is unknown.
+// handleLinkEnd settles the calls of a link that has ended. The outcome of those that
+// were written and not answered is unknown. Calls on a later link to the same router are
+// left alone.
 func (d *gatewayDuty) handleLinkEnd(now clock.Instant, in *inboundAnswer) {
-	if d.links[in.from] == in.ended {
-		delete(d.links, in.from)
+	d.retireLink(now, in.ended)
+	d.core.HandleLostLink(now, in.from, in.ended.lastNumber)
+	d.events.Record(event.PeerLost, event.F("router", string(in.from)))
+}
+
+// retireLink sends no more calls on a link. Those still queued on its ring were never
+// written and did not run.
+func (d *gatewayDuty) retireLink(now clock.Instant, l *link) {
+	if d.links[l.router] == l {
+		delete(d.links, l.router)
+		l.lastNumber = d.core.LastCall()
 	}
-	for in.ended.calls.Depth() > 0 {
-		if out := <-in.ended.calls.Out(); !out.cancel {
+	for l.calls.Depth() > 0 {
+		if out := <-l.calls.Out(); !out.cancel {
 			d.core.HandleLostCall(now, out.call.Number, verdict.NotRun)
 		}
 	}
-	d.core.HandleLostLink(now, in.from)
-	d.events.Record(event.PeerLost, event.F("router", string(in.from)))
 }
 
 // dispatch executes the output of the core until it asks for no more sends, since a
@@ -242,6 +254,9 @@
 	if l != nil && l.address == router.Address {
 		return l
 	}
+	if l != nil {
+		l.lastNumber = d.core.LastCall()
+	}
 	l = newLink(d.fleet, router, d.clock, d.answers, d.events)
 	d.links[router.ID] = l
 	d.registry.RegisterRings(l.calls)
--- a/internal/router/inbound_answer.go
+++ b/internal/router/inbound_answer.go
@@ -15,6 +15,7 @@
 	// may have run.
 	lost    bool
 	verdict verdict.Verdict
-	// ended is the link that has ended, or nil.
-	ended *link
+	// ended is the link that has ended, or nil. retired is a link that takes no more
+	// calls and still brings answers, or nil.
+	ended, retired *link
 }
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +20,7 @@
 
 const (
 	linkCapacity = 512              // calls queued for one link; above slots plus the default queue limit of 64 for usual upstreams; 4 KB
-	idleTimeout  = 30 * time.Second // time without calls after which a link closes
+	idleTimeout  = 30 * time.Second // time without calls after which a link closes; also limits the wait for the last answers of a retired link
 )
 
 // link sends calls to the executor of one router over one gRPC stream. It does not
@@ -34,15 +35,21 @@
 	answers      *ring.Ring[*inboundAnswer]
 	events       event.Recorder
 	lastReceived *ring.Ring[clock.Instant]
+	// retired is signalled once the other router asks for no more calls.
+	retired *ring.Ring[struct{}]
+	// lastNumber is the number of the last call that may have been sent on the link. It
+	// is owned by the gateway duty.
+	lastNumber uint64
 	// inFlight is the number of calls sent and not yet answered or cancelled.
 	inFlight atomic.Int64
 }
 
 func newLink(fleetName string, r fleet.Router, c clock.Clock, answers *ring.Ring[*inboundAnswer], events event.Recorder) *link {
 	return &link{
-		fleet: fleetName, router: r.ID, address: r.Address, clock: c, answers: answers, events: events,
+		fleet: fleetName, router: r.ID, address: r.Address, clock: c, answers: answers, events: events, lastNumber: math.MaxUint64,
 		calls:        ring.New[*outgoingCall]("link-"+string(r.ID), linkCapacity, ring.Refuse),
 		lastReceived: ring.New[clock.Instant]("link-heard", 1, ring.DropOldest),
+		retired:      ring.New[struct{}]("link-retired", 1, ring.DropOldest),
 	}
 }
 
@@ -99,6 +106,8 @@
 		case <-l.lastReceived.Out():
 			pinger.received()
 			continue
+		case <-l.retired.Out():
+			return l.awaitAnswers(ctx, stream)
 		case out := <-l.calls.Out():
 			used = l.clock.Now()
 			up = l.encode(out, used)
@@ -126,6 +135,20 @@
 	}
 }
 
+// awaitAnswers half-closes the stream, so that the other router knows that no more calls
+// follow, and waits until it has ended the stream. Calls that are queued meanwhile are
+// reported as not run by Run.
+func (l *link) awaitAnswers(ctx context.Context, stream grpc.BidiStreamingClient[wirepb.DoorUp, wirepb.DoorDown]) error {
+	if err := stream.CloseSend(); err != nil {
+		return err
+	}
+	_ = l.answers.Put(ctx, &inboundAnswer{from: l.router, retired: l})
+	limited, cancel := context.WithTimeout(ctx, idleTimeout)
+	defer cancel()
+	<-limited.Done()
+	return limited.Err()
+}
+
 func (l *link) encode(out *outgoingCall, now clock.Instant) *wirepb.DoorUp {
 	if out.cancel {
 		return &wirepb.DoorUp{Fleet: l.fleet, Cancel: out.call.Number}
@@ -163,6 +186,10 @@
 			return
 		}
 		_ = l.lastReceived.Put(ctx, l.clock.Now())
+		if down.GetClosing() {
+			_ = l.retired.Put(ctx, struct{}{})
+			continue
+		}
 		if down.GetAnswer() == nil {
 			continue
 		}
--- a/internal/router/link_sink.go
+++ b/internal/router/link_sink.go
@@ -9,7 +9,8 @@
 	"endivespring/internal/wire/wirepb"
 )
 
-// linkSink queues the executor's answers for the stream of another router's gateway.
+// linkSink queues the executor's answers for the stream of another router's gateway. A
+// nil message ends the stream.
 type linkSink struct {
 	out         *ring.Ring[*wirepb.DoorDown]
 	closeStream func()
@@ -24,3 +25,15 @@
 	}
 	return true
 }
+
+func (s *linkSink) retire(ctx context.Context) {
+	if s.out.Put(ctx, &wirepb.DoorDown{Closing: true}) != nil {
+		s.closeStream()
+	}
+}
+
+func (s *linkSink) finish(ctx context.Context) {
+	if s.out.Put(ctx, nil) != nil {
+		s.closeStream()
+	}
+}
--- a/internal/router/local_sink.go
+++ b/internal/router/local_sink.go
@@ -17,3 +17,9 @@
 func (s *localSink) answer(ctx context.Context, a call.Answer) bool {
 	return s.answers.Put(ctx, &inboundAnswer{from: s.self, answer: a}) == nil
 }
+
+// retire does nothing: the gateway of this process stops by itself.
+func (s *localSink) retire(context.Context) {}
+
+// finish does nothing.
+func (s *localSink) finish(context.Context) {}
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -45,7 +45,21 @@
 	submissionCapacity    = 8192 // calls queued for the executor duty
 	gatewayAnswerCapacity = 8192 // answers queued for the gateway duty
 
+	stopSteps = 3 // steps of an executor's stop
+
 	closeTimeout = time.Second // limit on closing the session
+	// presetWait is how long a router that starts lets callers' connections wait for the
+	// first preset, before it accepts them and refuses their requests. Callers give up on
+	// a connection after a second.
+	presetWait = 700 * time.Millisecond
+	// retireLead is how long before a stopping router with a front end takes no new calls
+	// it withdraws its upstream, so that other gateways have turned to others by then.
+	retireLead = 200 * time.Millisecond
+	// linkCloseTime is how long the links to a stopping router stay open after the other
+	// routers were asked to send no more calls on them, and flushTimeout the limit on
+	// sending the last answers.
+	linkCloseTime = 200 * time.Millisecond
+	flushTimeout  = 500 * time.Millisecond
 	// stopLinger is the minimum time for which a stopping router still accepts
 	// requests, so that callers with open connections and the gateways of other
 	// routers learn of the stop.
@@ -72,6 +86,8 @@
 	frontEnd      FrontEnd
 	gatewayClient *caller.GatewayClient
 	readiness     readiness
+	// hasPreset is signalled once the view has a preset.
+	hasPreset *ring.Ring[struct{}]
 	// callersDone is signalled once the front end has answered all requests that
 	// it has read.
 	callersDone *ring.Ring[struct{}]
@@ -138,7 +154,7 @@
 		outcomes:      ring.New[executor.Outcome]("outcomes", runCapacity, ring.Wait),
 		updates:       ring.New[session.Update]("door-updates", updateCapacity, ring.Wait),
 		notifications: ring.New[upstream.Notification]("notices", notificationCapacity, ring.Refuse),
-		stop:          ring.New[executorStop]("door-stop", 2, ring.Refuse),
+		stop:          ring.New[executorStop]("door-stop", stopSteps, ring.Refuse),
 		runs:          ring.New[outboundRun]("runs", runCapacity, ring.Refuse),
 		delegations:   delegations, cancels: map[uint64]context.CancelFunc{},
 		aborts:         ring.New[executor.Abort]("aborts", runCapacity, ring.DropOldest),
@@ -162,6 +178,8 @@
 	n.caller = caller.NewServer(n.clock, n.gateway.requests, s.MaxBody, observe)
 	n.gatewayClient = caller.NewGatewayClient(n.clock, n.gateway.requests, observe)
 	n.gateway.client = n.gatewayClient
+	n.hasPreset = ring.New[struct{}]("has-preset", 1, ring.DropOldest)
+	n.gateway.hasPreset = n.hasPreset
 	n.callersDone = ring.New[struct{}]("callers-done", 1, ring.DropOldest)
 	n.announce = upstream.NewServer(n.executor.notifications).App()
 	n.grpc = peer.NewServer()
--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -67,6 +67,9 @@
 	n.stopCallers = stopCallers
 	n.group.Go("front-callers", func(context.Context) error {
 		defer func() { _ = n.callersDone.Put(context.Background(), struct{}{}) }()
+		waiting, stopWaiting := context.WithTimeout(callers, presetWait)
+		_, _ = n.hasPreset.Take(waiting) // without a preset in time, requests are refused
+		stopWaiting()
 		return n.frontEnd.ServeCallers(callers, caller.NewListener(l.frontCaller, n.clock), n.gatewayClient, n.settings)
 	})
 	n.group.Go("front-announcements", func(ctx context.Context) error {
--- a/internal/router/stopping.go
+++ b/internal/router/stopping.go
@@ -19,6 +19,7 @@
 	n.gatewayClient.Stop()
 	if n.frontEnd != nil {
 		n.stopFrontEnd(ctx)
+		n.flushLinks()
 		n.shutdown()
 		return
 	}
@@ -35,25 +36,51 @@
 	ctx, cancel = context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
 	_, _ = n.session.closed.Take(ctx)
+	_ = n.executor.stop.Put(ctx, stopLinks)
+	n.flushLinks()
 	n.shutdown()
 }
 
 // stopFrontEnd drains a router whose upstream may outlive it. While it lingers, the
-// readiness check fails, so that callers turn to other routers. The session is
-// left to expire instead of being closed, so that a router that restarts soon
-// takes over the ranges of keys that the upstream holds.
+// readiness check fails, so that callers turn to other routers; the upstream stays in use
+// until shortly before the end of that. Then the executor takes no new calls, and the front end refuses new requests but for those of the runs that the
+// upstream still works on. The callers' listener closes last, so that no connection waits
+// unaccepted meanwhile. The session is left to expire instead of being closed, so that a
+// router that restarts soon takes over the ranges of keys that the upstream holds.
 func (n *Node) stopFrontEnd(ctx context.Context) {
-	linger := time.NewTimer(n.settings.LingerTime())
-	defer linger.Stop()
+	lead := min(retireLead, n.settings.LingerTime())
+	pause(ctx, n.settings.LingerTime()-lead)
 	_ = n.executor.stop.Put(ctx, stopRetire)
+	pause(ctx, lead)
+	n.gatewayClient.Refuse()
+	_ = n.executor.stop.Put(ctx, stopFinish)
+	linksClosed := time.NewTimer(linkCloseTime)
+	defer linksClosed.Stop()
+	_, _ = n.executor.drained.Take(ctx)
+	n.stopCallers()
+	_, _ = n.callersDone.Take(ctx)
 	select {
-	case <-linger.C:
+	case <-linksClosed.C:
 	case <-ctx.Done():
 	}
-	n.stopCallers()
-	_, _ = n.callersDone.Take(ctx)
-	_ = n.executor.stop.Put(ctx, stopFinish)
-	_, _ = n.executor.drained.Take(ctx)
+	_ = n.executor.stop.Put(ctx, stopLinks)
+}
+
+// pause waits for a time or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// flushLinks waits until the links of other routers have ended, at most flushTimeout.
+func (n *Node) flushLinks() {
+	abort := time.AfterFunc(flushTimeout, n.grpc.Stop)
+	defer abort.Stop()
+	n.grpc.GracefulStop()
 }
 
 func (n *Node) shutdown() {
