--- a/internal/controlnode/controller_duty.go
+++ b/internal/controlnode/controller_duty.go
@@ -8,6 +8,7 @@
 	"endivespring/internal/consensus"
 	"endivespring/internal/controller"
 	"endivespring/internal/event"
+	"endivespring/internal/fsm"
 	"endivespring/internal/metrics"
 	"endivespring/internal/operator"
 	"endivespring/internal/ring"
@@ -170,13 +171,15 @@
 
 // handleOutput proposes commands, sends messages to routers, replies to
 // operators and records events. A refused proposal is dropped; the core
-// proposes again.
+// proposes again. One that cannot be encoded is dropped too, rather than to end
+// a process for what others have sent.
 func (d *controllerDuty) handleOutput(ctx context.Context) error {
 	out := d.core.Take()
 	for i := range out.Proposals {
 		data, err := wire.EncodeCommand(&out.Proposals[i])
 		if err != nil {
-			return err
+			d.events.Record(event.CommandMalformed, event.F("command", commandName(&out.Proposals[i])), event.F("cause", err))
+			continue
 		}
 		_ = d.proposals.Put(ctx, data)
 	}
@@ -197,6 +200,14 @@
 	return nil
 }
 
+// commandName returns the ID of an operator's command, or how other commands are named.
+func commandName(c *fsm.Command) string {
+	if c.OperatorChange != nil {
+		return c.OperatorChange.CommandID
+	}
+	return "of a router or of control itself"
+}
+
 // send queues messages on the rings of their streams. A change that goes to
 // many streams is encoded once.
 func (d *controllerDuty) send(ctx context.Context, sends []controller.StreamMessage) error {
--- a/internal/upstream/native_ranges.go
+++ b/internal/upstream/native_ranges.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"time"
+	"unicode/utf8"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
@@ -10,6 +11,9 @@
 	"endivespring/internal/executor"
 )
 
+// maxHandover is the length in bytes of the longest handover that is passed on.
+const maxHandover = 256
+
 // EncodeRange writes a range request as POST /grant or POST /release with a RangeBody.
 func (NativeDialect) EncodeRange(request *fasthttp.Request, r *executor.RangeRequest, hold time.Duration) error {
 	body := RangeBody{First: r.First, Last: r.Last, Epoch: uint64(r.Epoch)}
@@ -40,7 +44,7 @@
 	switch {
 	case status >= 200 && status < 300:
 		out.Result = executor.RangeApplied
-		if r.Kind == executor.ReleaseRange {
+		if r.Kind == executor.ReleaseRange && validHandover(handover) {
 			out.Handover = handover
 		}
 	case status == fasthttp.StatusConflict && r.Kind == executor.GrantRange:
@@ -50,3 +54,9 @@
 	}
 	return out
 }
+
+// validHandover reports whether a handover can be passed on to control. The keys of one
+// that cannot are only slower at first.
+func validHandover(handover string) bool {
+	return len(handover) <= maxHandover && utf8.ValidString(handover)
+}
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -20,9 +20,9 @@
 // compared.
 func FromCall(c *call.Call, now clock.Instant) *wirepb.Call {
 	out := &wirepb.Call{
-		Number: c.Number, RequestId: c.RequestID, Service: c.Service, Operation: c.Operation, Key: c.Key,
+		Number: c.Number, RequestId: []byte(c.RequestID), Service: c.Service, Operation: c.Operation, Key: []byte(c.Key),
 		Idempotent: c.Idempotent, Sharded: c.Sharded, Shard: c.Shard, Resend: c.Resend, Hedge: c.Hedge, Recorded: c.Recorded,
-		Body: c.Body, TimeoutNs: int64(c.Deadline.Sub(now)), Method: c.Method, Target: c.Target, Host: c.Host,
+		Body: c.Body, TimeoutNs: int64(c.Deadline.Sub(now)), Method: []byte(c.Method), Target: []byte(c.Target), Host: []byte(c.Host),
 		Header: fromFields(c.Header), Priority: int32(c.Priority), Nested: c.Nested, Ranged: c.Ranged, KeyNumber: c.KeyNumber,
 	}
 	if c.Objective != 0 {
@@ -34,10 +34,10 @@
 // ToCall converts a message that arrived now.
 func ToCall(c *wirepb.Call, now clock.Instant) call.Call {
 	out := call.Call{
-		Number: c.GetNumber(), RequestID: c.GetRequestId(), Service: c.GetService(), Operation: c.GetOperation(), Key: c.GetKey(),
+		Number: c.GetNumber(), RequestID: string(c.GetRequestId()), Service: c.GetService(), Operation: c.GetOperation(), Key: string(c.GetKey()),
 		Idempotent: c.GetIdempotent(), Sharded: c.GetSharded(), Shard: c.GetShard(), Resend: c.GetResend(), Hedge: c.GetHedge(),
 		Recorded: c.GetRecorded(), Body: c.GetBody(), Deadline: now.Add(time.Duration(c.GetTimeoutNs())),
-		Method: c.GetMethod(), Target: c.GetTarget(), Host: c.GetHost(), Header: toFields(c.GetHeader()),
+		Method: string(c.GetMethod()), Target: string(c.GetTarget()), Host: string(c.GetHost()), Header: toFields(c.GetHeader()),
 		Priority: int(c.GetPriority()), Nested: c.GetNested(), Ranged: c.GetRanged(), KeyNumber: c.GetKeyNumber(),
 	}
 	if c.ObjectiveNs != nil {
@@ -51,7 +51,7 @@
 // not be encoded.
 func FromAnswer(a *call.Answer) *wirepb.Answer {
 	return &wirepb.Answer{
-		Number: a.Number, RequestId: a.RequestID, Verdict: uint32(a.Verdict), Reason: string(a.Reason), Status: int32(a.Status),
+		Number: a.Number, RequestId: []byte(a.RequestID), Verdict: uint32(a.Verdict), Reason: string(a.Reason), Status: int32(a.Status),
 		Body: a.Body, Checksum: xxhash.Sum64(a.Body), ContentType: strings.ToValidUTF8(a.ContentType, "?"), Upstream: a.Upstream, Epoch: uint64(a.Epoch),
 		Header: fromFields(a.Header), RetryAfterNs: int64(a.RetryAfter),
 		Load: &wirepb.Load{
@@ -65,7 +65,7 @@
 func ToAnswer(a *wirepb.Answer) (call.Answer, bool) {
 	load := a.GetLoad()
 	return call.Answer{
-		Number: a.GetNumber(), RequestID: a.GetRequestId(), Verdict: verdict.Verdict(a.GetVerdict()), Reason: verdict.Reason(a.GetReason()),
+		Number: a.GetNumber(), RequestID: string(a.GetRequestId()), Verdict: verdict.Verdict(a.GetVerdict()), Reason: verdict.Reason(a.GetReason()),
 		Status: int(a.GetStatus()), Body: a.GetBody(), ContentType: a.GetContentType(), Upstream: a.GetUpstream(), Epoch: fleet.Epoch(a.GetEpoch()),
 		Header: toFields(a.GetHeader()), RetryAfter: time.Duration(a.GetRetryAfterNs()),
 		Load: call.Load{
--- a/internal/wire/roundtrip_test.go
+++ b/internal/wire/roundtrip_test.go
@@ -164,6 +164,20 @@
 	assert.NilError(t, err)
 }
 
+// Text of callers and upstreams that is not valid UTF-8 must not make a message
+// unencodable: the link would end, with the calls of others in flight on it.
+func TestInvalidTextIsEncodable(t *testing.T) {
+	text := "/a\xff"
+	c := call.Call{RequestID: text, Key: text, Method: text, Target: text, Host: text, Header: []call.HeaderField{{Name: text, Value: text}}}
+	data, err := proto.Marshal(FromCall(&c, 0))
+	assert.NilError(t, err)
+	var message wirepb.Call
+	assert.NilError(t, proto.Unmarshal(data, &message))
+	assert.DeepEqual(t, ToCall(&message, 0), c, emptyIsNil)
+	_, err = proto.Marshal(FromAnswer(&call.Answer{RequestID: text}))
+	assert.NilError(t, err)
+}
+
 // No input may make decoding panic: the bytes come from disks and other
 // processes.
 func FuzzDecode(f *testing.F) {
