Bound the pings of a router's idle links and let them cost no wake-ups

Change: a router's idle links ping 20 times a second together, at least 2 s apart each; a link sleeps until its next ping is due, and a message received spares it. Links with calls in flight find silence as before.

--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"endivespring/internal/call"
@@ -49,6 +50,8 @@
 	pending   map[uint64]*caller.Request
 	tokens    map[uint64]uint64 // tokens by the caller server's numbers
 	links     map[fleet.RouterID]*link
+	// openLinks is the number of links that have not ended.
+	openLinks atomic.Int64
 }
 
 // Run drives the core until the context ends.
@@ -167,6 +170,7 @@
 // were written and not answered is unknown. Calls on a later link to the same router are
 // left alone.
 func (d *gatewayDuty) handleLinkEnd(now clock.Instant, in *inboundAnswer) {
+	d.openLinks.Add(-1)
 	d.retireLink(now, in.ended)
 	d.core.HandleLostLink(now, in.from, in.ended.lastNumber)
 	d.events.Record(event.PeerLost, event.F("router", string(in.from)))
@@ -257,7 +261,8 @@
 	if l != nil {
 		l.lastNumber = d.core.LastCall()
 	}
-	l = newLink(d.fleet, router, d.clock, d.answers, d.events)
+	d.openLinks.Add(1)
+	l = newLink(d.fleet, router, &d.openLinks, d.clock, d.answers, d.events)
 	d.links[router.ID] = l
 	d.registry.RegisterRings(l.calls)
 	d.group.Go("link-"+string(router.ID), l.Run)
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -27,14 +27,17 @@
 // reconnect: after the stream has failed, the gateway opens a new link for the next
 // call.
 type link struct {
-	fleet        string
-	router       fleet.RouterID
-	address      string
-	clock        clock.Clock
-	calls        *ring.Ring[*outgoingCall]
-	answers      *ring.Ring[*inboundAnswer]
-	events       event.Recorder
-	lastReceived *ring.Ring[clock.Instant]
+	fleet   string
+	router  fleet.RouterID
+	address string
+	clock   clock.Clock
+	calls   *ring.Ring[*outgoingCall]
+	answers *ring.Ring[*inboundAnswer]
+	events  event.Recorder
+	// lastReceived is the clock.Instant of the last message from the other router.
+	lastReceived atomic.Int64
+	// links is the number of open links of this router.
+	links *atomic.Int64
 	// retired is signalled once the other router asks for no more calls.
 	retired *ring.Ring[struct{}]
 	// lastNumber is the number of the last call that may have been sent on the link. It
@@ -44,12 +47,11 @@
 	inFlight atomic.Int64
 }
 
-func newLink(fleetName string, r fleet.Router, c clock.Clock, answers *ring.Ring[*inboundAnswer], events event.Recorder) *link {
+func newLink(fleetName string, r fleet.Router, links *atomic.Int64, c clock.Clock, answers *ring.Ring[*inboundAnswer], events event.Recorder) *link {
 	return &link{
-		fleet: fleetName, router: r.ID, address: r.Address, clock: c, answers: answers, events: events, lastNumber: math.MaxUint64,
-		calls:        ring.New[*outgoingCall]("link-"+string(r.ID), linkCapacity, ring.Refuse),
-		lastReceived: ring.New[clock.Instant]("link-heard", 1, ring.DropOldest),
-		retired:      ring.New[struct{}]("link-retired", 1, ring.DropOldest),
+		fleet: fleetName, router: r.ID, address: r.Address, links: links, clock: c, answers: answers, events: events, lastNumber: math.MaxUint64,
+		calls:   ring.New[*outgoingCall]("link-"+string(r.ID), linkCapacity, ring.Refuse),
+		retired: ring.New[struct{}]("link-retired", 1, ring.DropOldest),
 	}
 }
 
@@ -95,25 +97,30 @@
 // send sends calls, cancellations and pings. It returns when the peer times out, the
 // link is idle or the stream fails.
 func (l *link) send(ctx context.Context, stream grpc.BidiStreamingClient[wirepb.DoorUp, wirepb.DoorDown], cancel func()) error {
-	ping := time.NewTicker(pingInterval)
+	used := l.clock.Now()
+	pinger := linkPinger{lastPing: used}
+	ping := time.NewTimer(idlePingInterval)
 	defer ping.Stop()
-	used, pinger := l.clock.Now(), linkPinger{}
+	watchdog := time.AfterFunc(peerTimeout, cancel)
+	defer watchdog.Stop()
+	watchdog.Stop()
 	for {
 		var up *wirepb.DoorUp
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-l.lastReceived.Out():
-			pinger.received()
-			continue
 		case <-l.retired.Out():
 			return l.awaitAnswers(ctx, stream)
 		case out := <-l.calls.Out():
 			used = l.clock.Now()
 			up = l.encode(out, used)
-			l.trackInFlight(out)
+			if l.trackInFlight(out) {
+				ping.Reset(pingInterval)
+			}
 		case <-ping.C:
 			now := l.clock.Now()
+			heard := clock.Instant(l.lastReceived.Load())
+			pinger.received(heard)
 			if pinger.timedOut(now) {
 				l.events.Record(event.ConnectionRetired, event.F("router", string(l.router)), event.F("address", l.address))
 				return context.DeadlineExceeded
@@ -121,12 +128,15 @@
 			if now.Sub(used) > idleTimeout {
 				return nil
 			}
-			if !pinger.due(now, l.inFlight.Load() > 0) {
+			calls, links := l.inFlight.Load() > 0, l.links.Load()
+			due := now.Sub(heard) >= pingInterval && pinger.due(now, calls, links)
+			ping.Reset(max(minPingDelay, pinger.nextAt(calls, links).Sub(now)))
+			if !due {
 				continue
 			}
 			up = &wirepb.DoorUp{Fleet: l.fleet, Ping: uint64(now)}
 		}
-		watchdog := time.AfterFunc(peerTimeout, cancel)
+		watchdog.Reset(peerTimeout)
 		err := stream.Send(up)
 		watchdog.Stop()
 		if err != nil {
@@ -156,13 +166,14 @@
 	return &wirepb.DoorUp{Fleet: l.fleet, Call: wire.FromCall(&out.call, now)}
 }
 
-// trackInFlight updates the number of calls in flight for a sent message.
-func (l *link) trackInFlight(out *outgoingCall) {
+// trackInFlight updates the number of calls in flight for a sent message. It reports
+// whether this is the first of them.
+func (l *link) trackInFlight(out *outgoingCall) (first bool) {
 	if out.cancel {
 		l.callEnded()
-		return
+		return false
 	}
-	l.inFlight.Add(1)
+	return l.inFlight.Add(1) == 1
 }
 
 // callEnded decrements the number of calls in flight. It does not go below zero: an
@@ -185,7 +196,7 @@
 			}
 			return
 		}
-		_ = l.lastReceived.Put(ctx, l.clock.Now())
+		l.lastReceived.Store(int64(l.clock.Now()))
 		if down.GetClosing() {
 			_ = l.retired.Put(ctx, struct{}{})
 			continue
--- a/internal/router/link_test.go
+++ b/internal/router/link_test.go
@@ -20,7 +20,7 @@
 	kept := make([]any, 0, 2*links)
 	runtime.ReadMemStats(&before)
 	for range links {
-		kept = append(kept, newLink("fleet", fleet.Router{ID: "r"}, nil, nil, nil),
+		kept = append(kept, newLink("fleet", fleet.Router{ID: "r"}, nil, nil, nil, nil),
 			ring.New[*wirepb.DoorDown]("link-answers", linkAnswerCapacity, ring.Refuse))
 	}
 	runtime.ReadMemStats(&after)
--- a/internal/router/retired_link_test.go
+++ b/internal/router/retired_link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,7 +32,7 @@
 	go func() { _ = peer.Serve(server, listener) }()
 	defer server.Stop()
 	answers := ring.New[*inboundAnswer]("answers", 64, ring.Wait)
-	l := newLink("f", fleet.Router{ID: "r", Address: listener.Addr().String()}, clock.NewMonotonic(), answers, discardEvents{})
+	l := newLink("f", fleet.Router{ID: "r", Address: listener.Addr().String()}, &atomic.Int64{}, clock.NewMonotonic(), answers, discardEvents{})
 	go func() { _ = l.Run(ctx) }()
 	send := func(number uint64) {
 		assert.NilError(t, l.calls.Put(ctx, &outgoingCall{call: call.Call{Number: number, Deadline: clock.NewMonotonic().Now().Add(time.Minute)}}))
