Divide hot regions of keys as soon among many owners as among few

Cause: a round moved eight subranges, whatever the number of owners, and the next waited until every range of the service was granted, also those of an upstream that had crashed. One owner whose keys fit nobody's lack ended a round for all others. Change: up to a quarter of the owners' number of subranges move at once; moves under way count with the load that they bring; an owner with nothing to give is passed over, and busy keys may go to an owner that stays below the bound of overload with them.

--- a/internal/placement/range_balance.go
+++ b/internal/placement/range_balance.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"math"
-
-	"endivespring/internal/fleet"
-)
+import "endivespring/internal/fleet"
 
 const (
 	// maxRangesPerOwner times the number of owners bounds the ranges of a
@@ -21,9 +17,14 @@
 	// maxOvershoot is the factor by which the load of a moved subrange may
 	// exceed the load that its next owner lacks.
 	maxOvershoot = 1.2
-	// maxMovesPerRound bounds the subranges that move in one round. The keys of
-	// each are not served for about two heartbeats.
-	maxMovesPerRound = 8
+	// fullLoadRatio is the ratio of load to target up to which an owner takes busy keys
+	// that bring more load than it lacks. It is below overloadRatio, so that they stay.
+	fullLoadRatio = 1.2
+	// minMoves and movesPerOwner bound the subranges that move at the same time: the
+	// keys of each are not served for about two heartbeats, and a hot region of keys
+	// must be divided as soon among many owners as among few.
+	minMoves      = 8
+	movesPerOwner = 0.25
 	// minMoveShare is the smallest load of a moved subrange, as a share of its
 	// owner's target. A smaller gain is not worth the time in which the keys are
 	// not served.
@@ -34,35 +35,54 @@
 )
 
 // balance revokes subranges of overloaded owners, with as much load as
-// underloaded owners lack. A round starts only once the moves of the last one
-// are complete, so that it sees their effect.
+// underloaded owners lack. Moves that are under way count with the load that they
+// bring, so that others need not wait for them.
 func (p *rangePlan) balance() {
-	if p.loads.Total() < minBalancedRate || p.inTransition() {
+	if p.loads.Total() < minBalancedRate {
 		return
 	}
-	for range maxMovesPerRound {
+	moves := max(minMoves, int(movesPerOwner*float64(len(p.owners)))) - p.assignMoving()
+	for range moves {
 		if len(p.space.Ranges) >= maxRangesPerOwner*len(p.owners) || !p.moveSubrange() {
 			return
 		}
 	}
 }
 
-// moveSubrange revokes one subrange of the most overloaded owner and reports
-// whether it did. A later plan grants the subrange, after its release; this one
+// assignMoving adds the load of each range that is being revoked to the owner who lacks
+// most, as a later plan will. It returns the number of these ranges.
+func (p *rangePlan) assignMoving() int {
+	moving := 0
+	for i := range p.space.Ranges {
+		if r := &p.space.Ranges[i]; r.Phase != fleet.ShardGranted {
+			moving++
+			p.owners.mostUnderloaded().load += p.loads.Sum(r.First, r.Last)
+		}
+	}
+	return moving
+}
+
+// moveSubrange revokes one subrange of the most overloaded owner that has one to give, and
+// reports whether it did. A later plan grants the subrange, after its release; this one
 // counts its load for the most underloaded owner.
 func (p *rangePlan) moveSubrange() bool {
-	from, to := p.owners.extremes()
-	if from == to || from.load <= overloadRatio*from.target+overloadDeviations*math.Sqrt(from.target) {
-		return false
-	}
-	wanted := min(from.load-from.target, to.target-to.load)
-	if wanted <= 0 {
-		return false
-	}
-	first, last, found := p.pickSubrange(from, wanted)
-	if !found {
-		return false
+	to := p.owners.mostUnderloaded()
+	for _, from := range p.owners.overloaded() {
+		if from == to {
+			continue
+		}
+		if first, last, found := p.pickSubrange(from, to); found {
+			p.revoke(first, last)
+			amountMoved := p.loads.Sum(first, last)
+			from.load -= amountMoved
+			to.load += amountMoved
+			return true
+		}
 	}
+	return false
+}
+
+func (p *rangePlan) revoke(first, last uint32) {
 	p.space.Split(first)
 	if last < fleet.KeyCount-1 {
 		p.space.Split(last + 1)
@@ -72,31 +92,22 @@
 			r.Phase = fleet.ShardRevoking
 		}
 	}
-	amountMoved := p.loads.Sum(first, last)
-	from.load -= amountMoved
-	to.load += amountMoved
 	p.changed = true
-	return true
 }
 
-// inTransition reports whether any range is free or being revoked.
-func (p *rangePlan) inTransition() bool {
-	for i := range p.space.Ranges {
-		if p.space.Ranges[i].Phase != fleet.ShardGranted {
-			return true
-		}
+// pickSubrange returns a prefix or suffix of one of the granted ranges of from, with
+// about the load that to lacks, or one with a few busy keys for which to still has room.
+// It picks the one with the highest load per key, so that few keys move.
+func (p *rangePlan) pickSubrange(from, to *rangeOwner) (first, last uint32, found bool) {
+	amount := min(from.load-from.target, to.target-to.load)
+	room := min(from.load-from.target, fullLoadRatio*to.target-to.load)
+	if amount <= 0 && room <= 0 {
+		return 0, 0, false
 	}
-	return false
-}
-
-// pickSubrange returns a prefix or suffix of one of the owner's granted ranges
-// with about the given load. It picks the one with the highest load per key, so
-// that few keys move.
-func (p *rangePlan) pickSubrange(from *rangeOwner, amount float64) (first, last uint32, found bool) {
 	best := 0.0
 	for i := range p.space.Ranges {
 		r := &p.space.Ranges[i]
-		if p.owners.ownerOf(r) != from || r.Phase != fleet.ShardGranted {
+		if r.Phase != fleet.ShardGranted || !r.HeldBy(from.router, from.boot) {
 			continue
 		}
 		head := p.loads.PrefixEnd(r.First, r.Last, amount)
@@ -104,7 +115,7 @@
 		for _, subrange := range [][2]uint32{{r.First, head}, {tail, r.Last}} {
 			load := p.loads.Sum(subrange[0], subrange[1])
 			density := load / float64(subrange[1]-subrange[0]+1)
-			if load <= amount*maxOvershoot && load >= minMoveShare*from.target && density > best {
+			if load <= max(amount*maxOvershoot, room) && load >= minMoveShare*from.target && density > best {
 				first, last, found, best = subrange[0], subrange[1], true, density
 			}
 		}
--- a/internal/placement/range_owner_list.go
+++ b/internal/placement/range_owner_list.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"endivespring/internal/fleet"
@@ -42,12 +43,17 @@
 	return slices.MinFunc(l, func(a, b *rangeOwner) int { return cmp.Compare(a.load-a.target, b.load-b.target) })
 }
 
-// extremes returns the owner with the highest ratio of load to target, and the
-// owner whose load is furthest below its target, by difference. One request a
-// second is added to both sides of the ratio, so that it is defined for a
-// target of zero and small loads weigh little.
-func (l rangeOwnerList) extremes() (overloaded, underloaded *rangeOwner) {
+// overloaded returns the owners whose load is well above their target, the highest ratio
+// of load to target first. One request a second is added to both sides of the ratio, so
+// that it is defined for a target of zero and small loads weigh little.
+func (l rangeOwnerList) overloaded() []*rangeOwner {
+	var owners []*rangeOwner
+	for _, o := range l {
+		if o.load > overloadRatio*o.target+overloadDeviations*math.Sqrt(o.target) {
+			owners = append(owners, o)
+		}
+	}
 	ratio := func(o *rangeOwner) float64 { return (o.load + 1) / (o.target + 1) }
-	overloaded = slices.MaxFunc(l, func(a, b *rangeOwner) int { return cmp.Compare(ratio(a), ratio(b)) })
-	return overloaded, l.mostUnderloaded()
+	slices.SortStableFunc(owners, func(a, b *rangeOwner) int { return cmp.Compare(ratio(b), ratio(a)) })
+	return owners
 }
--- a/internal/placement/range_plan_test.go
+++ b/internal/placement/range_plan_test.go
@@ -18,11 +18,13 @@
 	loads *KeyLoads
 }
 
-func newRangeFixture(t *testing.T, upstreams int) *rangeFixture {
+func newRangeFixture(t testing.TB, upstreams int) *rangeFixture {
 	f := &rangeFixture{state: fsm.NewState(), loads: NewKeyLoads()}
 	preset := &fleet.Preset{Services: []fleet.Service{{Name: "s", Keyed: true, Ranged: true}}}
 	result, _ := f.state.Apply(1, &fsm.Command{OperatorChange: &fsm.OperatorChange{CommandID: "p", Preset: preset}})
-	assert.Assert(t, result.Accepted)
+	if !result.Accepted {
+		t.Fatal(result.Reason)
+	}
 	for i := range upstreams {
 		f.openSession(i, "b")
 	}
@@ -114,6 +116,47 @@
 	assert.Assert(t, len(f.state.View.KeySpaces["s"].Ranges) <= maxRangesPerOwner*6)
 }
 
+// TestHotRegionIsDividedSoonAmongManyOwners puts a third of the load on a few hundred
+// neighbouring keys, as when many callers ask for the same things, in a service with 154
+// owners. A round of moves takes about two heartbeats, so there may be few.
+func TestHotRegionIsDividedSoonAmongManyOwners(t *testing.T) {
+	const owners = 154
+	f := newRangeFixture(t, owners)
+	f.loads.Set(0, fleet.KeyCount-1, 1800)
+	f.converge(t)
+	f.loads.Set(30000, 30199, 600)
+	f.loads.Set(50000, 50059, 300)
+	rounds := f.converge(t)
+	assert.Assert(t, rounds <= 8, "%d plans until the load is balanced", rounds)
+	target := f.loads.Sum(0, fleet.KeyCount-1) / owners
+	for owner, share := range f.shares() {
+		assert.Assert(t, share <= 1.8*target, "load of %s is %.0f%% of its share", owner, 100*share/target)
+	}
+}
+
+// TestBalancingGoesOnDuringMoves keeps one range in revocation, as of an upstream that
+// doesn't answer. The load of others is balanced meanwhile, and no plan moves more ranges
+// at once than the limit.
+func TestBalancingGoesOnDuringMoves(t *testing.T) {
+	f := newRangeFixture(t, 6)
+	f.loads.Set(0, fleet.KeyCount-1, 60)
+	f.converge(t)
+	space := f.state.View.KeySpaces["s"].Clone()
+	space.Split(100)
+	space.Ranges[0].Phase = fleet.ShardRevoking
+	f.state.Apply(1, &fsm.Command{AssignRanges: &fsm.AssignRanges{Revision: space.Revision, Next: *space}})
+	f.loads.Set(40000, 40199, 60)
+	plan := PlanRanges(f.state.View, "s", f.loads, Limits{})
+	assert.Assert(t, plan != nil, "no move while another is under way")
+	moving := 0
+	for _, r := range plan.Next.Ranges {
+		if r.Phase == fleet.ShardRevoking {
+			moving++
+		}
+	}
+	assert.Assert(t, moving > 1 && moving <= minMoves, "%d ranges move", moving)
+}
+
 // TestSingleHotKeyIsNotMoved gives one key more load than any upstream's share.
 // It cannot be split, and must not move from upstream to upstream.
 func TestSingleHotKeyIsNotMoved(t *testing.T) {
@@ -191,3 +234,18 @@
 	f.state.Apply(1, &fsm.Command{OpenSession: &fsm.OpenSession{Nonce: "again", Router: fleet.Router{ID: "r01"}}})
 	assert.Equal(t, f.converge(t), 0)
 }
+
+// BenchmarkHotRegionPlan plans the first round of moves of a hot region in a service with
+// 154 owners.
+func BenchmarkHotRegionPlan(b *testing.B) {
+	f := newRangeFixture(b, 154)
+	f.loads.Set(0, fleet.KeyCount-1, 1800)
+	for assign := PlanRanges(f.state.View, "s", f.loads, Limits{}); assign != nil; assign = PlanRanges(f.state.View, "s", f.loads, Limits{}) {
+		f.state.Apply(1, &fsm.Command{AssignRanges: assign})
+		f.releaseRevoked()
+	}
+	f.loads.Set(30000, 30199, 600)
+	for b.Loop() {
+		PlanRanges(f.state.View, "s", f.loads, Limits{})
+	}
+}
