--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -70,12 +70,12 @@
 		waiting, stopWaiting := context.WithTimeout(callers, presetWait)
 		_, _ = n.hasPreset.Take(waiting) // without a preset in time, requests are refused
 		stopWaiting()
-		return n.frontEnd.ServeCallers(callers, caller.NewListener(l.frontCaller, n.clock), n.gatewayClient, n.settings)
+		return n.frontEnd.ServeCallers(callers, caller.NewListener(l.frontCaller, n.clock), n.gatewayClient, n.settings, n.events)
 	})
 	n.group.Go("front-announcements", func(ctx context.Context) error {
 		return n.frontEnd.ServeAnnouncements(ctx, l.frontAnnounce, n.executor.notifications, n.settings, n.events)
 	})
 	n.group.Go("front-readiness", func(ctx context.Context) error {
-		return n.frontEnd.ServeReadiness(ctx, l.frontReady, n.readiness.ready)
+		return n.frontEnd.ServeReadiness(ctx, l.frontReady, n.readiness.ready, n.events)
 	})
 }
