Start a round of moves only once the last one is complete, again

Cause: with rounds that overlap, moves are planned from loads that do not show yet what the moves under way bring, so more ranges move, and the keys of each are not served for about two heartbeats.

--- a/internal/placement/range_balance.go
+++ b/internal/placement/range_balance.go
@@ -20,9 +20,9 @@
 	// fullLoadRatio is the ratio of load to target up to which an owner takes busy keys
 	// that bring more load than it lacks. It is below overloadRatio, so that they stay.
 	fullLoadRatio = 1.2
-	// minMoves and movesPerOwner bound the subranges that move at the same time: the
-	// keys of each are not served for about two heartbeats, and a hot region of keys
-	// must be divided as soon among many owners as among few.
+	// minMoves and movesPerOwner bound the subranges that move in one round. The keys of
+	// each are not served for about two heartbeats, and a hot region of keys must be
+	// divided as soon among many owners as among few.
 	minMoves      = 8
 	movesPerOwner = 0.25
 	// minMoveShare is the smallest load of a moved subrange, as a share of its
@@ -35,31 +35,27 @@
 )
 
 // balance revokes subranges of overloaded owners, with as much load as
-// underloaded owners lack. Moves that are under way count with the load that they
-// bring, so that others need not wait for them.
+// underloaded owners lack. A round starts only once the moves of the last one
+// are complete, so that it sees their effect.
 func (p *rangePlan) balance() {
-	if p.loads.Total() < minBalancedRate {
+	if p.loads.Total() < minBalancedRate || p.inTransition() {
 		return
 	}
-	moves := max(minMoves, int(movesPerOwner*float64(len(p.owners)))) - p.assignMoving()
-	for range moves {
+	for range max(minMoves, int(movesPerOwner*float64(len(p.owners)))) {
 		if len(p.space.Ranges) >= maxRangesPerOwner*len(p.owners) || !p.moveSubrange() {
 			return
 		}
 	}
 }
 
-// assignMoving adds the load of each range that is being revoked to the owner who lacks
-// most, as a later plan will. It returns the number of these ranges.
-func (p *rangePlan) assignMoving() int {
-	moving := 0
+// inTransition reports whether any range is free or being revoked.
+func (p *rangePlan) inTransition() bool {
 	for i := range p.space.Ranges {
-		if r := &p.space.Ranges[i]; r.Phase != fleet.ShardGranted {
-			moving++
-			p.owners.mostUnderloaded().load += p.loads.Sum(r.First, r.Last)
+		if p.space.Ranges[i].Phase != fleet.ShardGranted {
+			return true
 		}
 	}
-	return moving
+	return false
 }
 
 // moveSubrange revokes one subrange of the most overloaded owner that has one to give, and
