Keep an upstream's departure across restarts of the router beside it

Cause: that an upstream drains or has left was known only to the process of the router that was told. After its restart, an announcement of before that arrived late brought the upstream back into use, with its keys. Change: the registration names the start of the upstream that has departed. Opening a session carries it over, a new process adopts it from the view and registers nothing before; it holds for 10 s or until another start is announced. The executor refuses new work for it.

--- a/internal/controller/fleet_test.go
+++ b/internal/controller/fleet_test.go
@@ -114,10 +114,10 @@
 		r.restart()
 	case 7:
 		r.executor.Leave(r.clock.at(sim.now))
-		r.core.SetRegistration(r.clock.at(sim.now), r.upstream, true)
+		r.core.SetRegistration(r.clock.at(sim.now), r.upstream, true, false)
 	case 8:
 		r.executor.Announce(r.clock.at(sim.now), r.upstream)
-		r.core.SetRegistration(r.clock.at(sim.now), r.upstream, false)
+		r.core.SetRegistration(r.clock.at(sim.now), r.upstream, false, false)
 	case 9:
 		sim.operate(fsm.OperatorChange{Preset: preset(fmt.Sprint("preset-", sim.now))})
 	case 10:
@@ -136,7 +136,7 @@
 	for _, r := range sim.routers {
 		r.frozenUntil, r.partitionedUntil, r.downUntil = 0, 0, 0
 		r.executor.Announce(r.clock.at(sim.now), r.upstream)
-		r.core.SetRegistration(r.clock.at(sim.now), r.upstream, false)
+		r.core.SetRegistration(r.clock.at(sim.now), r.upstream, false, false)
 	}
 	for range 300 {
 		sim.step()
--- a/internal/executor/range_leases_test.go
+++ b/internal/executor/range_leases_test.go
@@ -193,3 +193,18 @@
 	s.now = s.now.Add(time.Millisecond)
 	assert.Equal(t, s.submitKey(7).Reason, verdict.ReasonNoUpstream)
 }
+
+// TestDepartedUpstreamGetsNoWork starts the router again beside an upstream that has
+// announced its departure. A late heartbeat of before must not bring it work.
+func TestDepartedUpstreamGetsNoWork(t *testing.T) {
+	s := newRangeFixture(t)
+	s.setPhase(t, fleet.ShardGranted)
+	s.sendHeartbeat(Heartbeat{})
+	assert.Equal(t, s.submitKey(5).Verdict, verdict.Ran)
+	s.version++
+	registered := fleet.Router{ID: "r", Upstream: s.upstream, DepartedBoot: s.upstream.Boot}
+	assert.Assert(t, s.SetView(s.now, &fleet.Change{From: s.version - 1, To: s.version, Routers: []fleet.Router{registered}}))
+	s.submitKey(6)
+	s.now = s.now.Add(maxRevocationGrace)
+	assert.Equal(t, s.submitKey(7).Reason, verdict.ReasonNoUpstream)
+}
--- a/internal/executor/refusal.go
+++ b/internal/executor/refusal.go
@@ -60,7 +60,8 @@
 
 // unavailable reports whether the upstream must get no new work of a service.
 func (c *Core) unavailable(service string) bool {
-	return c.upstream.Name == "" || c.leaving || c.upstream.Service != service ||
+	registered := c.view.Routers[c.self]
+	return c.upstream.Name == "" || c.leaving || registered.Departed() && registered.DepartedBoot == c.upstream.Boot || c.upstream.Service != service ||
 		c.view.DataCentresOut[c.dataCentre] || c.view.UpstreamsOut[c.upstream.Name]
 }
 
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -14,8 +14,16 @@
 	// Leaving is set once the router or its upstream has announced that it will
 	// stop.
 	Leaving bool
+	// DepartedBoot is the boot ID of an upstream beside the router that has announced its
+	// departure, or empty. That start gets no new work any more: the next process of
+	// the router doesn't know of the departure, and may receive an earlier announcement
+	// late.
+	DepartedBoot string
 }
 
+// Departed reports whether the upstream beside the router has announced its departure.
+func (r *Router) Departed() bool { return r.DepartedBoot != "" && r.DepartedBoot == r.Upstream.Boot }
+
 // Serves reports whether an upstream of the service is announced beside the
 // router.
 func (r Router) Serves(service string) bool {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -117,7 +117,7 @@
 // and ranges of keys: its upstream is announced, neither is leaving, and neither
 // its data centre nor its upstream is out of service.
 func (v *View) Eligible(r Router) bool {
-	return r.Upstream.Name != "" && !r.Leaving && !v.DataCentresOut[r.DataCentre] && !v.UpstreamsOut[r.Upstream.Name]
+	return r.Upstream.Name != "" && !r.Leaving && !r.Departed() && !v.DataCentresOut[r.DataCentre] && !v.UpstreamsOut[r.Upstream.Name]
 }
 
 // Shard returns the ownership of a shard. A shard that was never granted is
--- a/internal/fsm/sessions.go
+++ b/internal/fsm/sessions.go
@@ -6,7 +6,9 @@
 	"endivespring/internal/fleet"
 )
 
-// openSession registers a router under a new session, once for each nonce.
+// openSession registers a router under a new session, once for each nonce. That its
+// upstream has announced its departure is carried over: an earlier process of the router
+// was told, and the present one was not.
 func (s *State) openSession(c *OpenSession, change *fleet.Change) Result {
 	for _, o := range s.OpenedSessions {
 		if o.Nonce == c.Nonce {
@@ -17,6 +19,9 @@
 	s.OpenedSessions = append(s.OpenedSessions, OpenedSession{Nonce: c.Nonce, Session: s.LastSession, Router: c.Router.ID})
 	router := c.Router
 	router.Session = s.LastSession
+	if earlier := s.View.Routers[router.ID]; router.Upstream.Boot == "" || router.Upstream.Boot == earlier.DepartedBoot {
+		router.DepartedBoot = earlier.DepartedBoot
+	}
 	change.Routers = append(change.Routers, router)
 	return Result{Accepted: true, Session: s.LastSession}
 }
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -60,6 +60,9 @@
 	// upstreamGone is set while there is no upstream to send to: it has left, is
 	// draining or was lost.
 	upstreamGone bool
+	// upstreamDeparted is set once the upstream has announced that it is draining or
+	// leaving.
+	upstreamDeparted bool
 	// upstreamExited is set once the current boot of the upstream has announced its
 	// departure or was found to have exited.
 	upstreamExited bool
@@ -154,7 +157,7 @@
 func (d *executorDuty) withdrawUpstream(ctx context.Context) {
 	d.upstreamGone = true
 	d.core.Leave(d.clock.Now())
-	_ = d.registrations.Put(ctx, registration{upstream: d.upstream, leaving: true})
+	_ = d.registrations.Put(ctx, registration{upstream: d.upstream, leaving: true, departed: d.upstreamDeparted})
 }
 
 func (d *executorDuty) submit(s *submission) {
@@ -195,7 +198,7 @@
 	}
 	if notification.Leaving {
 		d.events.Record(event.UpstreamLeft, event.F("upstream", d.upstream.Name))
-		d.leftAt, d.upstreamExited = d.clock.Now(), true
+		d.leftAt, d.upstreamExited, d.upstreamDeparted = d.clock.Now(), true, true
 		d.withdrawUpstream(ctx)
 		return
 	}
@@ -213,7 +216,7 @@
 // registerUpstream makes u the current upstream: it starts senders up to its number
 // of slots and registers it with the control processes.
 func (d *executorDuty) registerUpstream(ctx context.Context, now clock.Instant, u fleet.Upstream) {
-	d.upstream, d.lastContact, d.upstreamGone = u, now, false
+	d.upstream, d.lastContact, d.upstreamGone, d.upstreamDeparted = u, now, false, false
 	for ; d.senders < u.Slots; d.senders++ {
 		d.startSender()
 	}
--- a/internal/router/heartbeat.go
+++ b/internal/router/heartbeat.go
@@ -43,6 +43,7 @@
 	if notification.Heartbeat.Draining && !wasDraining {
 		d.events.Record(event.UpstreamLeft, event.F("upstream", notification.Upstream.Name))
 		d.registerUpstream(ctx, now, notification.Upstream)
+		d.upstreamDeparted = true
 		d.withdrawUpstream(ctx)
 		return
 	}
--- a/internal/router/registration.go
+++ b/internal/router/registration.go
@@ -7,4 +7,6 @@
 type registration struct {
 	upstream fleet.Upstream
 	leaving  bool
+	// departed is set if the upstream itself has announced the departure.
+	departed bool
 }
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -85,7 +85,7 @@
 		case <-ctx.Done():
 			return
 		case r := <-d.registrations.Out():
-			d.core.SetRegistration(d.clock.Now(), r.upstream, r.leaving)
+			d.core.SetRegistration(d.clock.Now(), r.upstream, r.leaving, r.departed)
 		case releases := <-d.releases.Out():
 			d.core.Release(d.clock.Now(), releases)
 		case update := <-d.rangeUpdates.Out():
@@ -177,7 +177,7 @@
 				return cause
 			}
 		case r := <-d.registrations.Out():
-			d.core.SetRegistration(d.clock.Now(), r.upstream, r.leaving)
+			d.core.SetRegistration(d.clock.Now(), r.upstream, r.leaving, r.departed)
 		case releases := <-d.releases.Out():
 			d.core.Release(d.clock.Now(), releases)
 		case update := <-d.rangeUpdates.Out():
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -16,6 +16,9 @@
 	maxUnansweredRenewals = 2
 	// maxTimeoutRenewals is the longest such time, in renewal intervals.
 	maxTimeoutRenewals = 8
+	// departureMemory is how long a departure of the upstream that was announced to an
+	// earlier process of the router holds: an announcement of before may still arrive.
+	departureMemory = 10 * time.Second
 	// timeoutFactor times the latest response time is the timeout.
 	timeoutFactor = 2
 )
@@ -27,6 +30,10 @@
 	// router is the registration as the router wants it.
 	router fleet.Router
 	nonce  string
+	// departed is set if the upstream has announced its departure to this process, and
+	// adoptedUntil is how long one that was announced to an earlier process holds.
+	departed     bool
+	adoptedUntil clock.Instant
 	// session is the open session, or zero.
 	session fleet.Session
 	// newestEnded is the newest session that has ended. Messages of it and of
@@ -133,6 +140,9 @@
 		return RouterMessage{}, false
 	}
 	c.renewAt = now.Add(c.renewalInterval)
+	if c.router.DepartedBoot != "" && now >= c.adoptedUntil && !c.departed {
+		c.router.DepartedBoot = ""
+	}
 	up := RouterMessage{
 		Nonce: c.nonce, Session: c.session, Sequence: c.holder.Renew(now), Applied: c.applied, NeedFull: c.needFull,
 		Router: c.router, Differences: true, Closing: c.closing,
@@ -141,7 +151,9 @@
 	if c.session != 0 {
 		up.Nonce = ""
 	}
-	up.Registers = c.session == 0 || up.Router != c.registered
+	// A registration waits until the view shows the session, so that it keeps a departure
+	// that an earlier process of the router registered.
+	up.Registers = c.session == 0 || c.registered.Session == c.session && up.Router != c.registered
 	if !up.Registers {
 		up.Router = fleet.Router{ID: c.router.ID}
 	}
@@ -153,15 +165,22 @@
 	return up, true
 }
 
-// SetRegistration changes the upstream that the router registers and whether it is
-// leaving. A renewal becomes due now if that changes anything.
-func (c *Core) SetRegistration(now clock.Instant, upstream fleet.Upstream, leaving bool) {
-	if c.router.Upstream == upstream && c.router.Leaving == leaving {
-		return
+// SetRegistration changes the upstream that the router registers, whether it is leaving,
+// and whether the upstream itself has announced its departure. A renewal becomes due now
+// if that changes anything.
+func (c *Core) SetRegistration(now clock.Instant, upstream fleet.Upstream, leaving, departed bool) {
+	next := c.router
+	next.Upstream, next.Leaving = upstream, leaving
+	switch {
+	case departed:
+		next.DepartedBoot = upstream.Boot
+	case c.departed || upstream.Boot != c.router.DepartedBoot:
+		next.DepartedBoot = ""
+	}
+	c.departed = departed
+	if next != c.router {
+		c.router, c.renewAt = next, now
 	}
-	c.router.Upstream = upstream
-	c.router.Leaving = leaving
-	c.renewAt = now
 }
 
 // Close asks control to close the session and makes a renewal due now.
@@ -206,7 +225,7 @@
 		c.dropLease()
 	}
 	if down.Change != nil {
-		resync = !c.applyChange(down.Change) || resync
+		resync = !c.applyChange(now, down.Change) || resync
 	}
 	update = c.update()
 	if !resync {
@@ -269,7 +288,7 @@
 // applyChange follows the view by a change and drops the reports that the change
 // confirms. It reports false if the change does not start at the applied version, or
 // is older than it; then nothing is applied and a full view is asked for.
-func (c *Core) applyChange(change *fleet.Change) bool {
+func (c *Core) applyChange(now clock.Instant, change *fleet.Change) bool {
 	if change.To < c.applied || (!change.Full && change.From != c.applied) {
 		c.needFull = true
 		return false
@@ -279,6 +298,7 @@
 	for _, router := range change.Routers {
 		if router.ID == c.router.ID {
 			c.registered = router
+			c.adoptDeparture(now)
 		}
 	}
 	c.applyKeySpaces(change)
@@ -290,6 +310,16 @@
 	return true
 }
 
+// adoptDeparture takes over for a while that the upstream has announced its departure to
+// an earlier process of this router.
+func (c *Core) adoptDeparture(now clock.Instant) {
+	boot := c.registered.DepartedBoot
+	if boot == "" || c.departed || c.router.DepartedBoot == boot || c.router.Upstream.Boot != "" && c.router.Upstream.Boot != boot {
+		return
+	}
+	c.router.DepartedBoot, c.adoptedUntil = boot, now.Add(departureMemory)
+}
+
 // dropLease ends the ownership lease and the lease on ranges at once. The view
 // lease stays until its expiry.
 func (c *Core) dropLease() {
--- a/internal/session/core_test.go
+++ b/internal/session/core_test.go
@@ -105,7 +105,7 @@
 		return up
 	}
 	assert.Assert(t, !due().Registers && due().Router == fleet.Router{ID: "r"} && due().Nonce == "")
-	c.SetRegistration(now, fleet.Upstream{Name: "u"}, false)
+	c.SetRegistration(now, fleet.Upstream{Name: "u"}, false, false)
 	for range 2 {
 		assert.Assert(t, due().Registers)
 	}
