--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -18,7 +18,7 @@
 
 	connectTimeout = time.Second
 	windowSize     = 256 << 10 // bytes of the flow control windows of streams and connections
-	bufferSize     = 8 << 10   // bytes of the read buffer of a connection, and of the write buffers that busy ones share
+	bufferSize     = 8 << 10   // bytes of the read and write buffers of a connection
 )
 
 // Dial returns a client connection to an address. It is opened on first use. The
@@ -32,7 +32,7 @@
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.5, MaxDelay: time.Second},
 			MinConnectTimeout: connectTimeout,
 		}),
-		grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize), grpc.WithSharedWriteBuffer(true),
+		grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize),
 		grpc.WithInitialWindowSize(windowSize), grpc.WithInitialConnWindowSize(windowSize),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessage), grpc.MaxCallSendMsgSize(MaxMessage)),
 	)
@@ -42,7 +42,7 @@
 // NewServer returns a gRPC server with the limits that Dial uses.
 func NewServer() *grpc.Server {
 	return grpc.NewServer(grpc.MaxRecvMsgSize(MaxMessage), grpc.MaxSendMsgSize(MaxMessage),
-		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize), grpc.SharedWriteBuffer(true),
+		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
 		grpc.InitialWindowSize(windowSize), grpc.InitialConnWindowSize(windowSize))
 }
 
