Let the router alone say when ranges granted by request are free after a restart

Cause: control freed the ranges of an upstream's earlier start as soon as another start was registered, past the guard in the router: a grant that was meant for the earlier start and reached the present one could still be applied. And beside an upstream that had started with the router after a loss of power, the router held them back for 3 s, although its earlier process cannot have reached that start. Change: for services whose grants go by request control frees nothing because of a restart; the router reports the ranges, at once if the upstream started after the end of the router's earlier process. Tests: TestRangesWaitForTheRouterIfGrantedByRequest failed first; TestRangesOfAnEarlierStartAreFreeAfterALossOfPower, TestUpstreamNewerThanRouter.

--- a/internal/executor/heartbeat.go
+++ b/internal/executor/heartbeat.go
@@ -10,6 +10,9 @@
 // announcement and what it holds.
 type Heartbeat struct {
 	Upstream fleet.Upstream
+	// Newer is set if the upstream started after the router's earlier process had ended,
+	// which so can have sent nothing to it.
+	Newer bool
 	// ColdFor is the remaining time of the upstream's cold start.
 	ColdFor time.Duration
 	// Holds are the ranges that the upstream serves, or has stopped serving but
--- a/internal/executor/key_ranges.go
+++ b/internal/executor/key_ranges.go
@@ -18,7 +18,7 @@
 // the ranges that it may hold from now on.
 func (c *Core) Heartbeat(now clock.Instant, h *Heartbeat) LeaseAnswer {
 	c.rangeLeases.track(now, h.Upstream, h.Holds)
-	c.rangeRequests.track(now, h.Upstream, c.view)
+	c.rangeRequests.track(now, h.Upstream, h.Newer, c.view)
 	c.limiter.SetColdTime(now, h.ColdFor)
 	if c.grantsByRequest() {
 		c.stepRangeRequests(now)
--- a/internal/executor/range_requests.go
+++ b/internal/executor/range_requests.go
@@ -74,9 +74,13 @@
 	}
 }
 
-// track switches to the upstream of a heartbeat.
-func (q *rangeRequests) track(now clock.Instant, u fleet.Upstream, view *fleet.View) {
+// track switches to the upstream of a heartbeat. If it is newer than the router's earlier
+// process, that one has sent no lease that still counts.
+func (q *rangeRequests) track(now clock.Instant, u fleet.Upstream, newer bool, view *fleet.View) {
 	q.begin(now)
+	if newer {
+		q.inheritedExpiry = min(q.inheritedExpiry, now)
+	}
 	known := q.upstream
 	q.upstream = u
 	if known.Boot != u.Boot || known.Service != u.Service {
--- a/internal/executor/range_requests_test.go
+++ b/internal/executor/range_requests_test.go
@@ -70,6 +70,7 @@
 	cores     [rangeSimRouters]*Core
 	lives     [rangeSimRouters]int
 	boots     [rangeSimRouters]int
+	newer     [rangeSimRouters]bool   // the upstream started after the router's present life
 	heard     [rangeSimRouters]string // boot that the router's present life has a heartbeat of
 	upstreams [rangeSimRouters]*simUpstream
 	versions  [rangeSimRouters]fleet.Version
@@ -96,6 +97,7 @@
 
 func (w *rangeWorld) restartUpstream(i int) {
 	w.boots[i]++
+	w.newer[i] = true
 	w.upstreams[i] = &simUpstream{boot: fmt.Sprintf("%d/%d", i, w.boots[i])}
 	w.nextBeat[i] = w.now.Add(time.Duration(w.random.IntN(900)) * time.Millisecond)
 }
@@ -103,7 +105,7 @@
 func (w *rangeWorld) restartRouter(i int) {
 	w.lives[i]++
 	w.cores[i] = New(w.router(i), "dc")
-	w.heard[i] = ""
+	w.heard[i], w.newer[i] = "", false
 	service := fleet.Service{Name: "s", Keyed: true, Ranged: true, Profile: fleet.UpstreamProfile{GrantsBy: fleet.GrantByRequest}}
 	change := &fleet.Change{Full: true, To: 1, Preset: &fleet.Preset{Services: []fleet.Service{service}}, KeySpaces: []fleet.KeySpace{*w.space.Clone()}}
 	assert.Assert(w.t, w.cores[i].SetView(w.now, change))
@@ -305,7 +307,7 @@
 	w.nextBeat[i] = w.now.Add(rangeSimHeartbeat)
 	u := fleet.Upstream{Name: fmt.Sprintf("u%d", i), Service: "s", Boot: w.upstreams[i].boot, Slots: 2}
 	w.cores[i].Announce(w.now, u)
-	w.cores[i].Heartbeat(w.now, &Heartbeat{Upstream: u})
+	w.cores[i].Heartbeat(w.now, &Heartbeat{Upstream: u, Newer: w.newer[i]})
 	w.heard[i] = u.Boot
 }
 
@@ -497,3 +499,22 @@
 		assert.Equal(t, len(out.RangeRequests), 0)
 	}
 }
+
+// TestRangesOfAnEarlierStartAreFreeAfterALossOfPower starts the router and then the
+// upstream, as after a loss of power. The ranges of the upstream's earlier start are
+// reported at once; beside an upstream that is older than the router's process they are
+// only once leases that an earlier process may have sent have ended.
+func TestRangesOfAnEarlierStartAreFreeAfterALossOfPower(t *testing.T) {
+	for _, newer := range []bool{true, false} {
+		s := newRangeFixture(t)
+		s.grantByRequest(t)
+		s.setPhase(t, fleet.ShardGranted)
+		s.upstream.Boot = "2"
+		_, out := s.sendHeartbeat(Heartbeat{Newer: newer})
+		assert.Equal(t, len(out.RangeReports) == 1, newer)
+		s.now = s.now.Add(maxRequestedLease)
+		s.Tick(s.now)
+		_, out = s.sendHeartbeat(Heartbeat{})
+		assert.Equal(t, len(out.RangeReports), 1)
+	}
+}
--- a/internal/fsm/ranges.go
+++ b/internal/fsm/ranges.go
@@ -69,9 +69,17 @@
 	return Result{Accepted: true}
 }
 
+// grantedByRequest reports whether the upstreams of a service learn their ranges by
+// requests. After a restart of such an upstream only the router beside it knows whether
+// the present start has received grants that were meant for the earlier one.
+func (s *State) grantedByRequest(service string) bool {
+	settings := s.View.Preset.Service(service)
+	return settings != nil && settings.Profile.GrantsBy == fleet.GrantByRequest
+}
+
 // freeRangesIf frees the granted and revoking ranges for which lost returns true: the
 // session of their holder is closed, or its upstream has restarted.
-func (s *State) freeRangesIf(change *fleet.Change, lost func(r *fleet.KeyRange) bool) {
+func (s *State) freeRangesIf(change *fleet.Change, lost func(service string, r *fleet.KeyRange) bool) {
 	services := make([]string, 0, len(s.View.KeySpaces))
 	for service := range s.View.KeySpaces {
 		services = append(services, service)
@@ -82,7 +90,7 @@
 		changed := false
 		for i := range space.Ranges {
 			r := &space.Ranges[i]
-			if r.Phase != fleet.ShardFree && lost(r) {
+			if r.Phase != fleet.ShardFree && lost(service, r) {
 				*r = fleet.KeyRange{First: r.First, Last: r.Last, Epoch: r.Epoch}
 				changed = true
 			}
--- a/internal/fsm/sessions.go
+++ b/internal/fsm/sessions.go
@@ -54,9 +54,10 @@
 	}
 	// A router that restarted has a newer session. Its upstream keeps its ranges
 	// under that session unless it has restarted too.
-	s.freeRangesIf(change, func(r *fleet.KeyRange) bool {
+	s.freeRangesIf(change, func(service string, r *fleet.KeyRange) bool {
 		router, ok := s.View.Routers[r.Owner]
-		return hadClosedSession[r.Owner] && (!ok || closed[router.Session] || router.Upstream.Boot != r.Boot)
+		restarted := router.Upstream.Boot != r.Boot && !s.grantedByRequest(service)
+		return hadClosedSession[r.Owner] && (!ok || closed[router.Session] || restarted)
 	})
 	return Result{Accepted: true}
 }
@@ -73,7 +74,9 @@
 	}
 	if boot := c.Router.Upstream.Boot; boot != "" && boot != current.Upstream.Boot {
 		// A restarted upstream holds none of the ranges of its earlier start.
-		s.freeRangesIf(change, func(r *fleet.KeyRange) bool { return r.Owner == c.Router.ID && r.Boot != boot })
+		s.freeRangesIf(change, func(service string, r *fleet.KeyRange) bool {
+			return r.Owner == c.Router.ID && r.Boot != boot && !s.grantedByRequest(service)
+		})
 	}
 	return Result{Accepted: true}
 }
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -55,8 +55,10 @@
 	upstream        fleet.Upstream
 	// lastHeartbeat is the newest heartbeat of an upstream that sends them.
 	lastHeartbeat *upstream.Heartbeat
-	lastContact   clock.Instant
-	leftAt        clock.Instant
+	// startMillis is when this process started, in milliseconds since the Unix epoch.
+	startMillis int64
+	lastContact clock.Instant
+	leftAt      clock.Instant
 	// upstreamGone is set while there is no upstream to send to: it has left, is
 	// draining or was lost.
 	upstreamGone bool
--- a/internal/router/heartbeat.go
+++ b/internal/router/heartbeat.go
@@ -33,6 +33,7 @@
 		d.upstreamExited = false
 	}
 	d.lastHeartbeat = heartbeat
+	heartbeat.Newer = heartbeat.NewerThanRouter(d.startMillis)
 	d.applyHeartbeat(ctx, now, notification, wasDraining)
 	heartbeat.Reply.Send(d.core.Heartbeat(now, &heartbeat.Heartbeat))
 }
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -157,12 +157,12 @@
 		stop:          ring.New[executorStop]("door-stop", stopSteps, ring.Refuse),
 		runs:          ring.New[outboundRun]("runs", runCapacity, ring.Refuse),
 		delegations:   delegations, cancels: map[uint64]context.CancelFunc{},
-		aborts:         ring.New[executor.Abort]("aborts", runCapacity, ring.DropOldest),
-		releases:       ring.New[[]fsm.ShardRelease]("releases", updateCapacity, ring.Refuse),
-		ranges:         newRangeRings(),
-		rangeUpdates:   ring.New[rangeUpdate]("range-news", updateCapacity, ring.Refuse),
-		registrations:  ring.New[registration]("registrations", notificationCapacity, ring.DropOldest),
-		contactTimeout: s.AnnounceTimeout.Value(), drained: ring.New[struct{}]("door-drained", 1, ring.DropOldest),
+		aborts:        ring.New[executor.Abort]("aborts", runCapacity, ring.DropOldest),
+		releases:      ring.New[[]fsm.ShardRelease]("releases", updateCapacity, ring.Refuse),
+		ranges:        newRangeRings(),
+		rangeUpdates:  ring.New[rangeUpdate]("range-news", updateCapacity, ring.Refuse),
+		registrations: ring.New[registration]("registrations", notificationCapacity, ring.DropOldest),
+		startMillis:   time.Now().UnixMilli(), contactTimeout: s.AnnounceTimeout.Value(), drained: ring.New[struct{}]("door-drained", 1, ring.DropOldest),
 		sinks: map[uint64]answerSink{localLink: &localSink{self: self.ID, answers: answers}},
 	}
 	n.session = &sessionDuty{
--- a/internal/upstream/heartbeat.go
+++ b/internal/upstream/heartbeat.go
@@ -5,6 +5,13 @@
 	"endivespring/internal/ring"
 )
 
+// restartDelay is the shortest time between the end of a process and its next start, in
+// milliseconds: supervisors wait at least that long.
+const restartDelay = 100
+
+// firstSequences is the highest number of a heartbeat of an upstream that has just started.
+const firstSequences = 2
+
 // Heartbeat is a sequence-numbered heartbeat from an upstream that holds ranges of
 // keys under leases.
 type Heartbeat struct {
@@ -30,3 +37,11 @@
 		return h.Sequence > other.Sequence
 	}
 }
+
+// NewerThanRouter reports whether the upstream started after the earlier process of the
+// router, whose present process started at a time in milliseconds since the Unix epoch, had
+// ended. The number of the heartbeat must say so too, since the clock of their VM may be
+// set back.
+func (h *Heartbeat) NewerThanRouter(started int64) bool {
+	return h.StartMillis > started-restartDelay && h.Sequence <= firstSequences
+}
