Free ranges of an earlier upstream of another service too

Cause: since control leaves ranges that are granted by request to the router beside their holder, those of an upstream whose address went to another service stayed with that router for good: it looked at the ranges of the present service only. Found by reading. Change: ranges of other services leave too; they are reported once the leases that were sent have ended, and the present upstream is not asked to release them. Test: TestRangesOfAnotherServiceAreFreed.

--- a/internal/executor/range_request.go
+++ b/internal/executor/range_request.go
@@ -44,3 +44,7 @@
 	hold := min(r.MaxHold, time.Duration(float64(left)/(1+clockDrift)).Truncate(time.Millisecond))
 	return hold, hold >= minHold
 }
+
+func (r *RangeRequest) id() rangeID {
+	return rangeID{service: r.Upstream.Service, first: r.First, last: r.Last, epoch: r.Epoch}
+}
--- a/internal/executor/range_requests.go
+++ b/internal/executor/range_requests.go
@@ -55,9 +55,10 @@
 	inFlight map[uint64]RangeRequest
 	// nextAt is when step must be called next.
 	nextAt clock.Instant
-	// granted and leaving are the ranges of the view that the upstream is to hold, and
-	// those that it is to release. Boots of the latter are in KeyRange.Boot.
-	granted, leaving []fleet.KeyRange
+	// granted are the ranges of the view that the upstream is to hold, leaving those that
+	// it is to release, and those of earlier starts.
+	granted []fleet.KeyRange
+	leaving []leavingRange
 }
 
 func newRangeRequests(self fleet.RouterID) *rangeRequests {
@@ -100,10 +101,10 @@
 			r := &space.Ranges[i]
 			switch {
 			case r.Phase == fleet.ShardFree || r.Owner != q.self:
-			case service == q.upstream.Service && r.Boot == q.upstream.Boot && r.Phase == fleet.ShardGranted && !q.ended && !q.fenced[idOf(r)]:
+			case service == q.upstream.Service && r.Boot == q.upstream.Boot && r.Phase == fleet.ShardGranted && !q.ended && !q.fenced[idOf(service, r)]:
 				q.granted = append(q.granted, *r)
-			case service == q.upstream.Service:
-				q.leaving = append(q.leaving, *r)
+			default:
+				q.leaving = append(q.leaving, leavingRange{service: service, KeyRange: *r})
 			}
 		}
 	}
@@ -113,10 +114,11 @@
 // forget drops the state of ranges that the view no longer shows.
 func (q *rangeRequests) forget() {
 	known := map[rangeID]bool{}
-	for _, list := range [][]fleet.KeyRange{q.granted, q.leaving} {
-		for i := range list {
-			known[idOf(&list[i])] = true
-		}
+	for i := range q.granted {
+		known[idOf(q.upstream.Service, &q.granted[i])] = true
+	}
+	for i := range q.leaving {
+		known[q.leaving[i].id()] = true
 	}
 	for id := range q.retryAt {
 		if !known[id] {
@@ -174,8 +176,8 @@
 	}
 }
 
-func (q *rangeRequests) mustSendRelease(now clock.Instant, r *fleet.KeyRange, release *sentRelease) bool {
-	return !q.ended && !release.released && release.number == 0 && now >= release.nextAt && !q.grantInFlight(r.First, r.Last)
+func (q *rangeRequests) mustSendRelease(now clock.Instant, r *leavingRange, release *sentRelease) bool {
+	return r.service == q.upstream.Service && !q.ended && !release.released && release.number == 0 && now >= release.nextAt && !q.grantInFlight(r.First, r.Last)
 }
 
 func (q *rangeRequests) grant(requests []RangeRequest, now, leaseExpiry clock.Instant, r *fleet.KeyRange) []RangeRequest {
@@ -184,10 +186,10 @@
 		Until: min(leaseExpiry, now.Add(maxRequestedLease)),
 	}
 	if _, ok := request.Hold(now); !ok {
-		q.retryAt[idOf(r)] = now.Add(refusedRetry)
+		q.retryAt[idOf(q.upstream.Service, r)] = now.Add(refusedRetry)
 		return requests
 	}
-	delete(q.retryAt, idOf(r))
+	delete(q.retryAt, idOf(q.upstream.Service, r))
 	request.Renewal = slices.ContainsFunc(q.grants, func(g sentGrant) bool { return g.confirmed && g.covers(r) })
 	request = q.send(request)
 	q.grants = append(q.grants, sentGrant{
@@ -226,7 +228,7 @@
 			at = max(at, g.sent.Add(time.Duration(renewAfter*float64(g.until.Sub(g.sent)))))
 		}
 	}
-	if retry, ok := q.retryAt[idOf(r)]; ok {
+	if retry, ok := q.retryAt[idOf(q.upstream.Service, r)]; ok {
 		return retry
 	}
 	return at
@@ -241,18 +243,18 @@
 	return false
 }
 
-func (q *rangeRequests) releaseOf(r *fleet.KeyRange) *sentRelease {
-	release := q.releases[idOf(r)]
+func (q *rangeRequests) releaseOf(r *leavingRange) *sentRelease {
+	release := q.releases[r.id()]
 	if release == nil {
 		release = &sentRelease{}
-		q.releases[idOf(r)] = release
+		q.releases[r.id()] = release
 	}
 	return release
 }
 
 // isReleased reports whether the upstream holds no part of a leaving range and cannot
 // come to hold one by a grant that was sent before.
-func (q *rangeRequests) isReleased(now clock.Instant, r *fleet.KeyRange, release *sentRelease) bool {
+func (q *rangeRequests) isReleased(now clock.Instant, r *leavingRange, release *sentRelease) bool {
 	if now < q.inheritedExpiry {
 		return false
 	}
@@ -264,12 +266,12 @@
 	return true
 }
 
-func (q *rangeRequests) report(reports []session.RangeReport, now clock.Instant, r *fleet.KeyRange, release *sentRelease) []session.RangeReport {
+func (q *rangeRequests) report(reports []session.RangeReport, now clock.Instant, r *leavingRange, release *sentRelease) []session.RangeReport {
 	if now < release.reportAt {
 		return reports
 	}
 	release.reportAt = now.Add(reportInterval)
-	return append(reports, session.RangeReport{Service: q.upstream.Service, Boot: r.Boot, Releases: []fsm.RangeRelease{
+	return append(reports, session.RangeReport{Service: r.service, Boot: r.Boot, Releases: []fsm.RangeRelease{
 		{First: r.First, Last: r.Last, Epoch: r.Epoch, Handover: release.handover},
 	}})
 }
--- a/internal/executor/range_requests_test.go
+++ b/internal/executor/range_requests_test.go
@@ -518,3 +518,30 @@
 		assert.Equal(t, len(out.RangeReports), 1)
 	}
 }
+
+// TestRangesOfAnotherServiceAreFreed gives the address of an upstream to one of another
+// service. The ranges of the earlier one come free once the leases that were sent have
+// ended, and the present one is not asked to release them.
+func TestRangesOfAnotherServiceAreFreed(t *testing.T) {
+	s := newRangeFixture(t)
+	s.grantByRequest(t)
+	s.now = s.now.Add(maxRequestedLease)
+	s.SetRangeLease(s.now.Add(5 * time.Second))
+	s.setPhase(t, fleet.ShardGranted)
+	_, out := s.sendHeartbeat(Heartbeat{})
+	grant := out.RangeRequests[0]
+	s.CompleteRangeRequest(s.now, RangeResponse{Number: grant.Number, Result: RangeApplied})
+	s.version++
+	services := []fleet.Service{s.view.Preset.Services[0], s.view.Preset.Services[0]}
+	services[1].Name = "t"
+	assert.Assert(t, s.SetView(s.now, &fleet.Change{From: s.version - 1, To: s.version, Preset: &fleet.Preset{Services: services}}))
+	s.upstream.Service, s.upstream.Boot = "t", "2"
+	s.Announce(s.now, s.upstream)
+	_, out = s.sendHeartbeat(Heartbeat{})
+	assert.Equal(t, len(out.RangeReports)+len(out.RangeRequests), 0)
+	s.now = grant.Until
+	s.Tick(s.now)
+	_, out = s.sendHeartbeat(Heartbeat{})
+	assert.Equal(t, len(out.RangeRequests), 0)
+	assert.DeepEqual(t, out.RangeReports[0], session.RangeReport{Service: "s", Boot: "1", Releases: []fsm.RangeRelease{{First: 0, Last: 32767, Epoch: 7}}})
+}
--- a/internal/executor/range_responses.go
+++ b/internal/executor/range_responses.go
@@ -24,7 +24,7 @@
 }
 
 func (q *rangeRequests) releaseEnded(now clock.Instant, request *RangeRequest, response *RangeResponse) {
-	release := q.releases[rangeID{first: request.First, last: request.Last, epoch: request.Epoch}]
+	release := q.releases[request.id()]
 	if release == nil || release.number != request.Number {
 		return
 	}
@@ -42,12 +42,12 @@
 // grantEnded updates the lease of a grant. A confirmed grant replaces earlier confirmed
 // ones of the same range. One without an answer counts until its lease must have ended.
 func (q *rangeRequests) grantEnded(now clock.Instant, request *RangeRequest, response *RangeResponse) {
-	id := rangeID{first: request.First, last: request.Last, epoch: request.Epoch}
+	id := request.id()
 	q.grants = slices.DeleteFunc(q.grants, func(g sentGrant) bool {
 		if g.number == request.Number {
 			return response.Result != RangeApplied && response.Result != RangeUnanswered
 		}
-		return response.Result == RangeApplied && g.confirmed && rangeID{first: g.first, last: g.last, epoch: g.epoch} == id
+		return response.Result == RangeApplied && g.confirmed && g.first == request.First && g.last == request.Last && g.epoch == request.Epoch
 	})
 	for i := range q.grants {
 		if g := &q.grants[i]; g.number == request.Number {
@@ -87,7 +87,7 @@
 func (q *rangeRequests) keyRefused(now clock.Instant, key uint32) {
 	for i := range q.granted {
 		if r := &q.granted[i]; r.First <= key && key <= r.Last && q.renewAt(r) != clock.Never {
-			q.retryAt[idOf(r)] = min(q.renewAt(r), max(now, q.lastSent(r).Add(refusedRetry)))
+			q.retryAt[idOf(q.upstream.Service, r)] = min(q.renewAt(r), max(now, q.lastSent(r).Add(refusedRetry)))
 		}
 	}
 	q.nextAt = min(q.nextAt, now)
