--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -16,9 +16,6 @@
 	maxUnansweredRenewals = 2
 	// maxTimeoutRenewals is the longest such time, in renewal intervals.
 	maxTimeoutRenewals = 8
-	// departureMemory is how long a departure of the upstream that was announced to an
-	// earlier process of the router holds: an announcement of before may still arrive.
-	departureMemory = 10 * time.Second
 	// timeoutFactor times the latest response time is the timeout.
 	timeoutFactor = 2
 )
@@ -165,24 +162,6 @@
 	return up, true
 }
 
-// SetRegistration changes the upstream that the router registers, whether it is leaving,
-// and whether the upstream itself has announced its departure. A renewal becomes due now
-// if that changes anything.
-func (c *Core) SetRegistration(now clock.Instant, upstream fleet.Upstream, leaving, departed bool) {
-	next := c.router
-	next.Upstream, next.Leaving = upstream, leaving
-	switch {
-	case departed:
-		next.DepartedBoot = upstream.Boot
-	case c.departed || upstream.Boot != c.router.DepartedBoot:
-		next.DepartedBoot = ""
-	}
-	c.departed = departed
-	if next != c.router {
-		c.router, c.renewAt = next, now
-	}
-}
-
 // Close asks control to close the session and makes a renewal due now.
 func (c *Core) Close(now clock.Instant) {
 	c.closing = true
@@ -310,16 +289,6 @@
 	return true
 }
 
-// adoptDeparture takes over for a while that the upstream has announced its departure to
-// an earlier process of this router.
-func (c *Core) adoptDeparture(now clock.Instant) {
-	boot := c.registered.DepartedBoot
-	if boot == "" || c.departed || c.router.DepartedBoot == boot || c.router.Upstream.Boot != "" && c.router.Upstream.Boot != boot {
-		return
-	}
-	c.router.DepartedBoot, c.adoptedUntil = boot, now.Add(departureMemory)
-}
-
 // dropLease ends the ownership lease and the lease on ranges at once. The view
 // lease stays until its expiry.
 func (c *Core) dropLease() {
--- /dev/null
+++ b/internal/session/registration.go
@@ -0,0 +1,40 @@
+package session
+
+import (
+	"time"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
+)
+
+// departureMemory is how long a departure of the upstream that was announced to an
+// earlier process of the router holds: an announcement of before may still arrive.
+const departureMemory = 10 * time.Second
+
+// SetRegistration changes the upstream that the router registers, whether it is leaving,
+// and whether the upstream itself has announced its departure. A renewal becomes due now
+// if that changes anything.
+func (c *Core) SetRegistration(now clock.Instant, upstream fleet.Upstream, leaving, departed bool) {
+	next := c.router
+	next.Upstream, next.Leaving = upstream, leaving
+	switch {
+	case departed:
+		next.DepartedBoot = upstream.Boot
+	case c.departed || upstream.Boot != c.router.DepartedBoot:
+		next.DepartedBoot = ""
+	}
+	c.departed = departed
+	if next != c.router {
+		c.router, c.renewAt = next, now
+	}
+}
+
+// adoptDeparture takes over for a while that the upstream has announced its departure to
+// an earlier process of this router.
+func (c *Core) adoptDeparture(now clock.Instant) {
+	boot := c.registered.DepartedBoot
+	if boot == "" || c.departed || c.router.DepartedBoot == boot || c.router.Upstream.Boot != "" && c.router.Upstream.Boot != boot {
+		return
+	}
+	c.router.DepartedBoot, c.adoptedUntil = boot, now.Add(departureMemory)
+}
