--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -131,7 +131,7 @@
 }
 
 // advanceStop performs a step of the shutdown. An upstream that holds ranges of keys
-// keeps them, and continues to receive calls, until the last step.
+// keeps them, and continues to receive calls, until stopFinish.
 func (d *executorDuty) advanceStop(ctx context.Context, step executorStop) {
 	if step == stopLinks {
 		for _, sink := range d.sinks {
--- a/internal/router/stopping.go
+++ b/internal/router/stopping.go
@@ -43,10 +43,11 @@
 
 // stopFrontEnd drains a router whose upstream may outlive it. While it lingers, the
 // readiness check fails, so that callers turn to other routers; the upstream stays in use
-// until shortly before the end of that. Then the executor takes no new calls, and the front end refuses new requests but for those of the runs that the
-// upstream still works on. The callers' listener closes last, so that no connection waits
-// unaccepted meanwhile. The session is left to expire instead of being closed, so that a
-// router that restarts soon takes over the ranges of keys that the upstream holds.
+// until shortly before the end of that. Then the executor takes no new calls, and the
+// front end refuses new requests but for those of the runs that the upstream still works
+// on. The callers' listener closes last, so that no connection waits unaccepted
+// meanwhile. The session is left to expire instead of being closed, so that a router that
+// restarts soon takes over the ranges of keys that the upstream holds.
 func (n *Node) stopFrontEnd(ctx context.Context) {
 	lead := min(retireLead, n.settings.LingerTime())
 	pause(ctx, n.settings.LingerTime()-lead)
