Reword comments of the grants by requests and restore a test's assertion

Cause: some new comments needed a second reading; the fixture of the range plans checked the acceptance of its preset by an if instead of the assertion, when it was made usable from a benchmark. Change: comments only, and assert.Assert again, with the reason for a refusal.

--- a/internal/caller/gateway_client.go
+++ b/internal/caller/gateway_client.go
@@ -53,8 +53,8 @@
 // Stopping reports whether connections are to be closed.
 func (g *GatewayClient) Stopping() bool { return g.stopping.Load() }
 
-// Refuse makes the client refuse new requests, but for those that the upstream beside
-// the router sends for a request that it runs.
+// Refuse makes the client refuse new requests, except those that the upstream beside the
+// router sends while it runs a request.
 func (g *GatewayClient) Refuse() { g.refusing.Store(true) }
 
 // Observe passes on an answer that a front end gave without the gateway.
--- a/internal/executor/leaving_range.go
+++ b/internal/executor/leaving_range.go
@@ -2,8 +2,8 @@
 
 import "endivespring/internal/fleet"
 
-// leavingRange is a range of a service that the upstream is to release, or that an earlier
-// start of an upstream beside the router held.
+// leavingRange is a key range that is to become free: one that the upstream must release,
+// or one that is still assigned to a boot that has ended.
 type leavingRange struct {
 	service string
 	fleet.KeyRange
--- a/internal/executor/range_leases_test.go
+++ b/internal/executor/range_leases_test.go
@@ -194,8 +194,9 @@
 	assert.Equal(t, s.submitKey(7).Reason, verdict.ReasonNoUpstream)
 }
 
-// TestDepartedUpstreamGetsNoWork starts the router again beside an upstream that has
-// announced its departure. A late heartbeat of before must not bring it work.
+// TestDepartedUpstreamGetsNoWork restarts the router beside an upstream that has
+// announced its departure. A heartbeat that was sent before the departure and arrives
+// late must not make the upstream available again.
 func TestDepartedUpstreamGetsNoWork(t *testing.T) {
 	s := newRangeFixture(t)
 	s.setPhase(t, fleet.ShardGranted)
--- a/internal/executor/range_requests.go
+++ b/internal/executor/range_requests.go
@@ -159,7 +159,8 @@
 	return requests, reports
 }
 
-// schedule sets nextAt: to the next renewal, or to the next look at leaving ranges.
+// schedule sets nextAt to the time of the next renewal or of the next check of leaving
+// ranges, whichever is earlier.
 func (q *rangeRequests) schedule(now clock.Instant) {
 	q.nextAt = clock.Never
 	for i := range q.granted {
--- a/internal/executor/range_requests_test.go
+++ b/internal/executor/range_requests_test.go
@@ -150,9 +150,9 @@
 }
 
 // TestRangesOfAnEarlierStartAreFreeAfterALossOfPower starts the router and then the
-// upstream, as after a loss of power. The ranges of the upstream's earlier start are
-// reported at once; beside an upstream that is older than the router's process they are
-// only once leases that an earlier process may have sent have ended.
+// upstream, as after a loss of power. The ranges of the upstream's earlier boot are
+// reported at once. If the upstream is older than the router's process, they are reported
+// only after all leases that an earlier process may have sent have expired.
 func TestRangesOfAnEarlierStartAreFreeAfterALossOfPower(t *testing.T) {
 	for _, newer := range []bool{true, false} {
 		s := newRangeFixture(t)
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -14,10 +14,9 @@
 	// Leaving is set once the router or its upstream has announced that it will
 	// stop.
 	Leaving bool
-	// DepartedBoot is the boot ID of an upstream beside the router that has announced its
-	// departure, or empty. That start gets no new work any more: the next process of
-	// the router doesn't know of the departure, and may receive an earlier announcement
-	// late.
+	// DepartedBoot is the boot ID of the upstream that has announced its departure, or
+	// empty. That boot gets no new work. It is replicated because a restarted router has
+	// forgotten the departure and may receive an earlier announcement late.
 	DepartedBoot string
 }
 
--- a/internal/fsm/departure_test.go
+++ b/internal/fsm/departure_test.go
@@ -9,8 +9,8 @@
 )
 
 // TestDepartureOutlivesARouterRestart lets an upstream announce its departure and then
-// restarts the router beside it. An announcement of before that arrives late must not
-// bring the upstream back into use; its next start is used.
+// restarts the router beside it. An announcement that was sent before the departure
+// and arrives late must not make the upstream eligible again; its next boot is eligible.
 func TestDepartureOutlivesARouterRestart(t *testing.T) {
 	s := NewState()
 	apply := func(c *Command) {
--- a/internal/placement/range_plan_test.go
+++ b/internal/placement/range_plan_test.go
@@ -22,9 +22,7 @@
 	f := &rangeFixture{state: fsm.NewState(), loads: NewKeyLoads()}
 	preset := &fleet.Preset{Services: []fleet.Service{{Name: "s", Keyed: true, Ranged: true}}}
 	result, _ := f.state.Apply(1, &fsm.Command{OperatorChange: &fsm.OperatorChange{CommandID: "p", Preset: preset}})
-	if !result.Accepted {
-		t.Fatal(result.Reason)
-	}
+	assert.Assert(t, result.Accepted, result.Reason)
 	for i := range upstreams {
 		f.openSession(i, "b")
 	}
--- a/internal/session/departure_test.go
+++ b/internal/session/departure_test.go
@@ -32,7 +32,7 @@
 	}
 	c := start()
 	assert.Equal(t, due(c, now.Add(time.Second)).DepartedBoot, "a")
-	c.SetRegistration(now, u, false, false) // an announcement of before
+	c.SetRegistration(now, u, false, false) // an earlier announcement that arrives late
 	assert.Equal(t, due(c, now.Add(2*time.Second)).DepartedBoot, "a")
 	assert.Equal(t, due(c, now.Add(departureMemory)).DepartedBoot, "")
 
