--- a/internal/session/registration.go
+++ b/internal/session/registration.go
@@ -8,7 +8,7 @@
 )
 
 // departureMemory is how long a departure of the upstream that was announced to an
-// earlier process of the router holds: an announcement of before may still arrive.
+// earlier process of the router holds: an announcement sent before the departure may still arrive.
 const departureMemory = 10 * time.Second
 
 // SetRegistration changes the upstream that the router registers, whether it is leaving,
