--- a/internal/controller/node_test.go
+++ b/internal/controller/node_test.go
@@ -106,7 +106,7 @@
 		}
 		for _, r := range sim.routers {
 			if r.stream == s.Stream {
-				sim.send(n.name, r.name, func() { r.receive(s.Stream, s.Message) })
+				sim.sendDown(n, r, &s)
 			}
 		}
 	}
--- a/internal/controller/simulation_test.go
+++ b/internal/controller/simulation_test.go
@@ -47,6 +47,8 @@
 	// is set, messages in one direction stay in order; lastDue is the latest arrival.
 	linkDelay time.Duration
 	lastDue   map[[2]string]time.Duration
+	// downRate, if set, is the bandwidth from nodes to each router in bytes a second.
+	downRate float64
 
 	log     []logEntry
 	pending []proposal
--- a/internal/controlnode/session_server.go
+++ b/internal/controlnode/session_server.go
@@ -36,13 +36,15 @@
 		stream: controller.StreamID(s.lastStream.Add(1)), cancel: cancel,
 		down: ring.New[*wirepb.SessionDown]("session-down", downRingCapacity, ring.Refuse),
 	}
+	// takesParts is set once the router says that it understands changes in parts.
+	var takesParts atomic.Bool
 	receiveError := ring.NewReply[error]()
 	go func() {
-		receiveError.Send(s.receive(ctx, stream, e))
+		receiveError.Send(s.receive(ctx, stream, e, &takesParts))
 		cancel()
 		s.reportEnd(e.stream)
 	}()
-	s.send(ctx, stream, e.down)
+	s.send(ctx, stream, e.down, &takesParts)
 	select {
 	case err := <-receiveError.Out():
 		return err
@@ -60,7 +62,7 @@
 
 // receive passes on the messages of a router's stream until it ends, or the ring to the
 // controller duty is full.
-func (s *sessionServer) receive(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.SessionUp, wirepb.SessionDown], e streamEvent) error {
+func (s *sessionServer) receive(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.SessionUp, wirepb.SessionDown], e streamEvent, takesParts *atomic.Bool) error {
 	for {
 		up, err := stream.Recv()
 		if err != nil {
@@ -69,6 +71,7 @@
 		if up.GetFleet() != s.fleet {
 			return peer.RefuseFleet(ctx, s.events, s.fleet, up.GetFleet())
 		}
+		takesParts.Store(up.GetParts())
 		e.up = wire.ToUp(up)
 		if err := s.streamEvents.Put(ctx, e); err != nil {
 			return status.Error(codes.ResourceExhausted, "control is overloaded")
@@ -76,14 +79,22 @@
 	}
 }
 
-func (s *sessionServer) send(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.SessionUp, wirepb.SessionDown], down *ring.Ring[*wirepb.SessionDown]) {
+// send sends the controller's messages, large changes in parts: a router hears of control
+// with each of them, so that it doesn't give the stream up while one takes long.
+func (s *sessionServer) send(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.SessionUp, wirepb.SessionDown], down *ring.Ring[*wirepb.SessionDown], takesParts *atomic.Bool) {
 	for {
 		message, err := down.Take(ctx)
 		if err != nil {
 			return
 		}
-		if stream.Send(message) != nil {
-			return
+		parts := []*wirepb.SessionDown{message}
+		if takesParts.Load() {
+			parts = wire.SplitDown(message)
+		}
+		for _, part := range parts {
+			if stream.Send(part) != nil {
+				return
+			}
 		}
 	}
 }
--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -37,7 +37,7 @@
 	meter    *metrics.SessionMeter
 	// readiness is updated when the view gains or loses its preset.
 	readiness *readiness
-	// hasPreset is signalled whenever the view has a preset.
+	// hasPreset is signalled once the router is ready.
 	hasPreset *ring.Ring[struct{}]
 
 	// delegations are calls that the executor of this router delegates to other
@@ -71,16 +71,21 @@
 		case answer := <-d.answers.Out():
 			d.handleAnswer(answer)
 		case update := <-d.updates.Out():
-			d.core.SetViewLease(update.ViewUntil)
-			if update.Change != nil {
-				d.setView(&update)
-			}
+			d.update(&update)
 		}
 		d.dispatch(ctx)
 		timer.Reset(d.sleep())
 	}
 }
 
+func (d *gatewayDuty) update(update *session.Update) {
+	d.core.SetViewLease(update.ViewUntil)
+	if update.Change != nil {
+		d.setView(update)
+	}
+	d.updateReadiness(update)
+}
+
 // setView applies a change of the view and logs a newer configuration.
 func (d *gatewayDuty) setView(update *session.Update) {
 	now := d.clock.Now()
@@ -109,12 +114,22 @@
 	events.Record(event.ViewSkipped, event.F("view", uint64(version)), event.F("from", uint64(change.From)), event.F("to", uint64(change.To)))
 }
 
-// applyPreset updates readiness and the limits on callers' requests. preset is nil
-// if the view has none.
+// applyPreset updates the limits on callers' requests. preset is nil if the view has none.
 func (d *gatewayDuty) applyPreset(preset *fleet.Preset) {
-	d.readiness.hasPreset.Store(preset != nil)
 	if preset != nil {
 		d.client.SetLimits(preset.Limits)
+	}
+}
+
+// updateReadiness makes the router ready once its view has a preset and control has granted
+// a lease of the view: until then it may be an old one, and requests are refused.
+func (d *gatewayDuty) updateReadiness(update *session.Update) {
+	if d.core.View().Preset == nil {
+		d.readiness.hasPreset.Store(false)
+		return
+	}
+	if update.ViewUntil != 0 && !d.readiness.hasPreset.Load() {
+		d.readiness.hasPreset.Store(true)
 		_ = d.hasPreset.Put(context.Background(), struct{}{})
 	}
 }
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -48,8 +48,8 @@
 	stopSteps = 3 // steps of an executor's stop
 
 	closeTimeout = time.Second // limit on closing the session
-	// presetWait is how long a router that starts lets callers' connections wait for the
-	// first preset, before it accepts them and refuses their requests. Callers give up on
+	// presetWait is how long a router that starts lets callers' connections wait for its
+	// first preset and the lease to use it, before it accepts them and refuses their requests. Callers give up on
 	// a connection after a second.
 	presetWait = 700 * time.Millisecond
 	// retireLead is how long before a stopping router with a front end takes no new calls
@@ -86,7 +86,7 @@
 	frontEnd      FrontEnd
 	gatewayClient *caller.GatewayClient
 	readiness     readiness
-	// hasPreset is signalled once the view has a preset.
+	// hasPreset is signalled once the router has had a lease of a view with a preset.
 	hasPreset *ring.Ring[struct{}]
 	// callersDone is signalled once the front end has answered all requests that
 	// it has read.
--- a/internal/router/readiness.go
+++ b/internal/router/readiness.go
@@ -2,8 +2,8 @@
 
 import "sync/atomic"
 
-// readiness is the state behind the readiness check. A router is ready if its view
-// has a preset and it is not stopping.
+// readiness is the state behind the readiness check. A router is ready once it has had a
+// lease of a view with a preset, and not any more when it is stopping.
 type readiness struct {
 	hasPreset atomic.Bool
 	stopping  atomic.Bool
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -12,7 +12,6 @@
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/session"
-	"endivespring/internal/wire"
 	"endivespring/internal/wire/wirepb"
 )
 
@@ -109,61 +108,25 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d.core.Connected(d.clock.Now())
-	outgoing := ring.New[session.RouterMessage]("session-up", 8, ring.DropOldest)
-	incoming := ring.New[session.ControlMessage]("session-in", 64, ring.Wait)
-	ended := ring.New[error]("session-ended", 1, ring.DropOldest)
-	go func() {
-		_ = ended.Put(ctx, d.pump(ctx, wirepb.NewSessionsClient(connection), outgoing, incoming))
-	}()
+	stream := newControlStream(d.fleet)
+	go stream.run(ctx, wirepb.NewSessionsClient(connection))
 	d.connected = false
-	cause := d.serve(ctx, outgoing, incoming, ended)
+	cause := d.serve(ctx, stream)
 	if d.connected {
 		d.events.Record(event.ControlLost, event.F("address", address), event.F("cause", cause),
 			event.F("silent", d.core.Silence(d.clock.Now())), event.F("view", uint64(d.core.Applied())))
 	}
 }
 
-// pump copies messages between the stream and two rings until the stream fails.
-func (d *sessionDuty) pump(ctx context.Context, client wirepb.SessionsClient, outgoing *ring.Ring[session.RouterMessage], incoming *ring.Ring[session.ControlMessage]) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stream, err := client.Attach(ctx)
-	if err != nil {
-		return err
-	}
-	go func() {
-		defer cancel()
-		for {
-			up, err := outgoing.Take(ctx)
-			if err != nil || stream.Send(wire.FromUp(&up, d.fleet)) != nil {
-				return
-			}
-		}
-	}()
-	for {
-		down, err := stream.Recv()
-		if err != nil {
-			return err
-		}
-		message, err := wire.ToDown(down)
-		if err != nil {
-			return err
-		}
-		if err := incoming.Put(ctx, message); err != nil {
-			return err
-		}
-	}
-}
-
 // serve drives the session on a stream. It returns why the stream is not used any more.
-func (d *sessionDuty) serve(ctx context.Context, outgoing *ring.Ring[session.RouterMessage], incoming *ring.Ring[session.ControlMessage], ended *ring.Ring[error]) (cause string) {
+func (d *sessionDuty) serve(ctx context.Context, stream *controlStream) (cause string) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return "stopped"
-		case err := <-ended.Out():
+		case err := <-stream.ended.Out():
 			d.recordFleetRefusal(err)
 			return err.Error()
 		case <-timer.C:
@@ -172,7 +135,9 @@
 				d.events.Record(event.ConnectionRetired, event.F("peer", "control"))
 				return "timed out"
 			}
-		case down := <-incoming.Out():
+		case <-stream.progress.Out():
+			d.core.Progress(d.clock.Now())
+		case down := <-stream.incoming.Out():
 			if cause := d.receive(ctx, &down); cause != "" {
 				return cause
 			}
@@ -189,7 +154,7 @@
 		}
 		d.recordViewExpiry()
 		if up, due := d.core.DueRenewal(d.clock.Now()); due {
-			_ = outgoing.Put(ctx, up)
+			_ = stream.outgoing.Put(ctx, up)
 		}
 		timer.Reset(max(time.Millisecond, d.core.Deadline().Sub(d.clock.Now())))
 	}
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -117,6 +117,10 @@
 	c.responseTimeout = min(max(timeout, c.renewalInterval), maxTimeoutRenewals*c.renewalInterval)
 }
 
+// Progress records that a part of a message has arrived: control is there, and a message
+// that takes long must not be cut off.
+func (c *Core) Progress(now clock.Instant) { c.lastReceivedAt = now }
+
 // Redirected records that the process at the other end answered but is not leader.
 func (c *Core) Redirected(now clock.Instant) { c.received(now) }
 
