Keep the time that a router waits for a slow leader across redirects

Change: a redirect may lengthen the wait, not shorten it. Test: TestRedirectKeepsTheResponseTimeout failed first (300 ms in place of 600 ms).

--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -121,8 +121,13 @@
 // that takes long must not be cut off.
 func (c *Core) Progress(now clock.Instant) { c.lastReceivedAt = now }
 
-// Redirected records that the process at the other end answered but is not leader.
-func (c *Core) Redirected(now clock.Instant) { c.received(now) }
+// Redirected records that the process at the other end answered but is not leader. A quick
+// answer says nothing about the response times of the leader.
+func (c *Core) Redirected(now clock.Instant) {
+	known := c.responseTimeout
+	c.received(now)
+	c.setResponseTimeout(max(known, c.responseTimeout))
+}
 
 func (c *Core) received(now clock.Instant) {
 	if c.awaitingFirst {
