Count grants and releases that were sent to upstreams by their result

Cause: failed grants had a line in the log and no metric. Change: endivespring_range_requests_total by kind and result, for requests that reached their duty; what a full ring refuses is in that ring's own metric. Test: TestRangeRequestsAreCounted.

--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -18,6 +18,7 @@
 	ExecutorLimit   = define("door_limit", Gauge, "", "Concurrency limit of the executor towards the upstream, in requests.")
 	ExecutorRunning = define("door_running", Gauge, "", "Requests running at the upstream.")
 	ExecutorQueued  = define("door_queued", Gauge, "", "Requests queued at the executor.")
+	RangeRequests   = define("range_requests_total", Counter, "kind, result", "Grants and releases of key ranges that were sent to the upstream, by what is known of them.")
 
 	OwnershipLeft = define("ownership_lease_left_milliseconds", Gauge, "", "Time left on the ownership lease, under which this router serves its shards, in milliseconds; 0 once it has expired.")
 	ViewLeft      = define("view_lease_left_milliseconds", Gauge, "", "Time left on the view lease, under which this router accepts new requests, in milliseconds; 0 once it has expired.")
--- a/internal/router/range_duty.go
+++ b/internal/router/range_duty.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"endivespring/internal/executor"
+	"endivespring/internal/metrics"
 	"endivespring/internal/ring"
 	"endivespring/internal/upstream"
 )
@@ -13,6 +14,7 @@
 // release that waits for work in progress delays no renewal.
 type rangeDuty struct {
 	client    *upstream.RangeClient
+	meter     *metrics.RangeMeter
 	requests  *ring.Ring[executor.RangeRequest]
 	responses *ring.Ring[executor.RangeResponse]
 }
@@ -25,7 +27,9 @@
 		if err != nil {
 			return nil
 		}
-		if err := d.responses.Put(ctx, d.client.Do(ctx, &request)); err != nil {
+		response := d.client.Do(ctx, &request)
+		d.meter.Observe(request.Kind.String(), response.Result.String())
+		if err := d.responses.Put(ctx, response); err != nil {
 			return nil
 		}
 	}
--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -7,6 +7,7 @@
 	"github.com/gofiber/fiber/v2"
 
 	"endivespring/internal/caller"
+	"endivespring/internal/metrics"
 	"endivespring/internal/peer"
 	"endivespring/internal/upstream"
 )
@@ -46,9 +47,9 @@
 }
 
 func (n *Node) startRangeDuties(dialect upstream.Dialect) {
-	ranges := &n.executor.ranges
+	ranges, meter := &n.executor.ranges, metrics.NewRangeMeter(n.registry)
 	for i := range grantSenders + releaseSenders {
-		d := &rangeDuty{client: upstream.NewRangeClient(n.clock, dialect), requests: ranges.grants, responses: ranges.responses}
+		d := &rangeDuty{client: upstream.NewRangeClient(n.clock, dialect), meter: meter, requests: ranges.grants, responses: ranges.responses}
 		if i >= grantSenders {
 			d.requests = ranges.releases
 		}
