Set a value of every metric in the test of the served text

Change: the test observes a range request too; no check changes. Result: go test ./internal/metrics passes.

--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -56,6 +56,7 @@
 	}
 	group.Wait()
 	NewExecutorMeter(r).Set(call.Load{Limit: 10, InFlight: 7, Queued: 3})
+	NewRangeMeter(r).Observe("grant", "applied")
 	session := NewSessionMeter(r, fixedClock(time.Second))
 	session.SetLeases(clock.Instant(1500*time.Millisecond), clock.Instant(time.Millisecond))
 	session.SetView(9)
