Ignore heartbeats of other services than the upstream's

Cause: a router took any heartbeat with a later start time for the next boot of its upstream; control freed the ranges of the boot before, which it still held.

Change: the executor's core says whether an announcement can come from the upstream beside it, by the service in the router's settings or, where there is none, by the preset in use.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -57,6 +57,7 @@
 	KeysConfirmed      = define(618, "keys-confirmed", Info, "The upstream confirmed the first grant of a range of keys that was sent to it.")
 	KeysReleased       = define(619, "keys-released", Info, "The upstream confirmed that it has ended its work on a range of keys and released it.")
 	RangeRequestFailed = define(621, "range-request-failed", Warn, "A grant or release that was sent to the upstream got no answer or was refused. `result` is fenced if the upstream has seen a higher epoch; that grant is not sent again.")
+	UpstreamUnexpected = define(622, "upstream-unexpected", Warn, "An announcement or heartbeat names a service other than the configured one of the upstream beside the router, or one that no preset has; it was ignored.")
 	LimitChanged       = define(620, "limit-changed", Info, "The executor changed the upstream's concurrency limit.")
 	ConnectionRetired  = define(700, "connection-retired", Warn, "A connection missed a deadline and is not used again.")
 	PeerConnected      = define(710, "peer-connected", Info, "A link to another router was opened.")
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -39,6 +39,8 @@
 	rangeLeaseExpiry clock.Instant
 	viewExpiry       clock.Instant
 	upstream         fleet.Upstream
+	// configuredService is the only service that the upstream may have, if not empty.
+	configuredService string
 	// peerAvailable is set if another executor may run calls of the same
 	// service.
 	peerAvailable bool
--- a/internal/executor/lease_answer.go
+++ b/internal/executor/lease_answer.go
@@ -13,6 +13,9 @@
 	// Renews is false if the router has no lease to pass on: the upstream's
 	// ranges then expire as they were leased before.
 	Renews bool
+	// Unexpected is set if the heartbeat was ignored because it does not come from the
+	// upstream beside the router.
+	Unexpected bool
 	Ranges []fleet.KeyRange
 	Hold   time.Duration
 }
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -191,6 +191,10 @@
 }
 
 func (d *executorDuty) handleNotification(ctx context.Context, notification *upstream.Notification) {
+	if !notification.Leaving && !d.core.Expects(notification.Upstream) {
+		d.ignoreUnexpected(notification)
+		return
+	}
 	if notification.Heartbeat != nil {
 		d.handleHeartbeat(ctx, notification)
 		return
--- a/internal/router/heartbeat.go
+++ b/internal/router/heartbeat.go
@@ -38,6 +38,16 @@
 	heartbeat.Reply.Send(d.core.Heartbeat(now, &heartbeat.Heartbeat))
 }
 
+// ignoreUnexpected answers an announcement or heartbeat that does not come from the
+// upstream beside the router. It changes nothing.
+func (d *executorDuty) ignoreUnexpected(notification *upstream.Notification) {
+	u := notification.Upstream
+	d.events.Record(event.UpstreamUnexpected, event.F("upstream", u.Name), event.F("service", u.Service), event.F("boot", u.Boot))
+	if notification.Heartbeat != nil {
+		notification.Heartbeat.Reply.Send(executor.LeaseAnswer{Unexpected: true})
+	}
+}
+
 // applyHeartbeat registers the upstream of a heartbeat, or withdraws it once it is
 // draining.
 func (d *executorDuty) applyHeartbeat(ctx context.Context, now clock.Instant, notification *upstream.Notification, wasDraining bool) {
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -115,6 +115,7 @@
 		return nil, err
 	}
 	n.build()
+	n.executor.core.Expect(n.settings.Service)
 	n.executor.core.SetHoldLimits(n.settings.MaxHold.Value(), n.settings.UpstreamDrain.Value())
 	n.run(listeners)
 	n.events.Record(event.ProcessStarted, event.F("role", "router"), event.F("name", n.settings.Name))
