Execute orders without a base version only while their caller waits

Cause: evacuations on the platform's interface have neither id nor version. A first attempt that was held up on its way, and given up by its sender, was executed after a later order for the same data centre had been acknowledged.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -165,17 +165,46 @@
 }
 
 // ProposeOperatorChange proposes an operator's command. The reply, which carries the token,
-// follows once the command is committed, or at once if this process may not
-// propose it.
+// follows once the command is committed, or at once if this process may not propose it. A
+// command without a base version may be an attempt that was held up on its way while later
+// commands were executed, so it needs a caller that is known to still wait for it.
 func (c *Core) ProposeOperatorChange(now clock.Instant, token uint64, change *fsm.OperatorChange) {
-	if !c.holdsLeaderLease(now) {
-		c.output.Replies = append(c.output.Replies, OperatorReply{Token: token, Redirect: true, Leader: c.LeaderAddress()})
+	if refusal, refused := c.refuseOperatorChange(now); refused {
+		refusal.Token = token
+		c.output.Replies = append(c.output.Replies, refusal)
+		return
+	}
+	if change.Unconditional {
+		c.output.Replies = append(c.output.Replies, OperatorReply{Token: token, ConfirmCaller: true})
 		return
 	}
-	if len(c.leadership.Voters) < c.minVoters {
-		c.output.Replies = append(c.output.Replies, OperatorReply{Token: token, TooFewVoters: true})
+	c.acceptOperatorChange(now, token, change)
+}
+
+// ProposeConfirmedChange is ProposeOperatorChange for a command whose caller is known to
+// still wait for it.
+func (c *Core) ProposeConfirmedChange(now clock.Instant, token uint64, change *fsm.OperatorChange) {
+	if refusal, refused := c.refuseOperatorChange(now); refused {
+		refusal.Token = token
+		c.output.Replies = append(c.output.Replies, refusal)
 		return
 	}
+	c.acceptOperatorChange(now, token, change)
+}
+
+// refuseOperatorChange returns the reply if this process may not propose commands.
+func (c *Core) refuseOperatorChange(now clock.Instant) (reply OperatorReply, refused bool) {
+	switch {
+	case !c.holdsLeaderLease(now):
+		return OperatorReply{Redirect: true, Leader: c.LeaderAddress()}, true
+	case len(c.leadership.Voters) < c.minVoters:
+		return OperatorReply{TooFewVoters: true}, true
+	default:
+		return OperatorReply{}, false
+	}
+}
+
+func (c *Core) acceptOperatorChange(now clock.Instant, token uint64, change *fsm.OperatorChange) {
 	c.pendingRequests = append(c.pendingRequests, pendingRequest{token: token, commandID: change.CommandID, deadline: now.Add(operatorTimeout)})
 	c.propose(fsm.Command{OperatorChange: change})
 }
--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -97,6 +97,27 @@
 	assert.Assert(t, len(replies) == 1 && replies[0].Redirect)
 }
 
+// Guards against an early attempt of a command that is held up on its way, and undoes a
+// later command when it arrives: without a base version the state cannot tell the two, but
+// whoever sent the attempt has closed its connection by then.
+func TestCommandWithoutBaseNeedsItsCaller(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	core, _ := newLeader(t, now)
+	change := &fsm.OperatorChange{CommandID: "c", Unconditional: true, DataCentre: &fleet.DataCentreSetting{Name: "lodz", Out: true}}
+	core.ProposeOperatorChange(now, 1, change)
+	out := core.Take()
+	assert.Equal(t, len(out.Proposals), 0)
+	assert.Assert(t, len(out.Replies) == 1 && out.Replies[0].ConfirmCaller)
+	core.ProposeConfirmedChange(now, 2, change)
+	out = core.Take()
+	assert.Assert(t, len(out.Proposals) == 1 && len(out.Replies) == 0)
+	core.SetLeadership(now, controller.Leadership{Term: 2})
+	core.Take()
+	core.ProposeOperatorChange(now, 3, change)
+	out = core.Take()
+	assert.Assert(t, len(out.Replies) == 1 && out.Replies[0].Redirect, "no waiting before a redirect")
+}
+
 // With fewer voters than the fleet's tolerance requires, a committed command might be
 // lost. The leader must not propose it and must tell the operator so.
 func TestOperatorChangesRequireEnoughVoters(t *testing.T) {
--- a/internal/controller/operator_reply.go
+++ b/internal/controller/operator_reply.go
@@ -3,7 +3,7 @@
 import "endivespring/internal/fsm"
 
 // OperatorReply is the outcome of an operator's request. Result is valid only if
-// none of Redirect, TooFewVoters and OutcomeUnknown is set.
+// none of Redirect, TooFewVoters, ConfirmCaller and OutcomeUnknown is set.
 type OperatorReply struct {
 	// Token is that of the request.
 	Token  uint64
@@ -15,6 +15,9 @@
 	// TooFewVoters is set if the log has too few voters to keep a command safe; the
 	// command was not proposed.
 	TooFewVoters bool
+	// ConfirmCaller is set if the command has no base version and its caller is not known
+	// to still wait for it; it was not proposed.
+	ConfirmCaller bool
 	// OutcomeUnknown is set if the command was proposed but not committed before this
 	// process lost leadership or the request timed out: it may still be committed.
 	OutcomeUnknown bool
--- a/internal/controlnode/controller_duty.go
+++ b/internal/controlnode/controller_duty.go
@@ -150,7 +150,11 @@
 	case request.Change != nil:
 		d.lastToken++
 		d.pendingRequests[d.lastToken] = *request
-		d.core.ProposeOperatorChange(d.clock.Now(), d.lastToken, request.Change)
+		propose := d.core.ProposeOperatorChange
+		if request.CallerConfirmed {
+			propose = d.core.ProposeConfirmedChange
+		}
+		propose(d.clock.Now(), d.lastToken, request.Change)
 	case request.Explain != nil:
 		reply := operator.Reply{}
 		if !d.core.HoldsLeaderLease(d.clock.Now()) {
@@ -190,7 +194,7 @@
 		if request, ok := d.pendingRequests[reply.Token]; ok {
 			delete(d.pendingRequests, reply.Token)
 			request.Reply.Send(operator.Reply{
-				Redirect: reply.Redirect, Leader: reply.Leader, TooFewVoters: reply.TooFewVoters, OutcomeUnknown: reply.OutcomeUnknown, Result: reply.Result,
+				Redirect: reply.Redirect, Leader: reply.Leader, TooFewVoters: reply.TooFewVoters, ConfirmCaller: reply.ConfirmCaller, OutcomeUnknown: reply.OutcomeUnknown, Result: reply.Result,
 			})
 		}
 	}
--- a/internal/executor/lease_answer.go
+++ b/internal/executor/lease_answer.go
@@ -16,6 +16,6 @@
 	// Unexpected is set if the heartbeat was ignored because it does not come from the
 	// upstream beside the router.
 	Unexpected bool
-	Ranges []fleet.KeyRange
-	Hold   time.Duration
+	Ranges     []fleet.KeyRange
+	Hold       time.Duration
 }
--- a/internal/operator/reply.go
+++ b/internal/operator/reply.go
@@ -15,6 +15,9 @@
 	// TooFewVoters is set if the log has too few voters to keep a command safe;
 	// nothing was done.
 	TooFewVoters bool
+	// ConfirmCaller is set if the command must be sent again with CallerConfirmed;
+	// nothing was done.
+	ConfirmCaller bool
 	// OutcomeUnknown is set if the command was proposed but not committed before
 	// leadership was lost or the request timed out; it may still be committed.
 	OutcomeUnknown bool
--- a/internal/operator/request.go
+++ b/internal/operator/request.go
@@ -8,10 +8,13 @@
 // Request is an operator's request to the controller duty. Exactly one of
 // Change, Status, Preset and Explain is set.
 type Request struct {
-	Change  *fsm.OperatorChange
-	Status  bool
-	Preset  bool
-	Explain *ExplainQuery
+	Change *fsm.OperatorChange
+	// CallerConfirmed is set if the caller of Change was seen to still wait for the answer
+	// some time after the command was read.
+	CallerConfirmed bool
+	Status          bool
+	Preset          bool
+	Explain         *ExplainQuery
 	// Reply receives exactly one reply.
 	Reply ring.Reply[Reply]
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -134,6 +134,9 @@
 		if reply.TooFewVoters {
 			return Reply{}, fiber.NewError(fiber.StatusServiceUnavailable, "control has too few voters; nothing was done")
 		}
+		if reply.ConfirmCaller {
+			return Reply{}, fiber.NewError(fiber.StatusServiceUnavailable, "the command has no base version; nothing was done")
+		}
 		if reply.OutcomeUnknown {
 			return Reply{}, errUnknownOutcome
 		}
