Ignore departures of upstreams whose sender has gone

A departure names the upstream only, and a restarted upstream may have the name that it had: the held-up departure of an earlier start withdrew the present one, whose heartbeats then counted as late until its next start.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -49,6 +49,7 @@
 	RunFailed          = define(601, "run-failed", Info, "A request that was given to the upstream got no whole answer, or was refused there.")
 	UpstreamAnnounced  = define(610, "upstream-announced", Info, "An upstream announced itself to the router beside it.")
 	UpstreamLeft       = define(611, "upstream-left", Info, "An upstream announced that it is draining or exiting.")
+	DepartureAbandoned = define(623, "departure-abandoned", Info, "An upstream's departure was ignored because its sender had closed the connection: it may be that of an earlier start of the upstream.")
 	UpstreamLost       = define(612, "upstream-lost", Warn, "An upstream stopped announcing itself.")
 	KeysLeased         = define(613, "keys-lent", Info, "The executor leased ranges of keys to its upstream: the set of ranges changed, or renewal started or resumed.")
 	KeysNotRenewed     = define(614, "keys-not-renewed", Warn, "The executor could not renew its upstream's leases on ranges of keys because its own lease is about to expire.")
--- a/internal/event/event_docs.go
+++ b/internal/event/event_docs.go
@@ -69,6 +69,7 @@
 		action: "None for a single event. Many indicate a problem in the network between the upstream and its router, or two upstreams with the same address."},
 	HeartbeatMalformed: {fields: []string{"upstream", "cause"},
 		action: "Find the process that sends to this VM's address for announcements and correct its configuration."},
+	DepartureAbandoned: {fields: []string{"upstream"}},
 	UpstreamUnexpected: {fields: []string{"upstream", "service", "boot"},
 		action: "Find the process that sends to this VM's address for announcements and correct its configuration, or correct `service` in the router's settings."},
 	RangesUnreported: {fields: []string{"reports"},
