Count the grace of a leaving upstream from its departure

Cause: the 1.2 s for which a leaving upstream still serves its ranges were started by the first call that was checked after the departure. In a quiet hour they had not begun.

Change: the executor records when the upstream becomes unavailable on the events that make it so. A departure that an earlier process of the router acknowledged gets no grace, and the end of the grace wakes the core, so that queued calls are refused then.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -53,8 +53,7 @@
 	// their key ranges by requests.
 	rangeRequests *rangeRequests
 	keyMeter      *keyMeter
-	// unavailableSince is when the upstream was first seen to be unavailable
-	// for new work, or zero.
+	// unavailableSince is when the upstream became unavailable for new work, or zero.
 	unavailableSince clock.Instant
 	// revocationCheckAt is when to check next whether the leases of revoked key
 	// ranges have expired.
@@ -121,6 +120,9 @@
 	}
 	if len(c.queue) > 0 {
 		deadline = min(deadline, c.nextStartBy, c.nextPacedStart)
+		if c.unavailableSince != 0 {
+			deadline = min(deadline, c.unavailableSince.Add(c.revocationGrace))
+		}
 	}
 	if (len(c.queue) > 0 || len(c.timers) > 0) && c.keyed() {
 		deadline = min(deadline, c.ownershipExpiry)
@@ -148,6 +150,7 @@
 func (c *Core) Announce(now clock.Instant, u fleet.Upstream) {
 	c.upstream = u
 	c.leaving = false
+	c.followAvailability(now)
 	c.findPeers()
 	c.applyPreset()
 	if c.limiter.Announce(u) {
@@ -160,6 +163,7 @@
 // are still served for revocationGrace.
 func (c *Core) Leave(now clock.Instant) {
 	c.leaving = true
+	c.followAvailability(now)
 	c.startQueued(now)
 }
 
--- a/internal/executor/range_leases_test.go
+++ b/internal/executor/range_leases_test.go
@@ -209,3 +209,68 @@
 	s.now = s.now.Add(maxRevocationGrace)
 	assert.Equal(t, s.submitKey(7).Reason, verdict.ReasonNoUpstream)
 }
+
+// Guards against requests that reach an upstream long after its departure was acknowledged,
+// or its data centre taken out: the time for which its keys are still served passes in a
+// quiet hour too, and not from the first call on.
+func TestRevocationGraceStartsWithoutCalls(t *testing.T) {
+	for name, withdraw := range map[string]func(s *rangeFixture, change *fleet.Change){
+		"upstream leaves": func(s *rangeFixture, _ *fleet.Change) { s.Leave(s.now) },
+		"data centre out": func(s *rangeFixture, c *fleet.Change) {
+			c.DataCentres = []fleet.DataCentreSetting{{Name: s.dataCentre, Out: true}}
+		},
+		"upstream out": func(s *rangeFixture, c *fleet.Change) {
+			c.Upstreams = []fleet.UpstreamSetting{{Name: s.upstream.Name, Out: true}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newRangeFixture(t)
+			s.setPhase(t, fleet.ShardGranted)
+			s.sendHeartbeat(Heartbeat{})
+			s.version++
+			change := fleet.Change{From: s.version - 1, To: s.version}
+			withdraw(s, &change)
+			assert.Assert(t, s.SetView(s.now, &change))
+			s.now = s.now.Add(maxRevocationGrace)
+			assert.Equal(t, s.submitKey(5).Reason, verdict.ReasonNoUpstream)
+		})
+	}
+}
+
+// Guards against a second grace after a restart of the router: a departure that was
+// acknowledged by an earlier process may be any time ago.
+func TestDepartureBeforeTheRestartHasNoGrace(t *testing.T) {
+	s := newRangeFixture(t)
+	s.setPhase(t, fleet.ShardGranted)
+	s.sendHeartbeat(Heartbeat{})
+	s.version++
+	registered := fleet.Router{ID: "r", Upstream: s.upstream, DepartedBoot: s.upstream.Boot}
+	assert.Assert(t, s.SetView(s.now, &fleet.Change{From: s.version - 1, To: s.version, Routers: []fleet.Router{registered}}))
+	assert.Equal(t, s.submitKey(5).Reason, verdict.ReasonNoUpstream)
+	s.Announce(s.now, s.upstream)
+	s.Leave(s.now)
+	assert.Equal(t, s.submitKey(6).Reason, verdict.ReasonNoUpstream, "a heartbeat that says that it drains")
+}
+
+// Guards against calls that wait in the queue for an upstream that gets no more of them: they
+// are refused when the grace ends, without another event.
+func TestQueuedCallsAreRefusedWhenTheGraceEnds(t *testing.T) {
+	s := newRangeFixture(t)
+	s.setPhase(t, fleet.ShardGranted)
+	s.sendHeartbeat(Heartbeat{})
+	var last uint64
+	for range 12 {
+		last = s.submitCall(func(c *call.Call) {
+			c.Ranged, c.KeyNumber, c.Deadline, c.Objective = true, 5, s.now.Add(time.Minute), s.now.Add(time.Minute)
+		})
+	}
+	_, answered := s.answers[last]
+	assert.Assert(t, !answered && len(s.queue) > 0)
+	s.Leave(s.now)
+	s.Tick(s.now)
+	end := s.now.Add(maxRevocationGrace)
+	assert.Equal(t, s.Deadline(), end)
+	s.now = end
+	s.Tick(s.now)
+	assert.Equal(t, len(s.queue), 0)
+}
--- a/internal/executor/refusal.go
+++ b/internal/executor/refusal.go
@@ -58,31 +58,6 @@
 	}
 }
 
-// unavailable reports whether the upstream must get no new work of a service.
-func (c *Core) unavailable(service string) bool {
-	registered := c.view.Routers[c.self]
-	return c.upstream.Name == "" || c.leaving || registered.Departed() && registered.DepartedBoot == c.upstream.Boot || c.upstream.Service != service ||
-		c.view.DataCentresOut[c.dataCentre] || c.view.UpstreamsOut[c.upstream.Name]
-}
-
-// unavailableForRanges reports whether the upstream must get no new calls for
-// its key ranges. An upstream that is leaving or out of service goes on serving
-// them for revocationGrace, while they are revoked. The grace starts with the
-// first call that is checked meanwhile.
-func (c *Core) unavailableForRanges(now clock.Instant, service string) bool {
-	if c.upstream.Name == "" || c.upstream.Service != service {
-		return true
-	}
-	if !c.unavailable(service) {
-		c.unavailableSince = 0
-		return false
-	}
-	if c.unavailableSince == 0 {
-		c.unavailableSince = now
-	}
-	return now >= c.unavailableSince.Add(c.revocationGrace)
-}
-
 // retriedElsewhere reports whether the gateway sends a call refused for this
 // reason to another executor, which checks the request's record itself.
 func retriedElsewhere(reason verdict.Reason) bool {
--- a/internal/executor/view.go
+++ b/internal/executor/view.go
@@ -28,6 +28,7 @@
 	}
 	if change.Full || len(change.Routers)+len(change.Removed)+len(change.DataCentres)+len(change.Upstreams) > 0 {
 		c.findPeers()
+		c.followAvailability(now)
 	}
 	if change.Full {
 		c.shards.rebuild(now, c.view)
