Look whether the caller is still there before a call is sent on

Callers saw: nothing, they had left.

It counts the time that the caller gives from the reading, and looked at the caller's connection only every 100 ms; the runs took less.

Change: the gateway duty looks at the connection right before it sends a call. A request whose caller has gone ends as not run (cancelled).

--- a/internal/caller/gateway_client.go
+++ b/internal/caller/gateway_client.go
@@ -76,7 +76,7 @@
 	number := g.next.Add(1)
 	request.Received = takeArrival(connection, g.clock.Now())
 	answer := refusal(request.ID, verdict.ReasonOverloaded)
-	if err := g.requests.Put(noContext, &Request{Number: number, Request: request, Reply: reply}); err == nil {
+	if err := g.requests.Put(noContext, &Request{Number: number, Request: request, Connection: connection, Reply: reply}); err == nil {
 		answer = g.wait(connection, number, &request, reply)
 	} else if request.Resend { // an earlier attempt may have run
 		answer.Verdict = verdict.MayHaveRun
--- a/internal/caller/request.go
+++ b/internal/caller/request.go
@@ -1,8 +1,11 @@
 package caller
 
 import (
+	"net"
+
 	"endivespring/internal/call"
 	"endivespring/internal/gateway"
+	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 )
 
@@ -14,6 +17,11 @@
 	// Abandoned is set if the caller has disconnected. Only Number is valid then.
 	Abandoned bool
 	Request   gateway.Request
+	// Connection is that of the caller, or nil.
+	Connection net.Conn
 	// Reply must be sent exactly one answer.
 	Reply ring.Reply[call.Answer]
 }
+
+// Disconnected reports whether the caller has closed its connection.
+func (r *Request) Disconnected() bool { return peer.SocketStateOf(r.Connection) == peer.SocketClosed }
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -39,6 +39,19 @@
 	c.finish(now, p, &answer)
 }
 
+// CallerGone ends the request of a call that was not sent because the caller of the request
+// has disconnected.
+func (c *Core) CallerGone(now clock.Instant, call uint64) {
+	pc, ok := c.callsByNumber[call]
+	if !ok {
+		return
+	}
+	c.table.Dropped(pc.outstanding)
+	delete(c.callsByNumber, call)
+	pc.parent.removeCall(call)
+	c.Abandon(now, pc.parent.request.Token)
+}
+
 // finish answers a request, cancels its calls still in flight and removes it, so
 // that it is answered exactly once. The verdict is not-run only if that is proved
 // for all calls of the request and, for a non-idempotent resend, for all earlier
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -40,7 +40,7 @@
 		parent: p, router: router.ID, sent: now, hedge: hedge, outstanding: c.table.Sent(router.ID, now),
 	}
 	r := &p.request
-	c.output.Sends = append(c.output.Sends, Send{Router: router, Call: call.Call{
+	c.output.Sends = append(c.output.Sends, Send{Token: r.Token, Router: router, Call: call.Call{
 		Number: c.lastCall, RequestID: r.ID, Service: r.Service, Operation: r.Operation, Key: r.Key,
 		Idempotent: p.idempotent, Sharded: p.sharded, Shard: p.shard.Number, Resend: r.Resend, Hedge: hedge,
 		Recorded: r.Delegated, Body: r.Body, Deadline: p.deadline,
