Read waiting cancellations before runs are sent to the upstream

If an executor was held up, a call and its cancellation wait there together. The run was sent at once and cancelled right after, so that requests of callers that had left for long still reached the upstream; those that may not be repeated ran to their end.

Change: the executor duty takes all submissions that wait before it sends runs; a cancellation withdraws a run that no sender can have got, whatever its kind; a sender does not send a run that was cancelled while it was queued.

--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"endivespring/internal/admission"
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/event"
@@ -201,9 +202,9 @@
 }
 
 // Cancel removes a caller that no longer waits for a call. Without other
-// callers, a queued call is dropped and an idempotent run is cancelled at the
-// upstream. A non-idempotent run goes on, so that its record holds the answer
-// for a resend.
+// callers, a call that is queued or whose run was not taken yet is dropped, and
+// an idempotent run is cancelled at the upstream. A non-idempotent run goes on,
+// so that its record holds the answer for a resend.
 func (c *Core) Cancel(now clock.Instant, ticket Ticket) {
 	j, ok := c.tickets[ticket]
 	if !ok {
@@ -216,11 +217,27 @@
 	case j.phase == jobQueued:
 		c.finish(j, call.Refusal(&j.call, verdict.NotRun, verdict.ReasonCancelled))
 		c.startQueued(now)
+	case j.phase == jobRunning && c.withdrawRun(j):
+		c.limiter.Finish(now, admission.Neutral, 0)
+		c.finish(j, call.Refusal(&j.call, verdict.NotRun, verdict.ReasonCancelled))
+		c.startQueued(now)
 	case j.phase == jobRunning && j.record == nil && j.call.Idempotent:
 		c.abort(j)
 	}
 }
 
+// withdrawRun removes the run of a job from the output and reports whether it was
+// still there, that is, whether no sender can have got it.
+func (c *Core) withdrawRun(j *job) bool {
+	for i := range c.output.Runs {
+		if c.output.Runs[i].ID == j.run {
+			c.output.Runs = slices.Delete(c.output.Runs, i, i+1)
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) abort(j *job) {
 	c.output.Aborts = append(c.output.Aborts, Abort{Run: j.run, Upstream: j.upstream, RequestID: j.call.RequestID})
 }
--- a/internal/executor/submit_test.go
+++ b/internal/executor/submit_test.go
@@ -173,6 +173,26 @@
 	assert.Equal(t, len(s.core.records.records), 0)
 }
 
+// Guards against a run of a cancelled call that reaches the upstream only because call and
+// cancellation were received together, after the process was held up.
+func TestCancelWithdrawsARunThatWasNotTaken(t *testing.T) {
+	for name, change := range map[string]func(*call.Call){
+		"idempotent": func(c *call.Call) { c.Sharded, c.Idempotent = false, true }, "recorded": nil,
+		"neither idempotent nor recorded": func(c *call.Call) { c.Sharded, c.Recorded = false, true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newFixture(t, false)
+			number := s.submit("id", change)
+			s.core.Cancel(s.now, Ticket{Link: 1, Number: number})
+			out := s.take()
+			assert.Equal(t, len(out.Runs)+len(out.Aborts), 0)
+			assert.Assert(t, s.core.Idle())
+			assert.Equal(t, s.core.limiter.Running(), 0)
+			assert.Equal(t, len(s.core.records.records), 0)
+		})
+	}
+}
+
 // TestRecordOutlivesItsWindowWhileItRuns checks that a record is kept beyond
 // its window until its run has ended. Otherwise a resend would run a second
 // time.
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -16,7 +16,10 @@
 	"endivespring/internal/verdict"
 )
 
-const releaseRetry = 10 * time.Millisecond // delay before releases refused by a full ring are queued again
+const (
+	releaseRetry    = 10 * time.Millisecond // delay before releases refused by a full ring are queued again
+	submissionBatch = 256                   // submissions taken before runs are sent
+)
 
 // executorDuty owns the executor core and the answer sinks of the links that calls
 // arrive on.
@@ -84,7 +87,7 @@
 		case <-timer.C:
 			d.tick(ctx)
 		case s := <-d.submissions.Out():
-			d.submit(s)
+			d.submitAll(s)
 		case outcome := <-d.outcomes.Out():
 			d.complete(outcome)
 		case update := <-d.updates.Out():
@@ -162,6 +165,18 @@
 	_ = d.registrations.Put(ctx, registration{upstream: d.upstream, leaving: true, departed: d.upstreamDeparted})
 }
 
+// submitAll takes a submission and those that wait behind it, up to submissionBatch: a call
+// and its cancellation may have arrived together, and then the call must not be sent.
+func (d *executorDuty) submitAll(s *submission) {
+	d.submit(s)
+	for range submissionBatch {
+		if d.submissions.Depth() == 0 {
+			return
+		}
+		d.submit(<-d.submissions.Out())
+	}
+}
+
 func (d *executorDuty) submit(s *submission) {
 	switch {
 	case s.outcome != nil:
--- a/internal/router/executor_duty_test.go
+++ b/internal/router/executor_duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -177,3 +178,49 @@
 	s.dispatch(s.ctx)
 	assert.Equal(t, s.drained.Depth(), 1)
 }
+
+// Guards against calls that are sent to the upstream although their cancellations wait behind
+// them on the ring: after the process was held up, all that has arrived counts.
+func TestCancellationsAreReadBeforeRunsAreSent(t *testing.T) {
+	const calls = 4
+	s := newExecutorHarness(2 * calls)
+	s.submissions = ring.New[*submission]("submissions", 2*calls, ring.Refuse)
+	for number := uint64(1); number <= calls; number++ {
+		c := call.Call{Number: number, RequestID: "id", Service: "s", Idempotent: true, Deadline: s.time.now.Add(time.Minute)}
+		assert.NilError(t, s.submissions.Put(s.ctx, &submission{link: 1, call: c}))
+	}
+	for number := uint64(1); number <= calls; number++ {
+		assert.NilError(t, s.submissions.Put(s.ctx, &submission{link: 1, cancel: number}))
+	}
+	first, err := s.submissions.Take(s.ctx)
+	assert.NilError(t, err)
+	s.submitAll(first)
+	s.dispatch(s.ctx)
+	assert.Equal(t, s.runs.Depth(), 0)
+	assert.Assert(t, s.core.Idle())
+}
+
+// Guards against a run that is sent although it was cancelled while it waited for a sender.
+func TestCancelledRunIsNotSent(t *testing.T) {
+	ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
+	defer stop()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	now := clock.NewMonotonic()
+	d := &senderDuty{
+		sender: upstream.NewSender(now, discardEvents{}, 1<<10, upstream.NewAnswerBudget(1<<20), upstream.NativeDialect{}),
+		runs:   ring.New[outboundRun]("runs", 1, ring.Refuse), outcomes: ring.New[executor.Outcome]("outcomes", 1, ring.Wait),
+	}
+	cancelled, cancel := context.WithCancel(ctx)
+	cancel()
+	until := now.Now().Add(time.Minute)
+	run := executor.Run{ID: 7, Upstream: fleet.Upstream{Address: listener.Addr().String()}, Call: call.Call{RequestID: "a", Deadline: until}, Deadline: until, Fence: until}
+	assert.NilError(t, d.runs.Put(ctx, outboundRun{ctx: cancelled, run: run}))
+	go func() { _ = d.Run(ctx) }()
+	outcome, err := d.outcomes.Take(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, outcome.Run, uint64(7))
+	assert.Equal(t, outcome.Answer.Verdict, verdict.NotRun)
+	assert.Equal(t, outcome.Answer.Reason, verdict.ReasonCancelled)
+}
--- a/internal/router/sender_duty.go
+++ b/internal/router/sender_duty.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 
+	"endivespring/internal/admission"
 	"endivespring/internal/executor"
 	"endivespring/internal/ring"
 	"endivespring/internal/upstream"
+	"endivespring/internal/verdict"
 )
 
 // senderDuty sends runs to the upstream, one at a time, over one connection, and
@@ -25,8 +27,16 @@
 		if err != nil {
 			return nil
 		}
-		if err := d.outcomes.Put(ctx, d.sender.Run(out.ctx, &out.run)); err != nil {
+		if err := d.outcomes.Put(ctx, d.send(&out)); err != nil {
 			return nil
 		}
 	}
 }
+
+// send sends a run, unless it was cancelled while it was queued.
+func (d *senderDuty) send(out *outboundRun) executor.Outcome {
+	if out.ctx.Err() != nil {
+		return upstream.NewOutcome(&out.run, verdict.NotRun, verdict.ReasonCancelled, admission.Neutral)
+	}
+	return d.sender.Run(out.ctx, &out.run)
+}
