Drop calls of gone callers that waited for their link

A call that waited for its link to open, up to peerTimeout, was sent although its caller had left, with the cancellation behind it.

Change: a call that was queued for 100 ms or more is sent only if its caller's connection is still open; else it is reported as not run.

Evidence: TestQueuedCallOfAGoneCallerIsNotSent failed before (call 1 in place of 2 arrived).

--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -247,7 +247,8 @@
 // send passes a call on, unless the caller of its request has gone. The duty looks itself,
 // right before: if the process was held up, the connection may have been closed for long.
 func (d *gatewayDuty) send(ctx context.Context, send gateway.Send) {
-	if request := d.pending[send.Token]; request != nil && request.Disconnected() {
+	request := d.pending[send.Token]
+	if request != nil && request.Disconnected() {
 		d.core.CallerGone(d.clock.Now(), send.Call.Number)
 		return
 	}
@@ -255,7 +256,7 @@
 	if send.Router.ID == d.self {
 		err = d.executor.Put(ctx, &submission{link: localLink, call: send.Call})
 	} else {
-		err = d.link(send.Router).calls.Put(ctx, &outgoingCall{call: send.Call})
+		err = d.link(send.Router).calls.Put(ctx, &outgoingCall{call: send.Call, request: request, queuedAt: d.clock.Now()})
 	}
 	if err != nil {
 		d.core.HandleLostCall(d.clock.Now(), send.Call.Number, verdict.NotRun)
--- a/internal/router/gone_caller_test.go
+++ b/internal/router/gone_caller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,9 +19,11 @@
 	"endivespring/internal/executor"
 	"endivespring/internal/fleet"
 	"endivespring/internal/gateway"
+	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/session"
 	"endivespring/internal/verdict"
+	"endivespring/internal/wire/wirepb"
 )
 
 // gatewayHarness is a gateway duty with its callers' server, beside an executor whose ring
@@ -127,3 +130,54 @@
 	assert.Equal(t, answer.Verdict, verdict.NotRun)
 	assert.Equal(t, answer.Reason, verdict.ReasonCancelled)
 }
+
+// Guards against a call that is sent on a link that took long to open although its caller has
+// left meanwhile.
+func TestQueuedCallOfAGoneCallerIsNotSent(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	now := clock.NewMonotonic()
+	submissions := ring.New[*submission]("submissions", 64, ring.Refuse)
+	server := peer.NewServer()
+	wirepb.RegisterDoorsServer(server, &executorServer{fleet: "f", events: discardEvents{}, clock: now, executor: submissions})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer server.Stop()
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = callers.Close() }()
+	accept := func() (far, near net.Conn) {
+		far, err := net.Dial("tcp", callers.Addr().String())
+		assert.NilError(t, err)
+		near, err = callers.Accept()
+		assert.NilError(t, err)
+		return far, near
+	}
+	goneCaller, gone := accept()
+	waitingCaller, waiting := accept()
+	defer func() { _ = waitingCaller.Close() }()
+	answers := ring.New[*inboundAnswer]("answers", 64, ring.Wait)
+	l := newLink("f", fleet.Router{ID: "r", Address: listener.Addr().String()}, &atomic.Int64{}, now, answers, discardEvents{})
+	deadline := now.Now().Add(time.Minute)
+	queue := func(number uint64, connection net.Conn) {
+		out := &outgoingCall{call: call.Call{Number: number, Deadline: deadline}, request: &caller.Request{Connection: connection}, queuedAt: now.Now()}
+		assert.NilError(t, l.calls.Put(ctx, out))
+	}
+	queue(1, gone)
+	queue(2, waiting)
+	assert.NilError(t, goneCaller.Close())
+	go func() { _ = l.Run(ctx) }()
+	time.Sleep(2 * callerCheckDelay) // the link waits for the other router
+	go func() { _ = peer.Serve(server, listener) }()
+
+	opened, err := submissions.Take(ctx)
+	assert.NilError(t, err)
+	assert.Assert(t, opened.open != nil)
+	first, err := submissions.Take(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, first.call.Number, uint64(2))
+	lost, err := answers.Take(ctx)
+	assert.NilError(t, err)
+	assert.Assert(t, lost.lost && lost.answer.Number == 1)
+	assert.Equal(t, lost.verdict, verdict.NotRun)
+}
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -61,17 +61,21 @@
 	_ = l.stream(ctx)
 	for l.calls.Depth() > 0 {
 		out := <-l.calls.Out()
-		if out.cancel {
-			continue
+		if !out.cancel {
+			l.reportUnsent(ctx, out)
 		}
-		lost := &inboundAnswer{from: l.router, lost: true, verdict: verdict.NotRun}
-		lost.answer.Number = out.call.Number
-		_ = l.answers.Put(ctx, lost)
 	}
 	_ = l.answers.Put(ctx, &inboundAnswer{from: l.router, ended: l})
 	return nil
 }
 
+// reportUnsent reports a call that was never written as not run.
+func (l *link) reportUnsent(ctx context.Context, out *outgoingCall) {
+	lost := &inboundAnswer{from: l.router, lost: true, verdict: verdict.NotRun}
+	lost.answer.Number = out.call.Number
+	_ = l.answers.Put(ctx, lost)
+}
+
 func (l *link) stream(ctx context.Context) error {
 	connection, err := peer.Dial(l.address)
 	if err != nil {
@@ -113,6 +117,10 @@
 			return l.awaitAnswers(ctx, stream)
 		case out := <-l.calls.Out():
 			used = l.clock.Now()
+			if out.callerGone(used) {
+				l.reportUnsent(ctx, out)
+				continue
+			}
 			up = l.encode(out, used)
 			if l.trackInFlight(out) {
 				ping.Reset(pingInterval)
--- a/internal/router/outgoing_call.go
+++ b/internal/router/outgoing_call.go
@@ -1,9 +1,28 @@
 package router
 
-import "endivespring/internal/call"
+import (
+	"time"
+
+	"endivespring/internal/call"
+	"endivespring/internal/caller"
+	"endivespring/internal/clock"
+)
+
+// callerCheckDelay is the time in the queue after which a call is sent only if its caller is
+// still there.
+const callerCheckDelay = 100 * time.Millisecond
 
 // outgoingCall is a call, or the cancellation of one, queued for a link.
 type outgoingCall struct {
 	call   call.Call
 	cancel bool
+	// request is that of the call, or nil if it has no caller.
+	request  *caller.Request
+	queuedAt clock.Instant
+}
+
+// callerGone reports whether a call has waited so long that its caller may have left, and
+// it has.
+func (o *outgoingCall) callerGone(now clock.Instant) bool {
+	return o.request != nil && now.Sub(o.queuedAt) >= callerCheckDelay && o.request.Disconnected()
 }
