Let the garbage collector know how much memory a process may use

Callers would see: the router beside a faulty upstream ends with all requests on its VM (LOST). Report of other operators: bytes without end, in a head or a body.

Cause: the limits on what is read at the same time held. What earlier bodies left behind waited for a garbage collector that knew of no limit.

Bodies above 64 KiB do not go back to the library's pool.

--- /dev/null
+++ b/internal/command/memory.go
@@ -0,0 +1,15 @@
+package command
+
+import "runtime/debug"
+
+// heapShare is the share of a process's memory that the garbage collector keeps to. The rest
+// is for the program itself, and for what is allocated while a collection runs.
+const heapShare = 0.5
+
+// limitMemory makes the garbage collector keep to a share of the memory that the process may
+// use, in MB. Zero sets no limit.
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(megabytes<<20)))
+	}
+}
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -142,7 +142,7 @@
 		return outcome(run, verdict.MayHaveRun, verdict.ReasonConnection, admission.Failed)
 	}
 	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(response)
+	defer releaseResponse(response)
 	if err := s.connection.read(response, s.maxBody, run, s.dialect); err != nil {
 		s.retire("read")
 		return failureOutcome(run, err)
@@ -165,6 +165,15 @@
 	return out
 }
 
+// releaseResponse returns a response to the library's pool, without a large body: the pool
+// would keep its memory although the budget of answers counts it as free.
+func releaseResponse(response *fasthttp.Response) {
+	if len(response.Body()) > answerReserve {
+		response.SwapBody(nil)
+	}
+	fasthttp.ReleaseResponse(response)
+}
+
 // provesNotRun reports whether a refusal is the answer to this run, and no earlier refusal
 // that the upstream writes once more: it names the run; or it names the request, which the
 // upstream has not refused before; or it names nothing on a connection that carried no
