Order the boots of an upstream across restarts of its router

Cause: a new process of the router knew no earlier heartbeat, took the ended boot for the present one, and every other boot for one that had ended before it. Control did the same with the registration.

Change: a registration holds the start time of the boot, and control keeps that of the boot registered under the router's earlier session. Boots that started before the latest known one are late, and free nothing. A heartbeat that comes before the first view is kept until then.

--- a/internal/executor/view.go
+++ b/internal/executor/view.go
@@ -48,6 +48,13 @@
 	return true
 }
 
+// StartedEarlier reports whether an upstream started before the latest one that was
+// registered beside this router, also by an earlier process of it.
+func (c *Core) StartedEarlier(u *fleet.Upstream) bool {
+	registered := c.view.Routers[c.self]
+	return registered.StartedEarlier(u)
+}
+
 // ViewVersion returns the version of the view in use.
 func (c *Core) ViewVersion() fleet.Version { return c.view.Version }
 
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -18,8 +18,25 @@
 	// empty. That boot gets no new work. It is replicated because a restarted router has
 	// forgotten the departure and may receive an earlier announcement late.
 	DepartedBoot string
+	// EarlierStart is the StartMillis of the upstream that the router had registered under
+	// its earlier session, or zero. A restarted router has forgotten it, and may receive a
+	// heartbeat of an ended boot late.
+	EarlierStart int64
 }
 
+// LatestStart returns the StartMillis of the latest upstream that was registered beside the
+// router, or zero.
+func (r *Router) LatestStart() int64 {
+	if r.Upstream.Name != "" {
+		return r.Upstream.StartMillis
+	}
+	return r.EarlierStart
+}
+
+// StartedEarlier reports whether an upstream started before the latest one that was
+// registered beside the router.
+func (r *Router) StartedEarlier(u *Upstream) bool { return u.StartedBefore(r.LatestStart()) }
+
 // Departed reports whether the upstream beside the router has announced its departure.
 func (r *Router) Departed() bool { return r.DepartedBoot != "" && r.DepartedBoot == r.Upstream.Boot }
 
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -9,6 +9,9 @@
 	// Boot is the boot ID, different after each start of the upstream. It may be
 	// empty.
 	Boot string
+	// StartMillis is when that boot started, by the clock of its VM, in milliseconds since
+	// the Unix epoch; zero if it doesn't say. It orders the boots beside a router.
+	StartMillis int64
 	// Slots is the number of requests that the upstream runs concurrently when
 	// warm.
 	Slots int
@@ -21,3 +24,9 @@
 	// epoch.
 	ChecksGrants bool
 }
+
+// StartedBefore reports whether the upstream started before a time in milliseconds since the
+// Unix epoch. It is false if either is unknown, that is, zero.
+func (u *Upstream) StartedBefore(millis int64) bool {
+	return u.StartMillis != 0 && u.StartMillis < millis
+}
--- a/internal/fsm/departure_test.go
+++ b/internal/fsm/departure_test.go
@@ -38,3 +38,35 @@
 	apply(&Command{OpenSession: &OpenSession{Nonce: "4", Router: fleet.Router{ID: "r", Upstream: fleet.Upstream{Name: "u", Service: "s", Boot: "b"}}}})
 	assert.Assert(t, eligible(), "another start of the upstream")
 }
+
+// Guards against a router that has restarted and registers an ended boot of its upstream, whose
+// heartbeat arrived late: the ranges of the present boot stay, whichever session they belong to.
+func TestLateBootAfterARouterRestartFreesNothing(t *testing.T) {
+	s := NewState()
+	apply := func(c *Command) {
+		t.Helper()
+		result, _ := s.Apply(1, c)
+		assert.Assert(t, result.Accepted, result.Reason)
+	}
+	boot := func(name string, start int64) fleet.Upstream {
+		return fleet.Upstream{Name: name, Service: "s", Boot: name, Slots: 4, StartMillis: start}
+	}
+	preset := &fleet.Preset{Name: "p", Services: []fleet.Service{{Name: "s", Ranged: true, Keyed: true}}}
+	apply(&Command{OperatorChange: &OperatorChange{CommandID: "c", Unconditional: true, Preset: preset}})
+	apply(&Command{OpenSession: &OpenSession{Nonce: "1", Router: fleet.Router{ID: "r", Upstream: boot("later", 2000)}}})
+	space := fleet.NewKeySpace("s")
+	space.Ranges[0] = fleet.KeyRange{Last: fleet.KeyCount - 1, Phase: fleet.ShardGranted, Owner: "r", Boot: "later", Epoch: 1}
+	s.View.KeySpaces["s"] = space
+	held := func() bool {
+		ranges := s.View.KeySpaces["s"].Ranges
+		return len(ranges) == 1 && ranges[0].HeldBy("r", "later")
+	}
+
+	apply(&Command{OpenSession: &OpenSession{Nonce: "2", Router: fleet.Router{ID: "r"}}})
+	apply(&Command{UpdateRouter: &UpdateRouter{Router: fleet.Router{ID: "r", Session: 2, Upstream: boot("earlier", 1000)}}})
+	assert.Assert(t, held(), "registered by the present session")
+	apply(&Command{CloseSessions: &CloseSessions{Term: 1, Sessions: []fleet.Session{1}}})
+	assert.Assert(t, held(), "the session that the upstream was registered under has ended")
+	apply(&Command{UpdateRouter: &UpdateRouter{Router: fleet.Router{ID: "r", Session: 2, Upstream: boot("next", 3000)}}})
+	assert.Assert(t, !held(), "a later boot")
+}
--- a/internal/fsm/sessions.go
+++ b/internal/fsm/sessions.go
@@ -6,9 +6,9 @@
 	"endivespring/internal/fleet"
 )
 
-// openSession registers a router under a new session, once for each nonce. That its
-// upstream has announced its departure is carried over: an earlier process of the router
-// was told, and the present one was not.
+// openSession registers a router under a new session, once for each nonce. What an earlier
+// process of the router knew of its upstream is carried over: when it started, and that it
+// has announced its departure.
 func (s *State) openSession(c *OpenSession, change *fleet.Change) Result {
 	for _, o := range s.OpenedSessions {
 		if o.Nonce == c.Nonce {
@@ -19,7 +19,9 @@
 	s.OpenedSessions = append(s.OpenedSessions, OpenedSession{Nonce: c.Nonce, Session: s.LastSession, Router: c.Router.ID})
 	router := c.Router
 	router.Session = s.LastSession
-	if earlier := s.View.Routers[router.ID]; router.Upstream.Boot == "" || router.Upstream.Boot == earlier.DepartedBoot {
+	earlier := s.View.Routers[router.ID]
+	router.EarlierStart = earlier.LatestStart()
+	if router.Upstream.Boot == "" || router.Upstream.Boot == earlier.DepartedBoot {
 		router.DepartedBoot = earlier.DepartedBoot
 	}
 	change.Routers = append(change.Routers, router)
@@ -56,23 +58,26 @@
 	// under that session unless it has restarted too.
 	s.freeRangesIf(change, func(service string, r *fleet.KeyRange) bool {
 		router, ok := s.View.Routers[r.Owner]
-		restarted := router.Upstream.Boot != r.Boot && !s.grantedByRequest(service)
+		restarted := router.Upstream.Boot != r.Boot && !s.grantedByRequest(service) && !router.Upstream.StartedBefore(router.EarlierStart)
 		return hadClosedSession[r.Owner] && (!ok || closed[router.Session] || restarted)
 	})
 	return Result{Accepted: true}
 }
 
 // updateRouter replaces a router's registration. If its upstream has restarted, the
-// ranges of the earlier start are freed.
+// ranges of the earlier start are freed. A start before the latest known one proves no
+// restart: the router reports the ranges that it finds to be free.
 func (s *State) updateRouter(c *UpdateRouter, change *fleet.Change) Result {
 	current, ok := s.View.Routers[c.Router.ID]
 	if !ok || current.Session != c.Router.Session {
 		return Result{Reason: "session is not current"}
 	}
-	if current != c.Router {
-		change.Routers = append(change.Routers, c.Router)
+	router := c.Router
+	router.EarlierStart = current.EarlierStart
+	if current != router {
+		change.Routers = append(change.Routers, router)
 	}
-	if boot := c.Router.Upstream.Boot; boot != "" && boot != current.Upstream.Boot {
+	if boot := router.Upstream.Boot; boot != "" && boot != current.Upstream.Boot && !current.StartedEarlier(&router.Upstream) {
 		// A restarted upstream holds none of the ranges of its earlier start.
 		s.freeRangesIf(change, func(service string, r *fleet.KeyRange) bool {
 			return r.Owner == c.Router.ID && r.Boot != boot && !s.grantedByRequest(service)
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -58,6 +58,10 @@
 	upstream        fleet.Upstream
 	// lastHeartbeat is the newest heartbeat of an upstream that sends them.
 	lastHeartbeat *upstream.Heartbeat
+	// early is the newest heartbeat that arrived before the first view, or nil.
+	early *upstream.Notification
+	// earlierBoot follows the heartbeats of a boot that is known to have a successor.
+	earlierBoot earlierBoot
 	// startMillis is when this process started, in milliseconds since the Unix epoch.
 	startMillis int64
 	lastContact clock.Instant
@@ -92,6 +96,7 @@
 			d.complete(outcome)
 		case update := <-d.updates.Out():
 			d.update(&update)
+			d.applyEarly(ctx)
 		case notification := <-d.notifications.Out():
 			d.handleNotification(ctx, &notification)
 		case response := <-d.ranges.responses.Out():
--- a/internal/router/foreign_heartbeat_test.go
+++ b/internal/router/foreign_heartbeat_test.go
@@ -30,10 +30,10 @@
 
 // heartbeat passes a heartbeat to the duty and returns the answer.
 func (s *executorHarness) heartbeat(name, service string, startMillis int64, sequence uint64) executor.LeaseAnswer {
-	u := fleet.Upstream{Name: name, Service: service, Address: "a", Boot: name, Slots: 2, ColdSlots: 2}
+	u := fleet.Upstream{Name: name, Service: service, Address: "a", Boot: name, Slots: 2, ColdSlots: 2, StartMillis: startMillis}
 	reply := ring.NewReply[executor.LeaseAnswer]()
 	s.handleNotification(s.ctx, &upstream.Notification{Upstream: u, Heartbeat: &upstream.Heartbeat{
-		StartMillis: startMillis, Sequence: sequence, Heartbeat: executor.Heartbeat{Upstream: u}, Reply: reply,
+		Sequence: sequence, Heartbeat: executor.Heartbeat{Upstream: u}, Reply: reply,
 	}})
 	s.dispatch(s.ctx)
 	return <-reply.Out()
--- a/internal/router/heartbeat.go
+++ b/internal/router/heartbeat.go
@@ -19,23 +19,73 @@
 // lease.
 func (d *executorDuty) handleHeartbeat(ctx context.Context, notification *upstream.Notification) {
 	now, heartbeat := d.clock.Now(), notification.Heartbeat
-	sameBoot := d.lastHeartbeat != nil && d.lastHeartbeat.StartMillis == heartbeat.StartMillis && d.upstream.Boot == notification.Upstream.Boot
-	if !heartbeat.NewerThan(d.lastHeartbeat) || d.upstreamExited && sameBoot {
+	if d.core.ViewVersion() == 0 {
+		d.keepEarly(notification)
+		heartbeat.Reply.Send(executor.LeaseAnswer{})
+		return
+	}
+	if !d.isCurrent(now, heartbeat) {
 		d.events.Record(event.HeartbeatLate, event.F("upstream", notification.Upstream.Name), event.F("boot", notification.Upstream.Boot),
 			event.F("sequence", heartbeat.Sequence))
 		heartbeat.Reply.Send(executor.LeaseAnswer{})
 		return
 	}
+	d.acceptHeartbeat(ctx, now, notification)
+	heartbeat.Reply.Send(d.core.Heartbeat(now, &heartbeat.Heartbeat))
+}
+
+// isCurrent reports whether a heartbeat comes from the present boot of the upstream and is
+// newer than the last one.
+func (d *executorDuty) isCurrent(now clock.Instant, heartbeat *upstream.Heartbeat) bool {
+	if d.isLastBoot(heartbeat) {
+		return !d.upstreamExited && heartbeat.NewerThan(d.lastHeartbeat)
+	}
+	if heartbeat.NewerThan(d.lastHeartbeat) && !d.core.StartedEarlier(&heartbeat.Upstream) {
+		return true
+	}
+	return d.earlierBoot.proves(now, heartbeat)
+}
+
+// isLastBoot reports whether a heartbeat comes from the same boot as the last one.
+func (d *executorDuty) isLastBoot(heartbeat *upstream.Heartbeat) bool {
+	return d.lastHeartbeat != nil && d.lastHeartbeat.Upstream.Boot == heartbeat.Upstream.Boot
+}
+
+// acceptHeartbeat makes the boot of a heartbeat the present one.
+func (d *executorDuty) acceptHeartbeat(ctx context.Context, now clock.Instant, notification *upstream.Notification) {
+	heartbeat := notification.Heartbeat
+	sameBoot := d.isLastBoot(heartbeat)
 	wasDraining := sameBoot && d.lastHeartbeat.Draining
 	if !sameBoot {
 		d.events.Record(event.UpstreamAnnounced, event.F("upstream", notification.Upstream.Name),
 			event.F("service", notification.Upstream.Service), event.F("boot", notification.Upstream.Boot))
 		d.upstreamExited = false
 	}
-	d.lastHeartbeat = heartbeat
+	d.lastHeartbeat, d.earlierBoot = heartbeat, earlierBoot{}
 	heartbeat.Newer = heartbeat.NewerThanRouter(d.startMillis)
 	d.applyHeartbeat(ctx, now, notification, wasDraining)
-	heartbeat.Reply.Send(d.core.Heartbeat(now, &heartbeat.Heartbeat))
+}
+
+// keepEarly keeps the newest heartbeat that arrives before the first view: it may be late,
+// and only the view tells of later boots that an earlier process of the router has known.
+func (d *executorDuty) keepEarly(notification *upstream.Notification) {
+	if d.early == nil || notification.Heartbeat.NewerThan(d.early.Heartbeat) {
+		early := *notification
+		d.early = &early
+	}
+}
+
+// applyEarly registers the upstream of the heartbeat that was kept until the first view,
+// unless a later boot is known. Its next heartbeat is answered with leases.
+func (d *executorDuty) applyEarly(ctx context.Context) {
+	if d.early == nil || d.core.ViewVersion() == 0 {
+		return
+	}
+	early, now := d.early, d.clock.Now()
+	d.early = nil
+	if d.core.Expects(early.Upstream) && d.isCurrent(now, early.Heartbeat) {
+		d.acceptHeartbeat(ctx, now, early)
+	}
 }
 
 // ignoreUnexpected answers an announcement or heartbeat that does not come from the
--- /dev/null
+++ b/internal/router/late_boot_test.go
@@ -0,0 +1,86 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/executor"
+	"endivespring/internal/fleet"
+	"endivespring/internal/session"
+)
+
+// newRestartedHarness returns the executor duty of a router that has just started. Its
+// earlier process had registered the boot "later", which holds all keys.
+func newRestartedHarness(t *testing.T) (s *executorHarness, showView func()) {
+	t.Helper()
+	s = newRangedHarness("s")
+	s.core = executor.New("self", "dc")
+	s.core.Expect("s")
+	return s, func() {
+		until := s.time.now.Add(time.Minute)
+		later := fleet.KeyRange{Last: fleet.KeyCount - 1, Phase: fleet.ShardGranted, Owner: "self", Boot: "later", Epoch: 3}
+		s.update(&session.Update{Session: 2, OwnershipUntil: until, ViewUntil: until, RangeLeaseUntil: until, Change: &fleet.Change{
+			Full: true, To: 7, Preset: &fleet.Preset{Services: []fleet.Service{{Name: "s", Ranged: true, QueueLimit: 4}}},
+			Routers:   []fleet.Router{{ID: "self", Session: 2, EarlierStart: 2000}},
+			KeySpaces: []fleet.KeySpace{{Service: "s", Revision: 1, LastEpoch: 3, Ranges: []fleet.KeyRange{later}}},
+		}})
+		s.applyEarly(s.ctx)
+		s.dispatch(s.ctx)
+	}
+}
+
+// Guards against a heartbeat of an ended boot that arrives late, as the first one at a router
+// that has just started: the keys of the present boot were reported as free, and had two
+// holders.
+func TestLateHeartbeatAfterARestartChangesNothing(t *testing.T) {
+	for name, before := range map[string]bool{"before the first view": true, "after it": false} {
+		t.Run(name, func(t *testing.T) {
+			s, showView := newRestartedHarness(t)
+			if !before {
+				showView()
+			}
+			assert.Assert(t, !s.heartbeat("earlier", "s", 1000, 9).Renews)
+			if before {
+				showView()
+			}
+			assert.Equal(t, s.rangeUpdates.Depth(), 0, "keys are reported as free")
+			assert.Equal(t, s.registrations.Depth(), 0)
+			answer := s.heartbeat("later", "s", 2000, 40)
+			assert.Assert(t, answer.Renews && len(answer.Ranges) == 1)
+			assert.Assert(t, !s.heartbeat("earlier", "s", 1000, 10).Renews)
+			assert.Equal(t, s.upstream.Name, "later")
+		})
+	}
+}
+
+// Guards against an upstream that is ignored for good because the clock of its VM was set back
+// before its start: late heartbeats of an ended boot do not go on for long, its own do.
+func TestUpstreamWithAnEarlierStartTimeIsTakenInTheEnd(t *testing.T) {
+	s, showView := newRestartedHarness(t)
+	showView()
+	began := s.time.now
+	for sequence := uint64(1); ; sequence++ {
+		if s.heartbeat("present", "s", 1000, sequence).Renews {
+			break
+		}
+		s.time.now = s.time.now.Add(time.Second)
+		assert.Assert(t, s.time.now.Sub(began) < time.Minute)
+	}
+	assert.Assert(t, s.time.now.Sub(began) >= earlierBootTime)
+	assert.Equal(t, s.upstream.Name, "present")
+	assert.Assert(t, s.rangeUpdates.Depth() > 0, "the keys of the later start time are free")
+}
+
+// Late heartbeats of one boot that arrive together, or with pauses, prove nothing.
+func TestLateHeartbeatsTogetherProveNothing(t *testing.T) {
+	s, showView := newRestartedHarness(t)
+	showView()
+	for sequence := uint64(1); sequence < 40; sequence++ {
+		assert.Assert(t, !s.heartbeat("earlier", "s", 1000, sequence).Renews)
+		if sequence%5 == 0 {
+			s.time.now = s.time.now.Add(earlierBootGap + time.Millisecond)
+		}
+	}
+}
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -153,7 +153,7 @@
 		Nonce: c.nonce, Session: c.session, Sequence: c.holder.Renew(now), Applied: c.applied, NeedFull: c.needFull,
 		Router: c.router, Differences: true, Closing: c.closing,
 	}
-	up.Router.Session = c.session
+	up.Router.Session, up.Router.EarlierStart = c.session, c.registered.EarlierStart
 	if c.session != 0 {
 		up.Nonce = ""
 	}
--- a/internal/upstream/heartbeat.go
+++ b/internal/upstream/heartbeat.go
@@ -15,11 +15,9 @@
 // Heartbeat is a sequence-numbered heartbeat from an upstream that holds ranges of
 // keys under leases.
 type Heartbeat struct {
-	// StartMillis is the start time of the upstream in milliseconds since the
-	// Unix epoch, by its own clock. Sequence increases with each heartbeat of that boot.
-	// Together they order heartbeats, so that a late one can be discarded.
-	StartMillis int64
-	Sequence    uint64
+	// Sequence increases with each heartbeat of one boot. Together with the start time of
+	// the upstream it orders heartbeats, so that a late one can be discarded.
+	Sequence uint64
 	// Draining is set once the upstream accepts no new requests.
 	Draining bool
 	executor.Heartbeat
@@ -31,8 +29,8 @@
 // to another boot of the upstream.
 func (h *Heartbeat) NewerThan(other *Heartbeat) bool {
 	switch {
-	case other == nil || h.StartMillis != other.StartMillis:
-		return other == nil || h.StartMillis > other.StartMillis
+	case other == nil || h.Upstream.StartMillis != other.Upstream.StartMillis:
+		return other == nil || h.Upstream.StartMillis > other.Upstream.StartMillis
 	default:
 		return h.Sequence > other.Sequence
 	}
@@ -43,5 +41,5 @@
 // ended. The number of the heartbeat must say so too, since the clock of their VM may be
 // set back.
 func (h *Heartbeat) NewerThanRouter(started int64) bool {
-	return h.StartMillis > started-restartDelay && h.Sequence <= firstSequences
+	return h.Upstream.StartMillis > started-restartDelay && h.Sequence <= firstSequences
 }
--- a/internal/upstream/heartbeat_test.go
+++ b/internal/upstream/heartbeat_test.go
@@ -12,7 +12,8 @@
 		sequence uint64
 		after    bool
 	}{{1001, 1, true}, {901, 2, true}, {900, 1, false}, {1, 1, false}, {1001, 3, false}} {
-		h := Heartbeat{StartMillis: c.start, Sequence: c.sequence}
+		h := Heartbeat{Sequence: c.sequence}
+		h.Upstream.StartMillis = c.start
 		assert.Equal(t, h.NewerThanRouter(1000), c.after, "%+v", c)
 	}
 }
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -8,7 +8,6 @@
 
 	"github.com/gofiber/fiber/v2"
 
-	"endivespring/internal/fleet"
 	"endivespring/internal/ring"
 )
 
@@ -46,7 +45,7 @@
 	if problems := a.problems(); len(problems) > 0 {
 		return c.Status(fiber.StatusBadRequest).SendString("announcement: " + strings.Join(problems, "; "))
 	}
-	return s.enqueue(c, Notification{Upstream: fleet.Upstream(a)})
+	return s.enqueue(c, Notification{Upstream: a.upstream()})
 }
 
 func (s *Server) leave(c *fiber.Ctx) error { return s.enqueue(c, Notification{Leaving: true}) }
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -11,7 +11,7 @@
 func FromRouter(r fleet.Router) *wirepb.Router {
 	return &wirepb.Router{
 		Id: string(r.ID), Session: uint64(r.Session), DataCentre: string(r.DataCentre),
-		Address: r.Address, Upstream: fromUpstream(r.Upstream), Leaving: r.Leaving, DepartedBoot: r.DepartedBoot,
+		Address: r.Address, Upstream: fromUpstream(r.Upstream), Leaving: r.Leaving, DepartedBoot: r.DepartedBoot, EarlierStartMs: r.EarlierStart,
 	}
 }
 
@@ -19,21 +19,21 @@
 func ToRouter(r *wirepb.Router) fleet.Router {
 	return fleet.Router{
 		ID: fleet.RouterID(r.GetId()), Session: fleet.Session(r.GetSession()), DataCentre: fleet.DataCentre(r.GetDataCentre()),
-		Address: r.GetAddress(), Upstream: toUpstream(r.GetUpstream()), Leaving: r.GetLeaving(), DepartedBoot: r.GetDepartedBoot(),
+		Address: r.GetAddress(), Upstream: toUpstream(r.GetUpstream()), Leaving: r.GetLeaving(), DepartedBoot: r.GetDepartedBoot(), EarlierStart: r.GetEarlierStartMs(),
 	}
 }
 
 func fromUpstream(u fleet.Upstream) *wirepb.Upstream {
 	return &wirepb.Upstream{
 		Name: u.Name, Service: u.Service, Address: u.Address, Boot: u.Boot, Slots: int32(u.Slots),
-		ColdSlots: int32(u.ColdSlots), Connections: int32(u.Connections), ChecksGrants: u.ChecksGrants,
+		ColdSlots: int32(u.ColdSlots), Connections: int32(u.Connections), ChecksGrants: u.ChecksGrants, StartMs: u.StartMillis,
 	}
 }
 
 func toUpstream(u *wirepb.Upstream) fleet.Upstream {
 	return fleet.Upstream{
 		Name: u.GetName(), Service: u.GetService(), Address: u.GetAddress(), Boot: u.GetBoot(), Slots: int(u.GetSlots()),
-		ColdSlots: int(u.GetColdSlots()), Connections: int(u.GetConnections()), ChecksGrants: u.GetChecksGrants(),
+		ColdSlots: int(u.GetColdSlots()), Connections: int(u.GetConnections()), ChecksGrants: u.GetChecksGrants(), StartMillis: u.GetStartMs(),
 	}
 }
 
