Bound what the bodies of requests in progress may use at a gateway

Cause: every body was read whole and copied once more, with no budget over all requests.

Change: the setting requestMemory (64 MiB) bounds the bodies of all requests in progress, beside 64 KiB each. A body that is known not to fit is refused before it is read, one in chunks once it has grown too large: 503, not run, with a time to come back. What such a caller still sends is read and dropped for up to a second, since a reset would take the refusal with it. Large bodies are not copied. The budget of answers is the same type now, in package memory.

Evidence: TestLargeBodiesShareTheirMemory (with the budget switched off the second body is taken on and not answered, so it fails), TestRequestWithoutMemoryIsOverload (a reset in place of an answer before the rest was read), TestReservationsReturnWhatTheyHold.

--- a/internal/caller/gateway_client.go
+++ b/internal/caller/gateway_client.go
@@ -9,6 +9,7 @@
 	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
 	"endivespring/internal/gateway"
+	"endivespring/internal/memory"
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
@@ -28,6 +29,8 @@
 	refusing atomic.Bool
 	next     atomic.Uint64
 	limits   atomic.Pointer[fleet.CallerLimits]
+	// memory is the budget of large requests, or nil.
+	memory *memory.Budget
 }
 
 // NewGatewayClient returns a client that submits requests over a ring and passes
@@ -36,6 +39,15 @@
 	return &GatewayClient{clock: c, requests: requests, observe: observe}
 }
 
+// LimitMemory sets the budget that HasMemoryFor compares with, before requests are served.
+func (g *GatewayClient) LimitMemory(budget *memory.Budget) { g.memory = budget }
+
+// HasMemoryFor reports whether there is memory for a request with a body of the given length
+// now. An unknown length, below zero, is not refused.
+func (g *GatewayClient) HasMemoryFor(length int) bool {
+	return g.memory == nil || length <= requestReserve || length-requestReserve <= g.memory.Left()
+}
+
 // SetLimits replaces the limits on callers' requests.
 func (g *GatewayClient) SetLimits(limits fleet.CallerLimits) { g.limits.Store(&limits) }
 
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -77,6 +77,7 @@
 func (s *Server) Stop() { s.gateway.Stop() }
 
 func (s *Server) serve(c *fiber.Ctx) error {
+	defer EndRequest(c.Context().Conn())
 	request, problem := parseRequest(c)
 	var answer call.Answer
 	if problem == verdict.ReasonNone {
@@ -184,6 +185,10 @@
 	if !validText(answer.RequestID) {
 		answer.RequestID = ""
 	}
+	if known.Message == ErrNoMemory.Error() { // the library makes a bad request of it
+		known = fiber.ErrServiceUnavailable
+		answer.Verdict, answer.Reason = verdict.NotRun, verdict.ReasonOverloaded
+	}
 	if known.Code >= fiber.StatusBadRequest && known.Code < fiber.StatusInternalServerError {
 		answer.Verdict, answer.Reason = verdict.NotRun, reasonForStatus(known.Code)
 	}
--- a/internal/caller/test_server_test.go
+++ b/internal/caller/test_server_test.go
@@ -14,11 +14,15 @@
 
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
+	"endivespring/internal/memory"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
 )
 
-const testBody = 1 << 10 // limit on request bodies, in bytes
+const (
+	testBody   = 1 << 10 // limit on request bodies, in bytes
+	testMemory = 1 << 20 // bytes for requests in progress
+)
 
 var testClock = clock.NewMonotonic()
 
@@ -36,7 +40,7 @@
 	assert.NilError(t, err)
 	f := &testServer{t: t, requests: ring.New[*Request]("requests", capacity, ring.Refuse), address: listener.Addr().String()}
 	f.server = NewServer(testClock, f.requests, testBody, func(*call.Answer, time.Duration) {})
-	go func() { _ = f.server.App().Listener(NewListener(listener, testClock)) }()
+	go func() { _ = f.server.App().Listener(NewListener(listener, testClock, memory.NewBudget(testMemory))) }()
 	t.Cleanup(func() { _ = f.server.App().ShutdownWithTimeout(time.Second) })
 	return f
 }
--- a/internal/command/memory_test.go
+++ b/internal/command/memory_test.go
@@ -21,6 +21,7 @@
 	"endivespring/internal/event"
 	"endivespring/internal/executor"
 	"endivespring/internal/fleet"
+	"endivespring/internal/memory"
 	"endivespring/internal/upstream"
 	"endivespring/internal/verdict"
 )
@@ -99,7 +100,7 @@
 			address := endlessUpstream(t, c.head, c.repeated)
 			ctx, cancel := context.WithTimeout(context.Background(), testLoadTime)
 			defer cancel()
-			now, answers := clock.NewMonotonic(), upstream.NewAnswerBudget(testAnswers)
+			now, answers := clock.NewMonotonic(), memory.NewBudget(testAnswers)
 			var senders sync.WaitGroup
 			for range testSenders {
 				senders.Go(func() {
--- /dev/null
+++ b/internal/memory/budget.go
@@ -0,0 +1,30 @@
+// Package memory bounds what bodies of requests and answers may use in a process at the same
+// time. It counts bytes; it allocates nothing.
+package memory
+
+import "sync/atomic"
+
+// Budget is a number of bytes that several users share. It is safe for concurrent use.
+type Budget struct{ free atomic.Int64 }
+
+// NewBudget returns a budget of the given number of bytes.
+func NewBudget(bytes int) *Budget {
+	b := &Budget{}
+	b.free.Store(int64(bytes))
+	return b
+}
+
+// Take withdraws bytes and reports whether that many were free.
+func (b *Budget) Take(bytes int) bool {
+	if b.free.Add(-int64(bytes)) >= 0 {
+		return true
+	}
+	b.Give(bytes)
+	return false
+}
+
+// Give returns bytes.
+func (b *Budget) Give(bytes int) { b.free.Add(int64(bytes)) }
+
+// Left returns the number of free bytes, which others may take at any time.
+func (b *Budget) Left() int { return int(max(0, b.free.Load())) }
--- a/internal/router/executor_duty_test.go
+++ b/internal/router/executor_duty_test.go
@@ -14,6 +14,7 @@
 	"endivespring/internal/executor"
 	"endivespring/internal/fleet"
 	"endivespring/internal/fsm"
+	"endivespring/internal/memory"
 	"endivespring/internal/ring"
 	"endivespring/internal/session"
 	"endivespring/internal/upstream"
@@ -209,7 +210,7 @@
 	defer func() { _ = listener.Close() }()
 	now := clock.NewMonotonic()
 	d := &senderDuty{
-		sender: upstream.NewSender(now, discardEvents{}, 1<<10, upstream.NewAnswerBudget(1<<20), upstream.NativeDialect{}),
+		sender: upstream.NewSender(now, discardEvents{}, 1<<10, memory.NewBudget(1<<20), upstream.NativeDialect{}),
 		runs:   ring.New[outboundRun]("runs", 1, ring.Refuse), outcomes: ring.New[executor.Outcome]("outcomes", 1, ring.Wait),
 	}
 	cancelled, cancel := context.WithCancel(ctx)
--- a/internal/router/gone_caller_test.go
+++ b/internal/router/gone_caller_test.go
@@ -19,6 +19,7 @@
 	"endivespring/internal/executor"
 	"endivespring/internal/fleet"
 	"endivespring/internal/gateway"
+	"endivespring/internal/memory"
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/session"
@@ -87,7 +88,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	go func() { _ = g.Run(ctx) }()
-	go func() { _ = g.server.App().Listener(caller.NewListener(listener, g.clock)) }()
+	go func() { _ = g.server.App().Listener(caller.NewListener(listener, g.clock, memory.NewBudget(1<<20))) }()
 	defer func() { _ = g.server.App().ShutdownWithTimeout(time.Second) }()
 	for g.log.Count(event.RequestFinished) < gone {
 		assert.NilError(t, ctx.Err())
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -28,6 +28,7 @@
 	"endivespring/internal/fleet"
 	"endivespring/internal/fsm"
 	"endivespring/internal/gateway"
+	"endivespring/internal/memory"
 	"endivespring/internal/metrics"
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
@@ -88,6 +89,8 @@
 	readiness     readiness
 	// hasPreset is signalled once the router has had a lease of a view with a preset.
 	hasPreset *ring.Ring[struct{}]
+	// requestMemory is what large requests of callers and of other routers may use.
+	requestMemory *memory.Budget
 	// callersDone is signalled once the front end has answered all requests that
 	// it has read.
 	callersDone *ring.Ring[struct{}]
@@ -138,6 +141,7 @@
 // build creates the duties, the servers and the rings between them.
 func (n *Node) build() {
 	s := n.settings
+	n.requestMemory = memory.NewBudget(s.RequestMemory)
 	self := fleet.Router{ID: fleet.RouterID(s.Name), DataCentre: fleet.DataCentre(s.DataCentre), Address: s.AdvertisedAddress()}
 	answers := ring.New[*inboundAnswer]("answers", gatewayAnswerCapacity, ring.Wait)
 	submissions := ring.New[*submission]("submissions", submissionCapacity, ring.Refuse)
@@ -178,6 +182,7 @@
 	observe := metrics.NewRequestMeter(n.registry).Observe
 	n.caller = caller.NewServer(n.clock, n.gateway.requests, s.MaxBody, observe)
 	n.gatewayClient = caller.NewGatewayClient(n.clock, n.gateway.requests, observe)
+	n.gatewayClient.LimitMemory(n.requestMemory)
 	n.gateway.client = n.gatewayClient
 	n.hasPreset = ring.New[struct{}]("has-preset", 1, ring.DropOldest)
 	n.gateway.hasPreset = n.hasPreset
--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -7,6 +7,7 @@
 	"github.com/gofiber/fiber/v2"
 
 	"endivespring/internal/caller"
+	"endivespring/internal/memory"
 	"endivespring/internal/metrics"
 	"endivespring/internal/peer"
 	"endivespring/internal/upstream"
@@ -18,7 +19,7 @@
 	if n.frontEnd != nil {
 		dialect = n.frontEnd.Dialect()
 	}
-	answers := upstream.NewAnswerBudget(n.settings.AnswerMemory)
+	answers := memory.NewBudget(n.settings.AnswerMemory)
 	n.executor.startSender = func() {
 		sender := &senderDuty{
 			sender: upstream.NewSender(n.clock, n.events, n.settings.MaxBody, answers, dialect), runs: n.executor.runs, outcomes: n.executor.outcomes,
@@ -36,7 +37,7 @@
 	}
 	n.group.Go("aborts", aborts.Run)
 	if l.caller != nil {
-		n.serveApp("caller-server", n.caller.App(), caller.NewListener(l.caller, n.clock))
+		n.serveApp("caller-server", n.caller.App(), caller.NewListener(l.caller, n.clock, n.requestMemory))
 	}
 	n.serveApp("announce-server", n.announce, l.announce)
 	n.serveApp("metrics-server", n.metrics, l.metrics)
@@ -71,7 +72,7 @@
 		waiting, stopWaiting := context.WithTimeout(callers, presetWait)
 		_, _ = n.hasPreset.Take(waiting) // without a preset in time, requests are refused
 		stopWaiting()
-		return n.frontEnd.ServeCallers(callers, caller.NewListener(l.frontCaller, n.clock), n.gatewayClient, n.settings, n.events)
+		return n.frontEnd.ServeCallers(callers, caller.NewListener(l.frontCaller, n.clock, n.requestMemory), n.gatewayClient, n.settings, n.events)
 	})
 	n.group.Go("front-announcements", func(ctx context.Context) error {
 		return n.frontEnd.ServeAnnouncements(ctx, l.frontAnnounce, n.executor.notifications, n.settings, n.events)
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -34,6 +34,7 @@
 	ControlPort     int      `json:"controlPort" min:"0" max:"65535" doc:"Port of every control process, if their number may change: only the IP addresses in control are used then, and the router follows the leader to any address. 0 if control lists all control processes."`
 	Metrics         string   `json:"metrics" kind:"address" doc:"Address where metrics are served at /metrics; not served if not set."`
 	MaxBody         int      `json:"maxBody" default:"1048576" min:"1024" max:"67108864" doc:"Largest body of a request or answer, in bytes."`
+	RequestMemory   int      `json:"requestMemory" default:"67108864" min:"65536" max:"1073741824" doc:"Bytes that the bodies of all requests in progress may use, beside 64 KiB each. A request that needs more is refused as overloaded."`
 	AnswerMemory    int      `json:"answerMemory" default:"67108864" min:"65536" max:"1073741824" doc:"Bytes that all answers of the upstream being read at the same time may use, beside 64 KiB each. An answer that needs more is given up."`
 	MemoryMB        int      `json:"memoryMB" default:"192" min:"0" max:"1048576" doc:"Memory in MB that the process may use. It collects garbage in time to stay within it; what is in use at the same time has limits of its own. 0 for no such limit."`
 	MaxRequests     int      `json:"maxRequests" default:"4096" min:"16" max:"65536" doc:"Largest number of callers' requests in progress."`
--- a/internal/upstream/answer_reader.go
+++ b/internal/upstream/answer_reader.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "io"
+import (
+	"io"
+
+	"endivespring/internal/memory"
+)
 
 // answerReserve is the number of bytes of an answer that need no budget, so that
 // ordinary answers are read while others have used it up.
@@ -10,10 +14,14 @@
 // from the budget of all answers.
 type answerReader struct {
 	source io.Reader
-	budget *AnswerBudget
-	// received counts the bytes received for the answer, taken those withdrawn from
-	// the budget for it.
-	received, taken int
+	budget *memory.Budget
+	memory *memory.Reservation
+	// received counts the bytes received for the answer.
+	received int
+}
+
+func newAnswerReader(source io.Reader, budget *memory.Budget) *answerReader {
+	return &answerReader{source: source, budget: budget, memory: budget.Reserve()}
 }
 
 // Read reads from the connection. It returns errNoMemory once the answer has grown
@@ -29,23 +37,13 @@
 
 // reserve withdraws what an answer of the given size needs beyond what was withdrawn
 // before, and reports whether that was free.
-func (r *answerReader) reserve(bytes int) bool {
-	lacking := bytes - answerReserve - r.taken
-	if lacking <= 0 {
-		return true
-	}
-	if !r.budget.take(lacking) {
-		return false
-	}
-	r.taken += lacking
-	return true
-}
+func (r *answerReader) reserve(bytes int) bool { return r.memory.Grow(bytes - answerReserve) }
 
 // limit returns the largest body that the budget allows now.
-func (r *answerReader) limit() int { return answerReserve + r.taken + r.budget.left() }
+func (r *answerReader) limit() int { return answerReserve + r.memory.Taken() + r.budget.Left() }
 
 // release ends the answer and returns what was withdrawn for it.
 func (r *answerReader) release() {
-	r.budget.give(r.taken)
-	r.received, r.taken = 0, 0
+	r.memory.Release()
+	r.received = 0
 }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -11,6 +11,7 @@
 
 	"endivespring/internal/clock"
 	"endivespring/internal/executor"
+	"endivespring/internal/memory"
 	"endivespring/internal/peer"
 )
 
@@ -52,7 +53,7 @@
 
 func dial(address string) (net.Conn, error) { return fasthttp.DialTimeout(address, dialTimeout) }
 
-func connect(address string, now clock.Instant, budget *AnswerBudget) (*connection, error) {
+func connect(address string, now clock.Instant, budget *memory.Budget) (*connection, error) {
 	c, err := dial(address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "connect to %s", address)
@@ -60,8 +61,8 @@
 	return newConnection(address, c, now, budget), nil
 }
 
-func newConnection(address string, c net.Conn, now clock.Instant, budget *AnswerBudget) *connection {
-	answer := &answerReader{source: c, budget: budget}
+func newConnection(address string, c net.Conn, now clock.Instant, budget *memory.Budget) *connection {
+	answer := newAnswerReader(c, budget)
 	return &connection{address: address, net: c, answer: answer, reader: bufio.NewReaderSize(answer, readBuffer), lastUsed: now, refused: map[string]bool{}}
 }
 
--- a/internal/upstream/cut_answer_test.go
+++ b/internal/upstream/cut_answer_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"endivespring/internal/memory"
 	"endivespring/internal/verdict"
 )
 
@@ -22,7 +23,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			for cut := range len(answer) + 1 {
-				c := newConnection("u", newMemoryConnection(answer[:cut]), 0, NewAnswerBudget(testBody))
+				c := newConnection("u", newMemoryConnection(answer[:cut]), 0, memory.NewBudget(testBody))
 				out := readAnswer(c, NativeDialect{})
 				whole := cut == len(answer)
 				assert.Equal(t, out.Answer.Verdict != verdict.MayHaveRun, whole, "cut after %q: %v", answer[:cut], out.Answer)
--- a/internal/upstream/endless_answer_test.go
+++ b/internal/upstream/endless_answer_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"endivespring/internal/memory"
 	"endivespring/internal/verdict"
 )
 
@@ -66,7 +67,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			address, written := endlessUpstream(t, c.head, c.repeated)
-			answers := NewAnswerBudget(budget)
+			answers := memory.NewBudget(budget)
 			s := NewSender(testClock, recorder{}, 64<<20, answers, NativeDialect{})
 			defer s.Close()
 			begun := time.Now()
@@ -80,7 +81,7 @@
 			case <-time.After(20 * time.Second):
 				t.Fatal("the connection was not closed")
 			}
-			assert.Equal(t, answers.left(), budget, "memory is not given back")
+			assert.Equal(t, answers.Left(), budget, "memory is not given back")
 		})
 	}
 }
@@ -88,19 +89,19 @@
 // Guards against senders that together read more than the router's memory holds, and
 // against ordinary answers that fail because another one has used it up.
 func TestAnswersShareTheirMemory(t *testing.T) {
-	answers := NewAnswerBudget(1 << 20)
+	answers := memory.NewBudget(1 << 20)
 	f := newFakeUpstream(t, script{reply("id", strings.Repeat("x", 512<<10))}, script{reply("id", "whole")}, script{reply("id", strings.Repeat("x", 900<<10))})
 	run := func() verdict.Reason {
 		s := NewSender(testClock, recorder{}, 64<<20, answers, NativeDialect{})
 		defer s.Close()
 		return s.Run(context.Background(), newRun("id", f.listener.Addr().String(), time.Minute)).Answer.Reason
 	}
-	assert.Assert(t, answers.take(800<<10))
+	assert.Assert(t, answers.Take(800<<10))
 	assert.Equal(t, run(), verdict.ReasonBodyTooLarge)
 	assert.Equal(t, run(), verdict.ReasonNone)
-	answers.give(800 << 10)
+	answers.Give(800 << 10)
 	assert.Equal(t, run(), verdict.ReasonNone)
-	assert.Equal(t, answers.left(), 1<<20)
+	assert.Equal(t, answers.Left(), 1<<20)
 }
 
 // Guards against a cancellation whose response has no end: it is read no further than its
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -4,6 +4,7 @@
 	"slices"
 	"testing"
 
+	"endivespring/internal/memory"
 	"endivespring/internal/verdict"
 )
 
@@ -34,7 +35,7 @@
 		first := text == ""
 		whole := int(cut) >= len(answer)
 		text += answer[:min(int(cut), len(answer))]
-		out := readAnswer(newConnection("u", newMemoryConnection(text), 0, NewAnswerBudget(testBody)), NativeDialect{})
+		out := readAnswer(newConnection("u", newMemoryConnection(text), 0, memory.NewBudget(testBody)), NativeDialect{})
 		refusal := int(kind)%len(answers) == len(answers)-1
 		switch out.Answer.Verdict {
 		case verdict.Ran:
--- a/internal/upstream/range_client.go
+++ b/internal/upstream/range_client.go
@@ -10,6 +10,7 @@
 
 	"endivespring/internal/clock"
 	"endivespring/internal/executor"
+	"endivespring/internal/memory"
 )
 
 const (
@@ -26,7 +27,7 @@
 type RangeClient struct {
 	clock      clock.Clock
 	dialect    Dialect
-	budget     *AnswerBudget
+	budget     *memory.Budget
 	connection *connection
 	// boot is the start of the upstream that the connection was opened for.
 	boot string
@@ -34,7 +35,7 @@
 
 // NewRangeClient returns a client that connects on the first request.
 func NewRangeClient(c clock.Clock, dialect Dialect) *RangeClient {
-	return &RangeClient{clock: c, dialect: dialect, budget: NewAnswerBudget(rangeAnswerMemory)}
+	return &RangeClient{clock: c, dialect: dialect, budget: memory.NewBudget(rangeAnswerMemory)}
 }
 
 // Do sends a request and blocks until its outcome is known, at most until its timeout or
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -16,6 +16,7 @@
 	"endivespring/internal/clock"
 	"endivespring/internal/event"
 	"endivespring/internal/executor"
+	"endivespring/internal/memory"
 	"endivespring/internal/verdict"
 )
 
@@ -31,7 +32,7 @@
 	clock      clock.Clock
 	events     event.Recorder
 	maxBody    int
-	budget     *AnswerBudget
+	budget     *memory.Budget
 	dialect    Dialect
 	connection *connection
 	buffer     bytes.Buffer
@@ -40,7 +41,7 @@
 
 // NewSender returns a sender that connects on the first run and accepts response
 // bodies of up to maxBody bytes, as far as the budget, shared by all senders, allows.
-func NewSender(c clock.Clock, events event.Recorder, maxBody int, budget *AnswerBudget, dialect Dialect) *Sender {
+func NewSender(c clock.Clock, events event.Recorder, maxBody int, budget *memory.Budget, dialect Dialect) *Sender {
 	s := &Sender{clock: c, events: events, maxBody: maxBody, budget: budget, dialect: dialect}
 	s.writer = bufio.NewWriter(&s.buffer)
 	return s
--- a/internal/upstream/sender_test.go
+++ b/internal/upstream/sender_test.go
@@ -20,6 +20,7 @@
 	"endivespring/internal/event"
 	"endivespring/internal/executor"
 	"endivespring/internal/fleet"
+	"endivespring/internal/memory"
 	"endivespring/internal/verdict"
 )
 
@@ -104,7 +105,7 @@
 
 func newSender(t *testing.T) (*Sender, recorder) {
 	events := recorder{}
-	s := NewSender(testClock, events, testBody, NewAnswerBudget(testBody), NativeDialect{})
+	s := NewSender(testClock, events, testBody, memory.NewBudget(testBody), NativeDialect{})
 	t.Cleanup(s.Close)
 	return s, events
 }
@@ -236,7 +237,7 @@
 	for readings := 1; readings <= 8; readings++ {
 		f := newFakeUpstream(t, script{reply("id", "whole")})
 		paused := &steppingClock{now: clock.Instant(time.Hour), step: time.Second}
-		s := NewSender(paused, recorder{}, testBody, NewAnswerBudget(testBody), NativeDialect{})
+		s := NewSender(paused, recorder{}, testBody, memory.NewBudget(testBody), NativeDialect{})
 		run := newRun("id", f.listener.Addr().String(), 0)
 		run.Deadline = paused.now.Add(time.Minute)
 		run.Call.Deadline, run.Fence = run.Deadline, paused.now.Add(time.Duration(readings)*time.Second)
