Send large bodies of calls in parts

One body of 64 MB took the router beside the upstream to 271 MB.

Cause: a call was one message with its whole body. It was encoded as a whole, received in frames, put together, and copied once more when it was decoded; no budget bounded what came over all links.

Change: bodies above 64 KiB follow their call in parts of 32 KiB, bodies and other calls in turn. The executor's side puts them together in the memory that it has set aside in the budget of requests, or refuses the call as not run. The memory is given back once the call is answered or cancelled, or its link ends. A call whose body was not sent as a whole when a link failed is known not to have run. Routers say in their registration that they take parts; others get whole messages.

--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -22,6 +22,9 @@
 	// its earlier session, or zero. A restarted router has forgotten it, and may receive a
 	// heartbeat of an ended boot late.
 	EarlierStart int64
+	// TakesParts is set if the router's executor understands bodies of calls that follow in
+	// parts. Those of an earlier build don't.
+	TakesParts bool
 }
 
 // LatestStart returns the StartMillis of the latest upstream that was registered beside the
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -9,6 +9,7 @@
 	"endivespring/internal/executor"
 	"endivespring/internal/fleet"
 	"endivespring/internal/fsm"
+	"endivespring/internal/memory"
 	"endivespring/internal/metrics"
 	"endivespring/internal/ring"
 	"endivespring/internal/session"
@@ -55,7 +56,9 @@
 	cancels         map[uint64]context.CancelFunc
 	pendingReleases []fsm.ShardRelease
 	sinks           map[uint64]answerSink
-	upstream        fleet.Upstream
+	// bodies is what the bodies of calls from links have withdrawn from the budget of requests.
+	bodies   map[executor.Ticket]*memory.Reservation
+	upstream fleet.Upstream
 	// lastHeartbeat is the newest heartbeat of an upstream that sends them.
 	lastHeartbeat *upstream.Heartbeat
 	// early is the newest heartbeat that arrived before the first view, or nil.
@@ -194,10 +197,31 @@
 	case s.closed:
 		delete(d.sinks, s.link)
 		d.core.CancelLink(d.clock.Now(), s.link)
+		d.releaseLink(s.link)
 	case s.cancel != 0:
-		d.core.Cancel(d.clock.Now(), executor.Ticket{Link: s.link, Number: s.cancel})
+		ticket := executor.Ticket{Link: s.link, Number: s.cancel}
+		d.core.Cancel(d.clock.Now(), ticket)
+		d.releaseBody(ticket)
 	default:
-		d.core.Submit(d.clock.Now(), executor.Ticket{Link: s.link, Number: s.call.Number}, s.call)
+		ticket := executor.Ticket{Link: s.link, Number: s.call.Number}
+		if s.memory != nil {
+			d.bodies[ticket] = s.memory
+		}
+		d.core.Submit(d.clock.Now(), ticket, s.call)
+	}
+}
+
+// releaseBody gives back the memory of the body of a call that is answered or cancelled.
+func (d *executorDuty) releaseBody(ticket executor.Ticket) {
+	d.bodies[ticket].Release()
+	delete(d.bodies, ticket)
+}
+
+func (d *executorDuty) releaseLink(link uint64) {
+	for ticket := range d.bodies {
+		if ticket.Link == link {
+			d.releaseBody(ticket)
+		}
 	}
 }
 
--- a/internal/router/executor_server.go
+++ b/internal/router/executor_server.go
@@ -2,21 +2,17 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"sync/atomic"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/event"
+	"endivespring/internal/memory"
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
-	"endivespring/internal/verdict"
-	"endivespring/internal/wire"
 	"endivespring/internal/wire/wirepb"
 )
 
@@ -29,6 +25,8 @@
 	events   event.Recorder
 	clock    clock.Clock
 	executor *ring.Ring[*submission]
+	// memory is the budget of the bodies of requests in progress.
+	memory   *memory.Budget
 	lastLink atomic.Uint64
 }
 
@@ -46,9 +44,9 @@
 	if s.executor.Put(ctx, &submission{link: id, open: sink}) != nil {
 		return status.Error(codes.ResourceExhausted, "executor is overloaded: submission queue is full")
 	}
+	link := &executorLink{id: id, clock: s.clock, executor: s.executor, sink: sink, bodies: bodyJoiner{budget: s.memory, calls: map[uint64]*incomingCall{}}}
 	go func() {
-		s.handle(ctx, first, id, sink)
-		if !s.receive(ctx, stream, id, sink) {
+		if link.handle(ctx, first) != nil || !link.receive(ctx, stream) {
 			cancel()
 		}
 	}()
@@ -87,40 +85,3 @@
 		}
 	}
 }
-
-// receive handles messages until the stream fails, or the gateway half-closes it because
-// it sends no more calls. It reports whether the latter is the case: answers then may
-// still be sent.
-func (s *executorServer) receive(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.DoorUp, wirepb.DoorDown], id uint64, sink *linkSink) (halfClosed bool) {
-	for {
-		up, err := stream.Recv()
-		if err != nil {
-			return errors.Is(err, io.EOF)
-		}
-		s.handle(ctx, up, id, sink)
-	}
-}
-
-func (s *executorServer) handle(ctx context.Context, up *wirepb.DoorUp, id uint64, sink *linkSink) {
-	if up.GetPing() != 0 {
-		_ = sink.out.Put(ctx, &wirepb.DoorDown{Pong: up.GetPing()})
-		return
-	}
-	if up.GetCancel() != 0 {
-		_ = s.executor.Put(ctx, &submission{link: id, cancel: up.GetCancel()})
-		return
-	}
-	request := wire.ToCall(up.GetCall(), s.clock.Now())
-	if s.executor.Put(ctx, &submission{link: id, call: request}) != nil {
-		sink.answer(ctx, call.Refusal(&request, overloadVerdict(&request), verdict.ReasonOverloaded))
-	}
-}
-
-// overloadVerdict returns the verdict of a call that was refused before the executor
-// looked at it. An earlier attempt of a resend may have run.
-func overloadVerdict(request *call.Call) verdict.Verdict {
-	if request.Resend && !request.Idempotent {
-		return verdict.MayHaveRun
-	}
-	return verdict.NotRun
-}
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -19,8 +19,11 @@
 )
 
 const (
-	linkCapacity = 512              // calls queued for one link; above slots plus the default queue limit of 64 for usual upstreams; 4 KB
-	idleTimeout  = 30 * time.Second // time without calls after which a link closes; also limits the wait for the last answers of a retired link
+	linkCapacity = 512 // calls queued for one link; above slots plus the default queue limit of 64 for usual upstreams; 4 KB
+	// settledCapacity is the number of answered calls that the writer of a link may still have
+	// to look at.
+	settledCapacity = 16
+	idleTimeout     = 30 * time.Second // time without calls after which a link closes; also limits the wait for the last answers of a retired link
 )
 
 // link sends calls to the executor of one router over one gRPC stream. It does not
@@ -38,8 +41,15 @@
 	lastReceived atomic.Int64
 	// links is the number of open links of this router.
 	links *atomic.Int64
+	// takesParts is set if the other router takes large bodies in parts.
+	takesParts bool
 	// retired is signalled once the other router asks for no more calls.
 	retired *ring.Ring[struct{}]
+	// settled holds the numbers of calls that were answered, whose bodies may still be being
+	// sent.
+	settled *ring.Ring[uint64]
+	// bodiesLeft is the number of bodies that are being sent in parts.
+	bodiesLeft atomic.Int64
 	// lastNumber is the number of the last call that may have been sent on the link. It
 	// is owned by the gateway duty.
 	lastNumber uint64
@@ -52,6 +62,7 @@
 		fleet: fleetName, router: r.ID, address: r.Address, links: links, clock: c, answers: answers, events: events, lastNumber: math.MaxUint64,
 		calls:   ring.New[*outgoingCall]("link-"+string(r.ID), linkCapacity, ring.Refuse),
 		retired: ring.New[struct{}]("link-retired", 1, ring.DropOldest),
+		settled: ring.New[uint64]("link-settled", settledCapacity, ring.DropOldest), takesParts: r.TakesParts,
 	}
 }
 
@@ -62,27 +73,27 @@
 	for l.calls.Depth() > 0 {
 		out := <-l.calls.Out()
 		if !out.cancel {
-			l.reportUnsent(ctx, out)
+			l.reportUnsent(ctx, out.call.Number)
 		}
 	}
 	_ = l.answers.Put(ctx, &inboundAnswer{from: l.router, ended: l})
 	return nil
 }
 
-// reportUnsent reports a call that was never written as not run.
-func (l *link) reportUnsent(ctx context.Context, out *outgoingCall) {
+// reportUnsent reports a call that was never written, or not with its whole body, as not run.
+func (l *link) reportUnsent(ctx context.Context, number uint64) {
 	lost := &inboundAnswer{from: l.router, lost: true, verdict: verdict.NotRun}
-	lost.answer.Number = out.call.Number
+	lost.answer.Number = number
 	_ = l.answers.Put(ctx, lost)
 }
 
-func (l *link) stream(ctx context.Context) error {
+func (l *link) stream(outer context.Context) error {
 	connection, err := peer.Dial(l.address)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = connection.Close() }()
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
 	opening := time.AfterFunc(peerTimeout, cancel)
 	stream, err := wirepb.NewDoorsClient(connection).Link(ctx)
@@ -95,62 +106,12 @@
 		defer cancel()
 		l.receive(ctx, stream)
 	}()
-	return l.send(ctx, stream, cancel)
-}
-
-// send sends calls, cancellations and pings. It returns when the peer times out, the
-// link is idle or the stream fails.
-func (l *link) send(ctx context.Context, stream grpc.BidiStreamingClient[wirepb.DoorUp, wirepb.DoorDown], cancel func()) error {
-	used := l.clock.Now()
-	pinger := linkPinger{lastPing: used}
-	ping := time.NewTimer(idlePingInterval)
-	defer ping.Stop()
-	watchdog := time.AfterFunc(peerTimeout, cancel)
-	defer watchdog.Stop()
-	watchdog.Stop()
-	for {
-		var up *wirepb.DoorUp
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-l.retired.Out():
-			return l.awaitAnswers(ctx, stream)
-		case out := <-l.calls.Out():
-			used = l.clock.Now()
-			if out.callerGone(used) {
-				l.reportUnsent(ctx, out)
-				continue
-			}
-			up = l.encode(out, used)
-			if l.trackInFlight(out) {
-				ping.Reset(pingInterval)
-			}
-		case <-ping.C:
-			now := l.clock.Now()
-			heard := clock.Instant(l.lastReceived.Load())
-			pinger.received(heard)
-			if pinger.timedOut(now) {
-				l.events.Record(event.ConnectionRetired, event.F("router", string(l.router)), event.F("address", l.address))
-				return context.DeadlineExceeded
-			}
-			if now.Sub(used) > idleTimeout {
-				return nil
-			}
-			calls, links := l.inFlight.Load() > 0, l.links.Load()
-			due := now.Sub(heard) >= pingInterval && pinger.due(now, calls, links)
-			ping.Reset(max(minPingDelay, pinger.nextAt(calls, links).Sub(now)))
-			if !due {
-				continue
-			}
-			up = &wirepb.DoorUp{Fleet: l.fleet, Ping: uint64(now)}
-		}
-		watchdog.Reset(peerTimeout)
-		err := stream.Send(up)
-		watchdog.Stop()
-		if err != nil {
-			return err
-		}
+	writer := newLinkWriter(l, stream, cancel)
+	err = writer.run(ctx)
+	for _, body := range writer.bodies {
+		l.reportUnsent(outer, body.number)
 	}
+	return err
 }
 
 // awaitAnswers half-closes the stream, so that the other router knows that no more calls
@@ -167,13 +128,6 @@
 	return limited.Err()
 }
 
-func (l *link) encode(out *outgoingCall, now clock.Instant) *wirepb.DoorUp {
-	if out.cancel {
-		return &wirepb.DoorUp{Fleet: l.fleet, Cancel: out.call.Number}
-	}
-	return &wirepb.DoorUp{Fleet: l.fleet, Call: wire.FromCall(&out.call, now)}
-}
-
 // trackInFlight updates the number of calls in flight for a sent message. It reports
 // whether this is the first of them.
 func (l *link) trackInFlight(out *outgoingCall) (first bool) {
@@ -213,6 +167,9 @@
 			continue
 		}
 		l.callEnded()
+		if l.bodiesLeft.Load() > 0 {
+			_ = l.settled.Put(ctx, down.GetAnswer().GetNumber())
+		}
 		answer, valid := wire.ToAnswer(down.GetAnswer())
 		in := &inboundAnswer{from: l.router, answer: answer}
 		if !valid {
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -142,7 +142,7 @@
 func (n *Node) build() {
 	s := n.settings
 	n.requestMemory = memory.NewBudget(s.RequestMemory)
-	self := fleet.Router{ID: fleet.RouterID(s.Name), DataCentre: fleet.DataCentre(s.DataCentre), Address: s.AdvertisedAddress()}
+	self := fleet.Router{ID: fleet.RouterID(s.Name), DataCentre: fleet.DataCentre(s.DataCentre), Address: s.AdvertisedAddress(), TakesParts: true}
 	answers := ring.New[*inboundAnswer]("answers", gatewayAnswerCapacity, ring.Wait)
 	submissions := ring.New[*submission]("submissions", submissionCapacity, ring.Refuse)
 	delegations := ring.New[executor.Delegation]("delegations", delegationCapacity, ring.Refuse)
@@ -161,7 +161,7 @@
 		notifications: ring.New[upstream.Notification]("notices", notificationCapacity, ring.Refuse),
 		stop:          ring.New[executorStop]("door-stop", stopSteps, ring.Refuse),
 		runs:          ring.New[outboundRun]("runs", runCapacity, ring.Refuse),
-		delegations:   delegations, cancels: map[uint64]context.CancelFunc{},
+		delegations:   delegations, cancels: map[uint64]context.CancelFunc{}, bodies: map[executor.Ticket]*memory.Reservation{},
 		aborts:        ring.New[executor.Abort]("aborts", runCapacity, ring.DropOldest),
 		releases:      ring.New[[]fsm.ShardRelease]("releases", updateCapacity, ring.Refuse),
 		ranges:        newRangeRings(),
@@ -189,7 +189,7 @@
 	n.callersDone = ring.New[struct{}]("callers-done", 1, ring.DropOldest)
 	n.announce = upstream.NewServer(n.executor.notifications).App()
 	n.grpc = peer.NewServer()
-	wirepb.RegisterDoorsServer(n.grpc, &executorServer{fleet: s.Fleet, events: n.events, clock: n.clock, executor: submissions})
+	wirepb.RegisterDoorsServer(n.grpc, &executorServer{fleet: s.Fleet, events: n.events, clock: n.clock, executor: submissions, memory: n.requestMemory})
 }
 
 func newFinder(s *settings.Router) *session.Finder {
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -11,7 +11,7 @@
 func FromRouter(r fleet.Router) *wirepb.Router {
 	return &wirepb.Router{
 		Id: string(r.ID), Session: uint64(r.Session), DataCentre: string(r.DataCentre),
-		Address: r.Address, Upstream: fromUpstream(r.Upstream), Leaving: r.Leaving, DepartedBoot: r.DepartedBoot, EarlierStartMs: r.EarlierStart,
+		Address: r.Address, Upstream: fromUpstream(r.Upstream), Leaving: r.Leaving, DepartedBoot: r.DepartedBoot, EarlierStartMs: r.EarlierStart, TakesParts: r.TakesParts,
 	}
 }
 
@@ -19,7 +19,7 @@
 func ToRouter(r *wirepb.Router) fleet.Router {
 	return fleet.Router{
 		ID: fleet.RouterID(r.GetId()), Session: fleet.Session(r.GetSession()), DataCentre: fleet.DataCentre(r.GetDataCentre()),
-		Address: r.GetAddress(), Upstream: toUpstream(r.GetUpstream()), Leaving: r.GetLeaving(), DepartedBoot: r.GetDepartedBoot(), EarlierStart: r.GetEarlierStartMs(),
+		Address: r.GetAddress(), Upstream: toUpstream(r.GetUpstream()), Leaving: r.GetLeaving(), DepartedBoot: r.GetDepartedBoot(), EarlierStart: r.GetEarlierStartMs(), TakesParts: r.GetTakesParts(),
 	}
 }
 
