Send large bodies to the upstream without a copy

Cause: the encoded request was put together in a buffer with a copy of the body, which its sender kept.

--- a/internal/upstream/native_dialect.go
+++ b/internal/upstream/native_dialect.go
@@ -33,7 +33,7 @@
 		request.Header.Set(HeaderEpoch, strconv.FormatUint(uint64(run.Epoch), 10))
 		request.Header.Set(HeaderGrantEnd, strconv.FormatInt(grantEnd.UnixNano(), 10))
 	}
-	request.SetBody(run.Call.Body)
+	request.SetBodyRaw(run.Call.Body)
 }
 
 // Names reports whether the response has the run's request ID.
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"syscall"
@@ -35,7 +34,7 @@
 	budget     *memory.Budget
 	dialect    Dialect
 	connection *connection
-	buffer     bytes.Buffer
+	buffer     requestBuffer
 	writer     *bufio.Writer
 }
 
@@ -110,8 +109,8 @@
 	return err
 }
 
-// encode serialises the request into the buffer, so that sending it takes a
-// single write right after the last check of lease and deadline.
+// encode serialises the request into the buffer, so that it can be sent right after
+// the last check of lease and deadline.
 func (s *Sender) encode(run *executor.Run) error {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
@@ -135,7 +134,9 @@
 		return outcome(run, verdict.NotRun, reason, admission.Neutral)
 	}
 	s.connection.requests++
-	if n, err := s.connection.net.Write(s.buffer.Bytes()); err != nil {
+	n, err := s.buffer.WriteTo(s.connection.net)
+	s.buffer.Reset()
+	if err != nil {
 		s.retire("write")
 		if n == 0 {
 			return outcome(run, verdict.NotRun, verdict.ReasonConnection, admission.Failed)
