Keep the departure of an upstream for good

Cause: a router that had just started ignored the departure of an upstream that it did not know yet, and acknowledged it; one that an earlier process had been told of was kept for 10 s. A heartbeat sent before the departure that arrived later made the upstream available again.

Change: a router remembers departures by name and time, and takes no heartbeat of a boot that had started by then. What control keeps of a departure holds for good where upstreams state their start times.

Evidence: TestDepartureOfAnUnknownUpstreamIsRemembered (two cases) and TestDepartureOfABootHoldsForGood failed before.

--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -61,6 +61,7 @@
 	upstream fleet.Upstream
 	// lastHeartbeat is the newest heartbeat of an upstream that sends them.
 	lastHeartbeat *upstream.Heartbeat
+	departures    departures
 	// early is the newest heartbeat that arrived before the first view, or nil.
 	early *upstream.Notification
 	// earlierBoot follows the heartbeats of a boot that is known to have a successor.
@@ -243,6 +244,9 @@
 		d.handleHeartbeat(ctx, notification)
 		return
 	}
+	if notification.Leaving && notification.Name != "" {
+		d.departures.record(notification.Name, time.Now().UnixMilli())
+	}
 	if notification.Leaving && notification.Name != "" && notification.Name != d.upstream.Name {
 		return
 	}
--- a/internal/router/heartbeat.go
+++ b/internal/router/heartbeat.go
@@ -37,6 +37,9 @@
 // isCurrent reports whether a heartbeat comes from the present boot of the upstream and is
 // newer than the last one.
 func (d *executorDuty) isCurrent(now clock.Instant, heartbeat *upstream.Heartbeat) bool {
+	if d.departures.includes(&heartbeat.Upstream) {
+		return false
+	}
 	if d.isLastBoot(heartbeat) {
 		return !d.upstreamExited && heartbeat.NewerThan(d.lastHeartbeat)
 	}
--- a/internal/router/late_boot_test.go
+++ b/internal/router/late_boot_test.go
@@ -9,6 +9,7 @@
 	"endivespring/internal/executor"
 	"endivespring/internal/fleet"
 	"endivespring/internal/session"
+	"endivespring/internal/upstream"
 )
 
 // newRestartedHarness returns the executor duty of a router that has just started. Its
@@ -84,3 +85,27 @@
 		}
 	}
 }
+
+// Guards against an upstream that is used after its departure was acknowledged: a router that
+// has just started knows nothing of it when the departure arrives, and takes a heartbeat for
+// a proper one that was sent before and arrives later, or was kept until the first view.
+func TestDepartureOfAnUnknownUpstreamIsRemembered(t *testing.T) {
+	leave := func(s *executorHarness) {
+		s.handleNotification(s.ctx, &upstream.Notification{Leaving: true, Name: "later"})
+	}
+	for name, heartbeatFirst := range map[string]bool{"heartbeat kept until the view": true, "heartbeat after the departure": false} {
+		t.Run(name, func(t *testing.T) {
+			s, showView := newRestartedHarness(t)
+			if heartbeatFirst {
+				s.heartbeat("later", "s", 2000, 40)
+			}
+			leave(s)
+			showView()
+			assert.Assert(t, !s.heartbeat("later", "s", 2000, 41).Renews)
+			assert.Equal(t, s.upstream.Name, "")
+			assert.Equal(t, s.registrations.Depth(), 0)
+			next := time.Now().Add(time.Hour).UnixMilli()
+			assert.Assert(t, s.heartbeat("later", "s", next, 1).Renews, "a later start under the same name")
+		})
+	}
+}
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -161,7 +161,7 @@
 		notifications: ring.New[upstream.Notification]("notices", notificationCapacity, ring.Refuse),
 		stop:          ring.New[executorStop]("door-stop", stopSteps, ring.Refuse),
 		runs:          ring.New[outboundRun]("runs", runCapacity, ring.Refuse),
-		delegations:   delegations, cancels: map[uint64]context.CancelFunc{}, bodies: map[executor.Ticket]*memory.Reservation{},
+		delegations:   delegations, cancels: map[uint64]context.CancelFunc{}, bodies: map[executor.Ticket]*memory.Reservation{}, departures: departures{},
 		aborts:        ring.New[executor.Abort]("aborts", runCapacity, ring.DropOldest),
 		releases:      ring.New[[]fsm.ShardRelease]("releases", updateCapacity, ring.Refuse),
 		ranges:        newRangeRings(),
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -146,7 +146,7 @@
 		return RouterMessage{}, false
 	}
 	c.renewAt = now.Add(c.renewalInterval)
-	if c.router.DepartedBoot != "" && now >= c.adoptedUntil && !c.departed {
+	if c.router.DepartedBoot != "" && now >= c.adoptedUntil && !c.departed && !c.ordersBoots() {
 		c.router.DepartedBoot = ""
 	}
 	up := RouterMessage{
--- a/internal/session/departure_test.go
+++ b/internal/session/departure_test.go
@@ -58,3 +58,20 @@
 	up, ok := c.DueRenewal(now.Add(time.Second))
 	assert.Assert(t, ok && c.Session() == 2 && !up.Registers)
 }
+
+// Guards against a departed upstream that is in use again once a late heartbeat arrives: if
+// upstreams state their start times, a departure holds for good, since a boot never comes back.
+func TestDepartureOfABootHoldsForGood(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	c := New(fleet.Router{ID: "r"}, 300*time.Millisecond, "n")
+	c.Connected(now)
+	shown := fleet.Router{ID: "r", Session: 2, DepartedBoot: "a", EarlierStart: 1000}
+	c.Receive(now, &ControlMessage{Session: 2, Change: &fleet.Change{Full: true, To: 5, Routers: []fleet.Router{shown}}})
+	late := now.Add(10 * departureMemory)
+	up, ok := c.DueRenewal(late)
+	assert.Assert(t, ok && !up.Registers, "the registration stays as it is")
+	c.SetRegistration(late, fleet.Upstream{Name: "u", Service: "s", Boot: "a", StartMillis: 1000}, false, false)
+	up, ok = c.DueRenewal(late.Add(time.Second))
+	assert.Assert(t, ok && up.Registers)
+	assert.Equal(t, up.Router.DepartedBoot, "a")
+}
--- a/internal/session/registration.go
+++ b/internal/session/registration.go
@@ -8,7 +8,8 @@
 )
 
 // departureMemory is how long a departure of the upstream that was announced to an
-// earlier process of the router holds: an announcement sent before the departure may still arrive.
+// earlier process of the router holds, unless upstreams state their start times: an
+// announcement sent before the departure may still arrive.
 const departureMemory = 10 * time.Second
 
 // SetRegistration changes the upstream that the router registers, whether it is leaving,
@@ -38,3 +39,9 @@
 	}
 	c.router.DepartedBoot, c.adoptedUntil = boot, now.Add(departureMemory)
 }
+
+// ordersBoots reports whether the upstreams beside this router state their start times. A boot
+// that has departed is then never the same as one that announces itself later.
+func (c *Core) ordersBoots() bool {
+	return c.registered.EarlierStart != 0 || c.router.Upstream.StartMillis != 0
+}
