Log when a router was held up

Change: the session duty, whose timer is due every 300 ms or sooner, logs a delay of 250 ms or more (107).

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -16,6 +16,7 @@
 	SettingsRefused    = define(104, "settings-refused", Warn, "The settings file could not be read or is invalid; the previous settings stay in effect.")
 	LinesOmitted       = define(105, "lines-omitted", Info, "Lines of one kind were omitted from this log because they exceeded the rate limit; the counters include them.")
 	HandlerFailed      = define(106, "handler-failed", Alarm, "Handling a request of the front end failed unexpectedly; it was answered with 500, and the process goes on.")
+	DutyDelayed        = define(107, "duty-delayed", Info, "The session duty ran later than its timer was due: the process had no processor time, or its VM was suspended. What arrived meanwhile was read late.")
 	LeaderElected      = define(200, "leader-elected", Info, "This voter became leader of the control log.")
 	LeaderLost         = define(201, "leader-lost", Warn, "This voter is no longer leader of the control log.")
 	DiskQuarantined    = define(202, "disk-set-aside", Alarm, "The data folder was damaged; its files were quarantined and the process joins with a new disk identity.")
--- a/internal/event/event_docs.go
+++ b/internal/event/event_docs.go
@@ -11,6 +11,7 @@
 		action: "Correct the field that is named in `cause`; `check` reports every problem of a file."},
 	HandlerFailed: {fields: []string{"path", "cause", "stack"},
 		action: "Report the event, which indicates a defect, with the request."},
+	DutyDelayed:   {fields: []string{"late"}},
 	LinesOmitted:  {fields: []string{"kind", "successes", "lines"}},
 	LeaderElected: {fields: []string{"term", "config", "number", "view"}},
 	LeaderLost: {fields: []string{"term"},
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -15,7 +15,12 @@
 	"endivespring/internal/wire/wirepb"
 )
 
-const reconnectDelay = 50 * time.Millisecond // delay before connecting to the next control process
+const (
+	reconnectDelay = 50 * time.Millisecond // delay before connecting to the next control process
+	// reportedDelay is the delay of the duty from which on it is logged. Within it a caller
+	// may have left before its request is read.
+	reportedDelay = 250 * time.Millisecond
+)
 
 // sessionDuty owns the router's session with the control processes. It renews the
 // session, publishes view and lease updates to the gateway and executor duties, and
@@ -49,6 +54,8 @@
 	consecutiveRefusals int
 	viewExpiry          clock.Instant
 	viewExpired         bool
+	// wakeAt is when the timer of serve is due.
+	wakeAt clock.Instant
 }
 
 // Run keeps a stream to the leader until the session is closed or the context
@@ -122,6 +129,7 @@
 func (d *sessionDuty) serve(ctx context.Context, stream *controlStream) (cause string) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	d.wakeAt = d.clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -130,6 +138,7 @@
 			d.recordFleetRefusal(err)
 			return err.Error()
 		case <-timer.C:
+			d.recordDelay(d.clock.Now())
 			if d.core.TimedOut(d.clock.Now()) {
 				d.finder.MarkUnresponsive(d.clock.Now())
 				d.events.Record(event.ConnectionRetired, event.F("peer", "control"))
@@ -156,7 +165,16 @@
 		if up, due := d.core.DueRenewal(d.clock.Now()); due {
 			_ = stream.outgoing.Put(ctx, up)
 		}
-		timer.Reset(max(time.Millisecond, d.core.Deadline().Sub(d.clock.Now())))
+		now := d.clock.Now()
+		d.wakeAt = max(now.Add(time.Millisecond), d.core.Deadline())
+		timer.Reset(d.wakeAt.Sub(now))
+	}
+}
+
+// recordDelay logs that the duty runs later than its timer was due.
+func (d *sessionDuty) recordDelay(now clock.Instant) {
+	if late := now.Sub(d.wakeAt); late >= reportedDelay {
+		d.events.Record(event.DutyDelayed, event.F("late", late))
 	}
 }
 
