Pace a cold upstream whose heartbeat came before the first view

Cause: keeps a heartbeat that comes before the first view, and registers its upstream with the view. How long the upstream stays cold was dropped with the rest of the heartbeat, so that it got its whole load at once until the next one.

Change: the cold time of the kept heartbeat is set before the upstream is registered.

Evidence: TestEarlyHeartbeatOfAColdUpstreamIsPaced failed before (8 of 8 calls at once).

--- a/internal/executor/key_ranges.go
+++ b/internal/executor/key_ranges.go
@@ -19,7 +19,7 @@
 func (c *Core) Heartbeat(now clock.Instant, h *Heartbeat) LeaseAnswer {
 	c.rangeLeases.track(now, h.Upstream, h.Holds)
 	c.rangeRequests.track(now, h.Upstream, h.Newer, c.view)
-	c.limiter.SetColdTime(now, h.ColdFor)
+	c.SetColdTime(now, h.ColdFor)
 	if c.grantsByRequest() {
 		c.stepRangeRequests(now)
 		c.reportLoads(now, c.rangeRequests.granted)
@@ -35,6 +35,9 @@
 	return answer
 }
 
+// SetColdTime sets how long the upstream stays cold.
+func (c *Core) SetColdTime(now clock.Instant, cold time.Duration) { c.limiter.SetColdTime(now, cold) }
+
 func (c *Core) reportLoads(now clock.Instant, owned []fleet.KeyRange) {
 	if loads := c.keyMeter.report(now, owned); loads != nil {
 		c.output.KeyLoads, c.output.RunTime = loads, c.keyMeter.meanRun()
--- a/internal/router/late_boot_test.go
+++ b/internal/router/late_boot_test.go
@@ -6,8 +6,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"endivespring/internal/call"
 	"endivespring/internal/executor"
 	"endivespring/internal/fleet"
+	"endivespring/internal/ring"
 	"endivespring/internal/session"
 	"endivespring/internal/upstream"
 )
@@ -109,3 +111,27 @@
 		})
 	}
 }
+
+// Guards against a cold upstream that gets more than it bears: the time for which it stays
+// cold counts also if it came with a heartbeat before the first view.
+func TestEarlyHeartbeatOfAColdUpstreamIsPaced(t *testing.T) {
+	const slots = 8
+	s := newRangedHarness("s")
+	s.core = executor.New("self", "dc")
+	u := fleet.Upstream{Name: "u", Service: "s", Address: "a", Boot: "u", Slots: slots, ColdSlots: slots, StartMillis: 1000}
+	reply := ring.NewReply[executor.LeaseAnswer]()
+	s.handleNotification(s.ctx, &upstream.Notification{Upstream: u, Heartbeat: &upstream.Heartbeat{
+		Sequence: 1, Heartbeat: executor.Heartbeat{Upstream: u, ColdFor: 5 * time.Second}, Reply: reply,
+	}})
+	until := s.time.now.Add(time.Minute)
+	s.update(&session.Update{Session: 1, OwnershipUntil: until, ViewUntil: until, Change: &fleet.Change{
+		Full: true, To: 1, Preset: &fleet.Preset{Services: []fleet.Service{{Name: "s", QueueLimit: 2 * slots, Profile: fleet.UpstreamProfile{ColdRate: 2}}}},
+	}})
+	s.applyEarly(s.ctx)
+	s.time.now = s.time.now.Add(time.Second)
+	for number := uint64(1); number <= slots; number++ {
+		s.submit(&submission{link: 1, call: call.Call{Number: number, RequestID: "id", Service: "s", Method: "GET", Idempotent: true, Deadline: until}})
+	}
+	s.dispatch(s.ctx)
+	assert.Assert(t, s.runs.Depth() < slots/2, "%d of %d calls run at once", s.runs.Depth(), slots)
+}
