Take all that a kept heartbeat says of its upstream, but for leases

Callers would see: where key ranges are granted by request, keys that stay unserved for 3 s after a loss of power.

Change: the core observes the kept heartbeat as any other, and leases nothing. memoryMB may be a fraction, since a process whose deploy file passes one would not start.

Evidence: TestEarlyHeartbeatOfANewerUpstreamFreesKeys and TestEarlyHeartbeatOfAColdUpstreamIsPaced fail without the call; TestMemoryMayBeAFraction failed before.

--- a/internal/command/memory.go
+++ b/internal/command/memory.go
@@ -8,8 +8,8 @@
 
 // limitMemory makes the garbage collector keep to a share of the memory that the process may
 // use, in MB. Zero sets no limit.
-func limitMemory(megabytes int) {
+func limitMemory(megabytes float64) {
 	if megabytes > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(megabytes<<20)))
+		debug.SetMemoryLimit(int64(heapShare * megabytes * (1 << 20)))
 	}
 }
--- a/internal/executor/key_ranges.go
+++ b/internal/executor/key_ranges.go
@@ -17,9 +17,7 @@
 // Heartbeat takes a heartbeat of an upstream that holds key ranges and returns
 // the ranges that it may hold from now on.
 func (c *Core) Heartbeat(now clock.Instant, h *Heartbeat) LeaseAnswer {
-	c.rangeLeases.track(now, h.Upstream, h.Holds)
-	c.rangeRequests.track(now, h.Upstream, h.Newer, c.view)
-	c.SetColdTime(now, h.ColdFor)
+	c.Observe(now, h)
 	if c.grantsByRequest() {
 		c.stepRangeRequests(now)
 		c.reportLoads(now, c.rangeRequests.granted)
@@ -35,8 +33,12 @@
 	return answer
 }
 
-// SetColdTime sets how long the upstream stays cold.
-func (c *Core) SetColdTime(now clock.Instant, cold time.Duration) { c.limiter.SetColdTime(now, cold) }
+// Observe takes what a heartbeat says of the upstream, and leases nothing.
+func (c *Core) Observe(now clock.Instant, h *Heartbeat) {
+	c.rangeLeases.track(now, h.Upstream, h.Holds)
+	c.rangeRequests.track(now, h.Upstream, h.Newer, c.view)
+	c.limiter.SetColdTime(now, h.ColdFor)
+}
 
 func (c *Core) reportLoads(now clock.Instant, owned []fleet.KeyRange) {
 	if loads := c.keyMeter.report(now, owned); loads != nil {
--- a/internal/router/heartbeat.go
+++ b/internal/router/heartbeat.go
@@ -87,8 +87,8 @@
 	early, now := d.early, d.clock.Now()
 	d.early = nil
 	if d.core.Expects(early.Upstream) && d.isCurrent(now, early.Heartbeat) {
-		d.core.SetColdTime(now, early.Heartbeat.ColdFor)
 		d.acceptHeartbeat(ctx, now, early)
+		d.core.Observe(now, &early.Heartbeat.Heartbeat)
 	}
 }
 
--- a/internal/router/late_boot_test.go
+++ b/internal/router/late_boot_test.go
@@ -135,3 +135,23 @@
 	s.dispatch(s.ctx)
 	assert.Assert(t, s.runs.Depth() < slots/2, "%d of %d calls run at once", s.runs.Depth(), slots)
 }
+
+// Guards against keys that stay unserved for seconds after a loss of power: that the upstream
+// is newer than the router's earlier process counts also if its heartbeat came before the
+// first view.
+func TestEarlyHeartbeatOfANewerUpstreamFreesKeys(t *testing.T) {
+	s := newRangedHarness("s")
+	s.core = executor.New("self", "dc")
+	s.heartbeat("next", "s", 2000, 1)
+	until := s.time.now.Add(time.Minute)
+	ended := fleet.KeyRange{Last: fleet.KeyCount - 1, Phase: fleet.ShardGranted, Owner: "self", Boot: "ended", Epoch: 3}
+	byRequest := fleet.Service{Name: "s", Ranged: true, QueueLimit: 4, Profile: fleet.UpstreamProfile{GrantsBy: fleet.GrantByRequest}}
+	s.update(&session.Update{Session: 2, OwnershipUntil: until, ViewUntil: until, RangeLeaseUntil: until, Change: &fleet.Change{
+		Full: true, To: 7, Preset: &fleet.Preset{Services: []fleet.Service{byRequest}},
+		KeySpaces: []fleet.KeySpace{{Service: "s", Revision: 1, LastEpoch: 3, Ranges: []fleet.KeyRange{ended}}},
+	}})
+	s.applyEarly(s.ctx)
+	s.tick(s.ctx)
+	s.dispatch(s.ctx)
+	assert.Equal(t, s.rangeUpdates.Depth(), 1, "the keys of the ended boot")
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -195,3 +195,12 @@
 		assert.Assert(t, r.LingerTime()+r.FinishTime() < r.GracePeriod() && r.FinishTime() > 0)
 	}
 }
+
+// Guards against a process that doesn't start because its memory is not a whole number.
+func TestMemoryMayBeAFraction(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "router.json")
+	assert.NilError(t, os.WriteFile(file, edit(t, routerText, map[string]any{"memoryMB": 184.5}), 0o600))
+	var s Router
+	assert.NilError(t, Read(file, &s))
+	assert.Equal(t, s.MemoryMB, 184.5)
+}
