Wait for the first lease of a view before a kept heartbeat counts

Cause: kept early heartbeats until the first view. That is an old one if control has kept one: the router's log shows version 1, then 17 with the lease. Version 1 shows no later boot, so the late heartbeat was taken. Before nothing was reported as free until the next heartbeat, which hid it.

Change: a heartbeat is kept until the first lease of a view, which names the version that the router must have. A kept heartbeat that is late or unexpected is logged as any other.

--- a/internal/executor/view.go
+++ b/internal/executor/view.go
@@ -55,6 +55,10 @@
 	return registered.StartedEarlier(u)
 }
 
+// KnowsFleet reports whether the router has had a lease of its view. Before that the view may
+// be an old one that control has kept, and lacks what was committed since.
+func (c *Core) KnowsFleet() bool { return c.viewExpiry != 0 }
+
 // ViewVersion returns the version of the view in use.
 func (c *Core) ViewVersion() fleet.Version { return c.view.Version }
 
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -62,7 +62,7 @@
 	// lastHeartbeat is the newest heartbeat of an upstream that sends them.
 	lastHeartbeat *upstream.Heartbeat
 	departures    departures
-	// early is the newest heartbeat that arrived before the first view, or nil.
+	// early is the newest heartbeat that arrived before the first lease of a view, or nil.
 	early *upstream.Notification
 	// earlierBoot follows the heartbeats of a boot that is known to have a successor.
 	earlierBoot earlierBoot
--- a/internal/router/heartbeat.go
+++ b/internal/router/heartbeat.go
@@ -7,6 +7,7 @@
 	"endivespring/internal/clock"
 	"endivespring/internal/event"
 	"endivespring/internal/executor"
+	"endivespring/internal/fleet"
 	"endivespring/internal/upstream"
 )
 
@@ -19,14 +20,13 @@
 // lease.
 func (d *executorDuty) handleHeartbeat(ctx context.Context, notification *upstream.Notification) {
 	now, heartbeat := d.clock.Now(), notification.Heartbeat
-	if d.core.ViewVersion() == 0 {
+	if !d.core.KnowsFleet() {
 		d.keepEarly(notification)
 		heartbeat.Reply.Send(executor.LeaseAnswer{})
 		return
 	}
 	if !d.isCurrent(now, heartbeat) {
-		d.events.Record(event.HeartbeatLate, event.F("upstream", notification.Upstream.Name), event.F("boot", notification.Upstream.Boot),
-			event.F("sequence", heartbeat.Sequence))
+		d.recordLate(heartbeat)
 		heartbeat.Reply.Send(executor.LeaseAnswer{})
 		return
 	}
@@ -34,6 +34,11 @@
 	heartbeat.Reply.Send(d.core.Heartbeat(now, &heartbeat.Heartbeat))
 }
 
+func (d *executorDuty) recordLate(heartbeat *upstream.Heartbeat) {
+	d.events.Record(event.HeartbeatLate, event.F("upstream", heartbeat.Upstream.Name), event.F("boot", heartbeat.Upstream.Boot),
+		event.F("sequence", heartbeat.Sequence))
+}
+
 // isCurrent reports whether a heartbeat comes from the present boot of the upstream and is
 // newer than the last one.
 func (d *executorDuty) isCurrent(now clock.Instant, heartbeat *upstream.Heartbeat) bool {
@@ -69,8 +74,8 @@
 	d.applyHeartbeat(ctx, now, notification, wasDraining)
 }
 
-// keepEarly keeps the newest heartbeat that arrives before the first view: it may be late,
-// and only the view tells of later boots that an earlier process of the router has known.
+// keepEarly keeps the newest heartbeat that arrives before the first lease of a view: it may
+// be late, and only the view shows a later boot that an earlier process of the router knew.
 func (d *executorDuty) keepEarly(notification *upstream.Notification) {
 	if d.early == nil || notification.Heartbeat.NewerThan(d.early.Heartbeat) {
 		early := *notification
@@ -78,15 +83,20 @@
 	}
 }
 
-// applyEarly registers the upstream of the heartbeat that was kept until the first view,
-// unless a later boot is known. Its next heartbeat is answered with leases.
+// applyEarly registers the upstream of the heartbeat that was kept until the first lease of a
+// view, unless a later boot is known. Its next heartbeat is answered with leases.
 func (d *executorDuty) applyEarly(ctx context.Context) {
-	if d.early == nil || d.core.ViewVersion() == 0 {
+	if d.early == nil || !d.core.KnowsFleet() {
 		return
 	}
 	early, now := d.early, d.clock.Now()
 	d.early = nil
-	if d.core.Expects(early.Upstream) && d.isCurrent(now, early.Heartbeat) {
+	switch {
+	case !d.core.Expects(early.Upstream):
+		d.recordUnexpected(early.Upstream)
+	case !d.isCurrent(now, early.Heartbeat):
+		d.recordLate(early.Heartbeat)
+	default:
 		d.acceptHeartbeat(ctx, now, early)
 		d.core.Observe(now, &early.Heartbeat.Heartbeat)
 	}
@@ -95,13 +105,16 @@
 // ignoreUnexpected answers an announcement or heartbeat that does not come from the
 // upstream beside the router. It changes nothing.
 func (d *executorDuty) ignoreUnexpected(notification *upstream.Notification) {
-	u := notification.Upstream
-	d.events.Record(event.UpstreamUnexpected, event.F("upstream", u.Name), event.F("service", u.Service), event.F("boot", u.Boot))
+	d.recordUnexpected(notification.Upstream)
 	if notification.Heartbeat != nil {
 		notification.Heartbeat.Reply.Send(executor.LeaseAnswer{Unexpected: true})
 	}
 }
 
+func (d *executorDuty) recordUnexpected(u fleet.Upstream) {
+	d.events.Record(event.UpstreamUnexpected, event.F("upstream", u.Name), event.F("service", u.Service), event.F("boot", u.Boot))
+}
+
 // applyHeartbeat registers the upstream of a heartbeat, or withdraws it once it is
 // draining.
 func (d *executorDuty) applyHeartbeat(ctx context.Context, now clock.Instant, notification *upstream.Notification, wasDraining bool) {
--- a/internal/router/late_boot_test.go
+++ b/internal/router/late_boot_test.go
@@ -38,14 +38,20 @@
 // that has just started: the keys of the present boot were reported as free, and had two
 // holders.
 func TestLateHeartbeatAfterARestartChangesNothing(t *testing.T) {
-	for name, before := range map[string]bool{"before the first view": true, "after it": false} {
+	for name, c := range map[string]struct{ before, kept bool }{
+		"before the first view": {before: true}, "after it": {}, "before an old view that control has kept": {before: true, kept: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			s, showView := newRestartedHarness(t)
-			if !before {
+			if !c.before {
 				showView()
 			}
 			assert.Assert(t, !s.heartbeat("earlier", "s", 1000, 9).Renews)
-			if before {
+			if c.kept { // without a lease, since changes follow that are missing
+				s.update(&session.Update{Session: 2, Change: &fleet.Change{Full: true, To: 1, Preset: &fleet.Preset{Services: []fleet.Service{{Name: "s", Ranged: true}}}}})
+				s.applyEarly(s.ctx)
+			}
+			if c.before {
 				showView()
 			}
 			assert.Equal(t, s.rangeUpdates.Depth(), 0, "keys are reported as free")
