Define load reports and the switches of load management

This adds what the parts share: a load report has the wait and the stated slowdown and may be sent on a link by itself, an outcome carries the upstream's own report, key loads come with the limit of the upstream, and each part has a checked setting, off by default. gcPercent sets how far the heap may grow.

Result: no behaviour changes; the tests of command, settings, wire and shape pass.

--- a/internal/call/load.go
+++ b/internal/call/load.go
@@ -12,4 +12,10 @@
 	Limit int
 	// Latency is a moving average of the upstream's run time.
 	Latency time.Duration
+	// Wait estimates how long a call that arrives now waits for a slot. It is zero
+	// while a slot is free.
+	Wait time.Duration
+	// Slowdown is the factor by which work on the upstream's VM takes longer than
+	// usual at present, or zero if the upstream does not state it.
+	Slowdown float64
 }
--- a/internal/command/control.go
+++ b/internal/command/control.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	limitMemory(s.MemoryMB)
+	limitMemory(s.MemoryMB, s.GCPercent)
 	injector := newProcessInjector(s.Name)
 	do.ProvideValue(injector, s)
 	do.ProvideValue(injector, settings.NewSource[settings.Control](file))
--- a/internal/command/memory.go
+++ b/internal/command/memory.go
@@ -6,9 +6,11 @@
 // is for the program itself, and for what is allocated while a collection runs.
 const heapShare = 0.5
 
-// limitMemory makes the garbage collector keep to a share of the memory that the process may
-// use, in MB. Zero sets no limit.
-func limitMemory(megabytes float64) {
+// limitMemory makes the garbage collector run once the heap has grown by a percentage of what
+// is in use, and keep to a share of the memory that the process may use, in MB. Zero MB set no
+// limit.
+func limitMemory(megabytes float64, gcPercent int) {
+	debug.SetGCPercent(gcPercent)
 	if megabytes > 0 {
 		debug.SetMemoryLimit(int64(heapShare * megabytes * (1 << 20)))
 	}
--- a/internal/command/memory_test.go
+++ b/internal/command/memory_test.go
@@ -27,14 +27,15 @@
 )
 
 const (
-	testMemoryMB  = 184      // memory of the smallest VM of a router
-	testAnswers   = 16 << 20 // bytes for answers that are read at the same time
-	testSenders   = 9        // slots of an upstream
-	testLoadTime  = 3 * time.Second
-	sampleTime    = 5 * time.Millisecond
-	megabyte      = 1 << 20
-	endlessChunk  = "400\r\n" + "%s" + "\r\n"
-	endlessHeader = "HTTP/1.1 200 OK\r\n" + upstream.HeaderRequestID + ": id\r\n"
+	defaultGCPercent = 100      // default of the setting gcPercent
+	testMemoryMB     = 184      // memory of the smallest VM of a router
+	testAnswers      = 16 << 20 // bytes for answers that are read at the same time
+	testSenders      = 9        // slots of an upstream
+	testLoadTime     = 3 * time.Second
+	sampleTime       = 5 * time.Millisecond
+	megabyte         = 1 << 20
+	endlessChunk     = "400\r\n" + "%s" + "\r\n"
+	endlessHeader    = "HTTP/1.1 200 OK\r\n" + upstream.HeaderRequestID + ": id\r\n"
 )
 
 // endlessUpstream answers every request with a head and then the same bytes until its
@@ -95,7 +96,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			debug.SetMemoryLimit(math.MaxInt64)
-			limitMemory(testMemoryMB)
+			limitMemory(testMemoryMB, defaultGCPercent)
 			debug.FreeOSMemory()
 			address := endlessUpstream(t, c.head, c.repeated)
 			ctx, cancel := context.WithTimeout(context.Background(), testLoadTime)
--- a/internal/command/router.go
+++ b/internal/command/router.go
@@ -54,7 +54,7 @@
 	if err := settings.Read(file, s); err != nil {
 		return fail(err)
 	}
-	limitMemory(s.MemoryMB)
+	limitMemory(s.MemoryMB, s.GCPercent)
 	injector := newProcessInjector(s.Name)
 	do.ProvideValue(injector, s)
 	do.ProvideValue(injector, settings.NewSource[settings.Router](file))
--- a/internal/executor/outcome.go
+++ b/internal/executor/outcome.go
@@ -14,4 +14,6 @@
 	// Health tells the concurrency limiter how the upstream did. It is unused
 	// for a delegation.
 	Health admission.Outcome
+	// Report is what the upstream stated about its load with its response, or nil.
+	Report *admission.Report
 }
--- a/internal/session/router_message.go
+++ b/internal/session/router_message.go
@@ -42,6 +42,9 @@
 	// RunTime is the mean run time of requests at the upstream since the last
 	// report of loads.
 	RunTime time.Duration
+	// Limit is how many requests the upstream runs at once at most, or zero if it
+	// is not known. It comes with KeyLoads.
+	Limit int
 	// Differences is set if the router understands changes with differences of presets
 	// and key spaces.
 	Differences bool
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -19,6 +19,8 @@
 	Metrics         string        `json:"metrics" kind:"address" doc:"Address where metrics are served at /metrics; not served if not set."`
 	Timing          Timing        `json:"timing" doc:"Time spans; must be equal at every control process."`
 	MemoryMB        float64       `json:"memoryMB" default:"0" min:"0" max:"1048576" doc:"Memory in MB that the process may use. It collects garbage in time to stay within it. 0 for no such limit."`
+	GCPercent       int           `json:"gcPercent" default:"100" min:"10" max:"1000" doc:"Growth of the heap, in percent of what is in use, at which garbage is collected. Lower values take less memory and more processor time."`
+	Placement       Placement     `json:"placement" doc:"Placement of ranges of keys."`
 	SnapshotEntries int           `json:"snapshotEntries" default:"4096" min:"16" max:"1000000" doc:"Largest number of log entries between snapshots."`
 	SnapshotBytes   int           `json:"snapshotBytes" default:"8388608" min:"65536" max:"1073741824" doc:"Size of the log entries, in bytes, after which a snapshot is taken even if they are fewer."`
 	MaxRebalancing  int           `json:"maxRebalancing" default:"16" min:"1" max:"4096" doc:"Largest number of a service's shards that move at the same time for rebalancing."`
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -37,6 +37,8 @@
 	RequestMemory   int      `json:"requestMemory" default:"67108864" min:"65536" max:"1073741824" doc:"Bytes that the bodies of all requests in progress may use, beside 64 KiB each. A request that needs more is refused as overloaded."`
 	AnswerMemory    int      `json:"answerMemory" default:"67108864" min:"65536" max:"1073741824" doc:"Bytes that all answers of the upstream being read at the same time may use, beside 64 KiB each. An answer that needs more is given up."`
 	MemoryMB        float64  `json:"memoryMB" default:"192" min:"0" max:"1048576" doc:"Memory in MB that the process may use. It collects garbage in time to stay within it; what is in use at the same time has limits of its own. 0 for no such limit."`
+	GCPercent       int      `json:"gcPercent" default:"100" min:"10" max:"1000" doc:"Growth of the heap, in percent of what is in use, at which garbage is collected. Lower values take less memory and more processor time."`
+	Load            Load     `json:"load" doc:"Load management."`
 	MaxRequests     int      `json:"maxRequests" default:"4096" min:"16" max:"65536" doc:"Largest number of callers' requests in progress."`
 	Renewal         Duration `json:"renewal" default:"300ms" min:"20ms" max:"10s" doc:"Time between renewals; must equal timing.renewal of the control processes."`
 	Grace           Duration `json:"grace" default:"20s" min:"100ms" max:"10m" doc:"Longest time to finish running work after a stop signal."`
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -54,23 +54,18 @@
 		Number: a.Number, RequestId: []byte(a.RequestID), Verdict: uint32(a.Verdict), Reason: string(a.Reason), Status: int32(a.Status),
 		Body: a.Body, Checksum: xxhash.Sum64(a.Body), ContentType: strings.ToValidUTF8(a.ContentType, "?"), Upstream: a.Upstream, Epoch: uint64(a.Epoch),
 		Header: fromFields(a.Header), RetryAfterNs: int64(a.RetryAfter),
-		Load: &wirepb.Load{
-			InFlight: int32(a.Load.InFlight), Queued: int32(a.Load.Queued), Limit: int32(a.Load.Limit), LatencyNs: int64(a.Load.Latency),
-		},
+		Load: FromLoad(&a.Load),
 	}
 }
 
 // ToAnswer converts a message. It returns false if the body does not match the
 // checksum.
 func ToAnswer(a *wirepb.Answer) (call.Answer, bool) {
-	load := a.GetLoad()
 	return call.Answer{
 		Number: a.GetNumber(), RequestID: string(a.GetRequestId()), Verdict: verdict.Verdict(a.GetVerdict()), Reason: verdict.Reason(a.GetReason()),
 		Status: int(a.GetStatus()), Body: a.GetBody(), ContentType: a.GetContentType(), Upstream: a.GetUpstream(), Epoch: fleet.Epoch(a.GetEpoch()),
 		Header: toFields(a.GetHeader()), RetryAfter: time.Duration(a.GetRetryAfterNs()),
-		Load: call.Load{
-			InFlight: int(load.GetInFlight()), Queued: int(load.GetQueued()), Limit: int(load.GetLimit()), Latency: time.Duration(load.GetLatencyNs()),
-		},
+		Load: ToLoad(a.GetLoad()),
 	}, xxhash.Sum64(a.GetBody()) == a.GetChecksum()
 }
 
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -21,7 +21,7 @@
 	return &wirepb.SessionUp{
 		Fleet: fleetName, Nonce: u.Nonce, Session: uint64(u.Session), Sequence: u.Sequence, Applied: uint64(u.Applied),
 		Router: router, Releases: FromReleases(u.Releases), Closing: u.Closing, NeedFull: u.NeedFull, Registers: u.Registers,
-		RangeReports: fromRangeReports(u.RangeReports), KeyLoads: fromKeyLoads(u.KeyLoads), RunTimeNs: int64(u.RunTime),
+		RangeReports: fromRangeReports(u.RangeReports), KeyLoads: fromKeyLoads(u.KeyLoads), RunTimeNs: int64(u.RunTime), Limit: int32(u.Limit),
 		Differences: u.Differences,
 	}
 }
@@ -31,7 +31,7 @@
 	return session.RouterMessage{
 		Nonce: u.GetNonce(), Session: fleet.Session(u.GetSession()), Sequence: u.GetSequence(), Applied: fleet.Version(u.GetApplied()),
 		Router: ToRouter(u.GetRouter()), Releases: ToReleases(u.GetReleases()), Closing: u.GetClosing(), NeedFull: u.GetNeedFull(), Registers: u.GetRegisters(),
-		RangeReports: toRangeReports(u.GetRangeReports()), KeyLoads: toKeyLoads(u.GetKeyLoads()), RunTime: time.Duration(u.GetRunTimeNs()),
+		RangeReports: toRangeReports(u.GetRangeReports()), KeyLoads: toKeyLoads(u.GetKeyLoads()), RunTime: time.Duration(u.GetRunTimeNs()), Limit: int(u.GetLimit()),
 		Differences: u.GetDifferences(),
 	}
 }
