Learn the concurrency from which throughput falls

Cause: the limiter raises its limit as long as an upstream answers, up to its slots. An upstream that does less work at all its slots than at a third of them is kept at its worst.

Limiter takes the lower one of both limits. It is off by default.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -1,5 +1,7 @@
 // Package admission limits the concurrency of one upstream. A limit starts at
-// the upstream's cold capacity and rises only as the upstream proves healthy.
+// the upstream's cold capacity and rises only as the upstream proves healthy. If it is
+// to be learned, it also stays below the concurrency from which throughput no longer
+// grows.
 package admission
 
 import (
@@ -45,6 +47,8 @@
 	raisedAt  clock.Instant
 	reducedAt clock.Instant
 	pace      pace
+	// learner is nil while the limit is not learned.
+	learner *Learner
 }
 
 // NewLimiter returns a limiter that admits nothing until Announce.
@@ -55,6 +59,9 @@
 func (l *Limiter) Announce(u fleet.Upstream) (reset bool) {
 	l.slots = max(1, u.Slots)
 	l.cold = min(l.slots, max(minLimit, u.ColdSlots))
+	if l.learner != nil {
+		l.learner.Announce(l.slots, u.Boot)
+	}
 	if l.limit == 0 || u.Boot != l.boot {
 		l.boot = u.Boot
 		l.resetCold()
@@ -82,8 +89,56 @@
 	}
 }
 
-// Limit returns the maximum number of requests at once.
-func (l *Limiter) Limit() int { return l.limit }
+// LearnCapacity starts or stops learning a limit from run times. What was learned
+// is discarded when it stops.
+func (l *Limiter) LearnCapacity(on bool) {
+	switch {
+	case !on:
+		l.learner = nil
+	case l.learner == nil:
+		l.learner = NewLearner()
+		if l.slots > 0 {
+			l.learner.Announce(l.slots, l.boot)
+		}
+	}
+}
+
+// Observe takes a run that the upstream answered, after its Finish. It reports
+// whether the limit changed.
+func (l *Limiter) Observe(now clock.Instant, s *Sample) bool {
+	if l.learner == nil {
+		return false
+	}
+	before := l.Limit()
+	l.learner.Observe(now, l.limit, s)
+	return l.Limit() != before
+}
+
+// Learned returns the learned limit, or zero if none is learned.
+func (l *Limiter) Learned() int {
+	if l.learner == nil {
+		return 0
+	}
+	return l.learner.Learned()
+}
+
+// TakeLearnedChange returns the last change of the learned limit since the last
+// call, and whether there was one.
+func (l *Limiter) TakeLearnedChange() (LearnedChange, bool) {
+	if l.learner == nil {
+		return LearnedChange{}, false
+	}
+	return l.learner.TakeChange()
+}
+
+// Limit returns the maximum number of requests at once: the lower one of the own
+// limit and the learned one.
+func (l *Limiter) Limit() int {
+	if l.learner == nil || l.limit == 0 {
+		return l.limit
+	}
+	return min(l.limit, l.learner.Limit())
+}
 
 // Running returns the number of requests in flight.
 func (l *Limiter) Running() int { return l.running }
@@ -117,7 +172,7 @@
 
 // Start takes a slot and reports whether one was free.
 func (l *Limiter) Start() bool {
-	if l.running >= l.limit {
+	if l.running >= l.Limit() {
 		return false
 	}
 	l.running++
@@ -128,7 +183,7 @@
 // Finish frees a slot and adapts the limit. It reports whether the limit
 // changed.
 func (l *Limiter) Finish(now clock.Instant, outcome Outcome, latency time.Duration) bool {
-	before := l.limit
+	before := l.Limit()
 	l.running--
 	switch outcome {
 	case Neutral:
@@ -141,7 +196,7 @@
 	default:
 		l.answered(now, latency)
 	}
-	return l.limit != before
+	return l.Limit() != before
 }
 
 // timedOut halves the limit, down to the cold capacity, and resets to cold
