--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -153,7 +153,9 @@
 	out := s.dialect.Decode(run, response)
 	if out.Answer.Verdict == verdict.NotRun {
 		if !s.provesNotRun(run, response) {
+			report := out.Report
 			out = outcome(run, verdict.MayHaveRun, verdict.ReasonTruncated, out.Health)
+			out.Report = report
 		}
 		s.connection.refused[run.Call.RequestID] = true
 	}
