Learn the limit of an upstream with load.learnCapacity

Cause: the learner had no input, and a slowdown that an upstream states reached no gateway.

Change: the executor passes the end of each answered run to the limiter if the router's setting load.learnCapacity is on, and logs changes of the learned limit as limit-learned (624). Load has the newest stated slowdown, which decays to 1 with a half-life of 200 ms. Two metrics show both.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -62,6 +62,7 @@
 	RangeRequestFailed = define(621, "range-request-failed", Warn, "A grant or release that was sent to the upstream got no answer or was refused. `result` is fenced if the upstream has seen a higher epoch; that grant is not sent again.")
 	UpstreamUnexpected = define(622, "upstream-unexpected", Warn, "An announcement or heartbeat names a service other than the configured one of the upstream beside the router, or one that no preset has; it was ignored.")
 	LimitChanged       = define(620, "limit-changed", Info, "The executor changed the upstream's concurrency limit.")
+	LimitLearned       = define(624, "limit-learned", Info, "The executor changed the limit that it learned from run times. In a trial, the upstream did `ratio` times as much work under the new limit as under the limit `compared`, in `pairs` pairs of stretches.")
 	ConnectionRetired  = define(700, "connection-retired", Warn, "A connection missed a deadline and is not used again.")
 	PeerConnected      = define(710, "peer-connected", Info, "A link to another router was opened.")
 	PeerLost           = define(711, "peer-lost", Warn, "A link to another router was lost.")
--- a/internal/event/event_docs.go
+++ b/internal/event/event_docs.go
@@ -76,6 +76,7 @@
 	RangesUnreported: {fields: []string{"reports"},
 		action: "Check that this VM reaches the control leader (`status`)."},
 	LimitChanged: {fields: []string{"upstream", "limit", "cause"}},
+	LimitLearned: {fields: []string{"upstream", "boot", "from", "limit", "compared", "ratio", "pairs"}},
 	ConnectionRetired: {fields: []string{"peer", "router", "address", "cause"},
 		action: "None for a single event: a new connection replaces it. Many to one VM indicate a problem in its network."},
 	PeerConnected: {fields: []string{"router", "address"}},
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -76,6 +76,9 @@
 	nextRun     uint64
 	// runTimes are the moving averages of run times, by operation.
 	runTimes map[string]time.Duration
+	slowdown slowdown
+	// steppedAt is when a run ended or could start last.
+	steppedAt clock.Instant
 	// nextStartBy is the earliest startBy of the queued jobs.
 	nextStartBy clock.Instant
 	// nextPacedStart is when the pace of a cold upstream allows its next call.
@@ -215,9 +218,13 @@
 	c.abort(j)
 }
 
-// Load returns the current concurrency, queue length, limit and latency.
+// Load returns the current concurrency, queue length, limit and latency, and the
+// slowdown as of the last step.
 func (c *Core) Load() call.Load {
-	return call.Load{InFlight: c.limiter.Running(), Queued: len(c.queue), Limit: c.limiter.Limit(), Latency: c.limiter.Latency()}
+	return call.Load{
+		InFlight: c.limiter.Running(), Queued: len(c.queue), Limit: c.limiter.Limit(), Latency: c.limiter.Latency(),
+		Slowdown: c.slowdown.at(c.steppedAt),
+	}
 }
 
 // keyed reports whether the upstream's calls are keyed by shards, so that they
--- a/internal/executor/job.go
+++ b/internal/executor/job.go
@@ -14,8 +14,10 @@
 	epoch    fleet.Epoch
 	upstream fleet.Upstream
 	started  clock.Instant
-	phase    jobPhase
-	record   *record
+	// concurrency is the number of runs at the upstream right after the start.
+	concurrency int
+	phase       jobPhase
+	record      *record
 	// The queue is ordered by rank, then by timer. A job that has not started by
 	// startBy is refused, since its answer would come too late.
 	rank    int
--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -15,6 +15,7 @@
 // the pace of a cold upstream allow, and refuses those that must not start any
 // more. Ownership and leases are checked here again, right before the start.
 func (c *Core) startQueued(now clock.Instant) {
+	c.steppedAt = now
 	c.refuseExpired(now)
 	for len(c.queue) > 0 {
 		j := c.queue[0]
@@ -78,7 +79,7 @@
 // start asks for the run of a job. The sender gets the fence and the deadline
 // that follow from the leases.
 func (c *Core) start(now clock.Instant, j *job) {
-	j.phase, j.started, j.upstream = jobRunning, now, c.upstream
+	j.phase, j.started, j.upstream, j.concurrency = jobRunning, now, c.upstream, c.limiter.Running()
 	run := Run{ID: j.run, Upstream: c.upstream, Call: j.call, Epoch: j.epoch, Deadline: j.call.Deadline, Fence: j.call.Deadline}
 	run.RefusedBefore = c.refused.has(j.call.RequestID)
 	if j.call.Sharded {
@@ -109,9 +110,11 @@
 	if !ok || j.phase == jobQueued {
 		return
 	}
+	c.steppedAt = now
 	answer := outcome.Answer
 	answer.RequestID = j.call.RequestID
 	if j.phase == jobRunning {
+		c.slowdown.observe(now, outcome.Report)
 		if c.limiter.Finish(now, outcome.Health, now.Sub(j.started)) {
 			c.logLimit("completion")
 		}
@@ -125,6 +128,7 @@
 		if answer.Verdict == verdict.Ran {
 			c.observeRun(j.call.Operation, now.Sub(j.started))
 			c.keyMeter.observeRun(now.Sub(j.started))
+			c.learn(now, j, &outcome)
 		}
 	}
 	if answer.Verdict != verdict.Ran {
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -15,10 +15,12 @@
 	Requests       = define("requests_total", Counter, "verdict, reason, service, route", "Callers' requests answered by this gateway. Service and route are empty if unknown, and other once 512 label combinations exist.")
 	RequestLatency = define("request_latency_microseconds", Summary, "quantile", "Time from reading a caller's request to its answer, in microseconds.")
 
-	ExecutorLimit   = define("door_limit", Gauge, "", "Concurrency limit of the executor towards the upstream, in requests.")
-	ExecutorRunning = define("door_running", Gauge, "", "Requests running at the upstream.")
-	ExecutorQueued  = define("door_queued", Gauge, "", "Requests queued at the executor.")
-	RangeRequests   = define("range_requests_total", Counter, "kind, result", "Grants and releases of key ranges that were sent to the upstream, by what is known of them.")
+	ExecutorLimit        = define("door_limit", Gauge, "", "Concurrency limit of the executor towards the upstream, in requests.")
+	ExecutorRunning      = define("door_running", Gauge, "", "Requests running at the upstream.")
+	ExecutorQueued       = define("door_queued", Gauge, "", "Requests queued at the executor.")
+	ExecutorLearnedLimit = define("door_learned_limit", Gauge, "", "Limit for requests at the upstream that was learned from run times; 0 if none is learned.")
+	ExecutorSlowdown     = define("door_slowdown_percent", Gauge, "", "How long work at the upstream takes, as it states itself, in percent of the usual time; 0 if it does not state it.")
+	RangeRequests        = define("range_requests_total", Counter, "kind, result", "Grants and releases of key ranges that were sent to the upstream, by what is known of them.")
 
 	OwnershipLeft = define("ownership_lease_left_milliseconds", Gauge, "", "Time left on the ownership lease, under which this router serves its shards, in milliseconds; 0 once it has expired.")
 	ViewLeft      = define("view_lease_left_milliseconds", Gauge, "", "Time left on the view lease, under which this router accepts new requests, in milliseconds; 0 once it has expired.")
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -55,7 +55,9 @@
 		})
 	}
 	group.Wait()
-	NewExecutorMeter(r).Set(call.Load{Limit: 10, InFlight: 7, Queued: 3})
+	executor := NewExecutorMeter(r)
+	executor.Set(call.Load{Limit: 10, InFlight: 7, Queued: 3, Slowdown: 2.9999})
+	executor.SetLearned(11)
 	NewRangeMeter(r).Observe("grant", "applied")
 	session := NewSessionMeter(r, fixedClock(time.Second))
 	session.SetLeases(clock.Instant(1500*time.Millisecond), clock.Instant(time.Millisecond))
@@ -80,6 +82,7 @@
 		`endivespring_requests_total{verdict="not-run",reason="shed",service="",route=""} 4000`,
 		`endivespring_request_latency_microseconds_count 8000`, `endivespring_request_latency_microseconds{quantile="0.999"} 2000`,
 		`endivespring_door_limit 10`, `endivespring_door_running 7`, `endivespring_door_queued 3`,
+		`endivespring_door_learned_limit 11`, `endivespring_door_slowdown_percent 300`,
 		`endivespring_ownership_lease_left_milliseconds 500`, `endivespring_view_lease_left_milliseconds 0`,
 		`endivespring_log_commit_index 40`, `endivespring_log_applied_index 39`, `endivespring_log_snapshot_index 32`,
 		`endivespring_log_term 3`, `endivespring_leads 1`, `endivespring_config_version 5`, `endivespring_sessions 0`,
@@ -110,6 +113,7 @@
 func TestNilMetersDoNothing(t *testing.T) {
 	(*Registry)(nil).RegisterRings(ring.New[int]("x", 1, ring.Wait))
 	(*ExecutorMeter)(nil).Set(call.Load{})
+	(*ExecutorMeter)(nil).SetLearned(1)
 	(*SessionMeter)(nil).SetLeases(1, 1)
 	(*SessionMeter)(nil).SetView(1)
 	(*ControlMeter)(nil).SetLeadership(&controller.Leadership{})
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -110,6 +110,7 @@
 		}
 		d.dispatch(ctx)
 		d.meter.Set(d.core.Load())
+		d.meter.SetLearned(d.core.LearnedLimit())
 		timer.Reset(d.sleep())
 	}
 }
