--- a/platform/load_header.go
+++ b/internal/upstream/load_figures.go
@@ -1,11 +1,9 @@
-package platform
+package upstream
 
 import (
 	"bytes"
 	"strconv"
 
-	"github.com/valyala/fasthttp"
-
 	"endivespring/internal/admission"
 )
 
@@ -16,11 +14,11 @@
 	usualPercent  = 100 // the fourth figure while work takes as long as usual
 )
 
-// decodeLoad returns what an upstream states about its load with a response, or nil if
-// it states nothing or the header is invalid. An invalid one is not logged, since it
-// may come with every response.
-func decodeLoad(header *fasthttp.ResponseHeader) *admission.Report {
-	rest := header.Peek(headerLoad)
+// ParseLoad returns the report that a list of figures states, separated by commas: the
+// running and waiting requests, the slots, and optionally how long work takes in percent
+// of the usual time. It returns nil for an empty or invalid list. Callers need not log an
+// invalid one, since it may come with every response.
+func ParseLoad(rest []byte) *admission.Report {
 	if len(rest) == 0 {
 		return nil
 	}
