--- a/internal/admission/learner_test.go
+++ b/internal/admission/learner_test.go
@@ -252,6 +252,19 @@
 	assert.Equal(t, u.limiter.Learned(), 0)
 }
 
+// TestOverloadLowersALearnedLimit guards against a shed or timeout that lowers only the
+// own limit, far above the learned one in force.
+func TestOverloadLowersALearnedLimit(t *testing.T) {
+	for outcome, want := range map[Outcome]int{Shed: 6, TimedOut: 4, Failed: 4} {
+		u := newLoadedUpstream(1, 18, 200, 0.07)
+		u.run(15 * time.Second)
+		assert.Equal(t, u.limiter.Limit(), 18)
+		u.limiter.learner.learned = 8
+		u.limiter.Finish(u.now, outcome, time.Minute)
+		assert.Equal(t, u.limiter.Limit(), want)
+	}
+}
+
 // TestNonsenseReportsCutNothing covers reports that are missing or state impossible
 // figures, in random order.
 func TestNonsenseReportsCutNothing(t *testing.T) {
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -211,7 +211,7 @@
 		l.resetCold()
 		return
 	}
-	l.set(max(min(l.cold, l.limit), l.limit/2))
+	l.set(max(min(l.cold, l.Limit()), l.Limit()/2))
 	l.good = 0
 }
 
@@ -223,7 +223,7 @@
 		return
 	}
 	l.reducedAt = now
-	l.set(max(minLimit, l.limit*3/4))
+	l.set(max(minLimit, l.Limit()*3/4))
 }
 
 func (l *Limiter) answered(now clock.Instant, latency time.Duration) {
