Keep the limit of an upstream that sheds whatever its load

While the limit is learned, a shed lowers it only if the run started at a concurrency above all at which runs were answered in the last 1 to 2 s, and not below that concurrency.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -49,6 +49,8 @@
 	pace      pace
 	// learner is nil while the limit is not learned.
 	learner *Learner
+	// accepted is kept while the limit is learned.
+	accepted acceptedConcurrency
 }
 
 // NewLimiter returns a limiter that admits nothing until Announce.
@@ -64,6 +66,7 @@
 	}
 	if l.limit == 0 || u.Boot != l.boot {
 		l.boot = u.Boot
+		l.accepted = acceptedConcurrency{}
 		l.resetCold()
 		return true
 	}
@@ -110,10 +113,28 @@
 		return false
 	}
 	before := l.Limit()
+	l.accepted.record(now, s.Concurrency)
 	l.learner.Observe(now, l.limit, s)
 	return l.Limit() != before
 }
 
+// FinishShed is Finish for a run that the upstream refused because of overload.
+// concurrency is the number of runs right after this one started. While the limit is
+// learned, the refusal lowers it only if no run that started at this or a higher
+// concurrency was answered lately: otherwise the upstream refuses for another reason, and
+// a lower limit would only leave its slots unused.
+func (l *Limiter) FinishShed(now clock.Instant, concurrency int) bool {
+	if l.learner == nil {
+		return l.Finish(now, Shed, 0)
+	}
+	before, accepted := l.Limit(), l.accepted.highest(now)
+	l.running--
+	if concurrency > accepted {
+		l.shed(now, accepted)
+	}
+	return l.Limit() != before
+}
+
 // Learned returns the learned limit, or zero if none is learned.
 func (l *Limiter) Learned() int {
 	if l.learner == nil {
@@ -192,7 +213,7 @@
 	case TimedOut:
 		l.timedOut(latency)
 	case Shed:
-		l.shed(now)
+		l.shed(now, 0)
 	default:
 		l.answered(now, latency)
 	}
@@ -215,15 +236,15 @@
 	l.good = 0
 }
 
-// shed lowers the limit by a quarter: a shed request proves that it is too
-// high.
-func (l *Limiter) shed(now clock.Instant) {
+// shed lowers the limit by a quarter, but not below a concurrency at which runs are known
+// to be taken: a shed request proves that the limit is too high.
+func (l *Limiter) shed(now clock.Instant, accepted int) {
 	l.good = 0
 	if l.reducedAt != 0 && now.Sub(l.reducedAt) < shedPause {
 		return
 	}
 	l.reducedAt = now
-	l.set(max(minLimit, l.Limit()*3/4))
+	l.set(max(minLimit, l.Limit()*3/4, min(l.Limit(), accepted)))
 }
 
 func (l *Limiter) answered(now clock.Instant, latency time.Duration) {
--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -115,7 +115,7 @@
 	answer.RequestID = j.call.RequestID
 	if j.phase == jobRunning {
 		c.slowdown.observe(now, outcome.Report)
-		if c.limiter.Finish(now, outcome.Health, now.Sub(j.started)) {
+		if c.finishRun(now, j, &outcome) {
 			c.logLimit("completion")
 		}
 		answer.Upstream = j.upstream.Name
@@ -142,6 +142,14 @@
 	c.startQueued(now)
 }
 
+// finishRun frees the slot of a run and adapts the limit. It reports whether the limit changed.
+func (c *Core) finishRun(now clock.Instant, j *job, outcome *Outcome) bool {
+	if outcome.Health == admission.Shed {
+		return c.limiter.FinishShed(now, j.concurrency)
+	}
+	return c.limiter.Finish(now, outcome.Health, now.Sub(j.started))
+}
+
 // refusedByUpstream reports whether the upstream itself refused a run.
 func refusedByUpstream(answer *call.Answer) bool {
 	return answer.Verdict == verdict.NotRun && (answer.Reason == verdict.ReasonShed || answer.Reason == verdict.ReasonFenced)
