Cut new key spaces into interleaved pieces and give joined upstreams work

A new key space was granted as one piece for each owner, so a dense region of neighbouring keys filled the few upstreams that held it. An upstream that joined in calm got no keys until another was overloaded.

With placement.interleave the first grants cut the key space into up to 24 pieces for each owner and 1,024 in all, and give them in turn to owners of alternating data centres. Freed pieces are granted whole, one for each owner that lacks load. An owner without a range gets the least loaded range of the owner with the most load.

--- a/internal/controlnode/node_duties.go
+++ b/internal/controlnode/node_duties.go
@@ -72,7 +72,7 @@
 func (n *Node) controllerDuty(timeSource clock.Clock, c *consensusDuty, stored *consensus.Stored) (*controllerDuty, error) {
 	timing := n.settings.Timing
 	leases := lease.Timing{Ownership: timing.Ownership.Value(), View: timing.View.Value(), Margin: timing.Drift.Value()}
-	core := controller.New(leases, placement.Limits{MaxRebalancing: n.settings.MaxRebalancing}, n.settings.PeerAddress)
+	core := controller.New(leases, n.placementLimits(), n.settings.PeerAddress)
 	if n.settings.Discovery.InUse() {
 		core.RequireVoters(2 * n.settings.Discovery.Tolerance)
 	}
@@ -117,3 +117,9 @@
 	_, _ = h.Write([]byte(disk))
 	return h.Sum64()
 }
+
+// placementLimits returns the limits of plans that the settings state.
+func (n *Node) placementLimits() placement.Limits {
+	policy := placement.Policy{Interleave: n.settings.Placement.Interleave, ByCapacity: n.settings.Placement.ByCapacity}
+	return placement.Limits{MaxRebalancing: n.settings.MaxRebalancing, Policy: policy}
+}
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -12,4 +12,6 @@
 	// DelayFirstGrants is set for a shorter time after a join: the first grants
 	// of a service without owners wait for more upstreams.
 	DelayFirstGrants bool
+	// Policy configures the placement of ranges of keys.
+	Policy Policy
 }
--- a/internal/placement/range_balance.go
+++ b/internal/placement/range_balance.go
@@ -34,20 +34,35 @@
 	minBalancedRate = 20.0
 )
 
+// rebalance revokes ranges for owners that lack load. A round starts only once the moves
+// of the last one are complete, so that it sees their effect.
+func (p *rangePlan) rebalance() {
+	if p.inTransition() {
+		return
+	}
+	if p.policy.spreads() && p.supplyNewcomers() {
+		return
+	}
+	p.balance()
+}
+
 // balance revokes subranges of overloaded owners, with as much load as
-// underloaded owners lack. A round starts only once the moves of the last one
-// are complete, so that it sees their effect.
+// underloaded owners lack.
 func (p *rangePlan) balance() {
-	if p.loads.Total() < minBalancedRate || p.inTransition() {
+	if p.loads.Total() < minBalancedRate {
 		return
 	}
 	for range max(minMoves, int(movesPerOwner*float64(len(p.owners)))) {
-		if len(p.space.Ranges) >= maxRangesPerOwner*len(p.owners) || !p.moveSubrange() {
+		if !p.policy.spreads() && p.full() || !p.moveSubrange() {
 			return
 		}
 	}
 }
 
+// full reports whether the key space has as many ranges as it may have, so that none
+// may be split.
+func (p *rangePlan) full() bool { return len(p.space.Ranges) >= maxRangesPerOwner*len(p.owners) }
+
 // inTransition reports whether any range is free or being revoked.
 func (p *rangePlan) inTransition() bool {
 	for i := range p.space.Ranges {
@@ -109,6 +124,9 @@
 		head := p.loads.PrefixEnd(r.First, r.Last, amount)
 		tail := p.loads.SuffixStart(r.First, r.Last, amount)
 		for _, subrange := range [][2]uint32{{r.First, head}, {tail, r.Last}} {
+			if p.full() && (subrange[0] > r.First || subrange[1] < r.Last) {
+				continue
+			}
 			load := p.loads.Sum(subrange[0], subrange[1])
 			density := load / float64(subrange[1]-subrange[0]+1)
 			if load <= max(amount*maxOvershoot, room) && load >= minMoveShare*from.target && density > best {
--- a/internal/placement/range_owner_list.go
+++ b/internal/placement/range_owner_list.go
@@ -19,7 +19,8 @@
 	for _, router := range view.Routers {
 		if router.Serves(service) && view.Eligible(router) {
 			owners = append(owners, &rangeOwner{
-				router: router.ID, boot: router.Upstream.Boot, weight: float64(max(1, router.Upstream.Slots)) * loads.speed(router.Upstream.Boot),
+				router: router.ID, boot: router.Upstream.Boot, dataCentre: router.DataCentre,
+				weight: float64(max(1, router.Upstream.Slots)) * loads.speed(router.Upstream.Boot),
 			})
 		}
 	}
@@ -57,3 +58,45 @@
 	slices.SortStableFunc(owners, func(a, b *rangeOwner) int { return cmp.Compare(ratio(b), ratio(a)) })
 	return owners
 }
+
+// receiver returns the owner that gets the next free range: one without any range, else
+// the one that lacks most among those that lack load and have received the fewest ranges
+// in this plan, else the one with the least surplus. Owners with maxOwnerRanges come last.
+func (l rangeOwnerList) receiver() *rangeOwner {
+	order := func(o *rangeOwner) (class, received int) {
+		switch {
+		case o.ranges >= maxOwnerRanges:
+			return 3, 0
+		case o.ranges == 0:
+			return 0, 0
+		case o.lack() > 0:
+			return 1, o.received
+		default:
+			return 2, 0
+		}
+	}
+	return slices.MinFunc(l, func(a, b *rangeOwner) int {
+		classA, receivedA := order(a)
+		classB, receivedB := order(b)
+		return cmp.Or(cmp.Compare(classA, classB), cmp.Compare(receivedA, receivedB), cmp.Compare(b.lack(), a.lack()))
+	})
+}
+
+// alternating returns the owners in an order in which successive ones are in different
+// data centres as far as possible: the owners of each data centre are evenly spaced.
+func (l rangeOwnerList) alternating() rangeOwnerList {
+	sizes, positions := map[fleet.DataCentre]int{}, make(map[*rangeOwner]float64, len(l))
+	for _, o := range l {
+		sizes[o.dataCentre]++
+	}
+	seen := map[fleet.DataCentre]int{}
+	for _, o := range l {
+		positions[o] = (float64(seen[o.dataCentre]) + 0.5) / float64(sizes[o.dataCentre])
+		seen[o.dataCentre]++
+	}
+	order := slices.Clone(l)
+	slices.SortFunc(order, func(a, b *rangeOwner) int {
+		return cmp.Or(cmp.Compare(positions[a], positions[b]), cmp.Compare(a.dataCentre, b.dataCentre), cmp.Compare(a.router, b.router))
+	})
+	return order
+}
--- a/internal/placement/range_plan.go
+++ b/internal/placement/range_plan.go
@@ -11,6 +11,7 @@
 	space   *fleet.KeySpace
 	owners  rangeOwnerList
 	loads   *KeyLoads
+	policy  Policy
 	changed bool
 }
 
@@ -26,15 +27,19 @@
 	if loads == nil {
 		loads = NewKeyLoads()
 	}
-	p := &rangePlan{space: space.Clone(), owners: eligibleRangeOwners(view, service, loads), loads: loads}
+	p := &rangePlan{space: space.Clone(), owners: eligibleRangeOwners(view, service, loads), loads: loads, policy: limits.Policy}
 	if len(p.owners) == 0 || limits.DelayFirstGrants && p.neverGranted() {
 		return nil
 	}
 	p.revokeIneligible(view)
 	p.setTargets()
-	p.grantFree()
+	if limits.Policy.spreads() {
+		p.spreadFree()
+	} else {
+		p.grantFree()
+	}
 	if !limits.SuspendRebalancing {
-		p.balance()
+		p.rebalance()
 	}
 	if !p.changed {
 		return nil
@@ -71,8 +76,11 @@
 		r := &p.space.Ranges[i]
 		load := p.loads.Sum(r.First, r.Last)
 		total += load
-		if o := p.owners.ownerOf(r); o != nil && r.Phase == fleet.ShardGranted {
-			o.load += load
+		if o := p.owners.ownerOf(r); o != nil {
+			o.ranges++
+			if r.Phase == fleet.ShardGranted {
+				o.load += load
+			}
 		}
 	}
 	for _, o := range p.owners {
--- a/internal/placement/range_plan_test.go
+++ b/internal/placement/range_plan_test.go
@@ -14,8 +14,9 @@
 // rangeFixture is a replicated state with routers beside upstreams of one
 // ranged service.
 type rangeFixture struct {
-	state *fsm.State
-	loads *KeyLoads
+	state  *fsm.State
+	loads  *KeyLoads
+	limits Limits
 }
 
 func newRangeFixture(t testing.TB, upstreams int) *rangeFixture {
@@ -42,7 +43,7 @@
 func (f *rangeFixture) converge(t *testing.T) int {
 	t.Helper()
 	for plans := range 100 {
-		assign := PlanRanges(f.state.View, "s", f.loads, Limits{})
+		assign := PlanRanges(f.state.View, "s", f.loads, f.limits)
 		if assign == nil {
 			return plans
 		}
@@ -164,10 +165,14 @@
 // TestRangePlansUnderRandomChanges closes sessions, restarts upstreams, takes
 // data centres out and back and changes loads at random. Every plan must keep
 // the invariants, and once all data centres are back, every key must be owned.
-func TestRangePlansUnderRandomChanges(t *testing.T) {
+func TestRangePlansUnderRandomChanges(t *testing.T) { testRandomChanges(t, Policy{}) }
+
+func testRandomChanges(t *testing.T, policy Policy) {
+	t.Helper()
 	for seed := range uint64(20) {
 		random := rand.New(rand.NewPCG(seed, 3))
 		f := newRangeFixture(t, 6)
+		f.limits.Policy = policy
 		for step := range 30 {
 			i := random.IntN(6)
 			switch random.IntN(4) {
