Move keys by the capacity of their owners

Shares followed announced slots, keys moved for evenness, and two rounds could move the same load twice, since the smoothed rates of an upstream lag behind a move by seconds.

With placement.byCapacity the capacity of an owner is its reported limit divided by its run time. Keys leave an owner whose load exceeds its capacity if that serves more requests in 4 s than arrive in the gap of 1.2 s. Several owners give keys in one round. An owner that got or gave keys gives none before three more reports, which do not lower what is known of its keys. A key that exceeds its owner moves only if the owner has less than 0.6 of the capacity of another one. Event 306 names the figures of each move.

--- a/internal/controller/committing.go
+++ b/internal/controller/committing.go
@@ -44,6 +44,7 @@
 		}
 		c.operatorChangeApplied(command.OperatorChange, result)
 	}
+	c.followKeySpaces(change, before)
 	c.logRanges(change, before)
 	c.broadcast(now)
 }
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -92,6 +92,8 @@
 	rollout rollout
 	// keyLoads holds the reported load of keys, by service.
 	keyLoads map[string]*placement.KeyLoads
+	// keyMoves counts the planned moves of keys by capacity.
+	keyMoves uint64
 	// replanAt is when a plan is due without a change of the view.
 	replanAt  clock.Instant
 	nextTick  clock.Instant
--- a/internal/controller/planning.go
+++ b/internal/controller/planning.go
@@ -55,8 +55,9 @@
 		if !service.Ranged {
 			continue
 		}
-		if assign := placement.PlanRanges(c.state.View, service.Name, c.keyLoads[service.Name], limits); assign != nil {
+		if assign, moves := placement.PlanRangeMoves(c.state.View, service.Name, c.keyLoads[service.Name], limits); assign != nil {
 			commands = append(commands, fsm.Command{AssignRanges: assign})
+			c.logMoves(service.Name, moves)
 		}
 	}
 	return commands
@@ -79,12 +80,45 @@
 		loads = placement.NewKeyLoads()
 		c.keyLoads[service] = loads
 	}
-	loads.AddRunTime(router.Upstream.Boot, up.RunTime)
+	boot := router.Upstream.Boot
+	loads.AddRunTime(boot, up.RunTime)
+	if c.limits.Policy.ByCapacity {
+		loads.AddLimit(boot, router.Upstream.Slots, up.Limit)
+	}
 	for _, load := range up.KeyLoads {
-		loads.Set(load.First, load.Last, load.Rate)
+		loads.Update(boot, load.First, load.Last, load.Rate)
 	}
+	loads.Reported(boot)
 }
 
+// followKeySpaces notes which upstreams got or gave keys by a change, so that their rates
+// are not taken for the present load before they show it.
+func (c *Core) followKeySpaces(change *fleet.Change, before map[string]*fleet.KeySpace) {
+	if change == nil || !c.limits.Policy.ByCapacity {
+		return
+	}
+	for i := range change.KeySpaceChanges {
+		changed := &change.KeySpaceChanges[i]
+		if loads := c.keyLoads[changed.Service]; loads != nil {
+			loads.Follow(before[changed.Service], changed)
+		}
+	}
+}
+
+// logMoves logs the moves of a proposed plan with the figures that they were decided from.
+func (c *Core) logMoves(service string, moves []placement.Move) {
+	c.keyMoves += uint64(len(moves))
+	for i := range moves {
+		m := &moves[i]
+		c.logEvent(event.RangeMoved, event.F("service", service), event.F("first", m.First), event.F("last", m.Last),
+			event.F("from", string(m.From)), event.F("to", string(m.To)), event.F("load", m.Load), event.F("demand", m.Demand),
+			event.F("capacity", m.Capacity), event.F("room", m.Room), event.F("gain", m.Gain), event.F("cost", m.Cost))
+	}
+}
+
+// KeyMoves returns the number of moves of keys by capacity that this process has planned.
+func (c *Core) KeyMoves() uint64 { return c.keyMoves }
+
 // logRanges logs an event for each range of a change whose phase or epoch differs
 // from before. Only the leader logs them.
 func (c *Core) logRanges(change *fleet.Change, before map[string]*fleet.KeySpace) {
--- a/internal/controlnode/controller_duty.go
+++ b/internal/controlnode/controller_duty.go
@@ -59,6 +59,7 @@
 		case <-timer.C:
 			d.core.Tick(d.clock.Now())
 			d.meter.SetRoutersBehind(d.core.RoutersBehind())
+			d.meter.SetKeyMoves(d.core.KeyMoves())
 			timer.Reset(max(time.Millisecond, d.core.Deadline().Sub(d.clock.Now())))
 		case update := <-d.updates.Out():
 			if err := d.applyUpdate(ctx, &update); err != nil {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -31,6 +31,7 @@
 	RangeGranted       = define(303, "range-granted", Info, "A range of keys was granted under a new epoch to an upstream with the given boot ID.")
 	RangeRevoked       = define(304, "range-revoked", Info, "A range of keys was revoked from its holder.")
 	RangeFreed         = define(305, "range-freed", Info, "A range of keys can be granted again: it was released, or its holder is gone.")
+	RangeMoved         = define(306, "range-moved", Info, "The leader planned to move keys of an overloaded upstream: `gain` is the number of requests served in addition in the next 4 s, and `cost` that of those that arrive during the move. `load`, `demand`, `capacity` and `room` are in requests a second; `to` is the intended next holder.")
 	CommandAccepted    = define(400, "command-accepted", Info, "An operator's command was committed.")
 	CommandRefused     = define(401, "command-refused", Warn, "An operator's command was refused.")
 	CommandMalformed   = define(402, "command-malformed", Warn, "An operator's command could not be decoded; nothing was changed.")
--- a/internal/event/event_docs.go
+++ b/internal/event/event_docs.go
@@ -31,6 +31,7 @@
 	RangeGranted:    {fields: []string{"service", "first", "last", "owner", "boot", "epoch", "handover"}},
 	RangeRevoked:    {fields: []string{"service", "first", "last", "owner", "boot", "epoch", "handover"}},
 	RangeFreed:      {fields: []string{"service", "first", "last", "owner", "boot", "epoch", "handover"}},
+	RangeMoved:      {fields: []string{"service", "first", "last", "from", "to", "load", "demand", "capacity", "room", "gain", "cost"}},
 	CommandAccepted: {fields: []string{"command", "operator", "config", "number", "base", "view", "reason"}},
 	CommandRefused: {fields: []string{"command", "operator", "config", "number", "base", "view", "reason"},
 		action: "See `reason`. If the config version has changed, another operator's command was accepted first: check `status` before sending the command again."},
--- a/internal/executor/key_ranges.go
+++ b/internal/executor/key_ranges.go
@@ -42,7 +42,7 @@
 
 func (c *Core) reportLoads(now clock.Instant, owned []fleet.KeyRange) {
 	if loads := c.keyMeter.report(now, owned); loads != nil {
-		c.output.KeyLoads, c.output.RunTime = loads, c.keyMeter.meanRun()
+		c.output.KeyLoads, c.output.RunTime, c.output.Limit = loads, c.keyMeter.meanRun(), c.limiter.Limit()
 	}
 }
 
--- a/internal/executor/output.go
+++ b/internal/executor/output.go
@@ -25,5 +25,7 @@
 	KeyLoads []session.KeyLoad
 	// RunTime is the mean run time since the last report of loads.
 	RunTime time.Duration
-	Events  []call.Event
+	// Limit is how many requests the upstream runs at once at most. It comes with KeyLoads.
+	Limit  int
+	Events []call.Event
 }
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -34,6 +34,9 @@
 	ConfigVersion = define("config_version", Gauge, "", "Operator changes in use at this process's gateway, or accepted so far at a control process.")
 	RoutersBehind = define("routers_behind", Gauge, "", "Routers with an open session that have not reported the latest operator change as applied to this leader; 0 at other processes.")
 
+	KeyMoves  = define("key_moves_total", Counter, "", "Moves of keys by capacity that this control process has planned as leader.")
+	KeyRanges = define("key_ranges", Gauge, "", "Ranges of keys in the key spaces of all services.")
+
 	Goroutines   = define("goroutines", Gauge, "", "Goroutines of the process.")
 	HeapBytes    = define("heap_bytes", Gauge, "", "Memory in use by the Go heap, in bytes.")
 	RuntimeBytes = define("runtime_bytes", Gauge, "", "Memory mapped by the Go runtime, in bytes.")
--- a/internal/metrics/control_meter.go
+++ b/internal/metrics/control_meter.go
@@ -12,6 +12,7 @@
 type ControlMeter struct {
 	commit, applied, snapshot, term, isLeader gometrics.Gauge
 	sessions, view, config, behind            gometrics.Gauge
+	keyMoves, keyRanges                       gometrics.Gauge
 }
 
 // NewControlMeter returns a meter whose gauges are registered and zero.
@@ -19,7 +20,7 @@
 	return &ControlMeter{
 		commit: r.gauge(LogCommit), applied: r.gauge(LogApplied), snapshot: r.gauge(LogSnapshot), term: r.gauge(LogTerm),
 		isLeader: r.gauge(IsLeader), sessions: r.gauge(Sessions), view: r.gauge(ViewVersion), config: r.gauge(ConfigVersion),
-		behind: r.gauge(RoutersBehind),
+		behind: r.gauge(RoutersBehind), keyMoves: r.gauge(KeyMoves), keyRanges: r.gauge(KeyRanges),
 	}
 }
 
@@ -47,6 +48,11 @@
 	m.sessions.Update(int64(len(state.OpenedSessions)))
 	m.view.Update(int64(state.View.Version))
 	m.config.Update(int64(state.View.Config))
+	ranges := 0
+	for _, space := range state.View.KeySpaces {
+		ranges += len(space.Ranges)
+	}
+	m.keyRanges.Update(int64(ranges))
 }
 
 // SetRoutersBehind sets the number of routers that lack an operator change.
@@ -55,3 +61,10 @@
 		m.behind.Update(int64(n))
 	}
 }
+
+// SetKeyMoves sets the number of moves of keys by capacity that this process has planned.
+func (m *ControlMeter) SetKeyMoves(n uint64) {
+	if m != nil {
+		m.keyMoves.Update(int64(n))
+	}
+}
--- a/internal/placement/key_loads.go
+++ b/internal/placement/key_loads.go
@@ -17,6 +17,13 @@
 	maxSpeed = 2.0
 	// maxBootIDs bounds the number of boot IDs whose run time is kept.
 	maxBootIDs = 4096
+	// limitWeight is the weight of a new sample in the moving average of an upstream's
+	// limit. A cold start lowers the limit for seconds only.
+	limitWeight = 0.2
+	// settlingReports is the number of load reports until the rates of an upstream
+	// that has got or given keys are usable: they are smoothed over some reports, 0.4
+	// of each, so that after three 78% of a change show.
+	settlingReports = 3
 )
 
 // baseKeyLoad is added to the measured load of each key, in requests a second,
@@ -30,11 +37,17 @@
 	total float64
 	// runTimes holds the moving average of each upstream's run time, by boot ID.
 	runTimes map[string]time.Duration
+	// limits holds the moving average of each upstream's limit, and settling the number
+	// of reports until its rates are usable, both by boot ID.
+	limits   map[string]float64
+	settling map[string]int
 }
 
 // NewKeyLoads returns loads without any measurement.
 func NewKeyLoads() *KeyLoads {
-	return &KeyLoads{rates: make([]float32, fleet.KeyCount), runTimes: map[string]time.Duration{}}
+	return &KeyLoads{
+		rates: make([]float32, fleet.KeyCount), runTimes: map[string]time.Duration{}, limits: map[string]float64{}, settling: map[string]int{},
+	}
 }
 
 // Set divides a rate, in requests a second, evenly among the keys first to last
@@ -103,17 +116,108 @@
 	k.runTimes[boot] = runTime
 }
 
-// speed returns the speed of the upstream with the given boot ID relative to the
-// mean of the upstreams whose run time is known, or 1 if its own is not.
-func (k *KeyLoads) speed(boot string) float64 {
-	own, ok := k.runTimes[boot]
+// AddLimit adds a sample of the limit of the upstream with the given boot ID to its moving
+// average, which begins at the announced number of slots. The first samples of an upstream
+// that is not known yet are no basis for moves.
+func (k *KeyLoads) AddLimit(boot string, slots, limit int) {
+	if limit <= 0 {
+		return
+	}
+	known, ok := k.limits[boot]
 	if !ok {
-		return 1
+		if len(k.limits) >= maxBootIDs {
+			clear(k.limits)
+		}
+		known = float64(max(1, slots))
+		k.unsettle(boot)
 	}
+	k.limits[boot] = known + limitWeight*(float64(limit)-known)
+}
+
+func (k *KeyLoads) measured(first, last uint32) float64 {
 	sum := 0.0
+	for key := first; key <= last; key++ {
+		sum += float64(k.rates[key])
+	}
+	return sum
+}
+
+// Update takes the rate of the keys first to last from a report of the upstream with the
+// given boot ID. While its rates settle, they do not lower what is known.
+func (k *KeyLoads) Update(boot string, first, last uint32, rate float64) {
+	if !k.Settling(boot) {
+		k.Set(first, last, rate)
+	} else if first <= last && last < fleet.KeyCount && rate > k.measured(first, last) {
+		k.Set(first, last, rate)
+	}
+}
+
+// Follow marks the rates of the upstreams that got or gave keys by a change as settling.
+// The key space is that before the change, or nil.
+func (k *KeyLoads) Follow(before *fleet.KeySpace, change *fleet.KeySpaceChange) {
+	if before == nil || before.LastEpoch == 0 {
+		return
+	}
+	for i := range change.Ranges {
+		r := &change.Ranges[i]
+		switch old := before.Find(r.First); {
+		case r.Phase == fleet.ShardGranted && r.Epoch > before.LastEpoch:
+			k.unsettle(r.Boot)
+		case r.Phase == fleet.ShardFree && old.Phase != fleet.ShardFree:
+			k.unsettle(old.Boot)
+		}
+	}
+}
+
+func (k *KeyLoads) unsettle(boot string) {
+	if len(k.settling) >= maxBootIDs {
+		clear(k.settling)
+	}
+	k.settling[boot] = settlingReports
+}
+
+// Settling reports whether the rates of the upstream with the given boot ID lag behind a
+// change of its keys.
+func (k *KeyLoads) Settling(boot string) bool { return k.settling[boot] > 0 }
+
+// Reported records a load report of the upstream with the given boot ID.
+func (k *KeyLoads) Reported(boot string) {
+	if k.settling[boot]--; k.settling[boot] <= 0 {
+		delete(k.settling, boot)
+	}
+}
+
+// meanRunTime returns the mean of the known run times of the upstreams, or zero.
+func (k *KeyLoads) meanRunTime() time.Duration {
+	if len(k.runTimes) == 0 {
+		return 0
+	}
+	sum := time.Duration(0)
 	for _, runTime := range k.runTimes {
-		sum += float64(runTime)
+		sum += runTime
+	}
+	return sum / time.Duration(len(k.runTimes))
+}
+
+// speed returns the speed of the upstream with the given boot ID relative to the mean run
+// time of all, or 1 if its own is not known.
+func (k *KeyLoads) speed(boot string, mean time.Duration) float64 {
+	own, ok := k.runTimes[boot]
+	if !ok {
+		return 1
+	}
+	return min(maxSpeed, max(minSpeed, float64(mean)/float64(own)))
+}
+
+// capacity returns the requests a second that the upstream with the given boot ID takes:
+// its limit, or else its slots, divided by its run time. It is zero if no run time is known.
+func (k *KeyLoads) capacity(boot string, slots int, mean time.Duration) float64 {
+	if mean == 0 {
+		return 0
+	}
+	limit, ok := k.limits[boot]
+	if !ok {
+		limit = float64(slots)
 	}
-	mean := sum / float64(len(k.runTimes))
-	return min(maxSpeed, max(minSpeed, mean/float64(own)))
+	return limit * k.speed(boot, mean) / mean.Seconds()
 }
--- a/internal/placement/range_balance.go
+++ b/internal/placement/range_balance.go
@@ -43,6 +43,10 @@
 	if p.policy.spreads() && p.supplyNewcomers() {
 		return
 	}
+	if p.policy.ByCapacity {
+		p.relieve()
+		return
+	}
 	p.balance()
 }
 
--- a/internal/placement/range_owner.go
+++ b/internal/placement/range_owner.go
@@ -1,6 +1,10 @@
 package placement
 
-import "endivespring/internal/fleet"
+import (
+	"math"
+
+	"endivespring/internal/fleet"
+)
 
 // rangeOwner is an upstream, identified by its router and its boot ID, that may
 // hold ranges of keys.
@@ -8,8 +12,15 @@
 	router     fleet.RouterID
 	boot       string
 	dataCentre fleet.DataCentre
-	// weight is the number of the upstream's slots times its relative speed.
+	// weight is the number of the upstream's slots times its relative speed, or its
+	// capacity.
 	weight float64
+	// capacity is the number of requests a second that the upstream takes, or zero if it
+	// is not known or not used.
+	capacity float64
+	// original is the share of the owner's load that is not a repetition, at the start of
+	// a round of moves.
+	original float64
 	// load is that of the owner's granted ranges, target its share of the total
 	// load by weight. Both are in requests a second.
 	load, target float64
@@ -20,3 +31,28 @@
 
 // lack returns how far the owner's load is below its target.
 func (o *rangeOwner) lack() float64 { return o.target - o.load }
+
+// originalShare returns the share of the owner's load that is not a repetition. Beyond the
+// capacity calls are refused, and callers and gateways repeat refused calls; half of them
+// are taken to come back once. The truth lies between none and two repetitions each.
+func (o *rangeOwner) originalShare() float64 {
+	if o.load <= o.capacity {
+		return 1
+	}
+	return 1 / (1 + repeatedShare*(1-o.capacity/o.load))
+}
+
+// demand returns the owner's load without repetitions.
+func (o *rangeOwner) demand() float64 { return o.load * o.original }
+
+// excess returns the demand above the owner's capacity, or zero if it may be a random
+// variation.
+func (o *rangeOwner) excess() float64 {
+	if excess := o.demand() - o.capacity; excess > overloadDeviations*math.Sqrt(o.capacity/rateWindow) {
+		return excess
+	}
+	return 0
+}
+
+// room returns the load that the owner can take in addition.
+func (o *rangeOwner) room() float64 { return usableCapacity*o.capacity - o.load }
--- a/internal/placement/range_owner_list.go
+++ b/internal/placement/range_owner_list.go
@@ -14,15 +14,20 @@
 
 // eligibleRangeOwners returns the upstreams of a service that may be granted
 // ranges of keys.
-func eligibleRangeOwners(view *fleet.View, service string, loads *KeyLoads) rangeOwnerList {
+func eligibleRangeOwners(view *fleet.View, service string, loads *KeyLoads, policy Policy) rangeOwnerList {
 	var owners rangeOwnerList
+	mean := loads.meanRunTime()
 	for _, router := range view.Routers {
-		if router.Serves(service) && view.Eligible(router) {
-			owners = append(owners, &rangeOwner{
-				router: router.ID, boot: router.Upstream.Boot, dataCentre: router.DataCentre,
-				weight: float64(max(1, router.Upstream.Slots)) * loads.speed(router.Upstream.Boot),
-			})
+		if !router.Serves(service) || !view.Eligible(router) {
+			continue
 		}
+		boot, slots := router.Upstream.Boot, max(1, router.Upstream.Slots)
+		o := &rangeOwner{router: router.ID, boot: boot, dataCentre: router.DataCentre, weight: float64(slots) * loads.speed(boot, mean)}
+		if policy.ByCapacity && mean > 0 {
+			o.capacity = loads.capacity(boot, slots, mean)
+			o.weight = o.capacity
+		}
+		owners = append(owners, o)
 	}
 	slices.SortFunc(owners, func(a, b *rangeOwner) int { return cmp.Compare(a.router, b.router) })
 	return owners
@@ -82,6 +87,11 @@
 	})
 }
 
+// roomiest returns the owner that can take the most load in addition.
+func (l rangeOwnerList) roomiest() *rangeOwner {
+	return slices.MaxFunc(l, func(a, b *rangeOwner) int { return cmp.Compare(a.room(), b.room()) })
+}
+
 // alternating returns the owners in an order in which successive ones are in different
 // data centres as far as possible: the owners of each data centre are evenly spaced.
 func (l rangeOwnerList) alternating() rangeOwnerList {
--- a/internal/placement/range_plan.go
+++ b/internal/placement/range_plan.go
@@ -13,6 +13,8 @@
 	loads   *KeyLoads
 	policy  Policy
 	changed bool
+	// moves are the moves that the plan makes by capacity.
+	moves []Move
 }
 
 // PlanRanges returns the command that brings a service's key space closer to
@@ -20,6 +22,12 @@
 // and speed. It returns nil if there is nothing to do. Loads may be nil if none
 // have been measured.
 func PlanRanges(view *fleet.View, service string, loads *KeyLoads, limits Limits) *fsm.AssignRanges {
+	assign, _ := PlanRangeMoves(view, service, loads, limits)
+	return assign
+}
+
+// PlanRangeMoves is PlanRanges; it also returns the moves by capacity that the plan begins.
+func PlanRangeMoves(view *fleet.View, service string, loads *KeyLoads, limits Limits) (*fsm.AssignRanges, []Move) {
 	space := view.KeySpaces[service]
 	if space == nil {
 		space = fleet.NewKeySpace(service)
@@ -27,9 +35,9 @@
 	if loads == nil {
 		loads = NewKeyLoads()
 	}
-	p := &rangePlan{space: space.Clone(), owners: eligibleRangeOwners(view, service, loads), loads: loads, policy: limits.Policy}
+	p := &rangePlan{space: space.Clone(), owners: eligibleRangeOwners(view, service, loads, limits.Policy), loads: loads, policy: limits.Policy}
 	if len(p.owners) == 0 || limits.DelayFirstGrants && p.neverGranted() {
-		return nil
+		return nil, nil
 	}
 	p.revokeIneligible(view)
 	p.setTargets()
@@ -42,10 +50,10 @@
 		p.rebalance()
 	}
 	if !p.changed {
-		return nil
+		return nil, nil
 	}
 	p.space.Normalize()
-	return &fsm.AssignRanges{Revision: space.Revision, Next: *p.space}
+	return &fsm.AssignRanges{Revision: space.Revision, Next: *p.space}, p.moves
 }
 
 // neverGranted reports whether no range of the key space was ever granted.
--- /dev/null
+++ b/internal/placement/range_relief.go
@@ -0,0 +1,152 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"endivespring/internal/fleet"
+)
+
+const (
+	// repeatedShare is the share of refused calls that are taken to be repeated once.
+	repeatedShare = 0.5
+	// rateWindow is the time, in seconds, of independent samples that has the same
+	// variance as a reported rate: 0.87 s between reports, each with weight 0.4.
+	rateWindow = 3.5
+	// usableCapacity is the share of an owner's capacity up to which it gets keys of
+	// others. Beyond that, waits grow fast with random variation of the load.
+	usableCapacity = 0.9
+	// gainTime is the time, in seconds, for which the present load is taken to last:
+	// busy keys stay busy for 4 to 5 s.
+	gainTime = 4.0
+	// gapTime is the time, in seconds, in which nobody serves a moved key: 0.9 to 1.5 s
+	// were measured.
+	gapTime = 1.2
+	// minNetGain is the least number of requests that a move must gain in excess of its
+	// cost.
+	minNetGain = 1.0
+	// slowOwnerRatio is the ratio of the capacities of two owners below which a key that
+	// alone exceeds the capacity of the slower one moves to the faster one.
+	slowOwnerRatio = 0.6
+)
+
+// relieve revokes keys of owners whose load exceeds their capacity, as long as that serves
+// more requests than the gap of the move costs. Owners whose rates lag behind an earlier
+// move give nothing, since they would give too much.
+func (p *rangePlan) relieve() {
+	if p.loads.Total() < minBalancedRate {
+		return
+	}
+	var givers []*rangeOwner
+	for _, o := range p.owners {
+		o.received, o.original = 0, o.originalShare()
+		if o.capacity > 0 && !p.loads.Settling(o.boot) && o.excess() > 0 {
+			givers = append(givers, o)
+		}
+	}
+	for moves := max(minMoves, len(p.owners)); moves > 0 && len(givers) > 0; moves-- {
+		slices.SortStableFunc(givers, func(a, b *rangeOwner) int { return cmp.Compare(b.excess(), a.excess()) })
+		if from := givers[0]; !p.relieveOnce(from) || from.excess() == 0 {
+			givers = givers[1:]
+		}
+	}
+}
+
+// relieveOnce revokes the keys of an owner with the greatest net gain, and reports whether
+// there are any worth it.
+func (p *rangePlan) relieveOnce(from *rangeOwner) bool {
+	if p.moveBusyKey(from) {
+		return true
+	}
+	to := p.owners.receiver()
+	if to == from || to.room() <= 0 {
+		to = p.owners.roomiest()
+	}
+	if to == from || to.room() <= 0 {
+		return false
+	}
+	best := Move{From: from.router, To: to.router, Demand: from.demand(), Capacity: from.capacity, Room: to.room()}
+	found := false
+	amount := min(from.excess()/from.original, to.room())
+	p.eachSubrange(from, amount, func(first, last uint32) {
+		load := p.loads.Sum(first, last)
+		if load > to.room() {
+			return
+		}
+		gain, cost := gainTime*min(load*from.original, from.excess()), gapTime*load*from.original
+		if net := gain - cost; net >= minNetGain && (!found || net > best.Gain-best.Cost) {
+			best.First, best.Last, best.Load, best.Gain, best.Cost, found = first, last, load, gain, cost, true
+		}
+	})
+	if found {
+		p.move(&best, from, to)
+	}
+	return found
+}
+
+// moveBusyKey moves the busiest key of an owner if the key alone exceeds its capacity and
+// another owner is much faster. Otherwise such a key stays, and its owner gives other keys away.
+func (p *rangePlan) moveBusyKey(from *rangeOwner) bool {
+	to := p.owners.roomiest()
+	if p.full() || from.capacity >= slowOwnerRatio*to.capacity {
+		return false
+	}
+	key, load := p.busiestKey(from)
+	if load*from.original <= from.capacity {
+		return false
+	}
+	// What else the next owner serves moves away in turn.
+	gain := gainTime * (min(load*from.original, usableCapacity*to.capacity) - from.capacity)
+	cost := gapTime * from.capacity
+	if gain-cost < minNetGain {
+		return false
+	}
+	p.move(&Move{
+		First: key, Last: key, From: from.router, To: to.router, Load: load, Demand: from.demand(), Capacity: from.capacity, Room: to.room(), Gain: gain, Cost: cost,
+	}, from, to)
+	return true
+}
+
+func (p *rangePlan) move(m *Move, from, to *rangeOwner) {
+	p.revoke(m.First, m.Last)
+	from.load -= m.Load
+	to.load += m.Load
+	to.received++
+	p.moves = append(p.moves, *m)
+}
+
+// eachSubrange calls visit with the granted ranges of an owner, and, while ranges may be
+// split, with the longest prefix and suffix of each of at most the given load and with the
+// owner's busiest key.
+func (p *rangePlan) eachSubrange(o *rangeOwner, amount float64, visit func(first, last uint32)) {
+	for i := range p.space.Ranges {
+		r := &p.space.Ranges[i]
+		if r.Phase != fleet.ShardGranted || !r.HeldBy(o.router, o.boot) {
+			continue
+		}
+		visit(r.First, r.Last)
+		if !p.full() {
+			visit(r.First, p.loads.PrefixEnd(r.First, r.Last, amount))
+			visit(p.loads.SuffixStart(r.First, r.Last, amount), r.Last)
+		}
+	}
+	if key, load := p.busiestKey(o); load > 0 && !p.full() {
+		visit(key, key)
+	}
+}
+
+// busiestKey returns the granted key of an owner with the most load.
+func (p *rangePlan) busiestKey(o *rangeOwner) (key uint32, load float64) {
+	for i := range p.space.Ranges {
+		r := &p.space.Ranges[i]
+		if r.Phase != fleet.ShardGranted || !r.HeldBy(o.router, o.boot) {
+			continue
+		}
+		for k := r.First; k <= r.Last; k++ {
+			if l := p.loads.keyLoad(k); l > load {
+				key, load = k, l
+			}
+		}
+	}
+	return key, load
+}
--- a/internal/placement/range_spread.go
+++ b/internal/placement/range_spread.go
@@ -31,7 +31,8 @@
 	}
 	free := p.freeByLoad()
 	for i := 0; i < len(free); i++ {
-		r, o := p.space.Find(free[i]), p.owners.receiver()
+		r := p.space.Find(free[i])
+		o := p.receiver(p.loads.Sum(r.First, r.Last))
 		most := max(o.lack(), wholeShare*o.target)
 		if last := p.loads.PrefixEnd(r.First, r.Last, most); last < r.Last && p.maySplit(r) {
 			p.space.Split(last + 1)
@@ -42,6 +43,16 @@
 	}
 }
 
+// receiver returns the owner that gets a free range with the given load next. A busy key
+// that the next in turn has no room for goes to the owner with the most.
+func (p *rangePlan) receiver(load float64) *rangeOwner {
+	o := p.owners.receiver()
+	if o.capacity == 0 || load <= max(o.lack(), o.room()) {
+		return o
+	}
+	return p.owners.roomiest()
+}
+
 // grantPieces cuts the key space into equal pieces, so that a dense region of keys falls on
 // many owners, and grants them in turn. An owner gets pieces in proportion to its weight.
 func (p *rangePlan) grantPieces() {
--- a/internal/router/heartbeat.go
+++ b/internal/router/heartbeat.go
@@ -138,7 +138,7 @@
 	if len(out.RangeReports) == 0 && len(out.KeyLoads) == 0 {
 		return
 	}
-	if d.rangeUpdates.Put(ctx, rangeUpdate{reports: out.RangeReports, loads: out.KeyLoads, runTime: out.RunTime}) != nil {
+	if d.rangeUpdates.Put(ctx, rangeUpdate{reports: out.RangeReports, loads: out.KeyLoads, runTime: out.RunTime, limit: out.Limit}) != nil {
 		d.events.Record(event.RangesUnreported, event.F("reports", len(out.RangeReports)))
 	}
 }
--- a/internal/router/range_update.go
+++ b/internal/router/range_update.go
@@ -12,4 +12,6 @@
 	reports []session.RangeReport
 	loads   []session.KeyLoad
 	runTime time.Duration
+	// limit is how many requests the upstream runs at once at most.
+	limit int
 }
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -185,7 +185,7 @@
 		d.core.ReportRanges(d.clock.Now(), update.reports)
 	}
 	if len(update.loads) > 0 {
-		d.core.ReportLoads(update.loads, update.runTime)
+		d.core.ReportLoads(update.loads, update.runTime, update.limit)
 	}
 }
 
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -52,9 +52,10 @@
 	// pendingReports holds the released ranges that the view does not show as
 	// released yet.
 	pendingReports []RangeReport
-	// keyLoads and runTime are to be sent with the next renewal.
+	// keyLoads, runTime and limit are to be sent with the next renewal.
 	keyLoads []KeyLoad
 	runTime  time.Duration
+	limit    int
 	// rangeLeaseUntil is the expiry of the last ownership lease that was granted
 	// while the router had applied every change of the view. An ownership lease
 	// granted while a change is missing does not extend the lease on ranges,
@@ -166,8 +167,8 @@
 	for _, r := range c.pendingReleases {
 		up.Releases = append(up.Releases, r)
 	}
-	up.RangeReports, up.KeyLoads, up.RunTime = c.pendingReports, c.keyLoads, c.runTime
-	c.keyLoads, c.runTime = nil, 0
+	up.RangeReports, up.KeyLoads, up.RunTime, up.Limit = c.pendingReports, c.keyLoads, c.runTime, c.limit
+	c.keyLoads, c.runTime, c.limit = nil, 0, 0
 	return up, true
 }
 
--- a/internal/session/reporting.go
+++ b/internal/session/reporting.go
@@ -31,10 +31,10 @@
 	c.renewAt = now
 }
 
-// ReportLoads sends the load of keys and the mean run time of requests with the next
-// renewal, once. A later report replaces one that was not sent yet.
-func (c *Core) ReportLoads(loads []KeyLoad, runTime time.Duration) {
-	c.keyLoads, c.runTime = loads, runTime
+// ReportLoads sends the load of keys, the mean run time of requests and the limit of the
+// upstream with the next renewal, once. A later report replaces one that was not sent yet.
+func (c *Core) ReportLoads(loads []KeyLoad, runTime time.Duration, limit int) {
+	c.keyLoads, c.runTime, c.limit = loads, runTime, limit
 }
 
 // applyKeySpaces follows the key spaces by a change and drops the reports that it confirms.
