Report the load of keys early while calls for them are refused

The load of keys reached control with heartbeats only, every 870 ms, so a move began up to a heartbeat late. Calls that callers repeat counted as load again.

With load.reports of a router, the executor reports 250 ms after the first call that it refuses as overloaded, at most once in 400 ms, and does not count calls that callers mark as sent before. A report after a part of an interval changes a rate by its share. Control counts no reports less than 600 ms apart towards settled rates.

--- a/internal/controller/key_moves_test.go
+++ b/internal/controller/key_moves_test.go
@@ -97,6 +97,7 @@
 	m.now = m.now.Add(20 * time.Second)
 	m.commit(1, fsm.Command{AssignRanges: m.plan(0)})
 	for range 5 {
+		m.now = m.now.Add(870 * time.Millisecond)
 		m.report(0)
 	}
 	revocation := m.plan(0)
--- a/internal/controller/planning.go
+++ b/internal/controller/planning.go
@@ -65,7 +65,7 @@
 
 // handleRangeReports proposes the release of the ranges of keys that a router
 // reports as no longer held by its upstream, and records the load of the others.
-func (c *Core) handleRangeReports(up *session.RouterMessage, router fleet.Router) {
+func (c *Core) handleRangeReports(now clock.Instant, up *session.RouterMessage, router fleet.Router) {
 	for _, report := range up.RangeReports {
 		c.propose(fsm.Command{ReleaseRanges: &fsm.ReleaseRanges{
 			Service: report.Service, Router: router.ID, Boot: report.Boot, Releases: report.Releases,
@@ -88,7 +88,7 @@
 	for _, load := range up.KeyLoads {
 		loads.Update(boot, load.First, load.Last, load.Rate)
 	}
-	loads.Reported(boot)
+	loads.Reported(now, boot)
 }
 
 // followKeySpaces notes which upstreams got or gave keys by a change, so that their rates
--- a/internal/controller/renewing.go
+++ b/internal/controller/renewing.go
@@ -47,7 +47,7 @@
 		return
 	}
 	c.lastReports[s.session] = sessionReport{router: s.router, applied: up.Applied}
-	c.handleReports(up, s.session)
+	c.handleReports(now, up, s.session)
 }
 
 // ownsShards reports whether a session owns a shard, granted or being revoked.
@@ -103,7 +103,7 @@
 
 // handleReports proposes the changes that a renewal reports: the closing of its
 // session, a changed registration, and released ranges and shards.
-func (c *Core) handleReports(up *session.RouterMessage, id fleet.Session) {
+func (c *Core) handleReports(now clock.Instant, up *session.RouterMessage, id fleet.Session) {
 	if up.Closing {
 		c.propose(fsm.Command{CloseSessions: &fsm.CloseSessions{Term: c.term, Sessions: []fleet.Session{id}}})
 		return
@@ -113,7 +113,7 @@
 	if up.Registers && c.state.View.Routers[router.ID] != router {
 		c.propose(fsm.Command{UpdateRouter: &fsm.UpdateRouter{Router: router}})
 	}
-	c.handleRangeReports(up, c.state.View.Routers[router.ID])
+	c.handleRangeReports(now, up, c.state.View.Routers[router.ID])
 	if len(up.Releases) > 0 {
 		c.propose(fsm.Command{ReleaseShards: &fsm.ReleaseShards{Session: id, Releases: up.Releases}})
 	}
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -53,6 +53,7 @@
 	// their key ranges by requests.
 	rangeRequests *rangeRequests
 	keyMeter      *keyMeter
+	earlyReport   earlyReport
 	// unavailableSince is when the upstream became unavailable for new work, or zero.
 	unavailableSince clock.Instant
 	// revocationCheckAt is when to check next whether the leases of revoked key
@@ -124,6 +125,9 @@
 			deadline = min(deadline, c.unavailableSince.Add(c.revocationGrace))
 		}
 	}
+	if c.earlyReport.dueAt != 0 {
+		deadline = min(deadline, c.earlyReport.dueAt)
+	}
 	if (len(c.queue) > 0 || len(c.timers) > 0) && c.keyed() {
 		deadline = min(deadline, c.ownershipExpiry)
 	}
--- /dev/null
+++ b/internal/executor/early_report_test.go
@@ -0,0 +1,49 @@
+package executor
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/fleet"
+	"endivespring/internal/verdict"
+)
+
+// overload submits calls for a key every 10 ms for a time, none of which ends. It returns
+// when the loads were reported, counted from its start.
+func (s *rangeFixture) overload(duration time.Duration) []time.Duration {
+	var reports []time.Duration
+	start := s.now
+	for ; s.now < start.Add(duration); s.now = s.now.Add(10 * time.Millisecond) {
+		before := s.keyMeter.started
+		s.submitKey(5)
+		s.Tick(s.now)
+		if s.keyMeter.started != before {
+			reports = append(reports, s.now.Sub(start))
+		}
+	}
+	return reports
+}
+
+// Guards against reports of overloaded keys that wait for the next heartbeat, and against
+// a report for each refused call: the first one comes 250 ms after the first refusal, the
+// others 400 ms apart. Without the setting there is none between heartbeats.
+func TestOverloadedKeysAreReportedEarly(t *testing.T) {
+	for _, enabled := range []bool{false, true} {
+		s := newRangeFixture(t)
+		s.SetEarlyReports(enabled)
+		s.setPhase(t, fleet.ShardGranted)
+		s.sendHeartbeat(Heartbeat{})
+		for s.submitKey(5).Reason != verdict.ReasonOverloaded {
+		}
+		reports := s.overload(time.Second)
+		if !enabled {
+			assert.Equal(t, len(reports), 0)
+			continue
+		}
+		assert.Assert(t, len(reports) == 2, "%v", reports)
+		assert.Assert(t, reports[0] >= 250*time.Millisecond && reports[0] <= 410*time.Millisecond, "%v", reports)
+		assert.Assert(t, reports[1]-reports[0] >= 400*time.Millisecond, "%v", reports)
+	}
+}
--- a/internal/executor/key_meter.go
+++ b/internal/executor/key_meter.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -49,11 +50,11 @@
 	return mean
 }
 
-// report returns the load of the owned ranges if loadInterval has passed since
+// report returns the load of the owned ranges if the interval has passed since
 // the last report, and nil otherwise.
-func (m *keyMeter) report(now clock.Instant, owned []fleet.KeyRange) []session.KeyLoad {
+func (m *keyMeter) report(now clock.Instant, owned []fleet.KeyRange, interval time.Duration) []session.KeyLoad {
 	elapsed := now.Sub(m.started)
-	if elapsed < loadInterval {
+	if elapsed < interval {
 		return nil
 	}
 	m.updateRates(elapsed)
@@ -65,8 +66,13 @@
 	for key := range m.counts {
 		m.rates[key] += 0
 	}
+	weight := loadSmoothing
+	if elapsed < loadInterval {
+		// A part of an interval changes a rate as much as its share of a whole one.
+		weight = 1 - math.Pow(1-loadSmoothing, elapsed.Seconds()/loadInterval.Seconds())
+	}
 	for key, rate := range m.rates {
-		rate += loadSmoothing * (float64(m.counts[key])/elapsed.Seconds() - rate)
+		rate += weight * (float64(m.counts[key])/elapsed.Seconds() - rate)
 		m.rates[key] = rate
 		if rate < minKeyRate {
 			delete(m.rates, key)
--- a/internal/executor/key_ranges.go
+++ b/internal/executor/key_ranges.go
@@ -20,14 +20,14 @@
 	c.Observe(now, h)
 	if c.grantsByRequest() {
 		c.stepRangeRequests(now)
-		c.reportLoads(now, c.rangeRequests.granted)
+		c.reportLoads(now, c.rangeRequests.granted, loadInterval)
 		c.startQueued(now)
 		return LeaseAnswer{}
 	}
 	c.reportEarlierBoots()
 	c.reportRanges(c.rangeLeases.releases(now, c.view, h.Released, h.Holds))
 	answer := c.rangeLeases.renew(now, c.view, c.rangeLeaseExpiry)
-	c.reportLoads(now, answer.Ranges)
+	c.reportLoads(now, answer.Ranges, loadInterval)
 	c.logRangeLease(&answer)
 	c.startQueued(now)
 	return answer
@@ -40,8 +40,11 @@
 	c.limiter.SetColdTime(now, h.ColdFor)
 }
 
-func (c *Core) reportLoads(now clock.Instant, owned []fleet.KeyRange) {
-	if loads := c.keyMeter.report(now, owned); loads != nil {
+// reportLoads reports the load of the owned ranges if the interval has passed since the
+// last report.
+func (c *Core) reportLoads(now clock.Instant, owned []fleet.KeyRange, interval time.Duration) {
+	if loads := c.keyMeter.report(now, owned, interval); loads != nil {
+		c.earlyReport.refused, c.earlyReport.dueAt = false, 0
 		c.output.KeyLoads, c.output.RunTime, c.output.Limit = loads, c.keyMeter.meanRun(), c.limiter.Limit()
 	}
 }
--- a/internal/executor/refusal.go
+++ b/internal/executor/refusal.go
@@ -76,6 +76,9 @@
 
 // logRefusal logs a refusal with the state that it was based on.
 func (c *Core) logRefusal(request *call.Call, v verdict.Verdict, reason verdict.Reason) {
+	if c.earlyReport.enabled && request.Ranged && reason == verdict.ReasonOverloaded {
+		c.earlyReport.refused = true
+	}
 	c.output.Events = append(c.output.Events, call.NewEvent(event.RequestRefused,
 		event.F("request", request.RequestID), event.F("service", request.Service), event.F("operation", request.Operation),
 		event.F("verdict", v.String()), event.F("reason", string(reason)), event.F("shard", request.Shard),
--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -16,6 +16,7 @@
 // more. Ownership and leases are checked here again, right before the start.
 func (c *Core) startQueued(now clock.Instant) {
 	c.refuseExpired(now)
+	c.reportEarly(now)
 	for len(c.queue) > 0 {
 		j := c.queue[0]
 		if reason := c.startRefusal(now, j); reason != verdict.ReasonNone {
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -14,12 +14,13 @@
 // may-have-run, unless its refusal leads the gateway to another executor.
 func (c *Core) Submit(now clock.Instant, ticket Ticket, request call.Call) {
 	deduplicate := !request.Idempotent && !request.Recorded && c.recordWindow(request.Service) > 0
-	if request.Ranged {
+	if request.Ranged && !(request.Resend && c.earlyReport.enabled) {
 		c.keyMeter.count(request.KeyNumber)
 	}
 	if deduplicate && c.answerDuplicate(now, ticket, &request) {
 		return
 	}
+	c.reportEarly(now)
 	reason := c.refusal(now, &request)
 	if deduplicate && request.Resend && !retriedElsewhere(reason) && !c.ownedForWindow(now, &request) {
 		c.refuse(ticket, &request, verdict.MayHaveRun, verdict.ReasonRecordLost)
--- a/internal/placement/key_loads.go
+++ b/internal/placement/key_loads.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
 )
 
@@ -24,6 +25,10 @@
 	// that has got or given keys are usable: they are smoothed over some reports, 0.4
 	// of each, so that after three 78% of a change show.
 	settlingReports = 3
+	// reportInterval is the least time between reports that count towards
+	// settlingReports. Regular ones come every 870 ms, give or take half a renewal
+	// interval; early ones follow each other in less time and show less of a change.
+	reportInterval = 600 * time.Millisecond
 )
 
 // baseKeyLoad is added to the measured load of each key, in requests a second,
@@ -41,12 +46,14 @@
 	// of reports until its rates are usable, both by boot ID.
 	limits   map[string]float64
 	settling map[string]int
+	// countedAt is when the last report of a settling upstream was counted, by boot ID.
+	countedAt map[string]clock.Instant
 }
 
 // NewKeyLoads returns loads without any measurement.
 func NewKeyLoads() *KeyLoads {
 	return &KeyLoads{
-		rates: make([]float32, fleet.KeyCount), runTimes: map[string]time.Duration{}, limits: map[string]float64{}, settling: map[string]int{},
+		rates: make([]float32, fleet.KeyCount), runTimes: map[string]time.Duration{}, limits: map[string]float64{}, settling: map[string]int{}, countedAt: map[string]clock.Instant{},
 	}
 }
 
@@ -172,6 +179,7 @@
 func (k *KeyLoads) unsettle(boot string) {
 	if len(k.settling) >= maxBootIDs {
 		clear(k.settling)
+		clear(k.countedAt)
 	}
 	k.settling[boot] = settlingReports
 }
@@ -181,9 +189,14 @@
 func (k *KeyLoads) Settling(boot string) bool { return k.settling[boot] > 0 }
 
 // Reported records a load report of the upstream with the given boot ID.
-func (k *KeyLoads) Reported(boot string) {
-	if k.settling[boot]--; k.settling[boot] <= 0 {
+func (k *KeyLoads) Reported(now clock.Instant, boot string) {
+	if !k.Settling(boot) || now.Sub(k.countedAt[boot]) < reportInterval {
+		return
+	}
+	k.countedAt[boot] = now
+	if k.settling[boot]--; k.settling[boot] == 0 {
 		delete(k.settling, boot)
+		delete(k.countedAt, boot)
 	}
 }
 
--- a/internal/placement/range_owner_list.go
+++ b/internal/placement/range_owner_list.go
@@ -66,11 +66,11 @@
 
 // receiver returns the owner that gets the next free range: one without any range, else
 // the one that lacks most among those that lack load and have received the fewest ranges
-// in this plan, else the one with the least surplus. Owners with maxOwnerRanges come last.
+// in this plan, else the one with the least surplus. Owners with MaxOwnerRanges come last.
 func (l rangeOwnerList) receiver() *rangeOwner {
 	order := func(o *rangeOwner) (class, received int) {
 		switch {
-		case o.ranges >= maxOwnerRanges:
+		case o.ranges >= MaxOwnerRanges:
 			return 3, 0
 		case o.ranges == 0:
 			return 0, 0
--- a/internal/placement/range_spread.go
+++ b/internal/placement/range_spread.go
@@ -11,9 +11,9 @@
 	// maxPieces bounds the pieces of the first grants of a service with fewer owners
 	// than that, since a full view holds all of them.
 	maxPieces = 1024
-	// maxOwnerRanges bounds the ranges of one owner: as many rows of 40 bytes fit in
+	// MaxOwnerRanges bounds the ranges of one owner: as many rows of 40 bytes fit in
 	// the answer to a heartbeat of at most 4 KiB.
-	maxOwnerRanges = 96
+	MaxOwnerRanges = 96
 	// wholeShare is the load, as a share of the next owner's target, up to which a free
 	// range is granted whole even if that owner lacks less.
 	wholeShare = 0.25
--- a/internal/placement/range_world_test.go
+++ b/internal/placement/range_world_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
 	"endivespring/internal/fsm"
 )
@@ -31,6 +32,7 @@
 	epochs []fleet.Epoch
 	hot    []uint32
 	moves  []Move
+	now    clock.Instant
 }
 
 func newRangeWorld(t *testing.T, upstreams int, policy Policy) *rangeWorld {
@@ -71,6 +73,7 @@
 
 // step advances the time by a heartbeat.
 func (w *rangeWorld) step() {
+	w.now = w.now.Add(timeOf(heartbeat))
 	space := w.state.View.KeySpaces["s"]
 	for i := range w.speeds {
 		router := w.state.View.Routers[routerID(i)]
@@ -80,7 +83,7 @@
 		w.loads.AddRunTime(router.Upstream.Boot, timeOf(0.12/w.speeds[i]))
 		w.loads.AddLimit(router.Upstream.Boot, 9, 9)
 		w.report(space, &router, offered(w.demandOf(space, &router), w.capacity(i))/max(1e-9, w.demandOf(space, &router)))
-		w.loads.Reported(router.Upstream.Boot)
+		w.loads.Reported(w.now, router.Upstream.Boot)
 	}
 	w.releaseRevoked()
 	before := w.state.View.KeySpaces["s"]
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -170,6 +170,7 @@
 		startMillis:   time.Now().UnixMilli(), contactTimeout: s.AnnounceTimeout.Value(), drained: ring.New[struct{}]("door-drained", 1, ring.DropOldest),
 		sinks: map[uint64]answerSink{localLink: &localSink{self: self.ID, answers: answers}},
 	}
+	n.executor.core.SetEarlyReports(s.Load.Reports)
 	n.session = &sessionDuty{
 		fleet: s.Fleet, finder: newFinder(s), core: session.New(self, s.Renewal.Value(), rand.Text()),
 		clock: n.clock, events: n.events, releases: n.executor.releases, registrations: n.executor.registrations, rangeUpdates: n.executor.rangeUpdates,
