Propose only the ranges that a plan changes

A plan that would leave a key without a range or in two ranges is rejected as before. Builds without these settings reject plans that leave out ranges, so plans stay whole while the settings are off.

--- a/internal/capacity/ranges_test.go
+++ b/internal/capacity/ranges_test.go
@@ -40,18 +40,23 @@
 			before := state.View.KeySpaces["archive"]
 			next := before.Clone()
 			next.Ranges[7].Phase = fleet.ShardRevoking
-			command := &fsm.Command{AssignRanges: &fsm.AssignRanges{Revision: before.Revision, Next: *next}}
+			whole := &fsm.Command{AssignRanges: &fsm.AssignRanges{Revision: before.Revision, Next: *next}}
+			changed := fleet.KeySpace(fleet.DiffKeySpaces(before, next))
+			command := &fsm.Command{AssignRanges: &fsm.AssignRanges{Revision: before.Revision, Next: changed}}
 			var data []byte
 			var err error
 			for b.Loop() {
 				data, err = wire.EncodeCommand(command)
 			}
 			assert.NilError(b, err)
+			wholeData, err := wire.EncodeCommand(whole)
+			assert.NilError(b, err)
 			full, err := wire.EncodeChange(&fleet.Change{Full: true, KeySpaces: []fleet.KeySpace{*before}})
 			assert.NilError(b, err)
 			move, err := wire.EncodeChange(&fleet.Change{KeySpaceChanges: []fleet.KeySpaceChange{fleet.DiffKeySpaces(before, next)}})
 			assert.NilError(b, err)
 			b.ReportMetric(float64(len(data)), "command-bytes")
+			b.ReportMetric(float64(len(wholeData)), "whole-command-bytes")
 			b.ReportMetric(float64(len(full)), "view-bytes")
 			b.ReportMetric(float64(len(move)), "move-bytes")
 		})
--- a/internal/fsm/ranges.go
+++ b/internal/fsm/ranges.go
@@ -32,10 +32,11 @@
 			return Result{Reason: "upstream of router " + string(r.Owner) + " has exited or restarted"}
 		}
 	}
-	if !c.Next.Valid() {
+	replacement := fleet.KeySpaceChange(c.Next)
+	next := replacement.Apply(space)
+	if !next.Valid() {
 		return Result{Reason: "ranges do not cover every key once"}
 	}
-	next := c.Next.Clone()
 	next.Revision = space.Revision + 1
 	change.KeySpaceChanges = append(change.KeySpaceChanges, fleet.DiffKeySpaces(s.View.KeySpaces[next.Service], next))
 	return Result{Accepted: true}
--- a/internal/fsm/ranges_test.go
+++ b/internal/fsm/ranges_test.go
@@ -97,3 +97,23 @@
 	result, _ = s.Apply(testTerm, &Command{AssignRanges: &AssignRanges{Revision: next.Revision, Next: *next}})
 	assert.Assert(t, !result.Accepted)
 }
+
+// TestPlansMayLeaveOutRanges applies a plan of one changed range, and rejects one that leaves
+// keys without a range or in two.
+func TestPlansMayLeaveOutRanges(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, last uint32
+		accepted    bool
+	}{
+		"whole range": {32768, fleet.KeyCount - 1, true}, "part of a range": {40000, fleet.KeyCount - 1, false}, "overlap": {30000, fleet.KeyCount - 1, false},
+	} {
+		s := newRangeState(t)
+		changed := fleet.KeyRange{First: c.first, Last: c.last, Phase: fleet.ShardRevoking, Owner: "b", Boot: "b1", Epoch: 2}
+		result, _ := s.Apply(testTerm, &Command{AssignRanges: &AssignRanges{
+			Revision: s.View.KeySpaces["s"].Revision, Next: fleet.KeySpace{Service: "s", LastEpoch: 2, Ranges: []fleet.KeyRange{changed}},
+		}})
+		assert.Equal(t, result.Accepted, c.accepted, name)
+		assert.Assert(t, s.View.KeySpaces["s"].Valid())
+		assert.Equal(t, s.holder(5), fleet.RouterID("a"), name)
+	}
+}
--- a/internal/placement/range_plan.go
+++ b/internal/placement/range_plan.go
@@ -53,6 +53,12 @@
 		return nil, nil
 	}
 	p.space.Normalize()
+	if limits.Policy.spreads() {
+		// Control processes of builds before the policy reject plans that leave out
+		// ranges, so that such plans need a setting that only later builds know.
+		changed := fleet.DiffKeySpaces(space, p.space)
+		return &fsm.AssignRanges{Revision: space.Revision, Next: fleet.KeySpace(changed)}, p.moves
+	}
 	return &fsm.AssignRanges{Revision: space.Revision, Next: *p.space}, p.moves
 }
 
