Keep the known loads of keys over a change of leader

A new leader knew no load until the next heartbeats, and had to learn run times and limits from the first samples.

Also grants a free range whole if its load is at most 1.2 times what the next owner lacks, in place of a sliver to another one.

--- a/internal/capacity/ranges_test.go
+++ b/internal/capacity/ranges_test.go
@@ -32,7 +32,7 @@
 }
 
 // BenchmarkRanges encodes the command of a plan, and reports the sizes of that command, of
-// the key space in a full view and of the change of a move.
+// the key space in a full view, of the change of a move and of kept loads.
 func BenchmarkRanges(b *testing.B) {
 	for _, owners := range []int{39, 154} {
 		b.Run(fmt.Sprint(owners), func(b *testing.B) {
@@ -51,6 +51,15 @@
 			assert.NilError(b, err)
 			wholeData, err := wire.EncodeCommand(whole)
 			assert.NilError(b, err)
+			loads := placement.NewKeyLoads()
+			loads.Set(0, fleet.KeyCount-1, 2e6)
+			for _, router := range state.View.Routers {
+				loads.AddRunTime(router.Upstream.Boot, 120*time.Millisecond)
+				loads.AddLimit(router.Upstream.Boot, 9, 8)
+			}
+			keptData, err := wire.EncodeCommand(&fsm.Command{KeepLoads: loads.Kept(state.View, "archive")})
+			assert.NilError(b, err)
+			b.ReportMetric(float64(len(keptData)), "kept-bytes")
 			full, err := wire.EncodeChange(&fleet.Change{Full: true, KeySpaces: []fleet.KeySpace{*before}})
 			assert.NilError(b, err)
 			move, err := wire.EncodeChange(&fleet.Change{KeySpaceChanges: []fleet.KeySpaceChange{fleet.DiffKeySpaces(before, next)}})
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -94,6 +94,8 @@
 	keyLoads map[string]*placement.KeyLoads
 	// keyMoves counts the planned moves of keys by capacity.
 	keyMoves uint64
+	// keepLoadsAt is when the known loads are next replicated.
+	keepLoadsAt clock.Instant
 	// replanAt is when a plan is due without a change of the view.
 	replanAt  clock.Instant
 	nextTick  clock.Instant
@@ -230,6 +232,7 @@
 	c.lastTick = now
 	c.expireSessions(now)
 	c.plan(now)
+	c.keepLoads(now)
 	c.followRollout(now)
 	c.cleanUp(now)
 }
--- a/internal/controller/key_moves_test.go
+++ b/internal/controller/key_moves_test.go
@@ -22,6 +22,26 @@
 	now   clock.Instant
 }
 
+// newKeyMover returns two processes, of which the first leads, and three owners of keys.
+func newKeyMover(t *testing.T) *keyMover {
+	m := &keyMover{t: t, now: clock.Instant(time.Hour)}
+	limits := placement.Limits{MaxRebalancing: 16, Policy: placement.Policy{ByCapacity: true}}
+	leases := lease.Timing{Ownership: time.Hour, View: time.Hour, Margin: time.Millisecond}
+	for range 2 {
+		m.cores = append(m.cores, controller.New(leases, limits, func(name string) string { return name }))
+	}
+	service := fleet.Service{Name: "s", Keyed: true, Ranged: true}
+	m.commit(1, fsm.Command{OperatorChange: &fsm.OperatorChange{CommandID: "p", Preset: &fleet.Preset{Services: []fleet.Service{service}}}})
+	for _, name := range []string{"r0", "r1", "r2"} {
+		upstream := fleet.Upstream{Name: name, Service: "s", Boot: name, Slots: 9}
+		m.commit(1, fsm.Command{OpenSession: &fsm.OpenSession{Nonce: name, Router: fleet.Router{ID: fleet.RouterID(name), Upstream: upstream}}})
+	}
+	m.lead(0, 1)
+	m.now = m.now.Add(20 * time.Second)
+	m.commit(1, fsm.Command{AssignRanges: m.plan(0)})
+	return m
+}
+
 func (m *keyMover) commit(term uint64, command fsm.Command) {
 	before := m.cores[0].State().View.KeySpaces["s"]
 	for _, core := range m.cores {
@@ -81,21 +101,7 @@
 // their next grant: the next leader grants them only once they are released, and the late
 // plan of the first one is void.
 func TestLeaderFailsWhileKeysMove(t *testing.T) {
-	m := &keyMover{t: t, now: clock.Instant(time.Hour)}
-	limits := placement.Limits{MaxRebalancing: 16, Policy: placement.Policy{ByCapacity: true}}
-	leases := lease.Timing{Ownership: time.Hour, View: time.Hour, Margin: time.Millisecond}
-	for range 2 {
-		m.cores = append(m.cores, controller.New(leases, limits, func(name string) string { return name }))
-	}
-	service := fleet.Service{Name: "s", Keyed: true, Ranged: true}
-	m.commit(1, fsm.Command{OperatorChange: &fsm.OperatorChange{CommandID: "p", Preset: &fleet.Preset{Services: []fleet.Service{service}}}})
-	for _, name := range []string{"r0", "r1", "r2"} {
-		upstream := fleet.Upstream{Name: name, Service: "s", Boot: name, Slots: 9}
-		m.commit(1, fsm.Command{OpenSession: &fsm.OpenSession{Nonce: name, Router: fleet.Router{ID: fleet.RouterID(name), Upstream: upstream}}})
-	}
-	m.lead(0, 1)
-	m.now = m.now.Add(20 * time.Second)
-	m.commit(1, fsm.Command{AssignRanges: m.plan(0)})
+	m := newKeyMover(t)
 	for range 5 {
 		m.now = m.now.Add(870 * time.Millisecond)
 		m.report(0)
@@ -122,3 +128,29 @@
 		assert.Equal(t, r.Phase, fleet.ShardGranted)
 	}
 }
+
+// TestLoadsSurviveAChangeOfLeader commits what the leader keeps of the loads. It must write
+// them once in 10 s at most, and the next leader must know the load of a lost owner's keys
+// before anyone has reported to it.
+func TestLoadsSurviveAChangeOfLeader(t *testing.T) {
+	m := newKeyMover(t)
+	m.report(0)
+	writes := 0
+	for end := m.now.Add(25 * time.Second); m.now < end; m.now = m.now.Add(25 * time.Millisecond) {
+		m.cores[0].Tick(m.now)
+		for _, proposal := range m.cores[0].Take().Proposals {
+			if proposal.KeepLoads != nil {
+				m.commit(1, proposal)
+				writes++
+			}
+		}
+	}
+	assert.Assert(t, writes >= 1 && writes <= 3, "%d writes in 25 s", writes)
+	m.lead(1, 2)
+	m.commit(2, fsm.Command{CloseSessions: &fsm.CloseSessions{Term: 2, Sessions: []fleet.Session{m.cores[1].State().View.Routers["r2"].Session}}})
+	m.now = m.now.Add(20 * time.Second)
+	m.commit(2, fsm.Command{AssignRanges: m.plan(1)})
+	for _, r := range m.cores[1].State().View.KeySpaces["s"].Ranges {
+		assert.Assert(t, r.Owner != "r0" || r.First == 0, "the owner with the most load got %+v", r)
+	}
+}
--- a/internal/controller/leading.go
+++ b/internal/controller/leading.go
@@ -21,6 +21,7 @@
 		c.planDue = true
 		c.joins = joinTracker{}
 		c.rollout = rollout{}
+		c.restoreLoads(now)
 		if c.state.View.Config > 0 {
 			c.rollout.commit(now, c.state.View.Config, c.state.ConfigChangedAt)
 		}
--- a/internal/fsm/command.go
+++ b/internal/fsm/command.go
@@ -14,4 +14,5 @@
 	OperatorChange *OperatorChange
 	AssignRanges   *AssignRanges
 	ReleaseRanges  *ReleaseRanges
+	KeepLoads      *KeptLoads
 }
--- a/internal/fsm/state.go
+++ b/internal/fsm/state.go
@@ -21,6 +21,8 @@
 	// ShardCounts holds the number of shards of every service that was ever part of a
 	// preset, by name.
 	ShardCounts map[string]uint32
+	// KeptLoads holds the loads that the leader kept last, by service.
+	KeptLoads map[string]*KeptLoads
 
 	// resultsByCommand indexes Results by command ID.
 	resultsByCommand map[string]OperatorResult
@@ -28,7 +30,7 @@
 
 // NewState returns an empty state.
 func NewState() *State {
-	return &State{View: fleet.NewView(), ShardCounts: map[string]uint32{}, resultsByCommand: map[string]OperatorResult{}}
+	return &State{View: fleet.NewView(), ShardCounts: map[string]uint32{}, KeptLoads: map[string]*KeptLoads{}, resultsByCommand: map[string]OperatorResult{}}
 }
 
 // RebuildIndex rebuilds the index of Results. It must be called after Results was set
@@ -69,6 +71,8 @@
 		result = s.assignRanges(c.AssignRanges, change)
 	case c.ReleaseRanges != nil:
 		result = s.releaseRanges(c.ReleaseRanges, change)
+	case c.KeepLoads != nil:
+		result = s.keepLoads(c.KeepLoads)
 	case c.OperatorChange != nil:
 		return s.applyOperatorChange(c.OperatorChange, change)
 	}
--- a/internal/placement/range_spread.go
+++ b/internal/placement/range_spread.go
@@ -32,12 +32,14 @@
 	free := p.freeByLoad()
 	for i := 0; i < len(free); i++ {
 		r := p.space.Find(free[i])
-		o := p.receiver(p.loads.Sum(r.First, r.Last))
-		most := max(o.lack(), wholeShare*o.target)
-		if last := p.loads.PrefixEnd(r.First, r.Last, most); last < r.Last && p.maySplit(r) {
-			p.space.Split(last + 1)
-			r = p.space.Find(free[i])
-			free = append(free, last+1)
+		load := p.loads.Sum(r.First, r.Last)
+		o := p.receiver(load)
+		if most := max(o.lack(), wholeShare*o.target); load > maxOvershoot*most && p.maySplit(r) {
+			if last := p.loads.PrefixEnd(r.First, r.Last, most); last < r.Last {
+				p.space.Split(last + 1)
+				r = p.space.Find(free[i])
+				free = append(free, last+1)
+			}
 		}
 		p.grantRange(r, o)
 	}
--- a/internal/placement/range_spread_test.go
+++ b/internal/placement/range_spread_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -135,6 +136,9 @@
 				first := PlanRanges(f.state.View, "s", f.loads, f.limits)
 				f.state.Apply(1, &fsm.Command{AssignRanges: first})
 				f.setDenseRegion(1000)
+				for _, router := range f.state.View.Routers {
+					f.loads.AddRunTime(router.Upstream.Boot, 120*time.Millisecond)
+				}
 				for b.Loop() {
 					PlanRanges(f.state.View, "s", f.loads, f.limits)
 				}
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -55,6 +55,8 @@
 		out.ReleaseRanges = &wirepb.ReleaseRanges{
 			Service: r.Service, Router: string(r.Router), Boot: r.Boot, Releases: fromRangeReleases(r.Releases),
 		}
+	case c.KeepLoads != nil:
+		out.KeepLoads = fromKeptLoads(c.KeepLoads)
 	}
 	return out
 }
@@ -89,6 +91,8 @@
 		out.ReleaseRanges = &fsm.ReleaseRanges{
 			Service: r.GetService(), Router: fleet.RouterID(r.GetRouter()), Boot: r.GetBoot(), Releases: toRangeReleases(r.GetReleases()),
 		}
+	case c.GetKeepLoads() != nil:
+		out.KeepLoads = toKeptLoads(c.GetKeepLoads())
 	}
 	return out
 }
--- a/internal/wire/roundtrip_test.go
+++ b/internal/wire/roundtrip_test.go
@@ -152,6 +152,7 @@
 		assert.DeepEqual(t, restored.Results, state.Results, emptyIsNil)
 		assert.DeepEqual(t, restored.OpenedSessions, state.OpenedSessions, emptyIsNil)
 		assert.DeepEqual(t, restored.ShardCounts, state.ShardCounts, emptyIsNil)
+		assert.DeepEqual(t, restored.KeptLoads, state.KeptLoads, emptyIsNil)
 		assert.Equal(t, restored.LastSession, state.LastSession)
 		assert.Equal(t, restored.ConfigChangedAt, state.ConfigChangedAt)
 	})
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -24,6 +24,9 @@
 	for service, count := range s.ShardCounts {
 		out.ShardCounts = append(out.ShardCounts, &wirepb.ShardCount{Service: service, Shards: count})
 	}
+	for _, kept := range s.KeptLoads {
+		out.KeptLoads = append(out.KeptLoads, fromKeptLoads(kept))
+	}
 	data, err := proto.Marshal(out)
 	return data, eris.Wrap(err, "encode control state")
 }
@@ -54,6 +57,9 @@
 	for _, c := range in.GetShardCounts() {
 		s.ShardCounts[c.GetService()] = c.GetShards()
 	}
+	for _, kept := range in.GetKeptLoads() {
+		s.KeptLoads[kept.GetService()] = toKeptLoads(kept)
+	}
 	s.RebuildIndex()
 	return s, nil
 }
