Add up the loads of ranges from prefix sums

Plans added up the loads of all keys of each range they looked at. With interleaved ranges and many overloaded owners that took most of the time of a plan.

--- a/internal/fleet/key_space.go
+++ b/internal/fleet/key_space.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "sort"
+import (
+	"slices"
+	"sort"
+)
 
 // KeySpace is the ownership of all keys of a ranged service. Its ranges are
 // sorted and cover every key exactly once, so that each key has at most one
@@ -65,9 +68,8 @@
 	if i == len(s.Ranges) || s.Ranges[i].First == key {
 		return
 	}
-	left, right := s.Ranges[i], s.Ranges[i]
-	left.Last, right.First = key-1, key
-	s.Ranges = append(s.Ranges[:i:i], append([]KeyRange{left, right}, s.Ranges[i+1:]...)...)
+	s.Ranges = slices.Insert(s.Ranges, i, s.Ranges[i])
+	s.Ranges[i].Last, s.Ranges[i+1].First = key-1, key
 }
 
 // Clone returns a copy whose ranges may be changed independently.
--- a/internal/placement/key_loads.go
+++ b/internal/placement/key_loads.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"sort"
 	"time"
 
 	"endivespring/internal/clock"
@@ -40,6 +41,9 @@
 type KeyLoads struct {
 	rates []float32
 	total float64
+	// sums are the prefix sums of the loads; stale is set once they are outdated.
+	sums  []float64
+	stale bool
 	// runTimes holds the moving average of each upstream's run time, by boot ID.
 	runTimes map[string]time.Duration
 	// limits holds the moving average of each upstream's limit, and settling the number
@@ -63,6 +67,7 @@
 	if first > last || last >= fleet.KeyCount || rate < 0 {
 		return
 	}
+	k.stale = true
 	share := float32(rate / float64(last-first+1))
 	for key := first; key <= last; key++ {
 		k.total += float64(share) - float64(k.rates[key])
@@ -76,35 +81,42 @@
 // Sum returns the load of the keys first to last, including the base load of
 // each key.
 func (k *KeyLoads) Sum(first, last uint32) float64 {
-	sum := 0.0
-	for key := first; key <= last; key++ {
-		sum += k.keyLoad(key)
-	}
-	return sum
+	sums := k.prefixSums()
+	return sums[last+1] - sums[first]
 }
 
 // PrefixEnd returns the last key of the longest subrange that begins at first
 // and has at most the given load. The subrange has at least one key.
 func (k *KeyLoads) PrefixEnd(first, last uint32, amount float64) uint32 {
-	sum := k.keyLoad(first)
-	for key := first; key < last; key++ {
-		if sum += k.keyLoad(key + 1); sum > amount {
-			return key
-		}
-	}
-	return last
+	sums := k.prefixSums()
+	beyond := sort.Search(int(last-first), func(i int) bool { return sums[first+uint32(i)+2]-sums[first] > amount })
+	return first + uint32(beyond)
 }
 
 // SuffixStart returns the first key of the longest subrange that ends at last
 // and has at most the given load. The subrange has at least one key.
 func (k *KeyLoads) SuffixStart(first, last uint32, amount float64) uint32 {
-	sum := k.keyLoad(last)
-	for key := last; key > first; key-- {
-		if sum += k.keyLoad(key - 1); sum > amount {
-			return key
+	sums := k.prefixSums()
+	within := sort.Search(int(last-first), func(i int) bool { return sums[last+1]-sums[first+uint32(i)] <= amount })
+	return first + uint32(within)
+}
+
+// prefixSums returns the load of all keys before each key. A plan asks for the load of
+// thousands of ranges, so that adding up each of them would take most of its time.
+func (k *KeyLoads) prefixSums() []float64 {
+	if k.sums == nil {
+		k.sums = make([]float64, fleet.KeyCount+1)
+		k.stale = true
+	}
+	if k.stale {
+		sum := 0.0
+		for key := range k.rates {
+			sum += k.keyLoad(uint32(key))
+			k.sums[key+1] = sum
 		}
+		k.stale = false
 	}
-	return first
+	return k.sums
 }
 
 func (k *KeyLoads) keyLoad(key uint32) float64 { return float64(k.rates[key]) + baseKeyLoad }
--- a/internal/placement/range_balance.go
+++ b/internal/placement/range_balance.go
@@ -116,7 +116,7 @@
 func (p *rangePlan) pickSubrange(from, to *rangeOwner) (first, last uint32, found bool) {
 	amount := min(from.load-from.target, to.target-to.load)
 	room := min(from.load-from.target, fullLoadRatio*to.target-to.load)
-	if amount <= 0 && room <= 0 {
+	if max(amount*maxOvershoot, room) < minMoveShare*from.target || amount <= 0 && room <= 0 {
 		return 0, 0, false
 	}
 	best := 0.0
