--- a/internal/controller/planning.go
+++ b/internal/controller/planning.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"math"
 	"time"
 
 	"endivespring/internal/clock"
@@ -111,11 +112,13 @@
 	for i := range moves {
 		m := &moves[i]
 		c.logEvent(event.RangeMoved, event.F("service", service), event.F("first", m.First), event.F("last", m.Last),
-			event.F("from", string(m.From)), event.F("to", string(m.To)), event.F("load", m.Load), event.F("demand", m.Demand),
-			event.F("capacity", m.Capacity), event.F("room", m.Room), event.F("gain", m.Gain), event.F("cost", m.Cost))
+			event.F("from", string(m.From)), event.F("to", string(m.To)), event.F("load", tenths(m.Load)), event.F("demand", tenths(m.Demand)),
+			event.F("capacity", tenths(m.Capacity)), event.F("room", tenths(m.Room)), event.F("gain", tenths(m.Gain)), event.F("cost", tenths(m.Cost)))
 	}
 }
 
+func tenths(value float64) float64 { return math.Round(10*value) / 10 }
+
 // KeyMoves returns the number of moves of keys by capacity that this process has planned.
 func (c *Core) KeyMoves() uint64 { return c.keyMoves }
 
--- a/internal/placement/key_loads.go
+++ b/internal/placement/key_loads.go
@@ -136,7 +136,9 @@
 }
 
 // AddLimit adds a sample of the limit of the upstream with the given boot ID to its moving
-// average, which begins at the announced number of slots. The first samples of an upstream
+// average, which begins at the announced number of slots. It follows a higher limit at once,
+// since an executor raises it only after the upstream has proved it.
+// The first samples of an upstream
 // that is not known yet are no basis for moves.
 func (k *KeyLoads) AddLimit(boot string, slots, limit int) {
 	if limit <= 0 {
@@ -150,7 +152,7 @@
 		known = float64(max(1, slots))
 		k.unsettle(boot)
 	}
-	k.limits[boot] = known + limitWeight*(float64(limit)-known)
+	k.limits[boot] = max(float64(limit), known+limitWeight*(float64(limit)-known))
 }
 
 func (k *KeyLoads) measured(first, last uint32) float64 {
