Merge the placement of key ranges by capacity

The first grants of a key space put neighbouring keys on one upstream each. Where placement.interleave is set they go to many, and with placement.byCapacity keys move where that serves more requests than the move costs; docs/design/range-placement.md.

--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -17,6 +17,7 @@
 func (c *Core) startQueued(now clock.Instant) {
 	c.steppedAt = now
 	c.refuseExpired(now)
+	c.reportEarly(now)
 	for len(c.queue) > 0 {
 		j := c.queue[0]
 		if reason := c.startRefusal(now, j); reason != verdict.ReasonNone {
--- a/internal/placement/range_plan.go
+++ b/internal/placement/range_plan.go
@@ -11,7 +11,10 @@
 	space   *fleet.KeySpace
 	owners  rangeOwnerList
 	loads   *KeyLoads
+	policy  Policy
 	changed bool
+	// moves are the moves that the plan makes by capacity.
+	moves []Move
 }
 
 // PlanRanges returns the command that brings a service's key space closer to
@@ -19,6 +22,12 @@
 // and speed. It returns nil if there is nothing to do. Loads may be nil if none
 // have been measured.
 func PlanRanges(view *fleet.View, service string, loads *KeyLoads, limits Limits) *fsm.AssignRanges {
+	assign, _ := PlanRangeMoves(view, service, loads, limits)
+	return assign
+}
+
+// PlanRangeMoves is PlanRanges; it also returns the moves by capacity that the plan begins.
+func PlanRangeMoves(view *fleet.View, service string, loads *KeyLoads, limits Limits) (*fsm.AssignRanges, []Move) {
 	space := view.KeySpaces[service]
 	if space == nil {
 		space = fleet.NewKeySpace(service)
@@ -26,21 +35,31 @@
 	if loads == nil {
 		loads = NewKeyLoads()
 	}
-	p := &rangePlan{space: space.Clone(), owners: eligibleRangeOwners(view, service, loads), loads: loads}
+	p := &rangePlan{space: space.Clone(), owners: eligibleRangeOwners(view, service, loads, limits.Policy), loads: loads, policy: limits.Policy}
 	if len(p.owners) == 0 || limits.DelayFirstGrants && p.neverGranted() {
-		return nil
+		return nil, nil
 	}
 	p.revokeIneligible(view)
 	p.setTargets()
-	p.grantFree()
+	if limits.Policy.spreads() {
+		p.spreadFree()
+	} else {
+		p.grantFree()
+	}
 	if !limits.SuspendRebalancing {
-		p.balance()
+		p.rebalance()
 	}
 	if !p.changed {
-		return nil
+		return nil, nil
 	}
 	p.space.Normalize()
-	return &fsm.AssignRanges{Revision: space.Revision, Next: *p.space}
+	if limits.Policy.spreads() {
+		// Control processes of builds before the policy reject plans that leave out
+		// ranges, so that such plans need a setting that only later builds know.
+		changed := fleet.DiffKeySpaces(space, p.space)
+		return &fsm.AssignRanges{Revision: space.Revision, Next: fleet.KeySpace(changed)}, p.moves
+	}
+	return &fsm.AssignRanges{Revision: space.Revision, Next: *p.space}, p.moves
 }
 
 // neverGranted reports whether no range of the key space was ever granted.
@@ -71,8 +90,11 @@
 		r := &p.space.Ranges[i]
 		load := p.loads.Sum(r.First, r.Last)
 		total += load
-		if o := p.owners.ownerOf(r); o != nil && r.Phase == fleet.ShardGranted {
-			o.load += load
+		if o := p.owners.ownerOf(r); o != nil {
+			o.ranges++
+			if r.Phase == fleet.ShardGranted {
+				o.load += load
+			}
 		}
 	}
 	for _, o := range p.owners {
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -171,6 +171,7 @@
 		sinks: map[uint64]answerSink{localLink: &localSink{self: self.ID, answers: answers}},
 	}
 	n.executor.core.LearnCapacity(s.Load.LearnCapacity)
+	n.executor.core.SetEarlyReports(s.Load.Reports)
 	n.session = &sessionDuty{
 		fleet: s.Fleet, finder: newFinder(s), core: session.New(self, s.Renewal.Value(), rand.Text()),
 		clock: n.clock, events: n.events, releases: n.executor.releases, registrations: n.executor.registrations, rangeUpdates: n.executor.rangeUpdates,
