--- a/internal/placement/key_loads.go
+++ b/internal/placement/key_loads.go
@@ -69,10 +69,12 @@
 	}
 	k.stale = true
 	share := float32(rate / float64(last-first+1))
-	for key := first; key <= last; key++ {
-		k.total += float64(share) - float64(k.rates[key])
-		k.rates[key] = share
+	total, rates := k.total, k.rates[first:last+1]
+	for i, known := range rates {
+		total += float64(share) - float64(known)
+		rates[i] = share
 	}
+	k.total = total
 }
 
 // Total returns the sum of the measured rates, without the base load of keys.
@@ -109,10 +111,10 @@
 		k.stale = true
 	}
 	if k.stale {
-		sum := 0.0
-		for key := range k.rates {
-			sum += k.keyLoad(uint32(key))
-			k.sums[key+1] = sum
+		sum, sums := 0.0, k.sums[1:]
+		for key, rate := range k.rates {
+			sum += float64(rate) + baseKeyLoad
+			sums[key] = sum
 		}
 		k.stale = false
 	}
--- a/internal/placement/range_relief_test.go
+++ b/internal/placement/range_relief_test.go
@@ -76,9 +76,7 @@
 	}
 	w.run(10)
 	for _, m := range w.moves {
-		for key := m.First; key <= m.Last; key++ {
-			moved += w.demand[key]
-		}
+		moved += w.demand.Sum(m.First, m.Last)
 	}
 	_, greatest := w.utilization()
 	t.Logf("excess %.0f, moved %.0f in %d moves, greatest utilization %.2f", excess, moved, len(w.moves), greatest)
--- a/internal/placement/range_world_test.go
+++ b/internal/placement/range_world_test.go
@@ -24,9 +24,10 @@
 // Callers repeat refused calls up to twice.
 type rangeWorld struct {
 	*rangeFixture
-	t              *testing.T
-	random         *rand.Rand
-	demand, speeds []float64
+	t      *testing.T
+	random *rand.Rand
+	demand *KeyLoads
+	speeds []float64
 	// rates and epochs are what the owner of each key measures and under which grant.
 	rates  []float64
 	epochs []fleet.Epoch
@@ -38,7 +39,7 @@
 func newRangeWorld(t *testing.T, upstreams int, policy Policy) *rangeWorld {
 	return &rangeWorld{
 		rangeFixture: newSpreadFixture(t, upstreams, policy), t: t, random: rand.New(rand.NewPCG(1, 9)), speeds: slices.Repeat([]float64{1}, upstreams),
-		demand: make([]float64, fleet.KeyCount), rates: make([]float64, fleet.KeyCount), epochs: make([]fleet.Epoch, fleet.KeyCount),
+		demand: NewKeyLoads(), rates: make([]float64, fleet.KeyCount), epochs: make([]fleet.Epoch, fleet.KeyCount),
 	}
 }
 
@@ -47,7 +48,7 @@
 // addDemand divides a rate evenly among the keys first to last, in addition to what they have.
 func (w *rangeWorld) addDemand(first, last uint32, rate float64) {
 	for key := first; key <= last; key++ {
-		w.demand[key] += rate / float64(last-first+1)
+		w.demand.Set(key, key, float64(w.demand.rates[key])+rate/float64(last-first+1))
 	}
 }
 
@@ -100,10 +101,11 @@
 
 // ranges returns the ranges granted to an upstream, and the demand on them.
 func (w *rangeWorld) ranges(i int) (ranges []fleet.KeyRange, demand float64) {
-	for _, r := range w.space().Ranges {
-		if r.Phase == fleet.ShardGranted && r.Owner == routerID(i) {
-			ranges = append(ranges, r)
-			demand += lo.Sum(w.demand[r.First : r.Last+1])
+	id, space := routerID(i), w.space()
+	for j := range space.Ranges {
+		if r := &space.Ranges[j]; r.Phase == fleet.ShardGranted && r.Owner == id {
+			ranges = append(ranges, *r)
+			demand += w.demand.Sum(r.First, r.Last)
 		}
 	}
 	return ranges, demand
@@ -122,16 +124,18 @@
 	ranges, demand := w.ranges(i)
 	repeated := offered(demand, w.capacity(i)) / max(1e-9, demand)
 	for _, r := range ranges {
-		mean := max(1e-9, lo.Sum(w.demand[r.First:r.Last+1])*repeated*heartbeat)
+		mean := max(1e-9, w.demand.Sum(r.First, r.Last)*repeated*heartbeat)
 		noise := max(0, 1+w.random.NormFloat64()/math.Sqrt(mean))
-		hot := lo.Filter(w.hot, func(key uint32, _ int) bool { return r.First <= key && key <= r.Last })
-		for key := r.First; key <= r.Last; key++ {
-			if w.epochs[key] != r.Epoch {
-				w.rates[key], w.epochs[key] = 0, r.Epoch
+		sum, hot := 0.0, lo.Filter(w.hot, func(key uint32, _ int) bool { return r.First <= key && key <= r.Last })
+		rates, epochs := w.rates[r.First:r.Last+1], w.epochs[r.First:r.Last+1]
+		for i, demand := range w.demand.rates[r.First : r.Last+1] {
+			if epochs[i] != r.Epoch {
+				rates[i], epochs[i] = 0, r.Epoch
 			}
-			w.rates[key] += 0.4 * (w.demand[key]*repeated*noise - w.rates[key])
+			rates[i] += 0.4 * (float64(demand)*repeated*noise - rates[i])
+			sum += rates[i]
 		}
-		w.loads.Update(boot, r.First, r.Last, max(0, lo.Sum(w.rates[r.First:r.Last+1])-lo.SumBy(hot, func(key uint32) float64 { return w.rates[key] })))
+		w.loads.Update(boot, r.First, r.Last, max(0, sum-lo.SumBy(hot, func(key uint32) float64 { return w.rates[key] })))
 		for _, key := range hot {
 			w.loads.Update(boot, key, key, w.rates[key])
 		}
