Report the wait for a slot in load reports

Gateways learn only from refusals that an upstream is full, since a report holds counts and no time. call.Load.Wait is now filled: the expected run times of what is queued, and what the runs in flight still need, divided among the slots.

The queue is split into one heap for each operation and rank, so that sums over it and the choice of the next call do not grow with its length. The order of calls is the same. Two checks of TestQueuedCallsAreRefusedWhenTheGraceEnds read the length of the queue from Load instead of from the slice that no longer exists.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -66,7 +66,8 @@
 	lastLeased  []fleet.KeyRange
 	lastRenewed bool
 	limiter     *admission.Limiter
-	queue       jobHeap
+	queue       *jobQueue
+	running     runningWork
 	timers      jobHeap
 	jobs        map[uint64]*job
 	delegated   int
@@ -80,7 +81,11 @@
 	nextStartBy clock.Instant
 	// nextPacedStart is when the pace of a cold upstream allows its next call.
 	nextPacedStart clock.Instant
-	output         Output
+	// lastStep is the time of the last step that changed queued or running calls.
+	lastStep clock.Instant
+	// expired is reused by refuseExpired.
+	expired []*job
+	output  Output
 }
 
 // New returns an executor without an upstream, a lease or a view.
@@ -88,7 +93,7 @@
 	return &Core{
 		self: self, dataCentre: dataCentre, view: fleet.NewView(), shards: newOwnedShards(),
 		rangeLeases: rangeLeases{self: self, maxHold: maxHold}, rangeRequests: newRangeRequests(self), revocationGrace: maxRevocationGrace, keyMeter: newKeyMeter(),
-		limiter: admission.NewLimiter(), jobs: map[uint64]*job{}, tickets: map[Ticket]*job{}, records: newRecordStore(), refused: newRefusedRequests(),
+		queue: newJobQueue(), limiter: admission.NewLimiter(), jobs: map[uint64]*job{}, tickets: map[Ticket]*job{}, records: newRecordStore(), refused: newRefusedRequests(),
 		nextPacedStart: clock.Never, revocationCheckAt: clock.Never, nextStartBy: clock.Never, runTimes: map[string]time.Duration{},
 	}
 }
@@ -118,13 +123,13 @@
 	if c.grantsByRequest() {
 		deadline = min(deadline, c.rangeRequests.nextAt)
 	}
-	if len(c.queue) > 0 {
+	if c.queue.length > 0 {
 		deadline = min(deadline, c.nextStartBy, c.nextPacedStart)
 		if c.unavailableSince != 0 {
 			deadline = min(deadline, c.unavailableSince.Add(c.revocationGrace))
 		}
 	}
-	if (len(c.queue) > 0 || len(c.timers) > 0) && c.keyed() {
+	if (c.queue.length > 0 || len(c.timers) > 0) && c.keyed() {
 		deadline = min(deadline, c.ownershipExpiry)
 	}
 	return deadline
@@ -215,9 +220,13 @@
 	c.abort(j)
 }
 
-// Load returns the current concurrency, queue length, limit and latency.
+// Load returns the current concurrency, queue length, limit and latency, and the wait as of
+// the last step.
 func (c *Core) Load() call.Load {
-	return call.Load{InFlight: c.limiter.Running(), Queued: len(c.queue), Limit: c.limiter.Limit(), Latency: c.limiter.Latency()}
+	return call.Load{
+		InFlight: c.limiter.Running(), Queued: c.queue.length, Limit: c.limiter.Limit(), Latency: c.limiter.Latency(),
+		Wait: c.wait(c.lastStep),
+	}
 }
 
 // keyed reports whether the upstream's calls are keyed by shards, so that they
--- a/internal/executor/job.go
+++ b/internal/executor/job.go
@@ -1,6 +1,8 @@
 package executor
 
 import (
+	"time"
+
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
@@ -24,6 +26,10 @@
 	// a delegated call. index is the position in the heap or noIndex.
 	timer clock.Instant
 	index int
+	// class is set while the job is queued. work is the run time that was expected when the
+	// job was queued or started.
+	class *queueClass
+	work  time.Duration
 	// timedOut is set once the callers were answered with may-have-run although
 	// the run has not ended.
 	timedOut bool
--- /dev/null
+++ b/internal/executor/job_queue.go
@@ -0,0 +1,118 @@
+package executor
+
+import (
+	"time"
+
+	"endivespring/internal/clock"
+)
+
+// maxClasses is the number of classes that are kept while they are empty, so that their
+// heaps are reused. A service has three for each route: nested, direct and late calls.
+const maxClasses = 256
+
+// jobQueue holds the queued jobs, one heap for each class. A choice or a sum goes over the
+// classes with jobs, not over the jobs.
+type jobQueue struct {
+	// classes are those with jobs, in no order; known also has empty ones.
+	classes []*queueClass
+	known   map[classKey]*queueClass
+	length  int
+	// work is the sum of the expected run times of all jobs, lateWork of the late ones.
+	work     time.Duration
+	lateWork time.Duration
+}
+
+func newJobQueue() *jobQueue { return &jobQueue{known: map[classKey]*queueClass{}} }
+
+// class returns the class of a key, created on first use.
+func (q *jobQueue) class(key classKey) *queueClass {
+	class := q.known[key]
+	if class != nil {
+		return class
+	}
+	if len(q.known) >= maxClasses {
+		for other, c := range q.known {
+			if len(c.jobs) == 0 {
+				delete(q.known, other)
+			}
+		}
+	}
+	class = &queueClass{key: key}
+	q.known[key] = class
+	return class
+}
+
+// add queues a job under the operation by which it is accounted.
+func (q *jobQueue) add(j *job, operation string) {
+	class := q.class(classKey{operation: operation, nested: j.call.Nested, rank: j.rank})
+	if len(class.jobs) == 0 {
+		class.index, class.latestTimer = len(q.classes), 0
+		q.classes = append(q.classes, class)
+	}
+	j.class = class
+	class.jobs.add(j)
+	class.latestTimer = max(class.latestTimer, j.timer)
+	class.work += j.work
+	q.count(j, j.work, 1)
+}
+
+// remove removes a job if it is queued.
+func (q *jobQueue) remove(j *job) {
+	class := j.class
+	if class == nil {
+		return
+	}
+	j.class = nil
+	class.jobs.remove(j)
+	if len(class.jobs) == 0 {
+		end := len(q.classes) - 1
+		q.classes[class.index] = q.classes[end]
+		q.classes[class.index].index = class.index
+		q.classes[end] = nil
+		q.classes = q.classes[:end]
+	}
+	class.work -= j.work
+	q.count(j, -j.work, -1)
+}
+
+func (q *jobQueue) count(j *job, work time.Duration, jobs int) {
+	q.length += jobs
+	q.work += work
+	if j.rank >= rankLate {
+		q.lateWork += work
+	}
+}
+
+// first returns the job that goes before all others, or nil.
+func (q *jobQueue) first() *job {
+	var first *job
+	for _, class := range q.classes {
+		if j := class.jobs[0]; first == nil || before(j, first) {
+			first = j
+		}
+	}
+	return first
+}
+
+// collect appends to list the jobs for which the given function holds.
+func (q *jobQueue) collect(list []*job, holds func(*job) bool) []*job {
+	for _, class := range q.classes {
+		for _, j := range class.jobs {
+			if holds(j) {
+				list = append(list, j)
+			}
+		}
+	}
+	return list
+}
+
+// earliestStartBy returns the earliest time by which a job must start.
+func (q *jobQueue) earliestStartBy() clock.Instant {
+	earliest := clock.Never
+	for _, class := range q.classes {
+		for _, j := range class.jobs {
+			earliest = min(earliest, j.startBy)
+		}
+	}
+	return earliest
+}
--- a/internal/executor/queue.go
+++ b/internal/executor/queue.go
@@ -87,15 +87,17 @@
 	if s := c.view.Preset.Service(j.call.Service); s != nil {
 		queueLimit = s.QueueLimit
 	}
-	return len(c.queue) < queueLimit || c.evict(j)
+	return c.queue.length < queueLimit || c.evict(j)
 }
 
 // countAhead returns the number of queued jobs that go before a job.
 func (c *Core) countAhead(j *job) int {
 	ahead := 0
-	for _, other := range c.queue {
-		if before(other, j) {
-			ahead++
+	for _, class := range c.queue.classes {
+		for _, other := range class.jobs {
+			if before(other, j) {
+				ahead++
+			}
 		}
 	}
 	return ahead
@@ -104,8 +106,8 @@
 // evict refuses the last queued job if it goes after the given one.
 func (c *Core) evict(j *job) bool {
 	last := j
-	for _, other := range c.queue {
-		if before(last, other) {
+	for _, class := range c.queue.classes {
+		if other := class.last(); before(last, other) {
 			last = other
 		}
 	}
@@ -122,15 +124,12 @@
 	if now < c.nextStartBy {
 		return
 	}
-	for _, j := range append(jobHeap(nil), c.queue...) {
-		if reason := c.startRefusal(now, j); reason != verdict.ReasonNone {
-			c.refuseQueued(j, reason)
-		}
-	}
-	c.nextStartBy = clock.Never
-	for _, j := range c.queue {
-		c.nextStartBy = min(c.nextStartBy, j.startBy)
+	c.expired = c.queue.collect(c.expired[:0], func(j *job) bool { return c.startRefusal(now, j) != verdict.ReasonNone })
+	for _, j := range c.expired {
+		c.refuseQueued(j, c.startRefusal(now, j))
 	}
+	clear(c.expired)
+	c.nextStartBy = c.queue.earliestStartBy()
 }
 
 // refuseQueued ends a queued job with a not-run verdict and logs it.
--- /dev/null
+++ b/internal/executor/queue_class.go
@@ -0,0 +1,46 @@
+package executor
+
+import (
+	"time"
+
+	"endivespring/internal/clock"
+)
+
+// queueClass holds the queued jobs of equal rank of one operation.
+type queueClass struct {
+	key classKey
+	// jobs are ordered by timer. index is the position in jobQueue.classes while
+	// there are jobs.
+	jobs  jobHeap
+	index int
+	// work is the sum of the expected run times of jobs.
+	work time.Duration
+	// latestTimer is at least the latest timer of jobs.
+	latestTimer clock.Instant
+}
+
+// last returns the job that goes after all others of the class. It scans the jobs.
+func (q *queueClass) last() *job {
+	last := q.jobs[0]
+	for _, j := range q.jobs[1:] {
+		if before(last, j) {
+			last = j
+		}
+	}
+	return last
+}
+
+// workBefore returns the expected run times of the jobs that go before one of the same
+// rank. Deadlines mostly rise with the time of arrival, and then no job is looked at.
+func (q *queueClass) workBefore(j *job) time.Duration {
+	if q.latestTimer <= j.timer {
+		return q.work
+	}
+	var work time.Duration
+	for _, other := range q.jobs {
+		if before(other, j) {
+			work += other.work
+		}
+	}
+	return work
+}
--- a/internal/executor/range_leases_test.go
+++ b/internal/executor/range_leases_test.go
@@ -265,12 +265,12 @@
 		})
 	}
 	_, answered := s.answers[last]
-	assert.Assert(t, !answered && len(s.queue) > 0)
+	assert.Assert(t, !answered && s.Load().Queued > 0)
 	s.Leave(s.now)
 	s.Tick(s.now)
 	end := s.now.Add(maxRevocationGrace)
 	assert.Equal(t, s.Deadline(), end)
 	s.now = end
 	s.Tick(s.now)
-	assert.Equal(t, len(s.queue), 0)
+	assert.Equal(t, s.Load().Queued, 0)
 }
--- a/internal/executor/refusal.go
+++ b/internal/executor/refusal.go
@@ -80,5 +80,5 @@
 		event.F("request", request.RequestID), event.F("service", request.Service), event.F("operation", request.Operation),
 		event.F("verdict", v.String()), event.F("reason", string(reason)), event.F("shard", request.Shard),
 		event.F("key", request.KeyNumber), event.F("view", uint64(c.view.Version)), event.F("running", c.limiter.Running()),
-		event.F("queued", len(c.queue)), event.F("limit", c.limiter.Limit()), event.F("typical", c.expectedRunTime(request.Operation))))
+		event.F("queued", c.queue.length), event.F("limit", c.limiter.Limit()), event.F("typical", c.expectedRunTime(request.Operation))))
 }
--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -15,9 +15,10 @@
 // the pace of a cold upstream allow, and refuses those that must not start any
 // more. Ownership and leases are checked here again, right before the start.
 func (c *Core) startQueued(now clock.Instant) {
+	c.lastStep = now
 	c.refuseExpired(now)
-	for len(c.queue) > 0 {
-		j := c.queue[0]
+	for c.queue.length > 0 {
+		j := c.queue.first()
 		if reason := c.startRefusal(now, j); reason != verdict.ReasonNone {
 			c.finish(j, call.Refusal(&j.call, verdict.NotRun, reason))
 			continue
@@ -79,6 +80,7 @@
 // that follow from the leases.
 func (c *Core) start(now clock.Instant, j *job) {
 	j.phase, j.started, j.upstream = jobRunning, now, c.upstream
+	c.running.begin(now, j.work)
 	run := Run{ID: j.run, Upstream: c.upstream, Call: j.call, Epoch: j.epoch, Deadline: j.call.Deadline, Fence: j.call.Deadline}
 	run.RefusedBefore = c.refused.has(j.call.RequestID)
 	if j.call.Sharded {
@@ -105,6 +107,7 @@
 
 // Complete takes the outcome of a run or a delegation.
 func (c *Core) Complete(now clock.Instant, outcome Outcome) {
+	c.lastStep = now
 	j, ok := c.jobs[outcome.Run]
 	if !ok || j.phase == jobQueued {
 		return
@@ -112,6 +115,7 @@
 	answer := outcome.Answer
 	answer.RequestID = j.call.RequestID
 	if j.phase == jobRunning {
+		c.running.end(j.started, j.work)
 		if c.limiter.Finish(now, outcome.Health, now.Sub(j.started)) {
 			c.logLimit("completion")
 		}
@@ -218,6 +222,7 @@
 		c.finish(j, call.Refusal(&j.call, verdict.NotRun, verdict.ReasonCancelled))
 		c.startQueued(now)
 	case j.phase == jobRunning && c.withdrawRun(j):
+		c.running.end(j.started, j.work)
 		c.limiter.Finish(now, admission.Neutral, 0)
 		c.finish(j, call.Refusal(&j.call, verdict.NotRun, verdict.ReasonCancelled))
 		c.startQueued(now)
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -13,6 +13,7 @@
 // otherwise. A resend whose record this executor may never have had is answered
 // may-have-run, unless its refusal leads the gateway to another executor.
 func (c *Core) Submit(now clock.Instant, ticket Ticket, request call.Call) {
+	c.lastStep = now
 	deduplicate := !request.Idempotent && !request.Recorded && c.recordWindow(request.Service) > 0
 	if request.Ranged {
 		c.keyMeter.count(request.KeyNumber)
@@ -133,7 +134,8 @@
 func (c *Core) enqueue(now clock.Instant, j *job) {
 	c.setQueueOrder(now, j)
 	c.nextStartBy = min(c.nextStartBy, j.startBy)
-	c.queue.add(j)
+	j.work = c.expectedRunTime(j.call.Operation)
+	c.queue.add(j, j.call.Operation)
 }
 
 // admit creates the job of a call and counts the call as in flight for its
@@ -158,17 +160,17 @@
 // its deadline.
 func (c *Core) finishesInTime(now clock.Instant, request *call.Call) bool {
 	limit := max(1, c.limiter.Limit())
-	paced := c.limiter.PaceDelay(now, len(c.queue))
-	if c.limiter.Running() < limit && len(c.queue) == 0 && paced == 0 {
+	paced := c.limiter.PaceDelay(now, c.queue.length)
+	if c.limiter.Running() < limit && c.queue.length == 0 && paced == 0 {
 		return true
 	}
 	queueLimit := 0
 	if s := c.view.Preset.Service(request.Service); s != nil {
 		queueLimit = s.QueueLimit
 	}
-	if len(c.queue) >= queueLimit {
+	if c.queue.length >= queueLimit {
 		return false
 	}
-	rounds := time.Duration(len(c.queue)/limit + 1)
+	rounds := time.Duration(c.queue.length/limit + 1)
 	return now.Add(rounds*c.limiter.Latency()+paced) < request.Deadline
 }
--- a/internal/executor/view.go
+++ b/internal/executor/view.go
@@ -83,12 +83,7 @@
 // refuseUnowned refuses queued calls whose shard is revoked or lost at once, so
 // that their gateways can try the next owner.
 func (c *Core) refuseUnowned(now clock.Instant) {
-	var unowned []*job
-	for _, j := range c.queue {
-		if j.call.Sharded && !c.owns(j) {
-			unowned = append(unowned, j)
-		}
-	}
+	unowned := c.queue.collect(nil, func(j *job) bool { return j.call.Sharded && !c.owns(j) })
 	for _, j := range unowned {
 		c.finish(j, call.Refusal(&j.call, verdict.NotRun, verdict.ReasonNotOwner))
 	}
