Bound the queue by time with load.queueByTime

A burst of a few seconds of calls of 590 ms with an objective of 3 s was refused by a queue of 18 calls, 0.8 s of work at 18 slots, although the upstream could serve it in time.

With the switch, a call joins if its wait, estimated from the run times of what goes before it, of what runs and of what arrives meanwhile and goes before it, lets it start with its mean run time left before its objective. Else it may wait as a late call, if what is left over by others reaches before its deadline. At most 512 calls wait. Arrivals that displace the last of the queue refuse it at once. request-refused says why a call was refused.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -46,7 +46,7 @@
 	RequestRetried     = define(511, "request-retried", Info, "The entry tries a request again at another door.")
 	RequestFinished    = define(512, "request-finished", Info, "The entry answered a request.")
 	AnswerDropped      = define(520, "answer-dropped", Warn, "A late or crossed answer was dropped.")
-	RequestRefused     = define(600, "request-refused", Info, "The door refused a request before it ran.")
+	RequestRefused     = define(600, "request-refused", Info, "The door refused a request before it ran. For overloaded ones `why` is wait (no start in time), room (queue full), share (its place went to an operation below its floor) or parent (its nested calls would wait for too long); `wait` is the wait of a new call.")
 	RunFailed          = define(601, "run-failed", Info, "A request that was given to the upstream got no whole answer, or was refused there.")
 	UpstreamAnnounced  = define(610, "upstream-announced", Info, "An upstream announced itself to the router beside it.")
 	UpstreamLeft       = define(611, "upstream-left", Info, "An upstream announced that it is draining or exiting.")
--- a/internal/event/event_docs.go
+++ b/internal/event/event_docs.go
@@ -53,7 +53,7 @@
 	AnswerDropped: {fields: []string{"request", "router", "upstream"},
 		action: "None for a single event: the caller got a correct verdict in time. Many from one router indicate a slow upstream or network there."},
 	RequestRefused: {fields: []string{
-		"request", "service", "operation", "verdict", "reason", "shard", "key", "view", "running", "queued", "limit", "typical"}},
+		"request", "service", "operation", "verdict", "reason", "shard", "key", "view", "running", "queued", "limit", "typical", "why", "wait"}},
 	RunFailed:         {fields: []string{"request", "upstream", "boot", "verdict", "reason", "took"}},
 	UpstreamAnnounced: {fields: []string{"upstream", "service", "boot"}},
 	UpstreamLeft:      {fields: []string{"upstream"}},
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -83,6 +83,8 @@
 	nextPacedStart clock.Instant
 	// lastStep is the time of the last step that changed queued or running calls.
 	lastStep clock.Instant
+	// load says which parts of the queueing under contention are used.
+	load LoadSettings
 	// expired is reused by refuseExpired.
 	expired []*job
 	output  Output
--- a/internal/executor/job_queue.go
+++ b/internal/executor/job_queue.go
@@ -6,8 +6,8 @@
 	"endivespring/internal/clock"
 )
 
-// maxClasses is the number of classes that are kept while they are empty, so that their
-// heaps are reused. A service has three for each route: nested, direct and late calls.
+// maxClasses is the number of classes above which those without jobs are forgotten with
+// their rates. A service has three for each route: nested, direct and late calls.
 const maxClasses = 256
 
 // jobQueue holds the queued jobs, one heap for each class. A choice or a sum goes over the
@@ -15,30 +15,34 @@
 type jobQueue struct {
 	// classes are those with jobs, in no order; known also has empty ones.
 	classes []*queueClass
-	known   map[classKey]*queueClass
+	known   []*queueClass
+	byKey   map[classKey]*queueClass
 	length  int
 	// work is the sum of the expected run times of all jobs, lateWork of the late ones.
 	work     time.Duration
 	lateWork time.Duration
+	// overtaking is reused by drainTime.
+	overtaking []overtaking
 }
 
-func newJobQueue() *jobQueue { return &jobQueue{known: map[classKey]*queueClass{}} }
+func newJobQueue() *jobQueue { return &jobQueue{byKey: map[classKey]*queueClass{}} }
 
 // class returns the class of a key, created on first use.
 func (q *jobQueue) class(key classKey) *queueClass {
-	class := q.known[key]
+	class := q.byKey[key]
 	if class != nil {
 		return class
 	}
 	if len(q.known) >= maxClasses {
-		for other, c := range q.known {
-			if len(c.jobs) == 0 {
-				delete(q.known, other)
-			}
+		q.known = append(q.known[:0], q.classes...)
+		clear(q.byKey)
+		for _, c := range q.known {
+			q.byKey[c.key] = c
 		}
 	}
 	class = &queueClass{key: key}
-	q.known[key] = class
+	q.known = append(q.known, class)
+	q.byKey[key] = class
 	return class
 }
 
@@ -116,3 +120,29 @@
 	}
 	return earliest
 }
+
+// ahead returns the expected run times and a number of the jobs that go before a job. The
+// number is at least 1 if there are any; it includes jobs of the same rank that go after it.
+func (q *jobQueue) ahead(j *job) (work time.Duration, jobs int) {
+	for _, class := range q.classes {
+		switch {
+		case class.key.rank < j.rank:
+			work, jobs = work+class.work, jobs+len(class.jobs)
+		case class.key.rank == j.rank && before(class.jobs[0], j):
+			work, jobs = work+class.workBefore(j), jobs+len(class.jobs)
+		}
+	}
+	return work, jobs
+}
+
+// lastClass returns the class with the highest rank, or nil. Of several, it is the one with
+// the last job.
+func (q *jobQueue) lastClass() *queueClass {
+	var last *queueClass
+	for _, class := range q.classes {
+		if last == nil || class.key.rank > last.key.rank || class.key.rank == last.key.rank && before(last.last(), class.last()) {
+			last = class
+		}
+	}
+	return last
+}
--- a/internal/executor/queue.go
+++ b/internal/executor/queue.go
@@ -29,29 +29,36 @@
 	runTimeWeight = 0.1
 )
 
-// setQueueOrder sets a job's rank and the latest time at which it may start.
-// Calls by operation name (without an HTTP method) keep rank 0 and are ordered
-// by deadline.
-func (c *Core) setQueueOrder(now clock.Instant, j *job) {
-	request := &j.call
-	j.startBy = request.Deadline
+// orderOf returns a call's rank and the latest time at which it may start. Calls by
+// operation name (without an HTTP method) keep rank 0 and are ordered by deadline.
+func (c *Core) orderOf(now clock.Instant, request *call.Call) queueOrder {
 	if request.Method == "" {
-		return
+		return queueOrder{startBy: request.Deadline}
 	}
-	needs := time.Duration(runTimeShare * float64(c.expectedRunTime(request.Operation)))
-	j.startBy = request.Deadline.Add(-needs)
+	needs := c.neededTime(request.Operation)
+	startBy := request.Deadline.Add(-needs)
 	switch start := request.Objective.Add(-needs); {
 	case request.Nested:
-		j.rank = rankNested
+		return queueOrder{rank: rankNested, startBy: startBy}
 	case request.Objective == 0:
-		j.rank = 1 + request.Priority
+		return queueOrder{rank: 1 + request.Priority, startBy: startBy}
 	case start > now:
-		j.rank, j.startBy = 1+request.Priority, min(j.startBy, start)
+		return queueOrder{rank: 1 + request.Priority, startBy: min(startBy, start)}
 	default:
-		j.rank, j.startBy = rankLate+request.Priority, min(j.startBy, now.Add(maxLateWait))
+		return queueOrder{rank: rankLate + request.Priority, startBy: min(startBy, now.Add(maxLateWait))}
 	}
 }
 
+// neededTime returns the time that a call of an operation must have left when it starts. A
+// queue that is bounded by time is as long as it may be while there is too much load, so that
+// most calls start at the last moment. With less than the mean left, half of them end late.
+func (c *Core) neededTime(operation string) time.Duration {
+	if c.load.QueueByTime {
+		return c.expectedRunTime(operation)
+	}
+	return time.Duration(runTimeShare * float64(c.expectedRunTime(operation)))
+}
+
 // expectedRunTime returns the moving average of an operation's run times, or
 // the upstream's overall latency before the first run.
 func (c *Core) expectedRunTime(operation string) time.Duration {
@@ -69,25 +76,32 @@
 	c.runTimes[operation] = took
 }
 
-// hasRoom reports whether a job may join the queue, that is if it is estimated
-// to start by its startBy. If the queue is full, the last job is evicted in
-// favour of one that goes before it.
-func (c *Core) hasRoom(now clock.Instant, j *job) bool {
+// hasRoom returns why a job may not join the queue, which it may if it is estimated to
+// start by its startBy. If the queue is full, the last job is evicted in favour of one that
+// goes before it.
+func (c *Core) hasRoom(now clock.Instant, j *job) RefusalCause {
 	limit := max(1, c.limiter.Limit())
 	ahead := c.countAhead(j)
 	paced := c.limiter.PaceDelay(now, ahead)
 	if ahead == 0 && c.limiter.Running() < limit && paced == 0 {
-		return true
+		return CauseNone
 	}
 	wait := time.Duration(float64(ahead+1)*float64(c.limiter.Latency())/float64(limit)) + paced
 	if now.Add(wait) > j.startBy {
-		return false
+		return CauseWait
 	}
-	queueLimit := 0
-	if s := c.view.Preset.Service(j.call.Service); s != nil {
-		queueLimit = s.QueueLimit
+	if c.queue.length < c.queueLimit(j.call.Service) || c.evict(j) {
+		return CauseNone
 	}
-	return c.queue.length < queueLimit || c.evict(j)
+	return CauseRoom
+}
+
+// queueLimit returns the number of calls of a service that may be queued.
+func (c *Core) queueLimit(service string) int {
+	if s := c.view.Preset.Service(service); s != nil {
+		return s.QueueLimit
+	}
+	return 0
 }
 
 // countAhead returns the number of queued jobs that go before a job.
@@ -114,7 +128,7 @@
 	if last == j {
 		return false
 	}
-	c.refuseQueued(last, verdict.ReasonOverloaded)
+	c.refuseQueued(last, verdict.ReasonOverloaded, CauseRoom)
 	return true
 }
 
@@ -126,14 +140,20 @@
 	}
 	c.expired = c.queue.collect(c.expired[:0], func(j *job) bool { return c.startRefusal(now, j) != verdict.ReasonNone })
 	for _, j := range c.expired {
-		c.refuseQueued(j, c.startRefusal(now, j))
+		reason := c.startRefusal(now, j)
+		switch {
+		case reason != verdict.ReasonOverloaded:
+			c.refuseQueued(j, reason, CauseNone)
+		case !c.waitLate(now, j):
+			c.refuseQueued(j, reason, CauseWait)
+		}
 	}
 	clear(c.expired)
 	c.nextStartBy = c.queue.earliestStartBy()
 }
 
 // refuseQueued ends a queued job with a not-run verdict and logs it.
-func (c *Core) refuseQueued(j *job, reason verdict.Reason) {
-	c.logRefusal(&j.call, verdict.NotRun, reason)
+func (c *Core) refuseQueued(j *job, reason verdict.Reason, cause RefusalCause) {
+	c.logRefusal(&j.call, verdict.NotRun, reason, cause)
 	c.finish(j, call.Refusal(&j.call, verdict.NotRun, reason))
 }
--- a/internal/executor/queue_class.go
+++ b/internal/executor/queue_class.go
@@ -17,6 +17,10 @@
 	work time.Duration
 	// latestTimer is at least the latest timer of jobs.
 	latestTimer clock.Instant
+	// arrivals is the work that was queued in the last seconds, timeout its mean time from the
+	// arrival to the deadline.
+	arrivals decayingRate
+	timeout  time.Duration
 }
 
 // last returns the job that goes after all others of the class. It scans the jobs.
--- a/internal/executor/refusal.go
+++ b/internal/executor/refusal.go
@@ -70,15 +70,22 @@
 }
 
 func (c *Core) refuse(ticket Ticket, request *call.Call, v verdict.Verdict, reason verdict.Reason) {
-	c.logRefusal(request, v, reason)
+	c.logRefusal(request, v, reason, CauseNone)
 	c.reply(ticket, call.Refusal(request, v, reason))
 }
 
+// refuseOverloaded refuses a call for lack of capacity.
+func (c *Core) refuseOverloaded(ticket Ticket, request *call.Call, cause RefusalCause) {
+	c.logRefusal(request, verdict.NotRun, verdict.ReasonOverloaded, cause)
+	c.reply(ticket, call.Refusal(request, verdict.NotRun, verdict.ReasonOverloaded))
+}
+
 // logRefusal logs a refusal with the state that it was based on.
-func (c *Core) logRefusal(request *call.Call, v verdict.Verdict, reason verdict.Reason) {
+func (c *Core) logRefusal(request *call.Call, v verdict.Verdict, reason verdict.Reason, cause RefusalCause) {
 	c.output.Events = append(c.output.Events, call.NewEvent(event.RequestRefused,
 		event.F("request", request.RequestID), event.F("service", request.Service), event.F("operation", request.Operation),
 		event.F("verdict", v.String()), event.F("reason", string(reason)), event.F("shard", request.Shard),
 		event.F("key", request.KeyNumber), event.F("view", uint64(c.view.Version)), event.F("running", c.limiter.Running()),
-		event.F("queued", c.queue.length), event.F("limit", c.limiter.Limit()), event.F("typical", c.expectedRunTime(request.Operation))))
+		event.F("queued", c.queue.length), event.F("limit", c.limiter.Limit()), event.F("typical", c.expectedRunTime(request.Operation)),
+		event.F("why", string(cause)), event.F("wait", c.wait(c.lastStep))))
 }
--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -163,7 +163,7 @@
 		c.timers.remove(j)
 		c.delegated--
 		j.phase = jobQueued
-		c.enqueue(now, j)
+		c.enqueue(now, j, c.orderOf(now, &j.call))
 		return true
 	}
 	return false
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -104,37 +104,56 @@
 func (c *Core) dispatch(now clock.Instant, ticket Ticket, request call.Call, r *record) {
 	busy := c.unavailable(request.Service) || c.limiter.Running() >= c.limiter.Limit()
 	delegate := r != nil && busy && c.mayDelegate(&request)
-	if !delegate && !c.canQueue(now, &request) {
-		if r != nil {
-			c.records.forget(r)
+	var order queueOrder
+	if !delegate {
+		var cause RefusalCause
+		if order, cause = c.canQueue(now, &request); cause != CauseNone {
+			if r != nil {
+				c.records.forget(r)
+			}
+			c.refuseOverloaded(ticket, &request, cause)
+			return
 		}
-		c.refuse(ticket, &request, verdict.NotRun, verdict.ReasonOverloaded)
-		return
 	}
 	j := c.admit(ticket, request, r)
 	if delegate {
 		c.delegate(j)
 		return
 	}
-	c.enqueue(now, j)
+	c.enqueue(now, j, order)
 	c.startQueued(now)
 }
 
-// canQueue reports whether a call can start now, or has room in the queue and
-// would leave it in time. It may evict a queued job to make room.
-func (c *Core) canQueue(now clock.Instant, request *call.Call) bool {
-	if request.Method == "" {
-		return c.finishesInTime(now, request)
-	}
-	candidate := &job{call: *request, timer: request.Deadline, run: c.nextRun + 1}
-	c.setQueueOrder(now, candidate)
-	return c.hasRoom(now, candidate)
+// canQueue returns the order of a call that can start now, or has room in the queue and
+// would leave it in time, or else why not. It may evict a queued job to make room.
+func (c *Core) canQueue(now clock.Instant, request *call.Call) (queueOrder, RefusalCause) {
+	order := c.orderOf(now, request)
+	switch {
+	case request.Method == "" && c.finishesInTime(now, request):
+		return order, CauseNone
+	case request.Method == "":
+		return order, CauseWait
+	case c.load.timed():
+		return c.orderInTime(now, request)
+	default:
+		candidate := &job{call: *request, timer: request.Deadline, run: c.nextRun + 1, rank: order.rank, startBy: order.startBy}
+		return order, c.hasRoom(now, candidate)
+	}
 }
 
-func (c *Core) enqueue(now clock.Instant, j *job) {
-	c.setQueueOrder(now, j)
-	c.nextStartBy = min(c.nextStartBy, j.startBy)
+func (c *Core) enqueue(now clock.Instant, j *job, order queueOrder) {
 	j.work = c.expectedRunTime(j.call.Operation)
+	c.insert(j, order)
+	if c.load.timed() {
+		j.class.arrived(now, j)
+		c.refuseDisplaced(now, j)
+	}
+}
+
+// insert adds a job to the queue.
+func (c *Core) insert(j *job, order queueOrder) {
+	j.rank, j.startBy = order.rank, order.startBy
+	c.nextStartBy = min(c.nextStartBy, j.startBy)
 	c.queue.add(j, j.call.Operation)
 }
 
@@ -164,11 +183,7 @@
 	if c.limiter.Running() < limit && c.queue.length == 0 && paced == 0 {
 		return true
 	}
-	queueLimit := 0
-	if s := c.view.Preset.Service(request.Service); s != nil {
-		queueLimit = s.QueueLimit
-	}
-	if c.queue.length >= queueLimit {
+	if c.queue.length >= c.queueLimit(request.Service) {
 		return false
 	}
 	rounds := time.Duration(c.queue.length/limit + 1)
--- a/internal/executor/waiting.go
+++ b/internal/executor/waiting.go
@@ -3,24 +3,35 @@
 import (
 	"time"
 
+	"endivespring/internal/call"
 	"endivespring/internal/clock"
+	"endivespring/internal/verdict"
 )
 
-// slotWait estimates how long a call waits for a slot behind queued calls that need the
-// given run time in total. The work ahead is divided among the slots. A slot becomes free
-// each time one of the runs has ended: those above the limit first, then one for the call.
-func (c *Core) slotWait(now clock.Instant, ahead time.Duration, slots float64) time.Duration {
+const (
+	// maxQueued bounds the queue if it is bounded by time: 512 calls of 94 ms, the shortest
+	// operation of the first deployment, take 18 slots 2.7 s.
+	maxQueued = 512
+	// displacedMargin is the factor by which the estimated wait of a queued call must exceed
+	// its remaining time before it is refused ahead of that time. Estimates vary by some 20%
+	// with the spread of run times.
+	displacedMargin = 1.25
+)
+
+// SetLoad sets which parts of the queueing under contention are used.
+func (c *Core) SetLoad(s LoadSettings) { c.load = s }
+
+// freeingWork returns the work after which a slot is free for a call, without queued calls.
+// A slot becomes free each time one of the runs has ended: those above the limit first, then
+// one for the call.
+func (c *Core) freeingWork(now clock.Instant) time.Duration {
 	running, limit := c.limiter.Running(), max(1, c.limiter.Limit())
-	work := ahead
-	if running >= limit {
-		work += time.Duration(running-limit+1)*c.running.mean() + c.running.excess(now)
+	if running < limit {
+		return 0
 	}
-	return time.Duration(float64(work) / max(slots, minSlots))
+	return time.Duration(running-limit+1)*c.running.mean() + c.running.excess(now)
 }
 
-// minSlots is the least number of slots that an estimate divides by.
-const minSlots = 0.01
-
 // wait estimates how long a call without special rank that arrives now waits for a slot.
 // Late calls go after it.
 func (c *Core) wait(now clock.Instant) time.Duration {
@@ -28,5 +39,112 @@
 	if c.queue.length == 0 && c.limiter.Running() < limit {
 		return max(0, c.limiter.NextPacedStart(now).Sub(now))
 	}
-	return max(c.slotWait(now, c.queue.work-c.queue.lateWork, float64(limit)), c.limiter.PaceDelay(now, c.queue.length))
+	work := c.queue.work - c.queue.lateWork + c.freeingWork(now)
+	return max(work/time.Duration(limit), c.limiter.PaceDelay(now, c.queue.length))
+}
+
+// orderInTime returns the order of a call whose wait is estimated from run times, or why it
+// must not wait. A call that can't start early enough for its objective may wait as a late
+// one. It may evict a queued call to make room.
+func (c *Core) orderInTime(now clock.Instant, request *call.Call) (queueOrder, RefusalCause) {
+	j := job{timer: request.Deadline, run: c.nextRun + 1}
+	j.call.Operation, j.call.Nested = request.Operation, request.Nested
+	order := c.orderOf(now, request)
+	if c.load.QueueByTime && order.late() {
+		order = c.lateOrder(request)
+	}
+	if !c.startsInTime(now, &j, order) {
+		if !c.load.QueueByTime || order.late() || request.Nested || request.Objective == 0 {
+			return order, CauseWait
+		}
+		if order = c.lateOrder(request); !c.startsInTime(now, &j, order) {
+			return order, CauseWait
+		}
+	}
+	j.rank = order.rank
+	return order, c.makeRoom(&j, request.Service)
+}
+
+// lateOrder returns the order of a call that will miss its objective but may still meet its
+// deadline.
+func (c *Core) lateOrder(request *call.Call) queueOrder {
+	return queueOrder{rank: rankLate + request.Priority, startBy: request.Deadline.Add(-c.neededTime(request.Operation))}
+}
+
+// startsInTime reports whether a job is expected to start by the startBy of an order.
+func (c *Core) startsInTime(now clock.Instant, j *job, order queueOrder) bool {
+	j.rank = order.rank
+	wait := c.jobWait(now, j)
+	return wait == 0 || now.Add(wait) <= order.startBy
+}
+
+// jobWait estimates how long a job waits for a slot. Jobs that arrive later and go before it
+// are counted: a late job gets only what those leave that can meet their objective.
+func (c *Core) jobWait(now clock.Instant, j *job) time.Duration {
+	limit := max(1, c.limiter.Limit())
+	work, jobs := c.queue.ahead(j)
+	paced := c.limiter.PaceDelay(now, jobs)
+	if jobs == 0 && c.limiter.Running() < limit {
+		return paced
+	}
+	return max(c.queue.drainTime(now, j, work+c.freeingWork(now), float64(limit)), paced)
+}
+
+// makeRoom returns why a job finds no room in the queue. If the queue is full, the last job
+// is evicted in favour of one that goes before it.
+func (c *Core) makeRoom(j *job, service string) RefusalCause {
+	bound := maxQueued
+	if !c.load.QueueByTime {
+		bound = c.queueLimit(service)
+	}
+	if c.queue.length < bound {
+		return CauseNone
+	}
+	class := c.queue.lastClass()
+	if class == nil || !before(j, class.last()) {
+		return CauseRoom
+	}
+	c.refuseQueued(class.last(), verdict.ReasonOverloaded, CauseRoom)
+	return CauseNone
+}
+
+// waitLate queues a job that can't meet its objective any more as a late one, and reports
+// whether it may wait.
+func (c *Core) waitLate(now clock.Instant, j *job) bool {
+	if !c.load.QueueByTime || j.call.Method == "" || j.call.Nested || j.rank >= rankLate || j.call.Objective == 0 {
+		return false
+	}
+	c.queue.remove(j)
+	order := c.lateOrder(&j.call)
+	if now < order.startBy && c.startsInTime(now, j, order) {
+		c.insert(j, order)
+		return true
+	}
+	// The caller refuses the job, which must be in the queue then.
+	c.insert(j, queueOrder{rank: j.rank, startBy: j.startBy})
+	return false
+}
+
+// refuseDisplaced refuses the last queued job that can meet its objective by its order, if
+// the arrival of jobs that go before it has made that impossible. A refusal now lets its
+// caller try elsewhere earlier than one at the end of its time.
+func (c *Core) refuseDisplaced(now clock.Instant, by *job) {
+	var class *queueClass
+	for _, other := range c.queue.classes {
+		rank := other.key.rank
+		if other == by.class || rank < by.rank || rank >= rankLate {
+			continue
+		}
+		if class == nil || rank > class.key.rank || rank == class.key.rank && other.timeout > class.timeout {
+			class = other
+		}
+	}
+	if class == nil {
+		return
+	}
+	last := class.last()
+	wait := c.jobWait(now, last)
+	if now.Add(time.Duration(float64(wait)/displacedMargin)) > last.startBy && !c.waitLate(now, last) {
+		c.refuseQueued(last, verdict.ReasonOverloaded, CauseWait)
+	}
 }
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -120,6 +120,7 @@
 	n.build()
 	n.executor.core.Expect(n.settings.Service)
 	n.executor.core.SetHoldLimits(n.settings.MaxHold.Value(), n.settings.UpstreamDrain.Value())
+	n.executor.core.SetLoad(executorLoad(&n.settings.Load))
 	n.run(listeners)
 	n.events.Record(event.ProcessStarted, event.F("role", "router"), event.F("name", n.settings.Name))
 	return n, nil
@@ -199,6 +200,10 @@
 	return session.NewDynamicFinder(s.ControlAddresses())
 }
 
+func executorLoad(s *settings.Load) executor.LoadSettings {
+	return executor.LoadSettings{QueueByTime: s.QueueByTime, ShareFloor: s.ShareFloor, ParentAdmission: s.ParentAdmission}
+}
+
 func gatewaySettings(s *settings.Router, self fleet.Router) gateway.Settings {
 	policy, _ := balancer.ParsePolicy(s.RoutingPolicy)
 	return gateway.Settings{
