Admit requests by the wait of their nested calls with load.parentAdmission

A nested call that is refused wastes the run of its parent, which a refusal of the parent before it starts does not.

Two rings of 256 and 64 items drop the oldest. The executor learns which services the runs of an operation call, and refuses a call, why = parent, while the wait there is above the objective of the nested route.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -84,8 +84,9 @@
 	// lastStep is the time of the last step that changed queued or running calls.
 	lastStep clock.Instant
 	// load says which parts of the queueing under contention are used.
-	load   LoadSettings
-	shares *slotShares
+	load    LoadSettings
+	shares  *slotShares
+	parents *parentAdmission
 	// expired is reused by refuseExpired.
 	expired []*job
 	output  Output
@@ -96,7 +97,7 @@
 	return &Core{
 		self: self, dataCentre: dataCentre, view: fleet.NewView(), shards: newOwnedShards(),
 		rangeLeases: rangeLeases{self: self, maxHold: maxHold}, rangeRequests: newRangeRequests(self), revocationGrace: maxRevocationGrace, keyMeter: newKeyMeter(),
-		queue: newJobQueue(), shares: newSlotShares(), limiter: admission.NewLimiter(), jobs: map[uint64]*job{}, tickets: map[Ticket]*job{}, records: newRecordStore(), refused: newRefusedRequests(),
+		queue: newJobQueue(), shares: newSlotShares(), parents: newParentAdmission(), limiter: admission.NewLimiter(), jobs: map[uint64]*job{}, tickets: map[Ticket]*job{}, records: newRecordStore(), refused: newRefusedRequests(),
 		nextPacedStart: clock.Never, revocationCheckAt: clock.Never, nextStartBy: clock.Never, runTimes: map[string]time.Duration{},
 	}
 }
--- a/internal/executor/job.go
+++ b/internal/executor/job.go
@@ -32,6 +32,8 @@
 	work  time.Duration
 	// share accounts for the slot time of the job, or is nil.
 	share *operationShare
+	// nested are the nested calls of the run.
+	nested nestedUses
 	// timedOut is set once the callers were answered with may-have-run although
 	// the run has not ended.
 	timedOut bool
--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -131,6 +131,9 @@
 		}
 		if answer.Verdict == verdict.Ran {
 			c.observeRun(j.call.Operation, now.Sub(j.started))
+			if c.load.ParentAdmission {
+				c.parents.learn(j.call.Operation, j.nested)
+			}
 			c.keyMeter.observeRun(now.Sub(j.started))
 		}
 	}
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -129,6 +129,8 @@
 func (c *Core) canQueue(now clock.Instant, request *call.Call) (queueOrder, RefusalCause) {
 	order := c.orderOf(now, request)
 	switch {
+	case c.refusesParent(now, request):
+		return order, CauseParent
 	case request.Method == "" && c.finishesInTime(now, request):
 		return order, CauseNone
 	case request.Method == "":
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -29,6 +29,7 @@
 		c.logAnswer(event.RequestFinished, &r, &answer)
 		return
 	}
+	c.reportNested(now, p)
 	c.requestsByToken[r.Token] = p
 	p.timer = p.deadline
 	heap.Push(&c.timers, p)
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -38,7 +38,11 @@
 	parked   []*pendingRequest
 	services map[string]*serviceState
 	random   *rand.Rand
-	output   Output
+	// nestedServices are those that the upstream beside the gateway calls for its runs;
+	// waitsReportedAt is when their waits were last reported.
+	nestedServices  []nestedService
+	waitsReportedAt clock.Instant
+	output          Output
 }
 
 // New returns a core without requests. It refuses every request until it has a view lease
--- a/internal/gateway/output.go
+++ b/internal/gateway/output.go
@@ -9,4 +9,7 @@
 	Cancels []Cancel
 	Replies []Reply
 	Events  []call.Event
+	// NestedCalls and Waits are for the executor of this router.
+	NestedCalls []call.NestedCall
+	Waits       []call.ServiceWait
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -7,4 +7,7 @@
 	Balancer balancer.Settings
 	// NoHedging turns hedging off, as a baseline for measurements.
 	NoHedging bool
+	// ReportNested reports nested requests, and the waits at their services, to the executor
+	// of this router.
+	ReportNested bool
 }
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/event"
 	"endivespring/internal/executor"
@@ -32,6 +33,8 @@
 	outcomes      *ring.Ring[executor.Outcome]
 	updates       *ring.Ring[session.Update]
 	notifications *ring.Ring[upstream.Notification]
+	nestedCalls   *ring.Ring[call.NestedCall]
+	waits         *ring.Ring[call.ServiceWait]
 	stop          *ring.Ring[executorStop]
 	runs          *ring.Ring[outboundRun]
 	delegations   *ring.Ring[executor.Delegation]
@@ -105,6 +108,10 @@
 			d.handleNotification(ctx, &notification)
 		case response := <-d.ranges.responses.Out():
 			d.completeRange(response)
+		case nested := <-d.nestedCalls.Out():
+			d.core.HandleNestedCall(nested)
+		case wait := <-d.waits.Out():
+			d.core.SetServiceWait(wait)
 		case step := <-d.stop.Out():
 			d.advanceStop(ctx, step)
 		}
--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -32,6 +32,9 @@
 	answers  *ring.Ring[*inboundAnswer]
 	updates  *ring.Ring[session.Update]
 	executor *ring.Ring[*submission]
+	// nestedCalls and waits tell the executor duty about nested requests. They drop the oldest.
+	nestedCalls *ring.Ring[call.NestedCall]
+	waits       *ring.Ring[call.ServiceWait]
 
 	registry *metrics.Registry
 	meter    *metrics.SessionMeter
@@ -73,6 +76,7 @@
 		case update := <-d.updates.Out():
 			d.update(&update)
 		}
+		d.core.ReportWaits(d.clock.Now())
 		d.dispatch(ctx)
 		timer.Reset(d.sleep())
 	}
@@ -222,6 +226,12 @@
 		for _, e := range out.Events {
 			d.events.Record(e.Event, e.Fields...)
 		}
+		for _, nested := range out.NestedCalls {
+			_ = d.nestedCalls.Put(ctx, nested)
+		}
+		for _, wait := range out.Waits {
+			_ = d.waits.Put(ctx, wait)
+		}
 		if len(out.Sends) == 0 {
 			return
 		}
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -20,6 +20,7 @@
 	"google.golang.org/grpc"
 
 	"endivespring/internal/balancer"
+	"endivespring/internal/call"
 	"endivespring/internal/caller"
 	"endivespring/internal/clock"
 	"endivespring/internal/duty"
@@ -44,6 +45,8 @@
 	updateCapacity        = 64   // view and lease updates queued for one duty
 	notificationCapacity  = 16   // announcements and heartbeats queued for the executor duty
 	submissionCapacity    = 8192 // calls queued for the executor duty
+	nestedCallCapacity    = 256  // nested requests of which the executor duty is told
+	waitCapacity          = 64   // waits at services of which the executor duty is told
 	gatewayAnswerCapacity = 8192 // answers queued for the gateway duty
 
 	stopSteps = 3 // steps of an executor's stop
@@ -147,22 +150,25 @@
 	answers := ring.New[*inboundAnswer]("answers", gatewayAnswerCapacity, ring.Wait)
 	submissions := ring.New[*submission]("submissions", submissionCapacity, ring.Refuse)
 	delegations := ring.New[executor.Delegation]("delegations", delegationCapacity, ring.Refuse)
+	nestedCalls := ring.New[call.NestedCall]("nested-calls", nestedCallCapacity, ring.DropOldest)
+	waits := ring.New[call.ServiceWait]("service-waits", waitCapacity, ring.DropOldest)
 	n.gateway = &gatewayDuty{
 		self: self.ID, fleet: s.Fleet, core: gateway.New(gatewaySettings(s, self)), clock: n.clock, events: n.events, group: n.group,
 		requests: ring.New[*caller.Request]("requests", s.MaxRequests, ring.Refuse), answers: answers, executor: submissions,
 		updates: ring.New[session.Update]("entry-updates", updateCapacity, ring.Wait),
 		pending: map[uint64]*caller.Request{}, tokens: map[uint64]uint64{}, links: map[fleet.RouterID]*link{},
 		readiness:   &n.readiness,
-		delegations: delegations, delegatedRuns: map[uint64]uint64{},
+		delegations: delegations, delegatedRuns: map[uint64]uint64{}, nestedCalls: nestedCalls, waits: waits,
 	}
 	n.executor = &executorDuty{
 		core: executor.New(self.ID, self.DataCentre), clock: n.clock, events: n.events, submissions: submissions,
 		outcomes:      ring.New[executor.Outcome]("outcomes", runCapacity, ring.Wait),
 		updates:       ring.New[session.Update]("door-updates", updateCapacity, ring.Wait),
 		notifications: ring.New[upstream.Notification]("notices", notificationCapacity, ring.Refuse),
-		stop:          ring.New[executorStop]("door-stop", stopSteps, ring.Refuse),
-		runs:          ring.New[outboundRun]("runs", runCapacity, ring.Refuse),
-		delegations:   delegations, cancels: map[uint64]context.CancelFunc{}, bodies: map[executor.Ticket]*memory.Reservation{}, departures: departures{},
+		nestedCalls:   nestedCalls, waits: waits,
+		stop:        ring.New[executorStop]("door-stop", stopSteps, ring.Refuse),
+		runs:        ring.New[outboundRun]("runs", runCapacity, ring.Refuse),
+		delegations: delegations, cancels: map[uint64]context.CancelFunc{}, bodies: map[executor.Ticket]*memory.Reservation{}, departures: departures{},
 		aborts:        ring.New[executor.Abort]("aborts", runCapacity, ring.DropOldest),
 		releases:      ring.New[[]fsm.ShardRelease]("releases", updateCapacity, ring.Refuse),
 		ranges:        newRangeRings(),
@@ -208,14 +214,14 @@
 	policy, _ := balancer.ParsePolicy(s.RoutingPolicy)
 	return gateway.Settings{
 		Balancer:  balancer.Settings{Seed: randomSeed(), Self: self.ID, DataCentre: self.DataCentre, Policy: policy},
-		NoHedging: policy != balancer.Estimated,
+		NoHedging: policy != balancer.Estimated, ReportNested: s.Load.ParentAdmission,
 	}
 }
 
 // registerMetrics registers the metrics of the rings and duties.
 func (n *Node) registerMetrics(answers *ring.Ring[*inboundAnswer], submissions *ring.Ring[*submission]) {
 	n.registry.RegisterRings(n.events.Ring(), n.gateway.requests, answers, submissions, n.gateway.updates,
-		n.executor.outcomes, n.executor.delegations, n.executor.updates, n.executor.notifications, n.executor.runs, n.executor.aborts, n.executor.releases, n.executor.registrations, n.executor.rangeUpdates,
+		n.executor.outcomes, n.executor.delegations, n.executor.updates, n.executor.notifications, n.executor.nestedCalls, n.executor.waits, n.executor.runs, n.executor.aborts, n.executor.releases, n.executor.registrations, n.executor.rangeUpdates,
 		n.executor.ranges.grants, n.executor.ranges.releases, n.executor.ranges.responses)
 	n.gateway.registry = n.registry
 	n.executor.meter = metrics.NewExecutorMeter(n.registry)
