Show waits, refusals and shares of executors in metrics

Operators see the wait for a slot, refusals by rule, and what each operation asks for and is given of the slots.

--- a/internal/executor/output.go
+++ b/internal/executor/output.go
@@ -25,5 +25,7 @@
 	KeyLoads []session.KeyLoad
 	// RunTime is the mean run time since the last report of loads.
 	RunTime time.Duration
-	Events  []call.Event
+	// Refusals are the causes of refusals for lack of capacity.
+	Refusals []RefusalCause
+	Events   []call.Event
 }
--- a/internal/executor/refusal.go
+++ b/internal/executor/refusal.go
@@ -82,6 +82,9 @@
 
 // logRefusal logs a refusal with the state that it was based on.
 func (c *Core) logRefusal(request *call.Call, v verdict.Verdict, reason verdict.Reason, cause RefusalCause) {
+	if cause != CauseNone {
+		c.output.Refusals = append(c.output.Refusals, cause)
+	}
 	c.output.Events = append(c.output.Events, call.NewEvent(event.RequestRefused,
 		event.F("request", request.RequestID), event.F("service", request.Service), event.F("operation", request.Operation),
 		event.F("verdict", v.String()), event.F("reason", string(reason)), event.F("shard", request.Shard),
--- a/internal/executor/sharing.go
+++ b/internal/executor/sharing.go
@@ -104,3 +104,21 @@
 		c.shares.give(now, j.share, took-j.work)
 	}
 }
+
+// OperationLoads returns the load of each operation, in no order; none without a floor.
+func (c *Core) OperationLoads() []OperationLoad {
+	loads := make([]OperationLoad, 0, len(c.shares.shares))
+	for key, share := range c.shares.shares {
+		load := OperationLoad{Operation: key.operation, Nested: key.nested, Asked: c.shares.demand(share)}
+		if c.shares.given > 0 {
+			load.Given = share.given / c.shares.given
+		}
+		for _, class := range c.queue.classes {
+			if class.share == share {
+				load.Queued += len(class.jobs)
+			}
+		}
+		loads = append(loads, load)
+	}
+	return loads
+}
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -18,6 +18,11 @@
 	ExecutorLimit   = define("door_limit", Gauge, "", "Concurrency limit of the executor towards the upstream, in requests.")
 	ExecutorRunning = define("door_running", Gauge, "", "Requests running at the upstream.")
 	ExecutorQueued  = define("door_queued", Gauge, "", "Requests queued at the executor.")
+	ExecutorWait    = define("door_wait_milliseconds", Gauge, "", "Estimated wait for a slot of a request that arrives now, in milliseconds.")
+	ExecutorRefused = define("door_refused_total", Counter, "why", "Requests refused by the executor for lack of capacity, by the rule: wait, room, share or parent.")
+	OperationQueued = define("operation_queued", Gauge, "operation, nested", "Requests of an operation queued at the executor, with load.shareFloor.")
+	OperationAsked  = define("operation_asked_percent", Gauge, "operation, nested", "Share of an operation in the slot time asked for in the last seconds, with load.shareFloor.")
+	OperationGiven  = define("operation_given_percent", Gauge, "operation, nested", "Share of an operation in the slot time given in the last seconds, with load.shareFloor.")
 	RangeRequests   = define("range_requests_total", Counter, "kind, result", "Grants and releases of key ranges that were sent to the upstream, by what is known of them.")
 
 	OwnershipLeft = define("ownership_lease_left_milliseconds", Gauge, "", "Time left on the ownership lease, under which this router serves its shards, in milliseconds; 0 once it has expired.")
--- a/internal/metrics/executor_meter.go
+++ b/internal/metrics/executor_meter.go
@@ -1,6 +1,8 @@
 package metrics
 
 import (
+	"strconv"
+
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"endivespring/internal/call"
@@ -8,11 +10,14 @@
 
 // ExecutorMeter exports the load of the executor. The methods of a nil meter do
 // nothing.
-type ExecutorMeter struct{ limit, running, queued gometrics.Gauge }
+type ExecutorMeter struct {
+	registry                     *Registry
+	limit, running, queued, wait gometrics.Gauge
+}
 
 // NewExecutorMeter returns a meter whose gauges are registered and zero.
 func NewExecutorMeter(r *Registry) *ExecutorMeter {
-	return &ExecutorMeter{limit: r.gauge(ExecutorLimit), running: r.gauge(ExecutorRunning), queued: r.gauge(ExecutorQueued)}
+	return &ExecutorMeter{registry: r, limit: r.gauge(ExecutorLimit), running: r.gauge(ExecutorRunning), queued: r.gauge(ExecutorQueued), wait: r.gauge(ExecutorWait)}
 }
 
 // Set sets the gauges to load.
@@ -23,4 +28,27 @@
 	m.limit.Update(int64(load.Limit))
 	m.running.Update(int64(load.InFlight))
 	m.queued.Update(int64(load.Queued))
+	m.wait.Update(load.Wait.Milliseconds())
+}
+
+// Refused counts a request that was refused for lack of capacity.
+func (m *ExecutorMeter) Refused(why string) {
+	if m == nil {
+		return
+	}
+	gometrics.GetOrRegisterCounter(series(ExecutorRefused, label{"why", why}), m.registry.metrics).Inc(1)
+}
+
+// SetOperation sets the gauges of an operation; asked and given are shares.
+func (m *ExecutorMeter) SetOperation(operation string, nested bool, queued int, asked, given float64) {
+	if m == nil {
+		return
+	}
+	labels := []label{{"operation", operation}, {"nested", strconv.FormatBool(nested)}}
+	set := func(f *Family, value int64) {
+		gometrics.GetOrRegisterGauge(series(f, labels...), m.registry.metrics).Update(value)
+	}
+	set(OperationQueued, int64(queued))
+	set(OperationAsked, int64(100*asked))
+	set(OperationGiven, int64(100*given))
 }
--- a/internal/router/executor_dispatching.go
+++ b/internal/router/executor_dispatching.go
@@ -62,6 +62,9 @@
 	}
 	d.pendingReleases = append(d.pendingReleases, out.Releases...)
 	d.sendRanges(ctx, out)
+	for _, cause := range out.Refusals {
+		d.meter.Refused(string(cause))
+	}
 	for _, e := range out.Events {
 		d.events.Record(e.Event, e.Fields...)
 	}
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -21,6 +21,8 @@
 const (
 	releaseRetry    = 10 * time.Millisecond // delay before releases refused by a full ring are queued again
 	submissionBatch = 256                   // submissions taken before runs are sent
+	// operationInterval is the time between two updates of the metrics of operations.
+	operationInterval = time.Second
 )
 
 // executorDuty owns the executor core and the answer sinks of the links that calls
@@ -50,8 +52,10 @@
 	// queued or running.
 	drained *ring.Ring[struct{}]
 
-	meter       *metrics.ExecutorMeter
-	startSender func()
+	meter *metrics.ExecutorMeter
+	// operationsAt is when the metrics of operations were last set.
+	operationsAt clock.Instant
+	startSender  func()
 
 	senders int
 	// cancels are the cancel functions of the contexts of runs in flight, by run ID.
@@ -116,11 +120,25 @@
 			d.advanceStop(ctx, step)
 		}
 		d.dispatch(ctx)
-		d.meter.Set(d.core.Load())
+		d.measure()
 		timer.Reset(d.sleep())
 	}
 }
 
+// measure sets the metrics of the load. Those of operations are set at most once per
+// operationInterval, since there is a text for each.
+func (d *executorDuty) measure() {
+	d.meter.Set(d.core.Load())
+	now := d.clock.Now()
+	if now < d.operationsAt.Add(operationInterval) {
+		return
+	}
+	d.operationsAt = now
+	for _, o := range d.core.OperationLoads() {
+		d.meter.SetOperation(o.Operation, o.Nested, o.Queued, o.Asked, o.Given)
+	}
+}
+
 // sleep returns the time until the next deadline of the duty or its core.
 func (d *executorDuty) sleep() time.Duration {
 	deadline := d.core.Deadline()
