Refuse queued calls that a lower limit leaves without a slot

When the upstream fails while a long queue waits, its limit falls to that of a cold start, and most of the queue waited for its whole time in vain.

--- a/internal/executor/queueing_test.go
+++ b/internal/executor/queueing_test.go
@@ -1,7 +1,9 @@
 package executor
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -49,6 +51,8 @@
 	results    []trialResult
 	asked      map[uint64]clock.Instant
 	mostQueued int
+	// failAt is when a run fails.
+	failAt clock.Instant
 }
 
 func newTrial(t *testing.T, settings LoadSettings, operations ...trialOperation) *trial {
@@ -71,10 +75,14 @@
 func (s *trial) run(d time.Duration) {
 	start := s.now
 	for ; s.now < start.Add(d+12*time.Second); s.now = s.now.Add(time.Millisecond) {
-		for id, end := range s.ends {
-			if end <= s.now {
+		for _, id := range slices.Sorted(maps.Keys(s.ends)) {
+			if s.ends[id] <= s.now {
 				delete(s.ends, id)
-				s.Complete(s.now, Outcome{Run: id, Answer: call.Answer{Verdict: verdict.Ran, Status: 200}, Health: admission.Good})
+				health, answered := admission.Good, verdict.Ran
+				if s.failAt != 0 && s.now >= s.failAt {
+					health, answered, s.failAt = admission.Failed, verdict.MayHaveRun, 0
+				}
+				s.Complete(s.now, Outcome{Run: id, Answer: call.Answer{Verdict: answered, Status: 200}, Health: health})
 				s.settle()
 			}
 		}
@@ -197,3 +205,21 @@
 	assert.Assert(t, s.results[0].refused == 0 && s.results[0].late < s.results[0].asked/20)
 	assert.Assert(t, s.results[1].late > s.results[1].asked*5/10)
 }
+
+// TestLongQueueOfAFailingUpstream fails the upstream while a burst is queued: its limit falls
+// to that of a cold start. All calls must be answered, and what can't start in time any more
+// early enough for its caller to try elsewhere.
+func TestLongQueueOfAFailingUpstream(t *testing.T) {
+	s := newTrial(t, LoadSettings{QueueByTime: true, ShareFloor: 0.5}, trialOperation{
+		name: "o", work: 590 * time.Millisecond, objective: 3 * time.Second, timeout: 10 * time.Second, load: constantLoad(1.5),
+	})
+	s.Announce(s.now, fleet.Upstream{Name: "u", Service: "s", Boot: "2", Slots: 18, ColdSlots: 2})
+	s.failAt = s.now.Add(4 * time.Second)
+	s.run(5 * time.Second)
+	r := s.results[0]
+	t.Logf("%+v, queued %d", r, s.mostQueued)
+	assert.Assert(t, s.mostQueued > 20)
+	assert.Equal(t, r.inTime+r.late+r.refused, r.asked)
+	assert.Assert(t, s.refusedAfter(0) < 800*time.Millisecond, "refused after %v", s.refusedAfter(0))
+	assert.Assert(t, r.late < r.asked/20)
+}
--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -121,6 +121,9 @@
 		c.endRun(now, j, now.Sub(j.started))
 		if c.limiter.Finish(now, outcome.Health, now.Sub(j.started)) {
 			c.logLimit("completion")
+			if c.load.timed() {
+				c.refuseBeyondLimit(now)
+			}
 		}
 		answer.Upstream = j.upstream.Name
 		if refusedByUpstream(&answer) {
--- a/internal/executor/waiting.go
+++ b/internal/executor/waiting.go
@@ -175,9 +175,29 @@
 	if class == nil {
 		return
 	}
-	last := class.last()
-	wait := c.jobWait(now, last)
-	if now.Add(time.Duration(float64(wait)/estimateMargin)) > last.startBy && !c.waitLate(now, last) {
-		c.refuseQueued(last, verdict.ReasonOverloaded, CauseWait)
+	c.refuseHopeless(now, class.last())
+}
+
+// refuseBeyondLimit refuses the last queued jobs that can meet their objective by their order,
+// if a lower limit has made that impossible.
+func (c *Core) refuseBeyondLimit(now clock.Instant) {
+	onTime := func(class *queueClass) bool { return !class.late() }
+	for class := c.queue.lastClass(onTime); class != nil; class = c.queue.lastClass(onTime) {
+		if !c.refuseHopeless(now, class.last()) {
+			return
+		}
+	}
+}
+
+// refuseHopeless refuses a queued job, or lets it wait as a late one, if its estimated wait is
+// far above its remaining time. It reports whether it did.
+func (c *Core) refuseHopeless(now clock.Instant, j *job) bool {
+	wait := c.jobWait(now, j)
+	if now.Add(time.Duration(float64(wait)/estimateMargin)) <= j.startBy {
+		return false
+	}
+	if !c.waitLate(now, j) {
+		c.refuseQueued(j, verdict.ReasonOverloaded, CauseWait)
 	}
+	return true
 }
