--- a/internal/executor/core_test.go
+++ b/internal/executor/core_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+
+	"gotest.tools/v3/assert"
 )
 
 const (
@@ -32,3 +34,32 @@
 		}
 	}
 }
+
+// TestAtMostOnceUnderContention runs the randomized simulation with the queue bounded by time
+// and with shares: calls that are moved in the queue, evicted or refused early must not break
+// what TestAtMostOnce checks, and no run may stay accounted as running.
+func TestAtMostOnceUnderContention(t *testing.T) {
+	for seed := range uint64(simSeeds / 4) {
+		w := newSimulation(t, seed)
+		w.load = LoadSettings{QueueByTime: seed%2 == 0, ShareFloor: 0.5, ParentAdmission: true}
+		for _, router := range w.routers {
+			router.core.SetLoad(w.load)
+		}
+		for range simSteps {
+			w.step()
+			for _, router := range w.routers {
+				c := router.core
+				assert.Equal(t, c.running.runs, c.limiter.Running(), "seed %d", seed)
+				queued := 0
+				for _, j := range c.jobs {
+					if j.phase == jobQueued {
+						queued++
+					}
+				}
+				assert.Equal(t, c.queue.length, queued, "seed %d", seed)
+				assert.Assert(t, queued > 0 || c.queue.work == 0 && c.queue.lateWork == 0 && len(c.queue.classes) == 0, "seed %d", seed)
+			}
+		}
+		w.settle()
+	}
+}
--- a/internal/executor/simulation_test.go
+++ b/internal/executor/simulation_test.go
@@ -81,6 +81,8 @@
 	number      uint64
 	outcomes    map[string]int
 	delegations map[uint64]delegated
+	// load are the settings of the executors. With any, calls are routed ones with an objective.
+	load LoadSettings
 }
 
 // delegated is a call that the executor with its record delegated to another.
@@ -123,6 +125,7 @@
 // restart replaces a router's process: records, links and unsent runs are lost.
 func (sim *simulation) restart(router *simRouter) {
 	router.core = New(router.id, "dc")
+	router.core.SetLoad(sim.load)
 	router.toSend, router.pending, router.applied, router.frozen = nil, nil, 0, false
 	for _, u := range router.upstream {
 		u.abandoned = true
@@ -288,6 +291,10 @@
 		return
 	}
 	msg.request.Deadline = sim.now.Add(msg.timeout)
+	if sim.load.timed() {
+		msg.request.Method, msg.request.Objective = "POST", sim.now.Add(msg.timeout/2)
+		msg.request.Priority, msg.request.Nested = sim.random.IntN(3), sim.random.IntN(4) == 0
+	}
 	router.core.Submit(sim.now, Ticket{Link: router.link, Number: msg.request.Number}, *msg.request)
 }
 
