--- a/internal/executor/sharing.go
+++ b/internal/executor/sharing.go
@@ -35,19 +35,19 @@
 		return c.queue.first()
 	}
 	c.demoteNested()
-	var neediest *queueClass
+	var furthest *queueClass
 	for _, class := range c.queue.classes {
 		if class.late() || !c.belowFloor(class.share) {
 			continue
 		}
-		if neediest == nil || class.share.given*neediest.share.asked < neediest.share.given*class.share.asked {
-			neediest = class
+		if furthest == nil || class.share.given*furthest.share.asked < furthest.share.given*class.share.asked {
+			furthest = class
 		}
 	}
-	if neediest == nil {
+	if furthest == nil {
 		return c.queue.first()
 	}
-	return neediest.jobs[0]
+	return furthest.jobs[0]
 }
 
 // slotsBeside returns the slots less those that go to the floors of queued operations that
--- a/internal/executor/waiting.go
+++ b/internal/executor/waiting.go
@@ -175,7 +175,7 @@
 	if class == nil {
 		return
 	}
-	c.refuseHopeless(now, class.last())
+	c.refuseIfTooLate(now, class.last())
 }
 
 // refuseBeyondLimit refuses the last queued jobs that can meet their objective by their order,
@@ -183,15 +183,15 @@
 func (c *Core) refuseBeyondLimit(now clock.Instant) {
 	onTime := func(class *queueClass) bool { return !class.late() }
 	for class := c.queue.lastClass(onTime); class != nil; class = c.queue.lastClass(onTime) {
-		if !c.refuseHopeless(now, class.last()) {
+		if !c.refuseIfTooLate(now, class.last()) {
 			return
 		}
 	}
 }
 
-// refuseHopeless refuses a queued job, or lets it wait as a late one, if its estimated wait is
+// refuseIfTooLate refuses a queued job, or lets it wait as a late one, if its estimated wait is
 // far above its remaining time. It reports whether it did.
-func (c *Core) refuseHopeless(now clock.Instant, j *job) bool {
+func (c *Core) refuseIfTooLate(now clock.Instant, j *job) bool {
 	wait := c.jobWait(now, j)
 	if now.Add(time.Duration(float64(wait)/estimateMargin)) <= j.startBy {
 		return false
