--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -53,6 +53,7 @@
 	// their key ranges by requests.
 	rangeRequests *rangeRequests
 	keyMeter      *keyMeter
+	earlyReport   earlyReport
 	// unavailableSince is when the upstream became unavailable for new work, or zero.
 	unavailableSince clock.Instant
 	// revocationCheckAt is when to check next whether the leases of revoked key
@@ -77,12 +78,13 @@
 	nextRun     uint64
 	// runTimes are the moving averages of run times, by operation.
 	runTimes map[string]time.Duration
+	slowdown slowdown
+	// steppedAt is the time of the last step that changed queued or running calls.
+	steppedAt clock.Instant
 	// nextStartBy is the earliest startBy of the queued jobs.
 	nextStartBy clock.Instant
 	// nextPacedStart is when the pace of a cold upstream allows its next call.
 	nextPacedStart clock.Instant
-	// lastStep is the time of the last step that changed queued or running calls.
-	lastStep clock.Instant
 	// load says which parts of the queueing under contention are used.
 	load    LoadSettings
 	shares  *slotShares
@@ -133,6 +135,9 @@
 			deadline = min(deadline, c.unavailableSince.Add(c.revocationGrace))
 		}
 	}
+	if c.earlyReport.dueAt != 0 {
+		deadline = min(deadline, c.earlyReport.dueAt)
+	}
 	if (c.queue.length > 0 || len(c.timers) > 0) && c.keyed() {
 		deadline = min(deadline, c.ownershipExpiry)
 	}
@@ -224,12 +229,12 @@
 	c.abort(j)
 }
 
-// Load returns the current concurrency, queue length, limit and latency, and the wait as of
-// the last step.
+// Load returns the current concurrency, queue length, limit and latency, and the wait and the
+// slowdown as of the last step.
 func (c *Core) Load() call.Load {
 	return call.Load{
 		InFlight: c.limiter.Running(), Queued: c.queue.length, Limit: c.limiter.Limit(), Latency: c.limiter.Latency(),
-		Wait: c.wait(c.lastStep),
+		Wait: c.wait(c.steppedAt), Slowdown: c.slowdown.at(c.steppedAt),
 	}
 }
 
--- a/internal/executor/output.go
+++ b/internal/executor/output.go
@@ -25,6 +25,8 @@
 	KeyLoads []session.KeyLoad
 	// RunTime is the mean run time since the last report of loads.
 	RunTime time.Duration
+	// Limit is how many requests the upstream runs at once at most. It comes with KeyLoads.
+	Limit int
 	// Refusals are the causes of refusals for lack of capacity.
 	Refusals []RefusalCause
 	Events   []call.Event
--- a/internal/executor/refusal.go
+++ b/internal/executor/refusal.go
@@ -82,6 +82,9 @@
 
 // logRefusal logs a refusal with the state that it was based on.
 func (c *Core) logRefusal(request *call.Call, v verdict.Verdict, reason verdict.Reason, cause RefusalCause) {
+	if c.earlyReport.enabled && request.Ranged && reason == verdict.ReasonOverloaded {
+		c.earlyReport.refused = true
+	}
 	if cause != CauseNone {
 		c.output.Refusals = append(c.output.Refusals, cause)
 	}
@@ -90,5 +93,5 @@
 		event.F("verdict", v.String()), event.F("reason", string(reason)), event.F("shard", request.Shard),
 		event.F("key", request.KeyNumber), event.F("view", uint64(c.view.Version)), event.F("running", c.limiter.Running()),
 		event.F("queued", c.queue.length), event.F("limit", c.limiter.Limit()), event.F("typical", c.expectedRunTime(request.Operation)),
-		event.F("why", string(cause)), event.F("wait", c.wait(c.lastStep))))
+		event.F("why", string(cause)), event.F("wait", c.wait(c.steppedAt))))
 }
--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -15,8 +15,9 @@
 // the pace of a cold upstream allow, and refuses those that must not start any
 // more. Ownership and leases are checked here again, right before the start.
 func (c *Core) startQueued(now clock.Instant) {
-	c.lastStep = now
+	c.steppedAt = now
 	c.refuseExpired(now)
+	c.reportEarly(now)
 	for c.queue.length > 0 {
 		j := c.nextJob()
 		if reason := c.startRefusal(now, j); reason != verdict.ReasonNone {
@@ -79,7 +80,7 @@
 // start asks for the run of a job. The sender gets the fence and the deadline
 // that follow from the leases.
 func (c *Core) start(now clock.Instant, j *job) {
-	j.phase, j.started, j.upstream = jobRunning, now, c.upstream
+	j.phase, j.started, j.upstream, j.concurrency = jobRunning, now, c.upstream, c.limiter.Running()
 	c.running.begin(now, j.work)
 	if j.share != nil {
 		c.shares.give(now, j.share, j.work)
@@ -110,16 +111,17 @@
 
 // Complete takes the outcome of a run or a delegation.
 func (c *Core) Complete(now clock.Instant, outcome Outcome) {
-	c.lastStep = now
 	j, ok := c.jobs[outcome.Run]
 	if !ok || j.phase == jobQueued {
 		return
 	}
+	c.steppedAt = now
 	answer := outcome.Answer
 	answer.RequestID = j.call.RequestID
 	if j.phase == jobRunning {
 		c.endRun(now, j, now.Sub(j.started))
-		if c.limiter.Finish(now, outcome.Health, now.Sub(j.started)) {
+		c.slowdown.observe(now, outcome.Report)
+		if c.finishRun(now, j, &outcome) {
 			c.logLimit("completion")
 			if c.load.timed() {
 				c.refuseBeyondLimit(now)
@@ -138,6 +140,7 @@
 				c.parents.learn(j.call.Operation, j.nested)
 			}
 			c.keyMeter.observeRun(now.Sub(j.started))
+			c.learn(now, j, &outcome)
 		}
 	}
 	if answer.Verdict != verdict.Ran {
@@ -151,6 +154,14 @@
 	c.startQueued(now)
 }
 
+// finishRun frees the slot of a run and adapts the limit. It reports whether the limit changed.
+func (c *Core) finishRun(now clock.Instant, j *job, outcome *Outcome) bool {
+	if outcome.Health == admission.Shed {
+		return c.limiter.FinishShed(now, j.concurrency)
+	}
+	return c.limiter.Finish(now, outcome.Health, now.Sub(j.started))
+}
+
 // refusedByUpstream reports whether the upstream itself refused a run.
 func refusedByUpstream(answer *call.Answer) bool {
 	return answer.Verdict == verdict.NotRun && (answer.Reason == verdict.ReasonShed || answer.Reason == verdict.ReasonFenced)
--- a/internal/metrics/executor_meter.go
+++ b/internal/metrics/executor_meter.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"math"
 	"strconv"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -11,13 +12,16 @@
 // ExecutorMeter exports the load of the executor. The methods of a nil meter do
 // nothing.
 type ExecutorMeter struct {
-	registry                     *Registry
-	limit, running, queued, wait gometrics.Gauge
+	registry                                        *Registry
+	limit, running, queued, wait, learned, slowdown gometrics.Gauge
 }
 
 // NewExecutorMeter returns a meter whose gauges are registered and zero.
 func NewExecutorMeter(r *Registry) *ExecutorMeter {
-	return &ExecutorMeter{registry: r, limit: r.gauge(ExecutorLimit), running: r.gauge(ExecutorRunning), queued: r.gauge(ExecutorQueued), wait: r.gauge(ExecutorWait)}
+	return &ExecutorMeter{
+		registry: r, limit: r.gauge(ExecutorLimit), running: r.gauge(ExecutorRunning), queued: r.gauge(ExecutorQueued), wait: r.gauge(ExecutorWait),
+		learned: r.gauge(ExecutorLearnedLimit), slowdown: r.gauge(ExecutorSlowdown),
+	}
 }
 
 // Set sets the gauges to load.
@@ -29,6 +33,14 @@
 	m.running.Update(int64(load.InFlight))
 	m.queued.Update(int64(load.Queued))
 	m.wait.Update(load.Wait.Milliseconds())
+	m.slowdown.Update(int64(math.Round(100 * load.Slowdown)))
+}
+
+// SetLearned sets the gauge of the learned limit.
+func (m *ExecutorMeter) SetLearned(limit int) {
+	if m != nil {
+		m.learned.Update(int64(limit))
+	}
 }
 
 // Refused counts a request that was refused for lack of capacity.
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -56,7 +56,8 @@
 	}
 	group.Wait()
 	executor := NewExecutorMeter(r)
-	executor.Set(call.Load{Limit: 10, InFlight: 7, Queued: 3, Wait: 40 * time.Millisecond})
+	executor.Set(call.Load{Limit: 10, InFlight: 7, Queued: 3, Wait: 40 * time.Millisecond, Slowdown: 2.9999})
+	executor.SetLearned(11)
 	executor.Refused("parent")
 	executor.SetOperation("o", true, 2, 0.4, 0.25)
 	NewRangeMeter(r).Observe("grant", "applied")
@@ -85,6 +86,7 @@
 		`endivespring_door_limit 10`, `endivespring_door_running 7`, `endivespring_door_queued 3`,
 		`endivespring_door_wait_milliseconds 40`, `endivespring_door_refused_total{why="parent"} 1`, `endivespring_operation_queued{operation="o",nested="true"} 2`,
 		`endivespring_operation_asked_percent{operation="o",nested="true"} 40`, `endivespring_operation_given_percent{operation="o",nested="true"} 25`,
+		`endivespring_door_learned_limit 11`, `endivespring_door_slowdown_percent 300`,
 		`endivespring_ownership_lease_left_milliseconds 500`, `endivespring_view_lease_left_milliseconds 0`,
 		`endivespring_log_commit_index 40`, `endivespring_log_applied_index 39`, `endivespring_log_snapshot_index 32`,
 		`endivespring_log_term 3`, `endivespring_leads 1`, `endivespring_config_version 5`, `endivespring_sessions 0`,
@@ -115,6 +117,7 @@
 func TestNilMetersDoNothing(t *testing.T) {
 	(*Registry)(nil).RegisterRings(ring.New[int]("x", 1, ring.Wait))
 	(*ExecutorMeter)(nil).Set(call.Load{})
+	(*ExecutorMeter)(nil).SetLearned(1)
 	(*SessionMeter)(nil).SetLeases(1, 1)
 	(*SessionMeter)(nil).SetView(1)
 	(*ControlMeter)(nil).SetLeadership(&controller.Leadership{})
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -129,6 +129,7 @@
 // operationInterval, since there is a text for each.
 func (d *executorDuty) measure() {
 	d.meter.Set(d.core.Load())
+	d.meter.SetLearned(d.core.LearnedLimit())
 	now := d.clock.Now()
 	if now < d.operationsAt.Add(operationInterval) {
 		return
