Bound the queue of nested calls whatever is left to their objective

The bound followed from the time left to the objective, so that a nested call that arrived late joined up to its deadline. They now join within the time in which the upstream works off queueLimit calls of their operation.

--- a/internal/executor/queueing_test.go
+++ b/internal/executor/queueing_test.go
@@ -223,3 +223,16 @@
 	assert.Assert(t, s.refusedAfter(0) < 800*time.Millisecond, "refused after %v", s.refusedAfter(0))
 	assert.Assert(t, r.late < r.asked/20)
 }
+
+// TestNestedCallsPastTheirObjective offers 3 times the slots in nested calls that arrive too
+// late for their objective. A queue up to their deadline holds the slots of hundreds of
+// parents and serves no more calls.
+func TestNestedCallsPastTheirObjective(t *testing.T) {
+	s := newTrial(t, LoadSettings{QueueByTime: true}, trialOperation{
+		name: "o", work: 59 * time.Millisecond, objective: 10 * time.Millisecond, timeout: 800 * time.Millisecond, nested: true, load: constantLoad(3),
+	})
+	s.run(5 * time.Second)
+	t.Logf("%+v, queued %d", s.results[0], s.mostQueued)
+	assert.Assert(t, s.mostQueued <= 2*18)
+	assert.Assert(t, s.results[0].late > s.results[0].asked*25/100, "the slots are not used")
+}
--- a/internal/executor/waiting.go
+++ b/internal/executor/waiting.go
@@ -71,14 +71,14 @@
 }
 
 // joinBy returns the order with the time by which a call must be expected to start to join
-// the queue. Nested calls that have joined may start until their deadline, since refusing one
-// wastes the run of its parent. But with too many of them, a longer queue serves no more of
-// them, and holds the slots of their parents for longer. As they are not refused at their
-// objective, there is a margin.
+// the queue. A nested call that has joined may start until its deadline, since refusing one
+// wastes the run of its parent. But a long queue of them serves no more, and holds the slots of
+// their parents for longer. They join only within the time in which the upstream works off a
+// queue that is bounded by count.
 func (c *Core) joinBy(now clock.Instant, request *call.Call, order queueOrder) queueOrder {
-	left := request.Objective.Add(-c.neededTime(request.Operation)).Sub(now)
-	if request.Nested && left > 0 {
-		order.startBy = min(order.startBy, now.Add(time.Duration(float64(left)/estimateMargin)))
+	if request.Nested {
+		covered := time.Duration(c.queueLimit(request.Service)) * c.expectedRunTime(request.Operation) / time.Duration(max(1, c.limiter.Limit()))
+		order.startBy = min(order.startBy, now.Add(covered))
 	}
 	return order
 }
