Refuse calls in time that find no room instead of letting them wait late

A call that arrived in time and could not start in time waited as a late one, up to its deadline. Its gateway then had no time left to try another executor. Such a call is now refused at once, and a queued one when its time has passed or a lower limit leaves it without a slot. Calls that arrive late wait for unused slots as before.

--- a/internal/executor/queue.go
+++ b/internal/executor/queue.go
@@ -144,13 +144,11 @@
 	}
 	c.expired = c.queue.collect(c.expired[:0], func(j *job) bool { return c.startRefusal(now, j) != verdict.ReasonNone })
 	for _, j := range c.expired {
-		reason := c.startRefusal(now, j)
-		switch {
-		case reason != verdict.ReasonOverloaded:
-			c.refuseQueued(j, reason, CauseNone)
-		case !c.waitLate(now, j):
-			c.refuseQueued(j, reason, CauseWait)
+		reason, cause := c.startRefusal(now, j), CauseNone
+		if reason == verdict.ReasonOverloaded {
+			cause = CauseWait
 		}
+		c.refuseQueued(j, reason, cause)
 	}
 	clear(c.expired)
 	c.nextStartBy = c.queue.earliestStartBy()
--- a/internal/executor/queueing_test.go
+++ b/internal/executor/queueing_test.go
@@ -236,3 +236,21 @@
 	assert.Assert(t, s.mostQueued <= 2*18)
 	assert.Assert(t, s.results[0].late > s.results[0].asked*25/100, "the slots are not used")
 }
+
+// TestRefusalInsteadOfLateWait offers more than can start within the objective and then stalls
+// the upstream. A call that finds no room, and one whose time has passed, must be refused
+// then, and not wait as a late one until their gateway has no time left to try elsewhere.
+func TestRefusalInsteadOfLateWait(t *testing.T) {
+	s := newLoadFixture(t)
+	s.SetLoad(LoadSettings{QueueByTime: true})
+	s.observeRun("o", testRunTime)
+	for range 40 {
+		s.submitCall(nil)
+	}
+	t.Logf("%d refused, %d queued", len(s.answers), s.queue.length)
+	assert.Assert(t, len(s.answers) > 15 && s.queue.length > 5)
+	assert.Equal(t, len(s.answers)+s.queue.length+testSlots, 40)
+	clear(s.running)
+	s.advance(testObjective, nil)
+	assert.Equal(t, s.queue.length, 0)
+}
--- a/internal/executor/waiting.go
+++ b/internal/executor/waiting.go
@@ -44,8 +44,9 @@
 }
 
 // orderInTime returns the order of a call whose wait is estimated from run times, or why it
-// must not wait. A call that can't start early enough for its objective may wait as a late
-// one. It may evict a queued call to make room.
+// must not wait. A call that arrives too late for its objective may wait as a late one; one
+// that arrives in time and finds no room may not, so that its gateway can try elsewhere. It may
+// evict a queued call to make room.
 func (c *Core) orderInTime(now clock.Instant, request *call.Call) (queueOrder, RefusalCause) {
 	j := job{timer: request.Deadline, run: c.nextRun + 1}
 	j.call.Operation, j.call.Nested = request.Operation, request.Nested
@@ -58,15 +59,10 @@
 	if c.load.QueueByTime && order.late() {
 		order = c.lateOrder(request)
 	}
-	if !c.startsInTime(now, &j, c.joinBy(now, request, order)) {
-		if !c.load.QueueByTime || order.late() || request.Nested || request.Objective == 0 {
-			return order, CauseWait
-		}
-		if order = c.lateOrder(request); !c.startsInTime(now, &j, order) {
-			return order, CauseWait
-		}
-	}
 	j.rank = order.rank
+	if !c.startsInTime(now, &j, c.joinBy(now, request, order).startBy) {
+		return order, CauseWait
+	}
 	return order, c.makeRoom(&j, j.share, request.Service)
 }
 
@@ -89,11 +85,10 @@
 	return queueOrder{rank: rankLate + request.Priority, startBy: request.Deadline.Add(-c.neededTime(request.Operation))}
 }
 
-// startsInTime reports whether a job is expected to start by the startBy of an order.
-func (c *Core) startsInTime(now clock.Instant, j *job, order queueOrder) bool {
-	j.rank = order.rank
+// startsInTime reports whether a job is expected to start by a time.
+func (c *Core) startsInTime(now clock.Instant, j *job, startBy clock.Instant) bool {
 	wait := c.jobWait(now, j)
-	return wait == 0 || now.Add(wait) <= order.startBy
+	return wait == 0 || now.Add(wait) <= startBy
 }
 
 // jobWait estimates how long a job waits for a slot. Jobs that arrive later and go before it
@@ -141,23 +136,6 @@
 	return CauseNone
 }
 
-// waitLate queues a job that can't meet its objective any more as a late one, and reports
-// whether it may wait.
-func (c *Core) waitLate(now clock.Instant, j *job) bool {
-	if !c.load.QueueByTime || j.call.Method == "" || j.call.Nested || j.rank >= rankLate || j.call.Objective == 0 {
-		return false
-	}
-	c.queue.remove(j)
-	order := c.lateOrder(&j.call)
-	if now < order.startBy && c.startsInTime(now, j, order) {
-		c.insert(j, order)
-		return true
-	}
-	// The caller refuses the job, which must be in the queue then.
-	c.insert(j, queueOrder{rank: j.rank, startBy: j.startBy})
-	return false
-}
-
 // refuseDisplaced refuses the last queued job that can meet its objective by its order, if
 // the arrival of jobs that go before it has made that impossible. A refusal now lets its
 // caller try elsewhere earlier than one at the end of its time.
@@ -189,15 +167,13 @@
 	}
 }
 
-// refuseIfTooLate refuses a queued job, or lets it wait as a late one, if its estimated wait is
-// far above its remaining time. It reports whether it did.
+// refuseIfTooLate refuses a queued job if its estimated wait is far above its remaining time.
+// It reports whether it did.
 func (c *Core) refuseIfTooLate(now clock.Instant, j *job) bool {
 	wait := c.jobWait(now, j)
 	if now.Add(time.Duration(float64(wait)/estimateMargin)) <= j.startBy {
 		return false
 	}
-	if !c.waitLate(now, j) {
-		c.refuseQueued(j, verdict.ReasonOverloaded, CauseWait)
-	}
+	c.refuseQueued(j, verdict.ReasonOverloaded, CauseWait)
 	return true
 }
