Demote nested calls only while they take much of the slot time

Nested calls went after direct ones as soon as they had had more than their share of the demand, however small. Beside direct load of 1.6, a nested part of 0.05 lost 110 of 305 calls, and each wastes the run of its parent. Nested calls are now held to their share only while all of them together have had more than the floor's part of the slot time given, which is a running sum. Late calls neither ask for slot time nor give any, also after a retry.

--- a/internal/executor/operation_share.go
+++ b/internal/executor/operation_share.go
@@ -5,6 +5,7 @@
 // that of slotShares.
 type operationShare struct {
 	asked, given float64
+	nested       bool
 	// jobs is the number of queued and running jobs that are accounted here.
 	jobs int
 }
--- a/internal/executor/sharing.go
+++ b/internal/executor/sharing.go
@@ -17,13 +17,21 @@
 	return share != nil && c.shares.below(share, c.load.ShareFloor)
 }
 
+// nestedAboveFloor reports whether nested calls together have had more than the floor's part
+// of the given slot time. With less, they delay direct calls little.
+func (c *Core) nestedAboveFloor() bool {
+	return c.shares.givenNested > c.load.ShareFloor*c.shares.given
+}
+
 // demoteNested updates which nested calls have had more than their share. They go before
 // others up to their whole share of the demand, and not just up to the floor, since refusing
-// one wastes the run of its parent. Above it they go after others of their own priority.
+// one wastes the run of its parent. Above it they go after others of their own priority, if
+// nested calls take much of the slot time.
 func (c *Core) demoteNested() {
+	above := c.nestedAboveFloor()
 	for _, class := range c.queue.known {
 		if class.key.nested && class.share != nil {
-			class.demoted = class.share.given*c.shares.asked > class.share.asked*c.shares.given
+			class.demoted = above && class.share.given*c.shares.asked > class.share.asked*c.shares.given
 		}
 	}
 }
@@ -67,12 +75,15 @@
 
 // sharedWait estimates how long a job waits for a slot, from its wait by rank and the time
 // after which a slot is free. Its operation gets its floor at least. Nested calls get their
-// whole share, and no more while others wait.
+// whole share, and no more while others wait and nested calls take much of the slot time.
 func (c *Core) sharedWait(j *job, byRank, free time.Duration, slots float64) time.Duration {
 	if !j.call.Nested {
 		return min(byRank, free+c.partWait(j, c.load.ShareFloor*slots))
 	}
 	byShare := free + c.partWait(j, slots)
+	if !c.nestedAboveFloor() {
+		return min(byRank, byShare)
+	}
 	for _, class := range c.queue.classes {
 		if class.share != j.share && !class.late() {
 			return byShare
--- a/internal/executor/sharing_test.go
+++ b/internal/executor/sharing_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"endivespring/internal/call"
 )
 
 // TestFloorOfLowPriority offers 1.1 of the slots in calls of priority 0 and 0.6 in calls of
@@ -62,3 +64,30 @@
 	half := s.demand(s.share(shareKey{operation: "half"}))
 	assert.Assert(t, half > 0.45 && half < 0.55, "%v", half)
 }
+
+// TestFewNestedCallsBesideFullDirectLoad offers 0.05 of the slots in nested calls beside 1.6 in
+// direct ones. Nested calls that keep to their share of the demand lose as many as direct ones,
+// and each wastes the run of its parent.
+func TestFewNestedCallsBesideFullDirectLoad(t *testing.T) {
+	s := newTrial(t, LoadSettings{QueueByTime: true, ShareFloor: 0.5},
+		trialOperation{name: "nested", work: 59 * time.Millisecond, objective: 300 * time.Millisecond, timeout: 800 * time.Millisecond, nested: true, load: constantLoad(0.05)},
+		trialOperation{name: "direct", work: 94 * time.Millisecond, objective: 300 * time.Millisecond, timeout: 2 * time.Second, load: constantLoad(1.6)})
+	s.run(20 * time.Second)
+	t.Logf("%+v", s.results)
+	assert.Assert(t, s.results[0].refused <= s.results[0].asked/100)
+}
+
+// TestLateCallsHaveNoShare guards against late calls that raise the demand of their operation,
+// and with it the floor of its other calls.
+func TestLateCallsHaveNoShare(t *testing.T) {
+	s := newLoadFixture(t)
+	s.SetLoad(LoadSettings{QueueByTime: true, ShareFloor: 0.5})
+	s.observeRun("o", testRunTime)
+	for range 2 * testSlots {
+		s.submitCall(func(c *call.Call) { c.Objective = s.now.Add(-time.Second) })
+	}
+	s.advance(testRunTime+2*time.Millisecond, nil)
+	assert.Assert(t, len(s.started) > testSlots)
+	assert.Equal(t, s.shares.asked, 0.0)
+	assert.Equal(t, s.shares.given, 0.0)
+}
--- a/internal/executor/slot_shares.go
+++ b/internal/executor/slot_shares.go
@@ -27,6 +27,8 @@
 	epoch        clock.Instant
 	shares       map[shareKey]*operationShare
 	asked, given float64
+	// givenNested is the part of given that nested calls have had.
+	givenNested float64
 }
 
 func newSlotShares() *slotShares { return &slotShares{shares: map[shareKey]*operationShare{}} }
@@ -43,7 +45,7 @@
 			return share
 		}
 	}
-	share = &operationShare{}
+	share = &operationShare{nested: key.nested}
 	s.shares[key] = share
 	return share
 }
@@ -59,7 +61,14 @@
 func (s *slotShares) give(now clock.Instant, share *operationShare, work time.Duration) {
 	value := max(-share.given, float64(work)*s.unit(now))
 	share.given += value
+	s.countGiven(share, value)
+}
+
+func (s *slotShares) countGiven(share *operationShare, value float64) {
 	s.given += value
+	if share.nested {
+		s.givenNested += value
+	}
 }
 
 // demand returns the operation's share of the slot time asked for.
@@ -83,12 +92,12 @@
 		return math.Exp(age)
 	}
 	decay := math.Exp(-age)
-	s.epoch, s.asked, s.given = now, 0, 0
+	s.epoch, s.asked, s.given, s.givenNested = now, 0, 0, 0
 	for key, share := range s.shares {
 		share.asked *= decay
 		share.given *= decay
 		s.asked += share.asked
-		s.given += share.given
+		s.countGiven(share, share.given)
 		if share.jobs == 0 && share.asked < forgottenShare*float64(loadTimeConstant) {
 			delete(s.shares, key)
 		}
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -146,7 +146,11 @@
 
 func (c *Core) enqueue(now clock.Instant, j *job, order queueOrder) {
 	j.work = c.expectedRunTime(j.call.Operation)
-	if c.load.ShareFloor > 0 && j.share == nil && j.call.Method != "" {
+	switch {
+	case order.late() && j.share != nil:
+		j.share.jobs--
+		j.share = nil
+	case c.load.ShareFloor > 0 && j.share == nil && j.call.Method != "" && !order.late():
 		j.share = c.shareOf(&j.call)
 		j.share.jobs++
 	}
--- a/internal/executor/waiting.go
+++ b/internal/executor/waiting.go
@@ -50,15 +50,15 @@
 func (c *Core) orderInTime(now clock.Instant, request *call.Call) (queueOrder, RefusalCause) {
 	j := job{timer: request.Deadline, run: c.nextRun + 1}
 	j.call.Operation, j.call.Nested = request.Operation, request.Nested
-	if c.load.ShareFloor > 0 {
-		j.share = c.shareOf(request)
-		c.shares.ask(now, j.share, c.expectedRunTime(request.Operation))
-		c.demoteNested()
-	}
 	order := c.orderOf(now, request)
 	if c.load.QueueByTime && order.late() {
 		order = c.lateOrder(request)
 	}
+	if c.load.ShareFloor > 0 && !order.late() {
+		j.share = c.shareOf(request)
+		c.shares.ask(now, j.share, c.expectedRunTime(request.Operation))
+		c.demoteNested()
+	}
 	j.rank = order.rank
 	if !c.startsInTime(now, &j, c.joinBy(now, request, order).startBy) {
 		return order, CauseWait
