Admit parents by the wait of nested calls

Load.Wait contains the direct calls that nested ones go before. Parents were refused while their nested calls would have found a slot at once.

--- a/internal/balancer/least_wait.go
+++ b/internal/balancer/least_wait.go
@@ -9,7 +9,7 @@
 // maxWaitAge is the age up to which a reported wait counts. Queues turn over within a second.
 const maxWaitAge = time.Second
 
-// LeastWait returns the least wait that the executors of a service have reported, and the age
+// LeastWait returns the least wait of a nested call that the executors of a service have reported, and the age
 // of that report. It is unknown unless at least half of the executors of the own data centre
 // (of all, if there are none) have reported lately: the others may have room.
 func (t *Table) LeastWait(service string, now clock.Instant) (wait, age time.Duration, known bool) {
@@ -31,8 +31,8 @@
 			if i == localSide || len(local) == 0 {
 				fresh++
 			}
-			if !known || e.load.Wait < wait {
-				wait, age, known = e.load.Wait, reported, true
+			if !known || e.load.NestedWait < wait {
+				wait, age, known = e.load.NestedWait, reported, true
 			}
 		}
 	}
--- a/internal/call/load.go
+++ b/internal/call/load.go
@@ -15,6 +15,9 @@
 	// Wait estimates how long a call that arrives now waits for a slot. It is zero
 	// while a slot is free.
 	Wait time.Duration
+	// NestedWait is the wait of a nested call that arrives now. Nested calls go first, so that
+	// it is mostly less than Wait.
+	NestedWait time.Duration
 	// Slowdown is the factor by which work on the upstream's VM takes longer than
 	// usual at present, or zero if the upstream does not state it.
 	Slowdown float64
--- a/internal/call/service_wait.go
+++ b/internal/call/service_wait.go
@@ -6,7 +6,7 @@
 	"endivespring/internal/clock"
 )
 
-// ServiceWait is the least wait that the upstreams of a service have reported.
+// ServiceWait is the least wait of a nested call that the upstreams of a service have reported.
 type ServiceWait struct {
 	Service string
 	Wait    time.Duration
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -229,12 +229,12 @@
 	c.abort(j)
 }
 
-// Load returns the current concurrency, queue length, limit and latency, and the wait and the
+// Load returns the current concurrency, queue length, limit and latency, and the waits and the
 // slowdown as of the last step.
 func (c *Core) Load() call.Load {
 	return call.Load{
 		InFlight: c.limiter.Running(), Queued: c.queue.length, Limit: c.limiter.Limit(), Latency: c.limiter.Latency(),
-		Wait: c.wait(c.steppedAt), Slowdown: c.slowdown.at(c.steppedAt),
+		Wait: c.wait(c.steppedAt), NestedWait: c.nestedWait(c.steppedAt), Slowdown: c.slowdown.at(c.steppedAt),
 	}
 }
 
--- a/internal/executor/waiting.go
+++ b/internal/executor/waiting.go
@@ -43,6 +43,22 @@
 	return max(work/time.Duration(limit), c.limiter.PaceDelay(now, c.queue.length))
 }
 
+// nestedWait estimates how long a nested call that arrives now waits for a slot. It goes after
+// the nested calls that are queued, except for those that have had more than their share.
+func (c *Core) nestedWait(now clock.Instant) time.Duration {
+	limit := max(1, c.limiter.Limit())
+	if c.queue.length == 0 && c.limiter.Running() < limit {
+		return max(0, c.limiter.NextPacedStart(now).Sub(now))
+	}
+	work, jobs := c.freeingWork(now), 0
+	for _, class := range c.queue.classes {
+		if class.key.nested && !class.demoted {
+			work, jobs = work+class.work, jobs+len(class.jobs)
+		}
+	}
+	return max(work/time.Duration(limit), c.limiter.PaceDelay(now, jobs))
+}
+
 // orderInTime returns the order of a call whose wait is estimated from run times, or why it
 // must not wait. A call that arrives too late for its objective may wait as a late one; one
 // that arrives in time and finds no room may not, so that its gateway can try elsewhere. It may
--- a/internal/executor/waiting_test.go
+++ b/internal/executor/waiting_test.go
@@ -42,3 +42,25 @@
 		}
 	}
 }
+
+// TestNestedWaitBesideDirectQueue guards against refusing parents for direct calls that their
+// nested calls go before: the reported wait of nested calls must not contain the direct queue.
+func TestNestedWaitBesideDirectQueue(t *testing.T) {
+	s := newLoadFixture(t)
+	s.SetLoad(LoadSettings{QueueByTime: true})
+	s.observeRun("o", testRunTime)
+	far := func(c *call.Call) { c.Objective, c.Deadline = s.now.Add(time.Hour), s.now.Add(time.Hour) }
+	for range testSlots + 12 {
+		s.submitCall(far)
+	}
+	empty := s.Load()
+	assert.Assert(t, empty.NestedWait > 0 && empty.NestedWait <= testRunTime, "%v", empty.NestedWait)
+	assert.Equal(t, empty.Wait-empty.NestedWait, 12*testRunTime/testSlots)
+	for range 4 {
+		s.submitCall(func(c *call.Call) { c.Nested = true })
+	}
+	assert.Equal(t, s.Load().NestedWait-empty.NestedWait, 4*testRunTime/testSlots)
+	class := s.queue.byKey[classKey{operation: "o", nested: true}]
+	class.demoted = true
+	assert.Equal(t, s.Load().NestedWait, empty.NestedWait)
+}
