Ignore nested calls whose parent is not certain

A nested call was counted for the run with the nearest deadline, also with a run of another operation at the same one. An operation could so be refused for a service that it never calls. A call with runs of two operations within 2 ms is now ignored. The deadline compared is the one stated to the upstream: runs of keyed calls under a short lease matched none before.

--- a/internal/executor/job.go
+++ b/internal/executor/job.go
@@ -34,6 +34,8 @@
 	work  time.Duration
 	// share accounts for the slot time of the job, or is nil.
 	share *operationShare
+	// statedDeadline is the deadline of the run that was stated to the upstream.
+	statedDeadline clock.Instant
 	// nested are the nested calls of the run.
 	nested nestedUses
 	// timedOut is set once the callers were answered with may-have-run although
--- a/internal/executor/parent_admission.go
+++ b/internal/executor/parent_admission.go
@@ -12,6 +12,9 @@
 	// a nested call states. Both are rounded to a millisecond on the way, and the request
 	// takes a moment.
 	parentTolerance = 5 * time.Millisecond
+	// parentAmbiguity is the difference between deadlines within which the nearest run need not
+	// be the parent: that of rounding to a millisecond twice.
+	parentAmbiguity = 2 * time.Millisecond
 	// maxWaitAge is the age up to which the wait at a service counts.
 	maxWaitAge = time.Second
 	// minNestedCalls is the average number of nested calls of a run below which the wait at
@@ -71,16 +74,26 @@
 }
 
 // HandleNestedCall takes a request that the upstream makes for a run. It is counted for the
-// run whose deadline is nearest to the stated one; without any near enough it is ignored.
+// run whose stated deadline is nearest to that of the request. It is ignored without any near
+// enough, and if runs of two operations are so near that the parent is not certain.
 func (c *Core) HandleNestedCall(nested call.NestedCall) {
 	var parent *job
 	least := parentTolerance + 1
+	operation, ambiguous := "", false
 	for _, j := range c.timers {
-		if distance := j.call.Deadline.Sub(nested.ParentDeadline).Abs(); j.phase == jobRunning && distance < least {
+		if j.phase != jobRunning {
+			continue
+		}
+		distance := j.statedDeadline.Sub(nested.ParentDeadline).Abs()
+		if distance < least {
 			parent, least = j, distance
 		}
+		if distance <= parentAmbiguity {
+			ambiguous = ambiguous || operation != "" && operation != j.call.Operation
+			operation = j.call.Operation
+		}
 	}
-	if parent != nil {
+	if parent != nil && !ambiguous {
 		parent.nested.count(&nested)
 	}
 }
--- a/internal/executor/parent_admission_test.go
+++ b/internal/executor/parent_admission_test.go
@@ -63,3 +63,32 @@
 	}
 	assert.Equal(t, len(p.uses), maxNestedOperations-1)
 }
+
+// TestAmbiguousParents guards against nested calls that are learned for an operation that makes
+// none: with runs of two operations at the same deadline, either may be the parent.
+func TestAmbiguousParents(t *testing.T) {
+	for operation, counted := range map[string]int{"o": 1, "another": 0} {
+		s := newLoadFixture(t)
+		s.submitCall(nil)
+		s.advance(time.Millisecond, nil)
+		s.submitCall(func(c *call.Call) { c.Operation = operation })
+		s.HandleNestedCall(call.NestedCall{Service: "called", ParentDeadline: s.now.Add(testDeadline)})
+		uses := 0
+		for _, j := range s.jobs {
+			uses += len(j.nested)
+		}
+		assert.Equal(t, uses, counted, "beside a run of %s", operation)
+	}
+}
+
+// TestParentWithTheDeadlineOfItsLease guards against nested calls that match no run since their
+// parent was told an earlier deadline than that of its caller.
+func TestParentWithTheDeadlineOfItsLease(t *testing.T) {
+	s := newFixture(t, true)
+	s.lease(300 * time.Millisecond)
+	s.submit("a", nil)
+	run := s.take().Runs[0]
+	assert.Equal(t, run.Deadline, s.now.Add(300*time.Millisecond))
+	s.core.HandleNestedCall(call.NestedCall{Service: "called", ParentDeadline: run.Deadline})
+	assert.Equal(t, len(s.core.jobs[run.ID].nested), 1)
+}
--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -96,7 +96,7 @@
 	if j.call.Ranged {
 		run.Fence = min(run.Fence, c.keyExpiry(j.call.KeyNumber))
 	}
-	j.rank = 0
+	j.rank, j.statedDeadline = 0, run.Deadline
 	c.timers.add(j)
 	c.output.Runs = append(c.output.Runs, run)
 }
