Refuse queued calls that a cold restart leaves without a slot

A restart of the upstream lowers the limit to that of a cold start, but the queue was checked only when a completion lowers it. Calls that could not start any more waited for their whole time.

--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -169,6 +169,9 @@
 	c.applyPreset()
 	if c.limiter.Announce(u) {
 		c.logLimit("cold")
+		if c.load.timed() {
+			c.refuseBeyondLimit(now)
+		}
 	}
 	c.startQueued(now)
 }
--- a/internal/executor/queueing_test.go
+++ b/internal/executor/queueing_test.go
@@ -254,3 +254,18 @@
 	s.advance(testObjective, nil)
 	assert.Equal(t, s.queue.length, 0)
 }
+
+// TestColdRestartWithLongQueue restarts the upstream with a lower limit while calls are
+// queued. Those that can't start in time any more must be refused at once.
+func TestColdRestartWithLongQueue(t *testing.T) {
+	s := newLoadFixture(t)
+	s.SetLoad(LoadSettings{QueueByTime: true})
+	s.observeRun("o", testRunTime)
+	for range testSlots + 8 {
+		s.submitCall(nil)
+	}
+	queued := s.queue.length
+	s.Announce(s.now, fleet.Upstream{Name: "u", Service: "s", Boot: "2", Slots: testSlots, ColdSlots: 2})
+	t.Logf("%d queued, then %d", queued, s.queue.length)
+	assert.Assert(t, queued > 6 && s.queue.length > 0 && s.queue.length < queued/2)
+}
