Exclude a queued call's own work from its estimated wait

The estimate that decides whether a queued call is refused counted the call itself as ahead of it, if its deadline was the latest of its class. It was refused too early by its own run time, divided by the slots.

Result: with 2 queued calls of 100 ms, the work before the last is 100 ms instead of 200 ms. go test ./internal/executor passes.

--- a/internal/executor/queue_class.go
+++ b/internal/executor/queue_class.go
@@ -49,9 +49,12 @@
 }
 
 // workBefore returns the expected run times of the jobs that go before one of the same
-// rank. Deadlines mostly rise with the time of arrival, and then no job is looked at.
+// rank, which may be queued. Deadlines mostly rise with the time of arrival, and then no job is looked at.
 func (q *queueClass) workBefore(j *job) time.Duration {
 	if q.latestTimer <= j.timer {
+		if j.class == q {
+			return q.work - j.work
+		}
 		return q.work
 	}
 	var work time.Duration
--- a/internal/executor/queueing_test.go
+++ b/internal/executor/queueing_test.go
@@ -269,3 +269,15 @@
 	t.Logf("%d queued, then %d", queued, s.queue.length)
 	assert.Assert(t, queued > 6 && s.queue.length > 0 && s.queue.length < queued/2)
 }
+
+// TestWaitOfQueuedJobExcludesItself guards against refusing a queued call for its own work.
+func TestWaitOfQueuedJobExcludesItself(t *testing.T) {
+	s := newLoadFixture(t)
+	s.SetLoad(LoadSettings{QueueByTime: true})
+	s.observeRun("o", testRunTime)
+	for range testSlots + 2 {
+		s.submitCall(nil)
+	}
+	class := s.queue.classes[0]
+	assert.Equal(t, class.workBefore(class.last()), testRunTime)
+}
