Call the order of queue classes precedence

order meant the rank and start time of a call as well as the position of a class, which was also called place. The factor of 2 in the precedence had no explanation.

Result: no change of behaviour; go test of executor and shape passes.

--- a/internal/executor/draining.go
+++ b/internal/executor/draining.go
@@ -26,11 +26,11 @@
 }
 
 // overtakes returns for how long jobs that arrive in the class will go before a job.
-func (q *queueClass) overtakes(now clock.Instant, j *job, place int) time.Duration {
-	switch order := q.order(); {
-	case order < place:
+func (q *queueClass) overtakes(now clock.Instant, j *job, precedence int) time.Duration {
+	switch other := q.precedence(); {
+	case other < precedence:
 		return never
-	case order == place:
+	case other == precedence:
 		return j.timer.Sub(now) - q.timeout
 	default:
 		return 0
@@ -41,9 +41,9 @@
 // meanwhile and goes before a job. What arrives is estimated from the last seconds.
 func (q *jobQueue) drainTime(now clock.Instant, j *job, work time.Duration, slots float64) time.Duration {
 	limited := q.overtaking[:0]
-	place := q.orderOf(j)
+	precedence := q.precedenceOf(j)
 	for _, class := range q.known {
-		until := class.overtakes(now, j, place)
+		until := class.overtakes(now, j, precedence)
 		if until <= 0 {
 			continue
 		}
--- a/internal/executor/job_queue.go
+++ b/internal/executor/job_queue.go
@@ -92,7 +92,7 @@
 func (q *jobQueue) first() *job {
 	var first *queueClass
 	for _, class := range q.classes {
-		if first == nil || class.order() < first.order() || class.order() == first.order() && before(class.jobs[0], first.jobs[0]) {
+		if first == nil || class.precedence() < first.precedence() || class.precedence() == first.precedence() && before(class.jobs[0], first.jobs[0]) {
 			first = class
 		}
 	}
@@ -102,8 +102,8 @@
 	return first.jobs[0]
 }
 
-// orderOf returns the order of the class that a job is or would be in.
-func (q *jobQueue) orderOf(j *job) int {
+// precedenceOf returns the precedence of the class that a job is or would be in.
+func (q *jobQueue) precedenceOf(j *job) int {
 	class := j.class
 	if class == nil && j.call.Nested {
 		class = q.byKey[keyOfClass(j)]
@@ -111,7 +111,7 @@
 	if class == nil {
 		return 2 * j.rank
 	}
-	return class.order()
+	return class.precedence()
 }
 
 // collect appends to list the jobs for which the given function holds.
@@ -140,19 +140,19 @@
 // ahead returns the expected run times and a number of the jobs that go before a job. The
 // number is at least 1 if there are any; it includes jobs of the same rank that go after it.
 func (q *jobQueue) ahead(j *job) (work time.Duration, jobs int) {
-	place := q.orderOf(j)
+	precedence := q.precedenceOf(j)
 	for _, class := range q.classes {
-		switch order := class.order(); {
-		case order < place:
+		switch other := class.precedence(); {
+		case other < precedence:
 			work, jobs = work+class.work, jobs+len(class.jobs)
-		case order == place && before(class.jobs[0], j):
+		case other == precedence && before(class.jobs[0], j):
 			work, jobs = work+class.workBefore(j), jobs+len(class.jobs)
 		}
 	}
 	return work, jobs
 }
 
-// lastClass returns the class with the highest order, or nil. Of several, it is the one with
+// lastClass returns the class with the highest precedence, or nil. Of several, it is the one with
 // the last job.
 func (q *jobQueue) lastClass(allowed func(*queueClass) bool) *queueClass {
 	var last *queueClass
@@ -160,7 +160,7 @@
 		if !allowed(class) {
 			continue
 		}
-		if last == nil || class.order() > last.order() || class.order() == last.order() && before(last.last(), class.last()) {
+		if last == nil || class.precedence() > last.precedence() || class.precedence() == last.precedence() && before(last.last(), class.last()) {
 			last = class
 		}
 	}
--- a/internal/executor/queue_class.go
+++ b/internal/executor/queue_class.go
@@ -29,8 +29,10 @@
 	demoted  bool
 }
 
-// order returns the place of the class among others; a lower one goes first.
-func (q *queueClass) order() int {
+// precedence returns the position of the class among others; a lower one goes first. The factor
+// of 2 leaves room for demoted classes between the ranks: they go after direct calls of their
+// own priority and before those of the next.
+func (q *queueClass) precedence() int {
 	if q.demoted {
 		return 2*(1+q.priority) + 1
 	}
--- a/internal/executor/queue_order.go
+++ b/internal/executor/queue_order.go
@@ -2,7 +2,7 @@
 
 import "endivespring/internal/clock"
 
-// queueOrder is the place of a call in the queue and the latest time at which it may start.
+// queueOrder is the rank of a call in the queue and the latest time at which it may start.
 type queueOrder struct {
 	rank    int
 	startBy clock.Instant
--- a/internal/executor/sharing.go
+++ b/internal/executor/sharing.go
@@ -64,9 +64,9 @@
 	if c.load.ShareFloor == 0 {
 		return slots
 	}
-	place, part := c.queue.orderOf(j), 0.0
+	precedence, part := c.queue.precedenceOf(j), 0.0
 	for _, class := range c.queue.classes {
-		if class.share != nil && class.share != j.share && !class.late() && class.order() > place {
+		if class.share != nil && class.share != j.share && !class.late() && class.precedence() > precedence {
 			part += c.shares.demand(class.share)
 		}
 	}
--- a/internal/executor/waiting.go
+++ b/internal/executor/waiting.go
@@ -142,7 +142,7 @@
 		return CauseRoom
 	}
 	switch last := class.last(); {
-	case class.order() > c.queue.orderOf(j), class.order() == c.queue.orderOf(j) && before(j, last):
+	case class.precedence() > c.queue.precedenceOf(j), class.precedence() == c.queue.precedenceOf(j) && before(j, last):
 		c.refuseQueued(last, verdict.ReasonOverloaded, CauseRoom)
 	case j.rank < rankLate && class.share != share && c.belowFloor(share):
 		c.refuseQueued(last, verdict.ReasonOverloaded, CauseShare)
