--- a/internal/balancer/least_wait.go
+++ b/internal/balancer/least_wait.go
@@ -38,6 +38,3 @@
 	}
 	return wait, age, known && fresh >= needed
 }
-
-// TypicalLatency returns the usual latency of a service's calls.
-func (t *Table) TypicalLatency(service string) time.Duration { return t.typicalLatency(service) }
--- a/internal/call/nested_call.go
+++ b/internal/call/nested_call.go
@@ -11,8 +11,6 @@
 	// Service is the service that is called, Objective the latency objective of the route.
 	Service   string
 	Objective time.Duration
-	// SlotTime is the time that such a request usually takes.
-	SlotTime time.Duration
 	// ParentDeadline is the deadline of the run, as the upstream stated it.
 	ParentDeadline clock.Instant
 }
--- a/internal/executor/nested_use.go
+++ b/internal/executor/nested_use.go
@@ -2,12 +2,10 @@
 
 import "time"
 
-// nestedUse is what runs use of a service through nested calls: the calls and their slot
-// time, of one run or on average.
+// nestedUse is what runs use of a service through nested calls, of one run or on average.
 type nestedUse struct {
-	service  string
-	calls    float64
-	slotTime float64
+	service string
+	calls   float64
 	// objective is the least one of the routes called.
 	objective time.Duration
 }
--- a/internal/executor/nested_uses.go
+++ b/internal/executor/nested_uses.go
@@ -36,7 +36,6 @@
 		return
 	}
 	use.calls++
-	use.slotTime += float64(nested.SlotTime)
 	if use.objective == 0 || nested.Objective < use.objective {
 		use.objective = nested.Objective
 	}
@@ -46,12 +45,10 @@
 func (u *nestedUses) learn(run nestedUses) {
 	for i := range *u {
 		(*u)[i].calls *= 1 - nestedUseWeight
-		(*u)[i].slotTime *= 1 - nestedUseWeight
 	}
 	for i := range run {
 		if use := u.find(run[i].service); use != nil {
 			use.calls += nestedUseWeight * run[i].calls
-			use.slotTime += nestedUseWeight * run[i].slotTime
 			use.objective = run[i].objective
 		}
 	}
--- a/internal/executor/parent_admission_test.go
+++ b/internal/executor/parent_admission_test.go
@@ -23,7 +23,7 @@
 	for range 30 {
 		s.submitCall(nil)
 		deadline := s.now.Add(testDeadline - 2*time.Millisecond)
-		s.HandleNestedCall(call.NestedCall{Service: "called", Objective: 300 * time.Millisecond, SlotTime: 59 * time.Millisecond, ParentDeadline: deadline})
+		s.HandleNestedCall(call.NestedCall{Service: "called", Objective: 300 * time.Millisecond, ParentDeadline: deadline})
 		s.HandleNestedCall(call.NestedCall{Service: "other", Objective: time.Millisecond, ParentDeadline: deadline.Add(-time.Second)})
 		s.advance(testRunTime+2*time.Millisecond, nil)
 	}
--- a/internal/gateway/nested_calls.go
+++ b/internal/gateway/nested_calls.go
@@ -27,7 +27,7 @@
 		return
 	}
 	c.output.NestedCalls = append(c.output.NestedCalls, call.NestedCall{
-		Service: r.Service, Objective: p.route.Objective, SlotTime: c.table.TypicalLatency(r.Service), ParentDeadline: r.receivedAt(now).Add(r.Timeout),
+		Service: r.Service, Objective: p.route.Objective, ParentDeadline: r.receivedAt(now).Add(r.Timeout),
 	})
 	for i := range c.nestedServices {
 		if c.nestedServices[i].name == r.Service {
