Set the gauges of vanished operations to zero

The queue and the shares of an operation that the executor has forgotten stayed at their last values. The meter keeps which operations have values and sets those to zero that were not set since the last report.

--- a/internal/metrics/executor_meter.go
+++ b/internal/metrics/executor_meter.go
@@ -14,12 +14,15 @@
 type ExecutorMeter struct {
 	registry                                        *Registry
 	limit, running, queued, wait, learned, slowdown gometrics.Gauge
+	// operations has the labels of the operations whose gauges are not zero, with whether they
+	// were set since the last ZeroVanished.
+	operations map[[2]label]bool
 }
 
 // NewExecutorMeter returns a meter whose gauges are registered and zero.
 func NewExecutorMeter(r *Registry) *ExecutorMeter {
 	return &ExecutorMeter{
-		registry: r, limit: r.gauge(ExecutorLimit), running: r.gauge(ExecutorRunning), queued: r.gauge(ExecutorQueued), wait: r.gauge(ExecutorWait),
+		registry: r, operations: map[[2]label]bool{}, limit: r.gauge(ExecutorLimit), running: r.gauge(ExecutorRunning), queued: r.gauge(ExecutorQueued), wait: r.gauge(ExecutorWait),
 		learned: r.gauge(ExecutorLearnedLimit), slowdown: r.gauge(ExecutorSlowdown),
 	}
 }
@@ -56,11 +59,32 @@
 	if m == nil {
 		return
 	}
-	labels := []label{{"operation", operation}, {"nested", strconv.FormatBool(nested)}}
-	set := func(f *Family, value int64) {
-		gometrics.GetOrRegisterGauge(series(f, labels...), m.registry.metrics).Update(value)
+	labels := [2]label{{"operation", operation}, {"nested", strconv.FormatBool(nested)}}
+	m.operations[labels] = true
+	m.updateOperation(labels, int64(queued), int64(100*asked), int64(100*given))
+}
+
+// ZeroVanished sets the gauges of operations to zero that were not set since it was last
+// called.
+func (m *ExecutorMeter) ZeroVanished() {
+	if m == nil {
+		return
+	}
+	for labels, set := range m.operations {
+		if set {
+			m.operations[labels] = false
+			continue
+		}
+		delete(m.operations, labels)
+		m.updateOperation(labels, 0, 0, 0)
+	}
+}
+
+func (m *ExecutorMeter) updateOperation(labels [2]label, queued, asked, given int64) {
+	update := func(f *Family, value int64) {
+		gometrics.GetOrRegisterGauge(series(f, labels[:]...), m.registry.metrics).Update(value)
 	}
-	set(OperationQueued, int64(queued))
-	set(OperationAsked, int64(100*asked))
-	set(OperationGiven, int64(100*given))
+	update(OperationQueued, queued)
+	update(OperationAsked, asked)
+	update(OperationGiven, given)
 }
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -59,7 +59,10 @@
 	executor.Set(call.Load{Limit: 10, InFlight: 7, Queued: 3, Wait: 40 * time.Millisecond, Slowdown: 2.9999})
 	executor.SetLearned(11)
 	executor.Refused("parent")
+	executor.SetOperation("vanished", false, 2, 0.4, 0.25)
+	executor.ZeroVanished()
 	executor.SetOperation("o", true, 2, 0.4, 0.25)
+	executor.ZeroVanished()
 	NewRangeMeter(r).Observe("grant", "applied")
 	session := NewSessionMeter(r, fixedClock(time.Second))
 	session.SetLeases(clock.Instant(1500*time.Millisecond), clock.Instant(time.Millisecond))
@@ -85,7 +88,7 @@
 		`endivespring_request_latency_microseconds_count 8000`, `endivespring_request_latency_microseconds{quantile="0.999"} 2000`,
 		`endivespring_door_limit 10`, `endivespring_door_running 7`, `endivespring_door_queued 3`,
 		`endivespring_door_wait_milliseconds 40`, `endivespring_door_refused_total{why="parent"} 1`, `endivespring_operation_queued{operation="o",nested="true"} 2`,
-		`endivespring_operation_asked_percent{operation="o",nested="true"} 40`, `endivespring_operation_given_percent{operation="o",nested="true"} 25`,
+		`endivespring_operation_asked_percent{operation="o",nested="true"} 40`, `endivespring_operation_given_percent{operation="o",nested="true"} 25`, `endivespring_operation_asked_percent{operation="vanished",nested="false"} 0`,
 		`endivespring_door_learned_limit 11`, `endivespring_door_slowdown_percent 300`,
 		`endivespring_ownership_lease_left_milliseconds 500`, `endivespring_view_lease_left_milliseconds 0`,
 		`endivespring_log_commit_index 40`, `endivespring_log_applied_index 39`, `endivespring_log_snapshot_index 32`,
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -138,6 +138,7 @@
 	for _, o := range d.core.OperationLoads() {
 		d.meter.SetOperation(o.Operation, o.Nested, o.Queued, o.Asked, o.Given)
 	}
+	d.meter.ZeroVanished()
 }
 
 // sleep returns the time until the next deadline of the duty or its core.
