Keep the last job of a queue class

Each submit to a queue bounded by time looked for the last call of a class among all of its calls, to see whether it can still start in time. The class keeps its last job now and scans only after that one was removed.

--- a/internal/executor/job_queue.go
+++ b/internal/executor/job_queue.go
@@ -55,9 +55,7 @@
 		q.classes = append(q.classes, class)
 	}
 	j.class = class
-	class.jobs.add(j)
-	class.latestTimer = max(class.latestTimer, j.timer)
-	class.work += j.work
+	class.add(j)
 	q.count(j, j.work, 1)
 }
 
@@ -68,7 +66,7 @@
 		return
 	}
 	j.class = nil
-	class.jobs.remove(j)
+	class.remove(j)
 	if len(class.jobs) == 0 {
 		end := len(q.classes) - 1
 		q.classes[class.index] = q.classes[end]
@@ -76,7 +74,6 @@
 		q.classes[end] = nil
 		q.classes = q.classes[:end]
 	}
-	class.work -= j.work
 	q.count(j, -j.work, -1)
 }
 
--- a/internal/executor/queue_class.go
+++ b/internal/executor/queue_class.go
@@ -13,6 +13,8 @@
 	// there are jobs.
 	jobs  jobHeap
 	index int
+	// lastJob goes after all others, or is nil if it is not known.
+	lastJob *job
 	// work is the sum of the expected run times of jobs.
 	work time.Duration
 	// latestTimer is at least the latest timer of jobs.
@@ -39,15 +41,38 @@
 	return 2 * q.key.rank
 }
 
-// last returns the job that goes after all others of the class. It scans the jobs.
+// last returns the job that goes after all others of the class. It scans the jobs only if the
+// one before was removed.
 func (q *queueClass) last() *job {
-	last := q.jobs[0]
+	if q.lastJob != nil {
+		return q.lastJob
+	}
+	q.lastJob = q.jobs[0]
 	for _, j := range q.jobs[1:] {
-		if before(last, j) {
-			last = j
+		if before(q.lastJob, j) {
+			q.lastJob = j
 		}
 	}
-	return last
+	return q.lastJob
+}
+
+// add adds a job.
+func (q *queueClass) add(j *job) {
+	if len(q.jobs) == 0 || q.lastJob != nil && before(q.lastJob, j) {
+		q.lastJob = j
+	}
+	q.jobs.add(j)
+	q.latestTimer = max(q.latestTimer, j.timer)
+	q.work += j.work
+}
+
+// remove removes a job.
+func (q *queueClass) remove(j *job) {
+	if q.lastJob == j {
+		q.lastJob = nil
+	}
+	q.jobs.remove(j)
+	q.work -= j.work
 }
 
 // workBefore returns the expected run times of the jobs that go before one of the same
