--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -67,7 +67,8 @@
 	lastLeased  []fleet.KeyRange
 	lastRenewed bool
 	limiter     *admission.Limiter
-	queue       jobHeap
+	queue       *jobQueue
+	running     runningWork
 	timers      jobHeap
 	jobs        map[uint64]*job
 	delegated   int
@@ -78,13 +79,19 @@
 	// runTimes are the moving averages of run times, by operation.
 	runTimes map[string]time.Duration
 	slowdown slowdown
-	// steppedAt is when a run ended or could start last.
+	// steppedAt is the time of the last step that changed queued or running calls.
 	steppedAt clock.Instant
 	// nextStartBy is the earliest startBy of the queued jobs.
 	nextStartBy clock.Instant
 	// nextPacedStart is when the pace of a cold upstream allows its next call.
 	nextPacedStart clock.Instant
-	output         Output
+	// load says which parts of the queueing under contention are used.
+	load    LoadSettings
+	shares  *slotShares
+	parents *parentAdmission
+	// expired is reused by refuseExpired.
+	expired []*job
+	output  Output
 }
 
 // New returns an executor without an upstream, a lease or a view.
@@ -92,7 +99,7 @@
 	return &Core{
 		self: self, dataCentre: dataCentre, view: fleet.NewView(), shards: newOwnedShards(),
 		rangeLeases: rangeLeases{self: self, maxHold: maxHold}, rangeRequests: newRangeRequests(self), revocationGrace: maxRevocationGrace, keyMeter: newKeyMeter(),
-		limiter: admission.NewLimiter(), jobs: map[uint64]*job{}, tickets: map[Ticket]*job{}, records: newRecordStore(), refused: newRefusedRequests(),
+		queue: newJobQueue(), shares: newSlotShares(), parents: newParentAdmission(), limiter: admission.NewLimiter(), jobs: map[uint64]*job{}, tickets: map[Ticket]*job{}, records: newRecordStore(), refused: newRefusedRequests(),
 		nextPacedStart: clock.Never, revocationCheckAt: clock.Never, nextStartBy: clock.Never, runTimes: map[string]time.Duration{},
 	}
 }
@@ -122,7 +129,7 @@
 	if c.grantsByRequest() {
 		deadline = min(deadline, c.rangeRequests.nextAt)
 	}
-	if len(c.queue) > 0 {
+	if c.queue.length > 0 {
 		deadline = min(deadline, c.nextStartBy, c.nextPacedStart)
 		if c.unavailableSince != 0 {
 			deadline = min(deadline, c.unavailableSince.Add(c.revocationGrace))
@@ -131,7 +138,7 @@
 	if c.earlyReport.dueAt != 0 {
 		deadline = min(deadline, c.earlyReport.dueAt)
 	}
-	if (len(c.queue) > 0 || len(c.timers) > 0) && c.keyed() {
+	if (c.queue.length > 0 || len(c.timers) > 0) && c.keyed() {
 		deadline = min(deadline, c.ownershipExpiry)
 	}
 	return deadline
@@ -162,6 +169,9 @@
 	c.applyPreset()
 	if c.limiter.Announce(u) {
 		c.logLimit("cold")
+		if c.load.timed() {
+			c.refuseBeyondLimit(now)
+		}
 	}
 	c.startQueued(now)
 }
@@ -222,12 +232,12 @@
 	c.abort(j)
 }
 
-// Load returns the current concurrency, queue length, limit and latency, and the
+// Load returns the current concurrency, queue length, limit and latency, and the waits and the
 // slowdown as of the last step.
 func (c *Core) Load() call.Load {
 	return call.Load{
-		InFlight: c.limiter.Running(), Queued: len(c.queue), Limit: c.limiter.Limit(), Latency: c.limiter.Latency(),
-		Slowdown: c.slowdown.at(c.steppedAt),
+		InFlight: c.limiter.Running(), Queued: c.queue.length, Limit: c.limiter.Limit(), Latency: c.limiter.Latency(),
+		Wait: c.wait(c.steppedAt), NestedWait: c.nestedWait(c.steppedAt), Slowdown: c.slowdown.at(c.steppedAt),
 	}
 }
 
--- a/internal/executor/job.go
+++ b/internal/executor/job.go
@@ -1,6 +1,8 @@
 package executor
 
 import (
+	"time"
+
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
@@ -26,6 +28,16 @@
 	// a delegated call. index is the position in the heap or noIndex.
 	timer clock.Instant
 	index int
+	// class is set while the job is queued. work is the run time that was expected when the
+	// job was queued or started.
+	class *queueClass
+	work  time.Duration
+	// share accounts for the slot time of the job, or is nil.
+	share *operationShare
+	// statedDeadline is the deadline of the run that was stated to the upstream.
+	statedDeadline clock.Instant
+	// nested are the nested calls of the run.
+	nested nestedUses
 	// timedOut is set once the callers were answered with may-have-run although
 	// the run has not ended.
 	timedOut bool
--- a/internal/executor/learning_test.go
+++ b/internal/executor/learning_test.go
@@ -43,7 +43,7 @@
 		var runs []Run
 		changes := 0
 		for range 4000 {
-			for len(s.core.queue) < 2 {
+			for s.core.queue.length < 2 {
 				s.submit(strconv.Itoa(int(s.number)), func(c *call.Call) { c.Operation, c.Sharded, c.Idempotent = "look", false, true })
 			}
 			out := s.take()
--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -18,8 +18,8 @@
 	c.steppedAt = now
 	c.refuseExpired(now)
 	c.reportEarly(now)
-	for len(c.queue) > 0 {
-		j := c.queue[0]
+	for c.queue.length > 0 {
+		j := c.nextJob()
 		if reason := c.startRefusal(now, j); reason != verdict.ReasonNone {
 			c.finish(j, call.Refusal(&j.call, verdict.NotRun, reason))
 			continue
@@ -81,6 +81,10 @@
 // that follow from the leases.
 func (c *Core) start(now clock.Instant, j *job) {
 	j.phase, j.started, j.upstream, j.concurrency = jobRunning, now, c.upstream, c.limiter.Running()
+	c.running.begin(now, j.work)
+	if j.share != nil {
+		c.shares.give(now, j.share, j.work)
+	}
 	run := Run{ID: j.run, Upstream: c.upstream, Call: j.call, Epoch: j.epoch, Deadline: j.call.Deadline, Fence: j.call.Deadline}
 	run.RefusedBefore = c.refused.has(j.call.RequestID)
 	if j.call.Sharded {
@@ -92,7 +96,7 @@
 	if j.call.Ranged {
 		run.Fence = min(run.Fence, c.keyExpiry(j.call.KeyNumber))
 	}
-	j.rank = 0
+	j.rank, j.statedDeadline = 0, run.Deadline
 	c.timers.add(j)
 	c.output.Runs = append(c.output.Runs, run)
 }
@@ -115,9 +119,13 @@
 	answer := outcome.Answer
 	answer.RequestID = j.call.RequestID
 	if j.phase == jobRunning {
+		c.endRun(now, j, now.Sub(j.started))
 		c.slowdown.observe(now, outcome.Report)
 		if c.finishRun(now, j, &outcome) {
 			c.logLimit("completion")
+			if c.load.timed() {
+				c.refuseBeyondLimit(now)
+			}
 		}
 		answer.Upstream = j.upstream.Name
 		if refusedByUpstream(&answer) {
@@ -128,6 +136,9 @@
 		}
 		if answer.Verdict == verdict.Ran {
 			c.observeRun(j.call.Operation, now.Sub(j.started))
+			if c.load.ParentAdmission {
+				c.parents.learn(j.call.Operation, j.nested)
+			}
 			c.keyMeter.observeRun(now.Sub(j.started))
 			c.learn(now, j, &outcome)
 		}
@@ -172,7 +183,7 @@
 		c.timers.remove(j)
 		c.delegated--
 		j.phase = jobQueued
-		c.enqueue(now, j)
+		c.enqueue(now, j, c.orderOf(now, &j.call))
 		return true
 	}
 	return false
@@ -194,6 +205,9 @@
 		c.delegated--
 	}
 	delete(c.jobs, j.run)
+	if j.share != nil {
+		j.share.jobs--
+	}
 	c.settleRecord(j, answer)
 	if j.call.Sharded {
 		c.shards.endCall(j.call.ShardID())
@@ -231,6 +245,7 @@
 		c.finish(j, call.Refusal(&j.call, verdict.NotRun, verdict.ReasonCancelled))
 		c.startQueued(now)
 	case j.phase == jobRunning && c.withdrawRun(j):
+		c.endRun(now, j, 0)
 		c.limiter.Finish(now, admission.Neutral, 0)
 		c.finish(j, call.Refusal(&j.call, verdict.NotRun, verdict.ReasonCancelled))
 		c.startQueued(now)
--- a/internal/executor/submit.go
+++ b/internal/executor/submit.go
@@ -13,6 +13,7 @@
 // otherwise. A resend whose record this executor may never have had is answered
 // may-have-run, unless its refusal leads the gateway to another executor.
 func (c *Core) Submit(now clock.Instant, ticket Ticket, request call.Call) {
+	c.steppedAt = now
 	deduplicate := !request.Idempotent && !request.Recorded && c.recordWindow(request.Service) > 0
 	if request.Ranged && !(request.Resend && c.earlyReport.enabled) {
 		c.keyMeter.count(request.KeyNumber)
@@ -104,35 +105,65 @@
 func (c *Core) dispatch(now clock.Instant, ticket Ticket, request call.Call, r *record) {
 	busy := c.unavailable(request.Service) || c.limiter.Running() >= c.limiter.Limit()
 	delegate := r != nil && busy && c.mayDelegate(&request)
-	if !delegate && !c.canQueue(now, &request) {
-		if r != nil {
-			c.records.forget(r)
+	var order queueOrder
+	if !delegate {
+		var cause RefusalCause
+		if order, cause = c.canQueue(now, &request); cause != CauseNone {
+			if r != nil {
+				c.records.forget(r)
+			}
+			c.refuseOverloaded(ticket, &request, cause)
+			return
 		}
-		c.refuse(ticket, &request, verdict.NotRun, verdict.ReasonOverloaded)
-		return
 	}
 	j := c.admit(ticket, request, r)
 	if delegate {
 		c.delegate(j)
 		return
 	}
-	c.enqueue(now, j)
+	c.enqueue(now, j, order)
 	c.startQueued(now)
 }
 
-// canQueue reports whether a call can start now, or has room in the queue and
-// would leave it in time. It may evict a queued job to make room.
-func (c *Core) canQueue(now clock.Instant, request *call.Call) bool {
-	if request.Method == "" {
-		return c.finishesInTime(now, request)
-	}
-	candidate := &job{call: *request, timer: request.Deadline, run: c.nextRun + 1}
-	c.setQueueOrder(now, candidate)
-	return c.hasRoom(now, candidate)
+// canQueue returns the order of a call that can start now, or has room in the queue and
+// would leave it in time, or else why not. It may evict a queued job to make room.
+func (c *Core) canQueue(now clock.Instant, request *call.Call) (queueOrder, RefusalCause) {
+	order := c.orderOf(now, request)
+	switch {
+	case c.refusesParent(now, request):
+		return order, CauseParent
+	case request.Method == "" && c.finishesInTime(now, request):
+		return order, CauseNone
+	case request.Method == "":
+		return order, CauseWait
+	case c.load.timed():
+		return c.orderInTime(now, request)
+	default:
+		candidate := &job{call: *request, timer: request.Deadline, run: c.nextRun + 1, rank: order.rank, startBy: order.startBy}
+		return order, c.hasRoom(now, candidate)
+	}
 }
 
-func (c *Core) enqueue(now clock.Instant, j *job) {
-	c.setQueueOrder(now, j)
+func (c *Core) enqueue(now clock.Instant, j *job, order queueOrder) {
+	j.work = c.expectedRunTime(j.call.Operation)
+	switch {
+	case order.late() && j.share != nil:
+		j.share.jobs--
+		j.share = nil
+	case c.load.ShareFloor > 0 && j.share == nil && j.call.Method != "" && !order.late():
+		j.share = c.shareOf(&j.call)
+		j.share.jobs++
+	}
+	c.insert(j, order)
+	if c.load.timed() {
+		j.class.arrived(now, j)
+		c.refuseDisplaced(now, j)
+	}
+}
+
+// insert adds a job to the queue.
+func (c *Core) insert(j *job, order queueOrder) {
+	j.rank, j.startBy = order.rank, order.startBy
 	c.nextStartBy = min(c.nextStartBy, j.startBy)
 	c.queue.add(j)
 }
@@ -159,17 +190,13 @@
 // its deadline.
 func (c *Core) finishesInTime(now clock.Instant, request *call.Call) bool {
 	limit := max(1, c.limiter.Limit())
-	paced := c.limiter.PaceDelay(now, len(c.queue))
-	if c.limiter.Running() < limit && len(c.queue) == 0 && paced == 0 {
+	paced := c.limiter.PaceDelay(now, c.queue.length)
+	if c.limiter.Running() < limit && c.queue.length == 0 && paced == 0 {
 		return true
 	}
-	queueLimit := 0
-	if s := c.view.Preset.Service(request.Service); s != nil {
-		queueLimit = s.QueueLimit
-	}
-	if len(c.queue) >= queueLimit {
+	if c.queue.length >= c.queueLimit(request.Service) {
 		return false
 	}
-	rounds := time.Duration(len(c.queue)/limit + 1)
+	rounds := time.Duration(c.queue.length/limit + 1)
 	return now.Add(rounds*c.limiter.Latency()+paced) < request.Deadline
 }
