--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -62,6 +62,14 @@
 // Running reports whether the process is running.
 func (p *Process) Running() bool { return p.process != nil && p.exit.Depth() == 0 }
 
+// PID returns the process id, or 0 if the process has not been started.
+func (p *Process) PID() int {
+	if p.process == nil {
+		return 0
+	}
+	return p.process.Pid
+}
+
 // Signal sends a signal to the process if it is running.
 func (p *Process) Signal(s syscall.Signal) {
 	if p.Running() {
