Count what callers' connections hold from the first byte on

Cause: 64 KiB of each request, its read buffer and the copy for the gateway did not count toward requestMemory, and a request that stopped kept all of it for 30 s.

Change: the new budget connectionMemory (40 MiB) covers buffers, headers and the first 64 KiB of each body and answer; requestMemory covers the rest as before, for bodies with a length from the moment at which their slice is made. When a budget is used up, the slowest request being read gives up its memory and is refused with 503 as not run, else the new one is (memory.Slowest decides, caller.Connection carries it out). Large answers count toward answerMemory until they are written. maxConnections (3,400) bounds connections; beyond it, the longest idle one is closed. Each pause in a body is bounded by the configuration's idle time, instead of the whole body by 30 s. Metrics caller_memory_bytes, caller_connections, caller_refused_total; event 521.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/bits"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -13,9 +14,25 @@
 	"endivespring/internal/memory"
 )
 
-// requestReserve is the number of bytes of a request that need no budget, so that ordinary
-// requests are read while others have used it up.
-const requestReserve = 64 << 10
+const (
+	// firstBytes of a body or answer are covered by the budget of connections, so that ordinary
+	// requests are served while large ones have used up the budget of bodies.
+	firstBytes = 64 << 10
+	// readerBytes is the size of the front end's read buffer at most. Longer reads go directly
+	// to the slice of the body.
+	readerBytes = 32 << 10
+	// readingCost, runningCost and writingCost are what a connection holds beside the body or
+	// answer: buffers, the goroutine's stack and the request's header.
+	readingCost = readerBytes + 8<<10
+	runningCost = 8 << 10
+	writingCost = 8 << 10
+	// writePiece is how much is written at once, so that the progress is known.
+	writePiece = 64 << 10
+)
+
+// BodyReadTimeout marks the end of a request's header on its connection if a front end sets it
+// as its read time-out. Each read of the body is then bounded by the longest pause.
+const BodyReadTimeout = 24 * time.Hour
 
 // drainTime and maxDrained bound the reading of what a caller still sends when its request
 // has been refused, in time and in bytes.
@@ -28,14 +45,22 @@
 var ErrNoMemory = eris.New("not enough memory for the request")
 
 // Connection is a caller's connection that records when requests arrive on it, and withdraws
-// what they need from the budget of all requests. It is owned by the goroutine that reads
-// from it.
+// what it holds from the budgets of its front end. It is owned by the goroutine that reads
+// and writes on it; others may make it give up its memory.
 type Connection struct {
 	net.Conn
-	clock clock.Clock
-	// memory is what the present request has withdrawn, and received its bytes so far.
-	memory   *memory.Reservation
+	memory *Memory
+	slot   int
+	phase  atomic.Int32
+	// connection, body and answer are what is withdrawn from the budgets.
+	connection, body, answer *memory.Reservation
+	// received is how many bytes of the present request have arrived.
 	received int
+	// inBody is set once the header of the present request was read.
+	inBody bool
+	// began is when the present phase began, movedAt when its last byte was received or sent, as
+	// clock.Instant. moved is how many bytes that were.
+	began, movedAt, moved atomic.Int64
 	// refused is set once a request was refused before it was read as a whole.
 	refused atomic.Bool
 	// receivedAt is when the bytes that were read last arrived.
@@ -45,29 +70,179 @@
 	unreadSince clock.Instant
 }
 
+func newConnection(connection net.Conn, m *Memory) *Connection {
+	c := &Connection{
+		Conn: connection, memory: m, connection: m.limits.Connections.Reserve(), body: m.limits.Bodies.Reserve(), answer: m.limits.Answers.Reserve(),
+	}
+	c.movedAt.Store(int64(m.clock.Now()))
+	return c
+}
+
+func (c *Connection) inPhase(p phase) bool { return phase(c.phase.Load()) == p }
+
+// enter begins a phase. It returns false if the connection was given up.
+func (c *Connection) enter(p phase) bool {
+	for {
+		old := c.phase.Load()
+		if phase(old) == phaseGivenUp {
+			return false
+		}
+		if c.phase.CompareAndSwap(old, int32(p)) {
+			now := int64(c.memory.clock.Now())
+			c.began.Store(now)
+			c.movedAt.Store(now)
+			c.moved.Store(0)
+			return true
+		}
+	}
+}
+
+// giveUp makes a connection that is in a phase give back its memory at once. A read or write
+// in progress on it fails.
+func (c *Connection) giveUp(p phase) bool {
+	if !c.phase.CompareAndSwap(int32(p), int32(phaseGivenUp)) {
+		return false
+	}
+	c.release()
+	now := time.Now()
+	if p == phaseWriting {
+		_ = c.Conn.SetWriteDeadline(now)
+	}
+	_ = c.Conn.SetReadDeadline(now)
+	return true
+}
+
+func (c *Connection) release() {
+	c.connection.Release()
+	c.body.Release()
+	c.answer.Release()
+}
+
+// usage returns what the connection holds of a budget.
+func (c *Connection) usage(budget *memory.Budget, now clock.Instant) memory.Usage {
+	u := memory.Usage{
+		Moved: int(c.moved.Load()), Age: now.Sub(clock.Instant(c.began.Load())), Pause: now.Sub(clock.Instant(c.movedAt.Load())),
+	}
+	switch budget {
+	case c.memory.limits.Connections:
+		u.Bytes = c.connection.Taken()
+	case c.memory.limits.Bodies:
+		u.Bytes = c.body.Taken()
+	default:
+		u.Bytes = c.answer.Taken()
+	}
+	return u
+}
+
+// hold makes the connection hold what a phase costs and the given number of bytes of a body.
+func (c *Connection) hold(cost, bytes int) bool {
+	m := c.memory
+	return m.grow(c.connection, m.limits.Connections, cost+min(bytes, firstBytes)) && m.grow(c.body, m.limits.Bodies, max(0, bytes-firstBytes))
+}
+
 // Read reads from the connection and records when the bytes arrived. It returns ErrNoMemory
-// once the request has grown beyond what the budget allows.
+// once the request has grown beyond what the budgets allow, or was given up for others.
 func (c *Connection) Read(p []byte) (int, error) {
+	if !c.prepare(p) {
+		return 0, c.refuse()
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.receivedAt = c.clock.Now()
+		c.receivedAt = c.memory.clock.Now()
+		c.movedAt.Store(int64(c.receivedAt))
+		c.moved.Add(int64(n))
 		if c.unreadSince > 0 {
 			c.receivedAt = c.unreadSince
 		}
+		c.received += n
 	}
-	c.received += n
-	if !c.memory.Grow(c.received - requestReserve) {
-		c.refused.Store(true)
-		return 0, ErrNoMemory
+	if err != nil && c.inPhase(phaseGivenUp) {
+		return 0, c.refuse()
 	}
 	return n, err
 }
 
-// Close closes the connection and gives back the memory of its request. If the caller may
-// still send a refused request, that is read and dropped first: a connection that is closed
-// with unread bytes is reset, and the refusal would be lost.
+// prepare withdraws what a read into p needs. Front ends wait for the first byte of a request
+// with a slice of one byte, and hold no buffer meanwhile.
+func (c *Connection) prepare(p []byte) bool {
+	if len(p) <= 1 && !c.inPhase(phaseReading) {
+		c.release()
+		c.received, c.inBody = 0, false
+		return c.enter(phaseIdle)
+	}
+	if !c.inPhase(phaseReading) && !c.enter(phaseReading) {
+		return false
+	}
+	if c.inBody && c.Conn.SetReadDeadline(time.Now().Add(time.Duration(c.memory.pause.Load()))) != nil {
+		return false
+	}
+	if c.inPhase(phaseGivenUp) { // checked after the deadline was set, which giveUp replaces
+		return false
+	}
+	if !c.hold(readingCost, c.bodyBytes(p)) {
+		c.memory.countRefusal(RefusedReading)
+		return false
+	}
+	return true
+}
+
+// bodyBytes returns what the slice of the body takes before a read into p. The front end
+// rounds it up to a power of two, and refuses bodies above the limit, so that the framing of
+// chunks beyond it takes no memory.
+func (c *Connection) bodyBytes(p []byte) int {
+	bytes := c.received + cap(p)
+	if len(p) <= readerBytes {
+		bytes = 0
+		if c.received > 0 {
+			bytes = 1 << bits.Len(uint(c.received-1))
+		}
+	}
+	return min(bytes, int(c.memory.maxBody.Load())+firstBytes)
+}
+
+// refuse returns the error of a read for which there is no memory.
+func (c *Connection) refuse() error {
+	if c.received > 0 {
+		c.refused.Store(true)
+	}
+	return ErrNoMemory
+}
+
+// Write writes to the connection in pieces, and records its progress.
+func (c *Connection) Write(p []byte) (int, error) {
+	written := 0
+	for len(p) > 0 {
+		n, err := c.Conn.Write(p[:min(len(p), writePiece)])
+		written += n
+		if n > 0 {
+			c.movedAt.Store(int64(c.memory.clock.Now()))
+			c.moved.Add(int64(n))
+		}
+		if err != nil {
+			return written, err
+		}
+		p = p[n:]
+	}
+	return written, nil
+}
+
+// SetReadDeadline sets the deadline of reads. One as far ahead as BodyReadTimeout means that
+// the body follows.
+func (c *Connection) SetReadDeadline(at time.Time) error {
+	c.inBody = time.Until(at) > BodyReadTimeout/2
+	if c.inBody {
+		at = time.Now().Add(time.Duration(c.memory.pause.Load()))
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+// Close closes the connection and gives back its memory. If the caller may still send a
+// refused request, that is read and dropped first: a connection that is closed with unread
+// bytes is reset, and the refusal would be lost.
 func (c *Connection) Close() error {
-	c.memory.Release()
+	c.phase.Store(int32(phaseGivenUp))
+	c.release()
+	defer c.memory.remove(c)
 	if c.refused.CompareAndSwap(true, false) {
 		c.drain()
 	}
@@ -76,7 +251,7 @@
 
 func (c *Connection) drain() {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(drainTime)) != nil {
+	if !ok || half.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(drainTime)) != nil {
 		return
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxDrained))
@@ -90,13 +265,51 @@
 	}
 }
 
-// EndRequest gives back the memory of the request that was read last on a connection, whose
-// body is not used any more.
-func EndRequest(connection net.Conn) {
-	if c, ok := connection.(*Connection); ok {
-		c.received = 0
-		c.memory.Release()
+// RefusedUnread reports whether the request on a connection was refused for lack of memory.
+// Front ends do not always pass the error of the read on.
+func RefusedUnread(connection net.Conn) bool {
+	c, ok := connection.(*Connection)
+	return ok && c.refused.Load()
+}
+
+// StartRequest records that the request on a connection was read, and that it holds the given
+// number of bytes from now on. It returns false if there is no memory for it.
+func StartRequest(connection net.Conn, bytes int) bool {
+	c, ok := connection.(*Connection)
+	if !ok {
+		return true
+	}
+	if !c.enter(phaseRunning) {
+		return false
+	}
+	c.answer.Release()
+	c.connection.Shrink(runningCost + min(bytes, firstBytes))
+	c.body.Shrink(max(0, bytes-firstBytes))
+	if c.hold(runningCost, bytes) {
+		return true
+	}
+	c.memory.countRefusal(RefusedReading)
+	return false
+}
+
+// StartAnswer gives back the memory of the request on a connection, which is not used any more,
+// and withdraws what an answer takes until it is written. It returns false if there is no
+// memory for a large one. Small ones are always delivered: the system's buffer takes them also
+// if the caller does not read.
+func StartAnswer(connection net.Conn, bytes int) bool {
+	c, ok := connection.(*Connection)
+	if !ok {
+		return true
+	}
+	c.received, c.inBody = 0, false
+	c.body.Release()
+	c.connection.Shrink(writingCost + min(bytes, firstBytes))
+	c.connection.Force(writingCost + min(bytes, firstBytes))
+	if m := c.memory; bytes > firstBytes && !m.grow(c.answer, m.limits.Answers, bytes-firstBytes) {
+		m.countRefusal(RefusedAnswer)
+		return false
 	}
+	return c.enter(phaseWriting)
 }
 
 // SyscallConn returns the raw connection, or an error if this is no socket.
@@ -111,7 +324,7 @@
 // markUnread records that bytes are there to read while a request is answered.
 func (c *Connection) markUnread() {
 	if c.unreadSince == 0 {
-		c.unreadSince = c.clock.Now()
+		c.unreadSince = c.memory.clock.Now()
 	}
 }
 
--- a/internal/caller/gateway_client.go
+++ b/internal/caller/gateway_client.go
@@ -9,7 +9,6 @@
 	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
 	"endivespring/internal/gateway"
-	"endivespring/internal/memory"
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
@@ -29,8 +28,8 @@
 	refusing atomic.Bool
 	next     atomic.Uint64
 	limits   atomic.Pointer[fleet.CallerLimits]
-	// memory is the budget of large requests, or nil.
-	memory *memory.Budget
+	// memory is what the connections share, or nil.
+	memory *Memory
 }
 
 // NewGatewayClient returns a client that submits requests over a ring and passes
@@ -39,17 +38,25 @@
 	return &GatewayClient{clock: c, requests: requests, observe: observe}
 }
 
-// LimitMemory sets the budget that HasMemoryFor compares with, before requests are served.
-func (g *GatewayClient) LimitMemory(budget *memory.Budget) { g.memory = budget }
+// LimitMemory sets the memory that HasMemoryFor looks at, before requests are served.
+func (g *GatewayClient) LimitMemory(m *Memory) {
+	g.memory = m
+	m.setLimits(g.Limits())
+}
 
 // HasMemoryFor reports whether there is memory for a request with a body of the given length
-// now. An unknown length, below zero, is not refused.
+// now, after slow requests have given up theirs. An unknown length, below zero, is not refused.
 func (g *GatewayClient) HasMemoryFor(length int) bool {
-	return g.memory == nil || length <= requestReserve || length-requestReserve <= g.memory.Left()
+	return g.memory == nil || length <= firstBytes || g.memory.makeRoom(g.memory.limits.Bodies, length-firstBytes)
 }
 
 // SetLimits replaces the limits on callers' requests.
-func (g *GatewayClient) SetLimits(limits fleet.CallerLimits) { g.limits.Store(&limits) }
+func (g *GatewayClient) SetLimits(limits fleet.CallerLimits) {
+	g.limits.Store(&limits)
+	if g.memory != nil {
+		g.memory.setLimits(limits)
+	}
+}
 
 // Limits returns the limits on callers' requests. A zero field means no limit.
 func (g *GatewayClient) Limits() fleet.CallerLimits {
--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -1,30 +1,29 @@
 package caller
 
-import (
-	"net"
-
-	"endivespring/internal/clock"
-	"endivespring/internal/memory"
-)
+import "net"
 
 // Listener accepts callers' connections as Connections.
 type Listener struct {
 	net.Listener
-	clock  clock.Clock
-	budget *memory.Budget
+	memory *Memory
 }
 
-// NewListener returns a listener over another one. The requests on all its connections share
-// a budget of memory, beside requestReserve each.
-func NewListener(listener net.Listener, c clock.Clock, budget *memory.Budget) *Listener {
-	return &Listener{Listener: listener, clock: c, budget: budget}
+// NewListener returns a listener over another one, whose connections share the memory.
+func NewListener(listener net.Listener, m *Memory) *Listener {
+	return &Listener{Listener: listener, memory: m}
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection. Those beyond the limit are closed.
 func (l *Listener) Accept() (net.Conn, error) {
-	connection, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		connection, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := newConnection(connection, l.memory)
+		if l.memory.add(c) {
+			return c, nil
+		}
+		_ = connection.Close()
 	}
-	return &Connection{Conn: connection, clock: l.clock, memory: l.budget.Reserve()}, nil
 }
--- /dev/null
+++ b/internal/caller/memory.go
@@ -0,0 +1,140 @@
+package caller
+
+import (
+	"cmp"
+	"sync/atomic"
+	"time"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/event"
+	"endivespring/internal/fleet"
+	"endivespring/internal/memory"
+)
+
+const (
+	// maxGivenUp bounds how many connections one request may take the memory of, and so the
+	// time that it takes to decide.
+	maxGivenUp = 32
+	// spareConnections share of slots is for connections that are accepted while an idle one is
+	// being closed for them.
+	spareConnections = 16
+	// bodyPause is the longest pause within a body, unless the configuration sets one.
+	bodyPause = 15 * time.Second
+)
+
+// Memory is what the connections of a front end share: their budgets and who holds how much.
+// It is safe for concurrent use.
+type Memory struct {
+	limits  MemoryLimits
+	clock   clock.Clock
+	events  event.Recorder
+	slots   []atomic.Pointer[Connection]
+	next    atomic.Uint32
+	open    atomic.Int64
+	maxBody atomic.Int64
+	pause   atomic.Int64
+	refused [len(refusalCauses)]atomic.Int64
+}
+
+// NewMemory returns the memory of a front end without connections.
+func NewMemory(c clock.Clock, limits MemoryLimits, events event.Recorder) *Memory {
+	m := &Memory{limits: limits, clock: c, events: events}
+	m.slots = make([]atomic.Pointer[Connection], limits.MaxConnections+max(1, limits.MaxConnections/spareConnections))
+	m.setLimits(fleet.CallerLimits{})
+	return m
+}
+
+// setLimits replaces the limits of the configuration in force.
+func (m *Memory) setLimits(limits fleet.CallerLimits) {
+	m.maxBody.Store(int64(cmp.Or(limits.MaxBody, m.limits.MaxBody)))
+	m.pause.Store(int64(cmp.Or(limits.IdleTimeout, bodyPause)))
+}
+
+// Used returns the bytes in use of the budgets of connections, bodies and answers.
+func (m *Memory) Used() (connections, bodies, answers int) {
+	return m.limits.Connections.Used(), m.limits.Bodies.Used(), m.limits.Answers.Used()
+}
+
+// Open returns the number of open connections.
+func (m *Memory) Open() int { return int(m.open.Load()) }
+
+// Refused returns how many requests or connections were refused for a cause.
+func (m *Memory) Refused(cause RefusalCause) int64 { return m.refused[cause].Load() }
+
+func (m *Memory) countRefusal(cause RefusalCause) {
+	m.refused[cause].Add(1)
+	m.events.Record(event.CallerRefused, event.F("cause", cause.String()))
+}
+
+// add registers a connection. It returns false if there are too many. Above MaxConnections,
+// the one that has been idle for longest is closed.
+func (m *Memory) add(c *Connection) bool {
+	if int(m.open.Load()) >= m.limits.MaxConnections {
+		m.closeIdle()
+	}
+	for range m.slots {
+		slot := int(m.next.Add(1)) % len(m.slots)
+		if m.slots[slot].CompareAndSwap(nil, c) {
+			c.slot = slot
+			m.open.Add(1)
+			return true
+		}
+	}
+	m.countRefusal(RefusedConnection)
+	return false
+}
+
+func (m *Memory) remove(c *Connection) {
+	if m.slots[c.slot].CompareAndSwap(c, nil) {
+		m.open.Add(-1)
+	}
+}
+
+// closeIdle closes the connection that has been idle for longest.
+func (m *Memory) closeIdle() {
+	var longest *Connection
+	for i := range m.slots {
+		if c := m.slots[i].Load(); c != nil && c.inPhase(phaseIdle) && (longest == nil || c.movedAt.Load() < longest.movedAt.Load()) {
+			longest = c
+		}
+	}
+	if longest != nil && longest.giveUp(phaseIdle) {
+		m.countRefusal(RefusedConnection)
+	}
+}
+
+// makeRoom reports whether a budget has the given number of bytes left, after slow connections
+// have given up what they hold of it.
+func (m *Memory) makeRoom(budget *memory.Budget, bytes int) bool {
+	for range maxGivenUp {
+		if budget.Left() >= bytes {
+			return true
+		}
+		if !m.giveUpSlowest(budget) {
+			return false
+		}
+	}
+	return budget.Left() >= bytes
+}
+
+// grow extends a reservation, after slow connections have given up theirs if need be.
+func (m *Memory) grow(r *memory.Reservation, budget *memory.Budget, bytes int) bool {
+	return r.Grow(bytes) || m.makeRoom(budget, bytes-r.Taken()) && r.Grow(bytes)
+}
+
+func (m *Memory) giveUpSlowest(budget *memory.Budget) bool {
+	now, slowest := m.clock.Now(), memory.Slowest[*Connection]{}
+	for i := range m.slots {
+		if c := m.slots[i].Load(); c != nil && (c.inPhase(phaseReading) || c.inPhase(phaseWriting)) {
+			slowest.Offer(c, c.usage(budget, now))
+		}
+	}
+	c, found := slowest.User()
+	if !found {
+		return false
+	}
+	if c.giveUp(phaseReading) || c.giveUp(phaseWriting) {
+		m.countRefusal(RefusedSlow)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/caller/memory_limits.go
@@ -0,0 +1,14 @@
+package caller
+
+import "endivespring/internal/memory"
+
+// MemoryLimits is what a front end's connections may use at the same time.
+type MemoryLimits struct {
+	// MaxConnections is the largest number of open connections.
+	MaxConnections int
+	// MaxBody is the largest body of a request unless the configuration sets one.
+	MaxBody int
+	// Connections covers buffers and the first 64 KiB of the body or answer of each connection,
+	// Bodies the rest of bodies, Answers the rest of answers.
+	Connections, Bodies, Answers *memory.Budget
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -77,11 +77,14 @@
 func (s *Server) Stop() { s.gateway.Stop() }
 
 func (s *Server) serve(c *fiber.Ctx) error {
-	defer EndRequest(c.Context().Conn())
+	connection := c.Context().Conn()
 	request, problem := parseRequest(c)
+	if problem == verdict.ReasonNone && !StartRequest(connection, len(request.Body)+2*len(c.Request().Header.Header())) {
+		problem = verdict.ReasonOverloaded
+	}
 	var answer call.Answer
 	if problem == verdict.ReasonNone {
-		answer = s.gateway.Do(c.Context().Conn(), request)
+		answer = s.gateway.Do(connection, request)
 	} else {
 		answer = refusal(request.ID, problem)
 		s.gateway.Observe(&answer, 0)
@@ -89,9 +92,18 @@
 	if s.gateway.Stopping() { // checked last: Stop may have been called while the request was in flight
 		c.Response().SetConnectionClose()
 	}
+	if !StartAnswer(connection, len(answer.Body)) && answer.Verdict != verdict.NotRun {
+		answer = WithoutBody(&answer)
+	}
 	return writeAnswer(c, &answer)
 }
 
+// WithoutBody returns what the caller is told instead of an answer that ran and for which there
+// is no memory.
+func WithoutBody(answer *call.Answer) call.Answer {
+	return call.Answer{RequestID: answer.RequestID, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonOverloaded}
+}
+
 // parseRequest parses a request. It copies all strings and the body, since fiber
 // reuses its buffers.
 func parseRequest(c *fiber.Ctx) (gateway.Request, verdict.Reason) {
@@ -185,7 +197,7 @@
 	if !validText(answer.RequestID) {
 		answer.RequestID = ""
 	}
-	if known.Message == ErrNoMemory.Error() { // the library makes a bad request of it
+	if RefusedUnread(c.Context().Conn()) { // the library makes a bad request of it
 		known = fiber.ErrServiceUnavailable
 		answer.Verdict, answer.Reason = verdict.NotRun, verdict.ReasonOverloaded
 	}
--- a/internal/caller/test_server_test.go
+++ b/internal/caller/test_server_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -14,6 +15,7 @@
 
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
+	"endivespring/internal/event"
 	"endivespring/internal/memory"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
@@ -26,6 +28,13 @@
 
 var testClock = clock.NewMonotonic()
 
+// newTestMemory returns memory whose bodies share a budget.
+func newTestMemory(bodies *memory.Budget) *Memory {
+	return NewMemory(testClock, MemoryLimits{
+		MaxConnections: 64, MaxBody: 1 << 20, Connections: memory.NewBudget(4 << 20), Bodies: bodies, Answers: memory.NewBudget(1 << 20),
+	}, event.NewLog(io.Discard, "test"))
+}
+
 // testServer is a caller server on a TCP port. The test takes its requests from the
 // ring.
 type testServer struct {
@@ -40,7 +49,9 @@
 	assert.NilError(t, err)
 	f := &testServer{t: t, requests: ring.New[*Request]("requests", capacity, ring.Refuse), address: listener.Addr().String()}
 	f.server = NewServer(testClock, f.requests, testBody, func(*call.Answer, time.Duration) {})
-	go func() { _ = f.server.App().Listener(NewListener(listener, testClock, memory.NewBudget(testMemory))) }()
+	go func() {
+		_ = f.server.App().Listener(NewListener(listener, newTestMemory(memory.NewBudget(testMemory))))
+	}()
 	t.Cleanup(func() { _ = f.server.App().ShutdownWithTimeout(time.Second) })
 	return f
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -46,6 +46,7 @@
 	RequestRetried     = define(511, "request-retried", Info, "The entry tries a request again at another door.")
 	RequestFinished    = define(512, "request-finished", Info, "The entry answered a request.")
 	AnswerDropped      = define(520, "answer-dropped", Warn, "A late or crossed answer was dropped.")
+	CallerRefused      = define(521, "caller-refused", Warn, "A front end refused a caller's request or closed a connection because of its limits on memory and connections; `cause` says which: connections, memory (to read or run the request), slow (it was read, or its answer sent, too slowly while others needed the memory) or answer (no memory for an answer that its caller does not read).")
 	RequestRefused     = define(600, "request-refused", Info, "The door refused a request before it ran.")
 	RunFailed          = define(601, "run-failed", Info, "A request that was given to the upstream got no whole answer, or was refused there.")
 	UpstreamAnnounced  = define(610, "upstream-announced", Info, "An upstream announced itself to the router beside it.")
--- a/internal/event/event_docs.go
+++ b/internal/event/event_docs.go
@@ -52,6 +52,8 @@
 	RequestFinished: {fields: []string{"request", "service", "operation", "verdict", "reason", "upstream", "key", "view", "retryAfter"}},
 	AnswerDropped: {fields: []string{"request", "router", "upstream"},
 		action: "None for a single event: the caller got a correct verdict in time. Many from one router indicate a slow upstream or network there."},
+	CallerRefused: {fields: []string{"cause"},
+		action: "None for single events. Many with `slow` show callers that stop within their requests; with `memory` and no `slow`, callers send more at once than `connectionMemory` and `requestMemory` allow; with `connections`, see `maxConnections`."},
 	RequestRefused: {fields: []string{
 		"request", "service", "operation", "verdict", "reason", "shard", "key", "view", "running", "queued", "limit", "typical"}},
 	RunFailed:         {fields: []string{"request", "upstream", "boot", "verdict", "reason", "took"}},
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -1,15 +1,18 @@
-// Package memory bounds what bodies of requests and answers may use in a process at the same
-// time. It counts bytes; it allocates nothing.
+// Package memory bounds what requests and answers may use in a process at the same time, and
+// chooses who gives memory up when it runs out. It counts bytes; it allocates nothing.
 package memory
 
 import "sync/atomic"
 
 // Budget is a number of bytes that several users share. It is safe for concurrent use.
-type Budget struct{ free atomic.Int64 }
+type Budget struct {
+	size int
+	free atomic.Int64
+}
 
 // NewBudget returns a budget of the given number of bytes.
 func NewBudget(bytes int) *Budget {
-	b := &Budget{}
+	b := &Budget{size: bytes}
 	b.free.Store(int64(bytes))
 	return b
 }
@@ -26,5 +29,8 @@
 // Give returns bytes.
 func (b *Budget) Give(bytes int) { b.free.Add(int64(bytes)) }
 
+// Used returns the number of bytes that are withdrawn, which may be more than the budget.
+func (b *Budget) Used() int { return b.size - int(b.free.Load()) }
+
 // Left returns the number of free bytes, which others may take at any time.
 func (b *Budget) Left() int { return int(max(0, b.free.Load())) }
--- a/internal/memory/reservation.go
+++ b/internal/memory/reservation.go
@@ -26,6 +26,29 @@
 	return true
 }
 
+// Force withdraws what is lacking to hold the given number of bytes, even if that is not free.
+// Others then find nothing free until as much has come back.
+func (r *Reservation) Force(bytes int) {
+	if lacking := bytes - int(r.taken.Load()); lacking > 0 {
+		r.budget.Give(-lacking)
+		r.taken.Add(int64(lacking))
+	}
+}
+
+// Shrink gives back what exceeds the given number of bytes.
+func (r *Reservation) Shrink(bytes int) {
+	for {
+		taken := r.taken.Load()
+		if taken <= int64(bytes) {
+			return
+		}
+		if r.taken.CompareAndSwap(taken, int64(bytes)) {
+			r.budget.Give(int(taken) - bytes)
+			return
+		}
+	}
+}
+
 // Taken returns the number of bytes that are held.
 func (r *Reservation) Taken() int { return int(r.taken.Load()) }
 
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -15,6 +15,10 @@
 	Requests       = define("requests_total", Counter, "verdict, reason, service, route", "Callers' requests answered by this gateway. Service and route are empty if unknown, and other once 512 label combinations exist.")
 	RequestLatency = define("request_latency_microseconds", Summary, "quantile", "Time from reading a caller's request to its answer, in microseconds.")
 
+	CallerBytes       = define("caller_memory_bytes", Gauge, "budget", "Memory that callers' requests and answers hold of a budget, in bytes: connections, bodies or answers.")
+	CallerConnections = define("caller_connections", Gauge, "", "Open connections of callers.")
+	CallerRefusals    = define("caller_refused_total", Counter, "cause", "Requests refused and connections closed because of the limits on callers' memory and connections.")
+
 	ExecutorLimit   = define("door_limit", Gauge, "", "Concurrency limit of the executor towards the upstream, in requests.")
 	ExecutorRunning = define("door_running", Gauge, "", "Requests running at the upstream.")
 	ExecutorQueued  = define("door_queued", Gauge, "", "Requests queued at the executor.")
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -15,9 +15,11 @@
 	"gotest.tools/v3/assert"
 
 	"endivespring/internal/call"
+	"endivespring/internal/caller"
 	"endivespring/internal/clock"
 	"endivespring/internal/controller"
 	"endivespring/internal/event"
+	"endivespring/internal/memory"
 	"endivespring/internal/fsm"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
@@ -57,6 +59,11 @@
 	group.Wait()
 	NewExecutorMeter(r).Set(call.Load{Limit: 10, InFlight: 7, Queued: 3})
 	NewRangeMeter(r).Observe("grant", "applied")
+	bodies := memory.NewBudget(1000)
+	assert.Assert(t, bodies.Take(300))
+	RegisterCallerMemory(r, caller.NewMemory(fixedClock(time.Second), caller.MemoryLimits{
+		MaxConnections: 1, Connections: memory.NewBudget(1), Bodies: bodies, Answers: memory.NewBudget(1),
+	}, log))
 	session := NewSessionMeter(r, fixedClock(time.Second))
 	session.SetLeases(clock.Instant(1500*time.Millisecond), clock.Instant(time.Millisecond))
 	session.SetView(9)
@@ -79,6 +86,8 @@
 		`endivespring_requests_total{verdict="ran",reason="",service="s",route="a"} 4000`,
 		`endivespring_requests_total{verdict="not-run",reason="shed",service="",route=""} 4000`,
 		`endivespring_request_latency_microseconds_count 8000`, `endivespring_request_latency_microseconds{quantile="0.999"} 2000`,
+		`endivespring_caller_memory_bytes{budget="bodies"} 300`, `endivespring_caller_memory_bytes{budget="answers"} 0`,
+		`endivespring_caller_connections 0`, `endivespring_caller_refused_total{cause="slow"} 0`,
 		`endivespring_door_limit 10`, `endivespring_door_running 7`, `endivespring_door_queued 3`,
 		`endivespring_ownership_lease_left_milliseconds 500`, `endivespring_view_lease_left_milliseconds 0`,
 		`endivespring_log_commit_index 40`, `endivespring_log_applied_index 39`, `endivespring_log_snapshot_index 32`,
--- a/internal/router/gone_caller_test.go
+++ b/internal/router/gone_caller_test.go
@@ -88,7 +88,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	go func() { _ = g.Run(ctx) }()
-	go func() { _ = g.server.App().Listener(caller.NewListener(listener, g.clock, memory.NewBudget(1<<20))) }()
+	go func() {
+		_ = g.server.App().Listener(caller.NewListener(listener, caller.NewMemory(g.clock, caller.MemoryLimits{
+			MaxConnections: 64, MaxBody: 1 << 20, Connections: memory.NewBudget(4 << 20), Bodies: memory.NewBudget(1 << 20), Answers: memory.NewBudget(1 << 20),
+		}, event.NewLog(io.Discard, "test"))))
+	}()
 	defer func() { _ = g.server.App().ShutdownWithTimeout(time.Second) }()
 	for g.log.Count(event.RequestFinished) < gone {
 		assert.NilError(t, ctx.Err())
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -91,6 +91,10 @@
 	hasPreset *ring.Ring[struct{}]
 	// requestMemory is what large requests of callers and of other routers may use.
 	requestMemory *memory.Budget
+	// answerMemory is what large answers may use, read from the upstream or sent to callers.
+	answerMemory *memory.Budget
+	// callerMemory is what callers' connections share.
+	callerMemory *caller.Memory
 	// callersDone is signalled once the front end has answered all requests that
 	// it has read.
 	callersDone *ring.Ring[struct{}]
@@ -182,7 +186,12 @@
 	observe := metrics.NewRequestMeter(n.registry).Observe
 	n.caller = caller.NewServer(n.clock, n.gateway.requests, s.MaxBody, observe)
 	n.gatewayClient = caller.NewGatewayClient(n.clock, n.gateway.requests, observe)
-	n.gatewayClient.LimitMemory(n.requestMemory)
+	n.answerMemory = memory.NewBudget(s.AnswerMemory)
+	n.callerMemory = caller.NewMemory(n.clock, caller.MemoryLimits{
+		MaxConnections: s.MaxConnections, MaxBody: s.MaxBody, Connections: memory.NewBudget(s.ConnectionMemory), Bodies: n.requestMemory, Answers: n.answerMemory,
+	}, n.events)
+	metrics.RegisterCallerMemory(n.registry, n.callerMemory)
+	n.gatewayClient.LimitMemory(n.callerMemory)
 	n.gateway.client = n.gatewayClient
 	n.hasPreset = ring.New[struct{}]("has-preset", 1, ring.DropOldest)
 	n.gateway.hasPreset = n.hasPreset
--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -7,7 +7,6 @@
 	"github.com/gofiber/fiber/v2"
 
 	"endivespring/internal/caller"
-	"endivespring/internal/memory"
 	"endivespring/internal/metrics"
 	"endivespring/internal/peer"
 	"endivespring/internal/upstream"
@@ -19,10 +18,9 @@
 	if n.frontEnd != nil {
 		dialect = n.frontEnd.Dialect()
 	}
-	answers := memory.NewBudget(n.settings.AnswerMemory)
 	n.executor.startSender = func() {
 		sender := &senderDuty{
-			sender: upstream.NewSender(n.clock, n.events, n.settings.MaxBody, answers, dialect), runs: n.executor.runs, outcomes: n.executor.outcomes,
+			sender: upstream.NewSender(n.clock, n.events, n.settings.MaxBody, n.answerMemory, dialect), runs: n.executor.runs, outcomes: n.executor.outcomes,
 		}
 		n.group.Go("sender", sender.Run)
 	}
@@ -37,7 +35,7 @@
 	}
 	n.group.Go("aborts", aborts.Run)
 	if l.caller != nil {
-		n.serveApp("caller-server", n.caller.App(), caller.NewListener(l.caller, n.clock, n.requestMemory))
+		n.serveApp("caller-server", n.caller.App(), caller.NewListener(l.caller, n.callerMemory))
 	}
 	n.serveApp("announce-server", n.announce, l.announce)
 	n.serveApp("metrics-server", n.metrics, l.metrics)
@@ -72,7 +70,7 @@
 		waiting, stopWaiting := context.WithTimeout(callers, presetWait)
 		_, _ = n.hasPreset.Take(waiting) // without a preset in time, requests are refused
 		stopWaiting()
-		return n.frontEnd.ServeCallers(callers, caller.NewListener(l.frontCaller, n.clock, n.requestMemory), n.gatewayClient, n.settings, n.events)
+		return n.frontEnd.ServeCallers(callers, caller.NewListener(l.frontCaller, n.callerMemory), n.gatewayClient, n.settings, n.events)
 	})
 	n.group.Go("front-announcements", func(ctx context.Context) error {
 		return n.frontEnd.ServeAnnouncements(ctx, l.frontAnnounce, n.executor.notifications, n.settings, n.events)
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -20,34 +20,36 @@
 
 // Router holds the settings of a router.
 type Router struct {
-	Fleet           string   `json:"fleet" required:"true" kind:"name" doc:"Name of the fleet. Processes of other fleets are refused."`
-	Name            string   `json:"name" required:"true" kind:"name" doc:"Name of this router; unique in the fleet."`
-	DataCentre      string   `json:"dataCentre" required:"true" kind:"name" doc:"Data centre of this VM."`
-	Caller          string   `json:"caller" kind:"address" doc:"Address for callers; required if there is no front end."`
-	Announce        string   `json:"announce" kind:"address" doc:"Address at which the upstream beside this router announces itself; required if there is no front end."`
-	FrontEnd        FrontEnd `json:"frontEnd" doc:"Additional interface for callers and for the upstream."`
-	Service         string   `json:"service" doc:"Service of the upstream beside this router; calls that the upstream makes are marked with it."`
-	Upstream        string   `json:"upstream" kind:"address" doc:"Address of the upstream beside this router; if set, it may announce no other address."`
-	Peer            string   `json:"peer" required:"true" kind:"address" doc:"Address for other routers."`
-	Advertise       string   `json:"advertise" kind:"address" doc:"Address at which other routers reach this one, if it differs from peer."`
-	Control         []string `json:"control" min:"1" required:"true" kind:"address" doc:"Peer addresses of the control processes."`
-	ControlPort     int      `json:"controlPort" min:"0" max:"65535" doc:"Port of every control process, if their number may change: only the IP addresses in control are used then, and the router follows the leader to any address. 0 if control lists all control processes."`
-	Metrics         string   `json:"metrics" kind:"address" doc:"Address where metrics are served at /metrics; not served if not set."`
-	MaxBody         int      `json:"maxBody" default:"1048576" min:"1024" max:"67108864" doc:"Largest body of a request or answer, in bytes."`
-	RequestMemory   int      `json:"requestMemory" default:"67108864" min:"65536" max:"1073741824" doc:"Bytes that the bodies of all requests in progress may use, beside 64 KiB each. A request that needs more is refused as overloaded."`
-	AnswerMemory    int      `json:"answerMemory" default:"67108864" min:"65536" max:"1073741824" doc:"Bytes that all answers of the upstream being read at the same time may use, beside 64 KiB each. An answer that needs more is given up."`
-	MemoryMB        float64  `json:"memoryMB" default:"192" min:"0" max:"1048576" doc:"Memory in MB that the process may use. It collects garbage in time to stay within it; what is in use at the same time has limits of its own. 0 for no such limit."`
-	GCPercent       int      `json:"gcPercent" default:"100" min:"10" max:"1000" doc:"Growth of the heap, in percent of what is in use, at which garbage is collected. Lower values take less memory and more processor time."`
-	Load            Load     `json:"load" doc:"Load management."`
-	MaxRequests     int      `json:"maxRequests" default:"4096" min:"16" max:"65536" doc:"Largest number of callers' requests in progress."`
-	Renewal         Duration `json:"renewal" default:"300ms" min:"20ms" max:"10s" doc:"Time between renewals; must equal timing.renewal of the control processes."`
-	Grace           Duration `json:"grace" default:"20s" min:"100ms" max:"10m" doc:"Longest time to finish running work after a stop signal."`
-	KillAfter       Duration `json:"killAfter" default:"0s" min:"0s" max:"1h" doc:"Time after a stop signal at which the process is killed; if above 500ms, the grace period is shortened to end before. 0 if the process is not killed."`
-	MaxHold         Duration `json:"maxHold" default:"10s" min:"500ms" max:"10m" doc:"Longest lease on ranges of keys that the upstream accepts."`
-	UpstreamDrain   Duration `json:"upstreamDrain" default:"2s" min:"100ms" max:"10m" doc:"Time for which a draining upstream still accepts requests; values below 2s make the router stop using its ranges of keys sooner."`
-	Linger          Duration `json:"linger" default:"2500ms" min:"0s" max:"1m" doc:"Time for which a stopping router with a front end still takes work, so that callers see in its readiness that they must use another router."`
-	RoutingPolicy   string   `json:"routingPolicy" doc:"Baseline policy for measurements: round-robin or two-choices, both without hedging; empty for the normal policy."`
-	AnnounceTimeout Duration `json:"announceTimeout" default:"3s" min:"100ms" max:"1m" doc:"Time without an announcement after which the upstream is considered lost."`
+	Fleet            string   `json:"fleet" required:"true" kind:"name" doc:"Name of the fleet. Processes of other fleets are refused."`
+	Name             string   `json:"name" required:"true" kind:"name" doc:"Name of this router; unique in the fleet."`
+	DataCentre       string   `json:"dataCentre" required:"true" kind:"name" doc:"Data centre of this VM."`
+	Caller           string   `json:"caller" kind:"address" doc:"Address for callers; required if there is no front end."`
+	Announce         string   `json:"announce" kind:"address" doc:"Address at which the upstream beside this router announces itself; required if there is no front end."`
+	FrontEnd         FrontEnd `json:"frontEnd" doc:"Additional interface for callers and for the upstream."`
+	Service          string   `json:"service" doc:"Service of the upstream beside this router; calls that the upstream makes are marked with it."`
+	Upstream         string   `json:"upstream" kind:"address" doc:"Address of the upstream beside this router; if set, it may announce no other address."`
+	Peer             string   `json:"peer" required:"true" kind:"address" doc:"Address for other routers."`
+	Advertise        string   `json:"advertise" kind:"address" doc:"Address at which other routers reach this one, if it differs from peer."`
+	Control          []string `json:"control" min:"1" required:"true" kind:"address" doc:"Peer addresses of the control processes."`
+	ControlPort      int      `json:"controlPort" min:"0" max:"65535" doc:"Port of every control process, if their number may change: only the IP addresses in control are used then, and the router follows the leader to any address. 0 if control lists all control processes."`
+	Metrics          string   `json:"metrics" kind:"address" doc:"Address where metrics are served at /metrics; not served if not set."`
+	MaxBody          int      `json:"maxBody" default:"1048576" min:"1024" max:"67108864" doc:"Largest body of a request or answer, in bytes."`
+	RequestMemory    int      `json:"requestMemory" default:"67108864" min:"65536" max:"1073741824" doc:"Bytes that the bodies of all requests in progress may use, beside 64 KiB each. A request that needs more is refused as overloaded."`
+	ConnectionMemory int      `json:"connectionMemory" default:"41943040" min:"1048576" max:"1073741824" doc:"Bytes that all callers' connections may use for buffers, headers and the first 64 KiB of each body or answer, while requests are read, run and answered. If it is used up, the slowest request being read is refused as overloaded, else the new one."`
+	MaxConnections   int      `json:"maxConnections" default:"3400" min:"16" max:"65536" doc:"Largest number of callers' connections. Beyond it, the one that has been idle for longest is closed."`
+	AnswerMemory     int      `json:"answerMemory" default:"67108864" min:"65536" max:"1073741824" doc:"Bytes that all answers of the upstream being read at the same time may use, beside 64 KiB each; and, with a front end's callers, all answers that are being sent to them. An answer that needs more is given up."`
+	MemoryMB         float64  `json:"memoryMB" default:"192" min:"0" max:"1048576" doc:"Memory in MB that the process may use. It collects garbage in time to stay within it; what is in use at the same time has limits of its own. 0 for no such limit."`
+	GCPercent        int      `json:"gcPercent" default:"100" min:"10" max:"1000" doc:"Growth of the heap, in percent of what is in use, at which garbage is collected. Lower values take less memory and more processor time."`
+	Load             Load     `json:"load" doc:"Load management."`
+	MaxRequests      int      `json:"maxRequests" default:"4096" min:"16" max:"65536" doc:"Largest number of callers' requests in progress."`
+	Renewal          Duration `json:"renewal" default:"300ms" min:"20ms" max:"10s" doc:"Time between renewals; must equal timing.renewal of the control processes."`
+	Grace            Duration `json:"grace" default:"20s" min:"100ms" max:"10m" doc:"Longest time to finish running work after a stop signal."`
+	KillAfter        Duration `json:"killAfter" default:"0s" min:"0s" max:"1h" doc:"Time after a stop signal at which the process is killed; if above 500ms, the grace period is shortened to end before. 0 if the process is not killed."`
+	MaxHold          Duration `json:"maxHold" default:"10s" min:"500ms" max:"10m" doc:"Longest lease on ranges of keys that the upstream accepts."`
+	UpstreamDrain    Duration `json:"upstreamDrain" default:"2s" min:"100ms" max:"10m" doc:"Time for which a draining upstream still accepts requests; values below 2s make the router stop using its ranges of keys sooner."`
+	Linger           Duration `json:"linger" default:"2500ms" min:"0s" max:"1m" doc:"Time for which a stopping router with a front end still takes work, so that callers see in its readiness that they must use another router."`
+	RoutingPolicy    string   `json:"routingPolicy" doc:"Baseline policy for measurements: round-robin or two-choices, both without hedging; empty for the normal policy."`
+	AnnounceTimeout  Duration `json:"announceTimeout" default:"3s" min:"100ms" max:"1m" doc:"Time without an announcement after which the upstream is considered lost."`
 }
 
 // Check reports problems across fields.
