--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -187,8 +187,8 @@
 }
 
 // bodyBytes returns what the slice of the body takes before a read into p. The front end
-// rounds it up to a power of two, and refuses bodies above the limit, so that the framing of
-// chunks beyond it takes no memory.
+// rounds it up to a power of two, and refuses bodies above the limit: what arrives beyond is
+// the framing of chunks, which is not kept.
 func (c *Connection) bodyBytes(p []byte) int {
 	bytes := c.received + cap(p)
 	if len(p) <= readerBytes {
@@ -197,6 +197,12 @@
 			bytes = 1 << bits.Len(uint(c.received-1))
 		}
 	}
+	return c.capped(bytes)
+}
+
+// capped bounds the bytes that count for a body. A slice that has grown beyond the limit on
+// bodies is not used there, and the system provides only memory that is used.
+func (c *Connection) capped(bytes int) int {
 	return min(bytes, int(c.memory.maxBody.Load())+firstBytes)
 }
 
@@ -283,6 +289,7 @@
 		return false
 	}
 	c.answer.Release()
+	bytes = c.capped(bytes)
 	c.connection.Shrink(runningCost + min(bytes, firstBytes))
 	c.body.Shrink(max(0, bytes-firstBytes))
 	if c.hold(runningCost, bytes) {
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -19,8 +19,8 @@
 	"endivespring/internal/clock"
 	"endivespring/internal/controller"
 	"endivespring/internal/event"
-	"endivespring/internal/memory"
 	"endivespring/internal/fsm"
+	"endivespring/internal/memory"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
 )
