Bound the memory of the announce, readiness and operator interfaces

Cause: these servers accepted any number of connections, each with a body of up to 16 MiB that may stop short of its end.

--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -1,6 +1,18 @@
 package caller
 
-import "net"
+import (
+	"net"
+
+	"endivespring/internal/clock"
+	"endivespring/internal/event"
+	"endivespring/internal/memory"
+)
+
+// Limits of a LimitListener.
+const (
+	limitedConnections = 128
+	limitedMemory      = 2 << 20 // bytes for buffers and the first 64 KiB of each body
+)
 
 // Listener accepts callers' connections as Connections.
 type Listener struct {
@@ -13,6 +25,15 @@
 	return &Listener{Listener: listener, memory: m}
 }
 
+// LimitListener returns a listener for few callers, such as operators or an upstream, with limits
+// of its own: its connections share memory for bodies of the given size, beside limitedMemory.
+func LimitListener(listener net.Listener, maxBody int, events event.Recorder) *Listener {
+	return NewListener(listener, NewMemory(clock.NewMonotonic(), MemoryLimits{
+		MaxConnections: limitedConnections, MaxBody: maxBody,
+		Connections: memory.NewBudget(limitedMemory), Bodies: memory.NewBudget(maxBody), Answers: memory.NewBudget(maxBody),
+	}, events))
+}
+
 // Accept waits for the next connection. Those beyond the limit are closed.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
