--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -4,27 +4,47 @@
 	"net"
 
 	"endivespring/internal/clock"
+	"endivespring/internal/event"
 	"endivespring/internal/memory"
 )
 
+// Limits of a LimitListener.
+const (
+	limitedConnections = 128
+	limitedMemory      = 2 << 20 // bytes for buffers and the first 64 KiB of each body
+)
+
 // Listener accepts callers' connections as Connections.
 type Listener struct {
 	net.Listener
-	clock  clock.Clock
-	budget *memory.Budget
+	memory *Memory
+}
+
+// NewListener returns a listener over another one, whose connections share the memory.
+func NewListener(listener net.Listener, m *Memory) *Listener {
+	return &Listener{Listener: listener, memory: m}
 }
 
-// NewListener returns a listener over another one. The requests on all its connections share
-// a budget of memory, beside requestReserve each.
-func NewListener(listener net.Listener, c clock.Clock, budget *memory.Budget) *Listener {
-	return &Listener{Listener: listener, clock: c, budget: budget}
+// LimitListener returns a listener for few callers, such as operators or an upstream, with limits
+// of its own: its connections share memory for bodies of the given size, beside limitedMemory.
+func LimitListener(listener net.Listener, maxBody int, events event.Recorder) *Listener {
+	return NewListener(listener, NewMemory(clock.NewMonotonic(), MemoryLimits{
+		MaxConnections: limitedConnections, MaxBody: maxBody,
+		Connections: memory.NewBudget(limitedMemory), Bodies: memory.NewBudget(maxBody), Answers: memory.NewBudget(maxBody),
+	}, events))
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection. Those beyond the limit are closed.
 func (l *Listener) Accept() (net.Conn, error) {
-	connection, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		connection, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := newConnection(connection, l.memory)
+		if l.memory.add(c) {
+			return c, nil
+		}
+		_ = connection.Close()
 	}
-	return &Connection{Conn: connection, clock: l.clock, memory: l.budget.Reserve()}, nil
 }
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -15,10 +15,12 @@
 	"gotest.tools/v3/assert"
 
 	"endivespring/internal/call"
+	"endivespring/internal/caller"
 	"endivespring/internal/clock"
 	"endivespring/internal/controller"
 	"endivespring/internal/event"
 	"endivespring/internal/fsm"
+	"endivespring/internal/memory"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
 )
@@ -64,6 +66,11 @@
 	executor.SetOperation("o", true, 2, 0.4, 0.25)
 	executor.ZeroVanished()
 	NewRangeMeter(r).Observe("grant", "applied")
+	bodies := memory.NewBudget(1000)
+	assert.Assert(t, bodies.Take(300))
+	RegisterCallerMemory(r, caller.NewMemory(fixedClock(time.Second), caller.MemoryLimits{
+		MaxConnections: 1, Connections: memory.NewBudget(1), Bodies: bodies, Answers: memory.NewBudget(1),
+	}, log))
 	session := NewSessionMeter(r, fixedClock(time.Second))
 	session.SetLeases(clock.Instant(1500*time.Millisecond), clock.Instant(time.Millisecond))
 	session.SetView(9)
@@ -86,6 +93,8 @@
 		`endivespring_requests_total{verdict="ran",reason="",service="s",route="a"} 4000`,
 		`endivespring_requests_total{verdict="not-run",reason="shed",service="",route=""} 4000`,
 		`endivespring_request_latency_microseconds_count 8000`, `endivespring_request_latency_microseconds{quantile="0.999"} 2000`,
+		`endivespring_caller_memory_bytes{budget="bodies"} 300`, `endivespring_caller_memory_bytes{budget="answers"} 0`,
+		`endivespring_caller_connections 0`, `endivespring_caller_refused_total{cause="slow"} 0`,
 		`endivespring_door_limit 10`, `endivespring_door_running 7`, `endivespring_door_queued 3`,
 		`endivespring_door_wait_milliseconds 40`, `endivespring_door_refused_total{why="parent"} 1`, `endivespring_operation_queued{operation="o",nested="true"} 2`,
 		`endivespring_operation_asked_percent{operation="o",nested="true"} 40`, `endivespring_operation_given_percent{operation="o",nested="true"} 25`, `endivespring_operation_asked_percent{operation="vanished",nested="false"} 0`,
