Send load reports between answers

A gateway learned the load of an executor only with the answers to its own calls, one or two a second each in a large fleet. With load.reports the executor duty now sends its load when it has changed much, at most every 50 ms, to the gateways that have sent a call within 2 s. A report takes no more than half of a link's ring.

--- a/internal/balancer/settings.go
+++ b/internal/balancer/settings.go
@@ -10,4 +10,6 @@
 	Self       fleet.RouterID
 	DataCentre fleet.DataCentre
 	Policy     Policy
+	// Reports makes estimates follow the load that executors report.
+	Reports bool
 }
--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -203,4 +203,11 @@
 	t.Dropped(o)
 }
 
+// Reported records a load report that came without an answer.
+func (t *Table) Reported(id fleet.RouterID, now clock.Instant, load call.Load) {
+	if e := t.executors[id]; e != nil && t.settings.Reports {
+		e.updateLoad(now, load)
+	}
+}
+
 func (t *Table) typicalLatency(service string) time.Duration { return t.pool(service).typicalLatency }
--- a/internal/call/load.go
+++ b/internal/call/load.go
@@ -19,3 +19,12 @@
 	// usual at present, or zero if the upstream does not state it.
 	Slowdown float64
 }
+
+// ExpectedWait returns Wait or, if a router of an earlier build does not report it, an
+// estimate from the calls ahead.
+func (l *Load) ExpectedWait() time.Duration {
+	if l.Wait > 0 || l.InFlight < l.Limit {
+		return l.Wait
+	}
+	return time.Duration(float64(l.Queued+1) * float64(l.Latency) / float64(max(1, l.Limit)))
+}
--- a/internal/gateway/outcomes.go
+++ b/internal/gateway/outcomes.go
@@ -23,6 +23,11 @@
 	c.completeCall(now, &answer)
 }
 
+// HandleReport handles a load report that an executor sent between answers.
+func (c *Core) HandleReport(now clock.Instant, from fleet.RouterID, load call.Load) {
+	c.table.Reported(from, now, load)
+}
+
 // recordOutcome updates the balancer with what an answer says about its executor.
 func (c *Core) recordOutcome(now clock.Instant, pc *pendingCall, answer *call.Answer) {
 	switch {
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -18,6 +18,9 @@
 	ExecutorLimit   = define("door_limit", Gauge, "", "Concurrency limit of the executor towards the upstream, in requests.")
 	ExecutorRunning = define("door_running", Gauge, "", "Requests running at the upstream.")
 	ExecutorQueued  = define("door_queued", Gauge, "", "Requests queued at the executor.")
+	LoadReports     = define("load_reports_total", Counter, "result", "Load reports between answers: sent to gateways, received by this gateway, and dropped because a ring was half full. Zero without load.reports.")
+	RefusedHere     = define("gateway_refusals_total", Counter, "", "Requests that this gateway refused without a try, since every executor reported too long a wait.")
+	Overflow        = define("gateway_overflow_total", Counter, "", "Calls that this gateway sent to another data centre because every executor of its own reported a longer wait.")
 	RangeRequests   = define("range_requests_total", Counter, "kind, result", "Grants and releases of key ranges that were sent to the upstream, by what is known of them.")
 
 	OwnershipLeft = define("ownership_lease_left_milliseconds", Gauge, "", "Time left on the ownership lease, under which this router serves its shards, in milliseconds; 0 once it has expired.")
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -57,6 +57,7 @@
 	group.Wait()
 	NewExecutorMeter(r).Set(call.Load{Limit: 10, InFlight: 7, Queued: 3})
 	NewRangeMeter(r).Observe("grant", "applied")
+	NewLoadMeter(r).CountSent(false)
 	session := NewSessionMeter(r, fixedClock(time.Second))
 	session.SetLeases(clock.Instant(1500*time.Millisecond), clock.Instant(time.Millisecond))
 	session.SetView(9)
@@ -80,6 +81,7 @@
 		`endivespring_requests_total{verdict="not-run",reason="shed",service="",route=""} 4000`,
 		`endivespring_request_latency_microseconds_count 8000`, `endivespring_request_latency_microseconds{quantile="0.999"} 2000`,
 		`endivespring_door_limit 10`, `endivespring_door_running 7`, `endivespring_door_queued 3`,
+		`endivespring_load_reports_total{result="sent"} 0`, `endivespring_load_reports_total{result="dropped"} 1`,
 		`endivespring_ownership_lease_left_milliseconds 500`, `endivespring_view_lease_left_milliseconds 0`,
 		`endivespring_log_commit_index 40`, `endivespring_log_applied_index 39`, `endivespring_log_snapshot_index 32`,
 		`endivespring_log_term 3`, `endivespring_leads 1`, `endivespring_config_version 5`, `endivespring_sessions 0`,
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -47,7 +47,9 @@
 	// queued or running.
 	drained *ring.Ring[struct{}]
 
-	meter       *metrics.ExecutorMeter
+	meter *metrics.ExecutorMeter
+	// reporter is nil unless load reports are sent.
+	reporter    *loadReporter
 	startSender func()
 
 	senders int
@@ -109,7 +111,9 @@
 			d.advanceStop(ctx, step)
 		}
 		d.dispatch(ctx)
-		d.meter.Set(d.core.Load())
+		load := d.core.Load()
+		d.meter.Set(load)
+		d.reporter.report(ctx, d.clock.Now(), &load, d.sinks)
 		timer.Reset(d.sleep())
 	}
 }
@@ -121,6 +125,10 @@
 		deadline = min(deadline, d.lastContact.Add(d.contactTimeout))
 	}
 	now := d.clock.Now()
+	if d.reporter != nil {
+		load := d.core.Load()
+		deadline = min(deadline, d.reporter.next(now, &load))
+	}
 	if d.stopping && d.core.Held(now) > 0 {
 		deadline = min(deadline, d.core.OwnershipExpiry())
 	}
@@ -197,6 +205,7 @@
 		}
 	case s.closed:
 		delete(d.sinks, s.link)
+		d.reporter.closed(s.link)
 		d.core.CancelLink(d.clock.Now(), s.link)
 		d.releaseLink(s.link)
 	case s.cancel != 0:
@@ -208,6 +217,7 @@
 		if s.memory != nil {
 			d.bodies[ticket] = s.memory
 		}
+		d.reporter.called(d.clock.Now(), s.link)
 		d.core.Submit(d.clock.Now(), ticket, s.call)
 	}
 }
--- a/internal/router/executor_duty_test.go
+++ b/internal/router/executor_duty_test.go
@@ -39,6 +39,8 @@
 	return true
 }
 
+func (c *answerRecorder) report(context.Context, *call.Load) bool { return true }
+
 func (c *answerRecorder) retire(context.Context) {}
 
 func (c *answerRecorder) finish(context.Context) {}
--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -35,6 +35,8 @@
 
 	registry *metrics.Registry
 	meter    *metrics.SessionMeter
+	// loadMeter is nil unless load reports are used.
+	loadMeter *metrics.LoadMeter
 	// readiness is updated when the view gains or loses its preset.
 	readiness *readiness
 	// hasPreset is signalled once the router is ready.
@@ -174,6 +176,9 @@
 		d.handleLinkEnd(now, in)
 	case in.retired != nil:
 		d.retireLink(now, in.retired)
+	case in.load != nil:
+		d.core.HandleReport(now, in.from, *in.load)
+		d.loadMeter.CountReceived()
 	case in.lost:
 		d.core.HandleLostCall(now, in.answer.Number, in.verdict)
 	default:
@@ -285,6 +290,7 @@
 	}
 	d.openLinks.Add(1)
 	l = newLink(d.fleet, router, &d.openLinks, d.clock, d.answers, d.events)
+	l.takesReports = d.loadMeter != nil
 	d.links[router.ID] = l
 	d.registry.RegisterRings(l.calls)
 	d.group.Go("link-"+string(router.ID), l.Run)
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -43,6 +43,8 @@
 	links *atomic.Int64
 	// takesParts is set if the other router takes large bodies in parts.
 	takesParts bool
+	// takesReports is set if the gateway uses load reports.
+	takesReports bool
 	// retired is signalled once the other router asks for no more calls.
 	retired *ring.Ring[struct{}]
 	// settled holds the numbers of calls that were answered, whose bodies may still be being
@@ -163,6 +165,9 @@
 			_ = l.retired.Put(ctx, struct{}{})
 			continue
 		}
+		if down.GetLoad() != nil {
+			l.passReport(ctx, down.GetLoad())
+		}
 		if down.GetAnswer() == nil {
 			continue
 		}
@@ -180,3 +185,13 @@
 		}
 	}
 }
+
+// passReport queues a load report for the gateway duty, unless its ring is half full or
+// it does not use reports.
+func (l *link) passReport(ctx context.Context, message *wirepb.Load) {
+	if !l.takesReports || l.answers.Depth() >= l.answers.Capacity()/2 {
+		return
+	}
+	load := wire.ToLoad(message)
+	_ = l.answers.Put(ctx, &inboundAnswer{from: l.router, load: &load})
+}
--- a/internal/router/link_sink.go
+++ b/internal/router/link_sink.go
@@ -26,6 +26,10 @@
 	return true
 }
 
+func (s *linkSink) report(ctx context.Context, load *call.Load) bool {
+	return s.out.Depth() < s.out.Capacity()/2 && s.out.Put(ctx, &wirepb.DoorDown{Load: wire.FromLoad(load)}) == nil
+}
+
 func (s *linkSink) retire(ctx context.Context) {
 	if s.out.Put(ctx, &wirepb.DoorDown{Closing: true}) != nil {
 		s.closeStream()
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -202,7 +202,7 @@
 func gatewaySettings(s *settings.Router, self fleet.Router) gateway.Settings {
 	policy, _ := balancer.ParsePolicy(s.RoutingPolicy)
 	return gateway.Settings{
-		Balancer:  balancer.Settings{Seed: randomSeed(), Self: self.ID, DataCentre: self.DataCentre, Policy: policy},
+		Balancer:  balancer.Settings{Seed: randomSeed(), Self: self.ID, DataCentre: self.DataCentre, Policy: policy, Reports: s.Load.Reports},
 		NoHedging: policy != balancer.Estimated,
 	}
 }
@@ -213,6 +213,10 @@
 		n.executor.outcomes, n.executor.delegations, n.executor.updates, n.executor.notifications, n.executor.runs, n.executor.aborts, n.executor.releases, n.executor.registrations, n.executor.rangeUpdates,
 		n.executor.ranges.grants, n.executor.ranges.releases, n.executor.ranges.responses)
 	n.gateway.registry = n.registry
+	if n.settings.Load.Reports {
+		meter := metrics.NewLoadMeter(n.registry)
+		n.gateway.loadMeter, n.executor.reporter = meter, newLoadReporter(meter)
+	}
 	n.executor.meter = metrics.NewExecutorMeter(n.registry)
 	n.session.meter = metrics.NewSessionMeter(n.registry, n.clock)
 	n.gateway.meter = n.session.meter
