Estimate executors by their load reports

A gateway's estimate rested on one or two of its own samples a second, with run times whose coefficient of variation is 0.8. With load.reports it is the run time that the executor reports, times its slowdown, plus the reported wait, this gateway's calls since the report and the distance. The gateway's own latencies correct it where they exceed it by half.

--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -20,13 +20,15 @@
 		return fleet.Router{}, false
 	}
 	local, remote := p.subset()
-	t.comparedCount = 0
+	t.comparedCount, t.overflowed = 0, false
 	var best *executor
-	switch t.settings.Policy {
-	case RoundRobin:
+	switch {
+	case t.settings.Policy == RoundRobin:
 		best = p.chooseRoundRobin(local, remote, exclude)
-	case TwoChoices:
+	case t.settings.Policy == TwoChoices:
 		best = t.chooseFewerCalls(local, remote, exclude)
+	case t.settings.Reports:
+		best = t.chooseReported(p, now, local, remote, exclude)
 	default:
 		best = t.chooseEstimated(p, now, local, remote, exclude)
 	}
--- a/internal/balancer/executor.go
+++ b/internal/balancer/executor.go
@@ -44,6 +44,21 @@
 	observedAt clock.Instant
 	// outliers counts consecutive outliers and failures, up to maxOutliers.
 	outliers int
+	// What follows is used with load reports only.
+
+	// sentSince is the number of calls sent since loadAt, lastSent when the last one was.
+	sentSince int
+	// usualRun is a moving average of reported run times, in nanoseconds.
+	usualRun float64
+	lastSent clock.Instant
+	centre   *centre
+	// excess is a moving average of latencies relative to their estimates.
+	excess float64
+	// failures counts consecutive failures, up to maxOutliers; the last was at failedAt.
+	failures int
+	failedAt clock.Instant
+	// probes counts how often the executor was passed over because of its reports.
+	probes int
 }
 
 func (e *executor) addCall(o *Outstanding) {
@@ -55,6 +70,8 @@
 	}
 	e.newest = o
 	e.inFlight++
+	e.sentSince++
+	e.lastSent = o.sent
 }
 
 func (e *executor) removeCall(o *Outstanding) {
@@ -104,7 +121,7 @@
 }
 
 func (e *executor) updateLoad(now clock.Instant, load call.Load) {
-	e.load, e.loadAt = load, now
+	e.load, e.loadAt, e.sentSince = load, now, 0
 }
 
 // score estimates how long a new call would take, in nanoseconds: the expected latency
--- a/internal/balancer/outstanding.go
+++ b/internal/balancer/outstanding.go
@@ -8,4 +8,7 @@
 	executor       *executor
 	sent           clock.Instant
 	previous, next *Outstanding
+	// estimate is how long the call was expected to take, in nanoseconds, or zero if its
+	// executor had not reported its load.
+	estimate float64
 }
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -26,6 +26,49 @@
 	// outliers are capped. It is initialLatency before the first sample.
 	typicalLatency time.Duration
 	roundRobinTurn int
+	// centres holds the latencies of each data centre with executors.
+	centres []*centre
+	// own is the centre of the gateway, or nil.
+	own      *centre
+	overflow overflow
+	// probeTurn is the index of the executor that is tried next although it reports that
+	// it is full.
+	probeTurn int
+}
+
+// centre returns the latencies of a data centre, created on first use.
+func (p *pool) centre(name fleet.DataCentre, side int) *centre {
+	i := slices.IndexFunc(p.centres, func(c *centre) bool { return c.name == name })
+	if i < 0 {
+		i = len(p.centres)
+		p.centres = append(p.centres, &centre{name: name})
+	}
+	if side == localSide {
+		p.own = p.centres[i]
+	}
+	return p.centres[i]
+}
+
+// run returns the reported run time of an executor, or the typical latency before its first
+// report, in nanoseconds.
+func (p *pool) run(e *executor) float64 {
+	if e.load.Latency > 0 {
+		return float64(e.load.Latency)
+	}
+	return float64(p.typicalLatency)
+}
+
+// distance returns how much longer calls to an executor take because of its data centre.
+// It is remoteShare of the run time until both data centres have answered calls.
+func (p *pool) distance(e *executor) float64 {
+	switch {
+	case e.centre == p.own:
+		return 0
+	case p.own == nil || p.own.least == 0 || e.centre.least == 0:
+		return remoteShare * p.run(e)
+	default:
+		return float64(max(0, e.centre.least-p.own.least))
+	}
 }
 
 // observeLatency adds a sample to the typical latency.
--- /dev/null
+++ b/internal/balancer/reported.go
@@ -0,0 +1,120 @@
+package balancer
+
+import (
+	"math"
+	"time"
+
+	"endivespring/internal/call"
+	"endivespring/internal/clock"
+)
+
+const (
+	// waitReportAge is the age up to which the requests in a report are counted.
+	// Executors report at least once a second to gateways that call them. The run time
+	// of a report is used for longer, up to runReportAge: a few latencies of a gateway's
+	// own say less than the mean over the calls of all.
+	waitReportAge = 1500 * time.Millisecond
+	runReportAge  = 10 * time.Second
+	// admissionReportAge is the age up to which a report is used to refuse requests.
+	admissionReportAge = 300 * time.Millisecond
+	slowdownHalfLife   = 200 * time.Millisecond // age that halves a reported slowdown
+	// runningWeight is the share of a run time that an upstream whose slots are all in
+	// use takes longer. It makes the emptier of two executors with free slots win.
+	runningWeight = 0.25
+	remoteShare   = 0.25 // share of the run time that another data centre costs before its distance is known
+	// excessWeight is the weight of a sample in executor.excess. With run times whose
+	// coefficient of variation is 0.8, excess then has a standard deviation of 0.13.
+	excessWeight   = 0.05
+	minExcess      = 1.5 // excess below which it is taken for chance
+	maxExcess      = 50  // limit of one sample of excess
+	excessHalfLife = 2 * time.Second
+	failedTime     = time.Second     // time after a failure during which an executor is not counted on to run requests
+	probeInterval  = time.Second     // time without calls after which an executor that reports a wait is tried
+	usualTime      = 5 * time.Second // time constant of executor.usualRun; far above the phases of a busy VM
+	probeShare     = 16              // one request in so many is sent although the reports speak against it
+)
+
+// reportAge returns the age of the last report, or false if there is none.
+func (e *executor) reportAge(now clock.Instant) (time.Duration, bool) {
+	return now.Sub(e.loadAt), e.loadAt != 0 && e.load.Limit > 0 && e.load.Latency > 0
+}
+
+// observeRun adds a reported run time to the usual one.
+func (e *executor) observeRun(now clock.Instant, load *call.Load) {
+	if e.usualRun == 0 {
+		e.usualRun = float64(load.Latency)
+		return
+	}
+	weight := 1 - math.Exp(-float64(now.Sub(e.loadAt))/float64(usualTime))
+	e.usualRun += weight * (float64(load.Latency) - e.usualRun)
+}
+
+// reportedRun returns the run time to expect, in nanoseconds: the usual one under the
+// stated slowdown. The reported run time is that of the last few calls and follows the
+// phases of the VM by itself; it counts as it is if the upstream states no slowdown.
+func (e *executor) reportedRun(age time.Duration) float64 {
+	if e.load.Slowdown <= 0 {
+		return float64(e.load.Latency)
+	}
+	return e.usualRun * (1 + (e.load.Slowdown-1)*decay(age, slowdownHalfLife))
+}
+
+// wait returns how long a call waits for a slot, in nanoseconds: the reported wait less
+// its age, and the calls of this gateway since then for which no slot was free.
+func (e *executor) wait(age time.Duration) float64 {
+	free := max(0, e.load.Limit-e.load.InFlight)
+	later := float64(max(0, e.sentSince-free)) * e.reportedRun(age) / float64(e.load.Limit)
+	return float64(max(0, e.load.ExpectedWait()-max(0, age))) + later
+}
+
+// reportedEstimate returns how long a new call is expected to take according to the
+// executor's last report, in nanoseconds, or zero without a report that is new enough.
+func (e *executor) reportedEstimate(now clock.Instant, p *pool) float64 {
+	age, ok := e.reportAge(now)
+	if !ok || age > runReportAge {
+		return 0
+	}
+	run, limit, running := e.reportedRun(age), float64(e.load.Limit), 0.0
+	if age <= waitReportAge {
+		running = runningWeight * min(1, float64(e.load.InFlight)/limit)
+	}
+	return run*(1+running+float64(e.sentSince)/limit) + float64(max(0, e.load.ExpectedWait()-max(0, age))) + p.distance(e)
+}
+
+// estimate returns how long a new call is expected to take, in nanoseconds, from the
+// executor's report if it has one, with corrections from what this gateway has observed.
+func (e *executor) estimate(now clock.Instant, p *pool) float64 {
+	estimate := e.reportedEstimate(now, p)
+	if estimate == 0 {
+		return e.score(now, p.typicalLatency)
+	}
+	if excess := 1 + (e.excess-1)*decay(now.Sub(e.observedAt), excessHalfLife); excess > minExcess {
+		estimate *= excess
+	}
+	if e.failures > 0 {
+		penalty := max(failureLatencyFactor*float64(p.typicalLatency), float64(minFailureLatency))
+		estimate += penalty * decay(now.Sub(e.failedAt), penaltyHalfLife<<e.failures)
+	}
+	if e.oldest != nil {
+		estimate = max(estimate, float64(now.Sub(e.oldest.sent)))
+	}
+	return estimate
+}
+
+// observeExcess compares a latency with the estimate made when the call was sent.
+func (e *executor) observeExcess(estimate float64, latency time.Duration) {
+	if estimate > 0 {
+		e.excess += excessWeight * (math.Min(maxExcess, float64(latency)/estimate) - e.excess)
+	}
+}
+
+// probeDue counts that another executor was preferred, and reports whether this one is
+// to be tried all the same: it reports a wait and has had no call for probeInterval.
+func (e *executor) probeDue(now clock.Instant) bool {
+	age, ok := e.reportAge(now)
+	if !ok || e.wait(age) == 0 || now.Sub(e.lastSent) < probeInterval {
+		return false
+	}
+	e.probes++
+	return e.probes >= probeShare
+}
--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -28,6 +28,9 @@
 	// compared holds the comparedCount executors that the last Choose compared.
 	compared      [maxCompared]Estimate
 	comparedCount int
+	// overflowed is set if the last Choose found an executor of another data centre
+	// because the own one has no room.
+	overflowed bool
 }
 
 // NewTable returns an empty table.
@@ -73,10 +76,11 @@
 		return
 	}
 	if e == nil || e.router.Session != router.Session || e.router.Upstream.Boot != router.Upstream.Boot {
-		e = &executor{hash: xxhash.Sum64String(string(t.settings.Self) + "/" + string(id))}
+		e = &executor{excess: 1, hash: xxhash.Sum64String(string(t.settings.Self) + "/" + string(id))}
 		t.executors[id] = e
 	}
 	e.router = router
+	e.centre = t.pool(router.Upstream.Service).centre(router.DataCentre, t.side(router))
 	if t.view.Eligible(router) {
 		t.pool(router.Upstream.Service).insert(t.side(router), e)
 	}
@@ -143,7 +147,11 @@
 	} else {
 		t.freeList = o.next
 	}
-	o.sent = now
+	o.sent, o.estimate = now, 0
+	if t.settings.Reports {
+		o.estimate = e.reportedEstimate(now, t.pool(e.router.Upstream.Service))
+		e.probes = 0
+	}
 	e.addCall(o)
 	return o
 }
@@ -165,7 +173,12 @@
 		return
 	}
 	pool := t.pool(o.executor.router.Upstream.Service)
-	o.executor.updateLoad(now, load)
+	if t.settings.Reports {
+		o.executor.failures = 0
+		o.executor.observeExcess(o.estimate, now.Sub(o.sent))
+		o.executor.centre.observe(now.Sub(o.sent))
+	}
+	t.updateLoad(o.executor, now, load)
 	o.executor.observeLatency(now, now.Sub(o.sent), pool.typicalLatency)
 	pool.observeLatency(now.Sub(o.sent))
 	t.Dropped(o)
@@ -175,7 +188,7 @@
 // load. Its latency is ignored: a refusal takes less time than a run.
 func (t *Table) Refused(o *Outstanding, now clock.Instant, load call.Load) {
 	if o != nil {
-		o.executor.updateLoad(now, load)
+		t.updateLoad(o.executor, now, load)
 	}
 	t.Dropped(o)
 }
@@ -187,6 +200,9 @@
 	if o == nil {
 		return
 	}
+	if elapsed := now.Sub(o.sent); float64(elapsed) > o.executor.excess*o.estimate {
+		o.executor.observeExcess(o.estimate, elapsed)
+	}
 	if elapsed := now.Sub(o.sent); elapsed > o.executor.latency {
 		o.executor.observeLatency(now, elapsed, t.pool(o.executor.router.Upstream.Service).typicalLatency)
 	}
@@ -199,6 +215,7 @@
 	if o == nil {
 		return
 	}
+	o.executor.failures, o.executor.failedAt = min(maxOutliers, o.executor.failures+1), now
 	o.executor.observeFailure(now, t.typicalLatency(o.executor.router.Upstream.Service))
 	t.Dropped(o)
 }
@@ -206,6 +223,18 @@
 // Reported records a load report that came without an answer.
 func (t *Table) Reported(id fleet.RouterID, now clock.Instant, load call.Load) {
 	if e := t.executors[id]; e != nil && t.settings.Reports {
+		t.updateLoad(e, now, load)
+	}
+}
+
+// updateLoad records a load report. With reports, an empty one is ignored: it comes from
+// a link whose executor has not seen the call.
+func (t *Table) updateLoad(e *executor, now clock.Instant, load call.Load) {
+	switch {
+	case !t.settings.Reports:
+		e.updateLoad(now, load)
+	case load.Limit > 0:
+		e.observeRun(now, &load)
 		e.updateLoad(now, load)
 	}
 }
