Refuse at the gateway what cannot start in time

A request that every executor would refuse cost two tries and their answers, and keyed requests tried the same full owner again and again. With load.reports the gateway refuses it at once as overloaded if all executors that may run it have reported, within 300 ms, a wait beyond its objective. One in 16 is sent all the same. The Retry-After of an overloaded request is the first 50 ms after the wait in which fewer callers are due back than the gateway has had served.

--- a/internal/balancer/executor.go
+++ b/internal/balancer/executor.go
@@ -59,6 +59,8 @@
 	failedAt clock.Instant
 	// probes counts how often the executor was passed over because of its reports.
 	probes int
+	// refusals counts the calls refused because of its reports since one was sent.
+	refusals int
 }
 
 func (e *executor) addCall(o *Outstanding) {
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -45,6 +45,7 @@
 	RequestRouted      = define(510, "request-routed", Info, "The entry chose a door for a request.")
 	RequestRetried     = define(511, "request-retried", Info, "The entry tries a request again at another door.")
 	RequestFinished    = define(512, "request-finished", Info, "The entry answered a request.")
+	RequestNotSent     = define(513, "request-not-sent", Info, "The entry refused a request without a try: by the load that the doors report it cannot start in time at any that may run it.")
 	AnswerDropped      = define(520, "answer-dropped", Warn, "A late or crossed answer was dropped.")
 	RequestRefused     = define(600, "request-refused", Info, "The door refused a request before it ran.")
 	RunFailed          = define(601, "run-failed", Info, "A request that was given to the upstream got no whole answer, or was refused there.")
--- a/internal/event/event_docs.go
+++ b/internal/event/event_docs.go
@@ -49,6 +49,7 @@
 	RequestRouted: {fields: []string{
 		"request", "service", "operation", "router", "upstream", "try", "sharded", "shard", "key", "view", "left", "hedge", "why", "among"}},
 	RequestRetried:  {fields: []string{"request", "reason", "verdict"}},
+	RequestNotSent:  {fields: []string{"request", "service", "operation", "key", "wait", "age", "executors", "left", "view"}},
 	RequestFinished: {fields: []string{"request", "service", "operation", "verdict", "reason", "upstream", "key", "view", "retryAfter"}},
 	AnswerDropped: {fields: []string{"request", "router", "upstream"},
 		action: "None for a single event: the caller got a correct verdict in time. Many from one router indicate a slow upstream or network there."},
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -7,7 +7,6 @@
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/event"
-	"endivespring/internal/fleet"
 	"endivespring/internal/verdict"
 )
 
@@ -57,12 +56,15 @@
 // for all calls of the request and, for a non-idempotent resend, for all earlier
 // sends by the caller; otherwise it becomes may-have-run.
 func (c *Core) finish(now clock.Instant, p *pendingRequest, answer *call.Answer) {
-	unproved := p.request.Resend && !p.idempotent && !coversEarlierSends(answer.Reason)
+	unproved := p.request.Resend && !p.idempotent && (p.refusedByLoad || !coversEarlierSends(answer.Reason))
 	if answer.Verdict == verdict.NotRun && (p.mayHaveRun || unproved) {
 		answer.Verdict = verdict.MayHaveRun
 	}
 	if answer.Verdict == verdict.NotRun && p.route != nil {
-		answer.RetryAfter = c.retryAfter(p.route)
+		answer.RetryAfter = c.retryAfter(now, p, answer.Reason)
+	}
+	if answer.Verdict == verdict.Ran {
+		p.service.served.observe(now)
 	}
 	answer.Service = p.request.Service
 	if p.route != nil {
@@ -83,10 +85,19 @@
 	c.logAnswer(event.RequestFinished, &p.request, answer)
 }
 
-// retryAfter returns the delay after which a refused caller may resend:
-// minRetryAfter, but at most the route's objective, plus a random time below the
+// retryAfter returns the delay after which a refused caller may resend. For a request
+// refused because of the load, with load reports, it is when its turn comes. Otherwise it
+// is minRetryAfter, but at most the route's objective, plus a random time below the
 // objective, so that callers refused together do not resend together.
-func (c *Core) retryAfter(route *fleet.Route) time.Duration {
+func (c *Core) retryAfter(now clock.Instant, p *pendingRequest, reason verdict.Reason) time.Duration {
+	if reason == verdict.ReasonOverloaded && c.usesReports() {
+		if wait, ok := c.reportedWait(now, p); ok {
+			return p.service.returns.reserve(now, returnRequest{
+				wait: wait, left: p.deadline.Sub(now), rate: p.service.served.rate(now), returning: p.isReturning(now), random: c.random.Float64(),
+			})
+		}
+	}
+	route := p.route
 	least := min(minRetryAfter, route.Objective)
 	return least + time.Duration(c.random.Int64N(int64(max(1, route.Objective))))
 }
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -37,8 +37,10 @@
 	// in no order.
 	parked   []*pendingRequest
 	services map[string]*serviceState
-	random   *rand.Rand
-	output   Output
+	// lastPriority is the lowest priority of the routes to each service.
+	lastPriority map[string]int
+	random       *rand.Rand
+	output       Output
 }
 
 // New returns a core without requests. It refuses every request until it has a view lease
@@ -77,6 +79,7 @@
 	}
 	if change.ChangesPreset() || change.Full {
 		c.routes = routes.NewTable(c.view.Preset, c.routes, c.random)
+		c.lastPriority = lastPriorities(c.view.Preset)
 	}
 	c.table.Update(c.view, change)
 	for _, s := range c.services {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -18,9 +18,18 @@
 	maxExecutorRefusals = 2
 )
 
-// dispatch sends the request to an executor, or parks it if none is available.
+// dispatch sends the request to an executor, or parks it if none is available. With load
+// reports, it refuses a request that cannot start in time anywhere.
 func (c *Core) dispatch(now clock.Instant, p *pendingRequest) {
-	router, ok := c.chooseExecutor(now, p)
+	admission := c.checkLoad(now, p)
+	if admission.Refused {
+		c.refuseByLoad(now, p, &admission)
+		return
+	}
+	router, ok := admission.Router, admission.Forced
+	if !ok {
+		router, ok = c.chooseExecutor(now, p)
+	}
 	if !ok {
 		c.parkWithBackoff(now, p)
 		return
@@ -48,6 +57,9 @@
 		Ranged: p.ranged, KeyNumber: r.KeyNumber, Priority: p.priority(), Objective: p.objective,
 	}})
 	why, among := c.explainChoice(p)
+	if !p.sharded && !p.ranged && c.table.Overflowed() {
+		c.output.Overflow++
+	}
 	c.output.Events = append(c.output.Events, call.NewEvent(event.RequestRouted,
 		event.F("request", r.ID), event.F("service", r.Service), event.F("operation", r.Operation),
 		event.F("router", string(router.ID)), event.F("upstream", router.Upstream.Name), event.F("try", p.attempts),
@@ -62,7 +74,12 @@
 	if p.sharded || p.ranged {
 		return "owner of the key", nil
 	}
-	if among = c.table.Compared(); len(among) == 0 {
+	if c.usesReports() && c.table.Overflowed() {
+		return "no room in the own data centre", c.table.Compared()
+	}
+	if among = c.table.Compared(); len(among) == 0 && c.usesReports() {
+		return "few have room, or to renew a report", nil
+	} else if len(among) == 0 {
 		return "baseline policy", nil
 	}
 	return "least estimated time to finish", among
--- a/internal/gateway/outcomes.go
+++ b/internal/gateway/outcomes.go
@@ -121,6 +121,9 @@
 // request proved not to have run, or an idempotent one, is sent again. A redirect costs no
 // upstream anything and needs no token.
 func (c *Core) mayRetry(now clock.Instant, p *pendingRequest, answer *call.Answer) bool {
+	if c.usesReports() && (p.sharded || p.ranged) && answer.Verdict == verdict.NotRun && answer.Reason == verdict.ReasonOverloaded {
+		return false // the one owner is still full at a second try
+	}
 	if !answer.Verdict.Retryable(p.idempotent) || now >= p.deadline || p.attempts >= maxAttempts {
 		return false
 	}
--- a/internal/gateway/output.go
+++ b/internal/gateway/output.go
@@ -9,4 +9,7 @@
 	Cancels []Cancel
 	Replies []Reply
 	Events  []call.Event
+	// Refused is the number of requests refused because of load reports, Overflow that of
+	// calls sent to another data centre because the own one has no room.
+	Refused, Overflow int64
 }
--- a/internal/gateway/pending_request.go
+++ b/internal/gateway/pending_request.go
@@ -45,6 +45,9 @@
 	// mayHaveRun is set once a call of the request ended without proof that it did
 	// not run.
 	mayHaveRun bool
+	// refusedByLoad is set if the request is refused because of load reports. No executor
+	// has then spoken for earlier sends of it.
+	refusedByLoad bool
 	// reason is that of the last answer, or why no call was sent.
 	reason verdict.Reason
 	// timerIndex is the index in Core.timers, parkedIndex that in Core.parked.
@@ -66,3 +69,9 @@
 	}
 	return p.route.Priority
 }
+
+// isReturning reports whether a part of the request's objective had passed before it came
+// here: its caller has then most probably been refused before.
+func (p *pendingRequest) isReturning(now clock.Instant) bool {
+	return p.route != nil && p.objective > 0 && p.objective < p.request.receivedAt(now).Add(p.route.Objective-returnSlice)
+}
--- a/internal/gateway/service_state.go
+++ b/internal/gateway/service_state.go
@@ -21,6 +21,10 @@
 	// samples.
 	cachedHedgeDelay time.Duration
 	samplesLeft      int
+	// served is the rate of requests that were served, returns when refused ones are due
+	// back.
+	served  rateMeter
+	returns returnSchedule
 }
 
 func newServiceState(burst float64) *serviceState {
--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -215,6 +215,7 @@
 func (d *gatewayDuty) dispatch(ctx context.Context) {
 	for {
 		out := d.core.Take()
+		d.loadMeter.CountDecisions(out.Refused, out.Overflow)
 		for _, reply := range out.Replies {
 			d.answer(ctx, reply)
 		}
