--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -15,8 +15,7 @@
 
 // simulateFaults runs a simulation with requests, membership changes and lost links
 // at random times.
-func simulateFaults(seed uint64) *simulation {
-	sim := newSimulation(seed)
+func simulateFaults(sim *simulation) *simulation {
 	sim.failureShare = sim.random.Float64()
 	for i := range testRouters {
 		sim.addRouter(i)
@@ -45,25 +44,30 @@
 // their budgets.
 func TestVerdictsBudgetsAndDeadlinesUnderFaults(t *testing.T) {
 	for seed := range uint64(seeds) {
-		sim := simulateFaults(seed)
-		delivered := 0
-		for _, r := range sim.requests {
-			assert.Equal(t, r.replies, 1, "seed %d: %s answered %d times", seed, r.request.ID, r.replies)
-			limit := 300 * time.Millisecond
-			if r.request.Operation == "reserve" {
-				limit = 500 * time.Millisecond
-				assert.Assert(t, r.runs <= 1, "seed %d: %s ran %d times", seed, r.request.ID, r.runs)
-			}
-			assert.Assert(t, r.answeredAt.Sub(r.started) <= limit, "seed %d: %s took %v", seed, r.request.ID, r.answeredAt.Sub(r.started))
-			assert.Assert(t, r.verdict != verdict.NotRun || r.runs == 0, "seed %d: %s ran but was refused as not run", seed, r.request.ID)
-			assert.Assert(t, r.verdict != verdict.Ran || r.runs > 0, "seed %d: %s did not run", seed, r.request.ID)
-			delivered += r.delivered
+		checkFaults(t, seed, simulateFaults(newSimulation(seed)))
+	}
+}
+
+// checkFaults checks what a simulation with faults has recorded.
+func checkFaults(t *testing.T, seed uint64, sim *simulation) {
+	t.Helper()
+	delivered := 0
+	for _, r := range sim.requests {
+		assert.Equal(t, r.replies, 1, "seed %d: %s answered %d times", seed, r.request.ID, r.replies)
+		limit := 300 * time.Millisecond
+		if r.request.Operation == "reserve" {
+			limit = 500 * time.Millisecond
+			assert.Assert(t, r.runs <= 1, "seed %d: %s ran %d times", seed, r.request.ID, r.runs)
 		}
-		n := float64(len(sim.requests))
-		assert.Assert(t, float64(delivered) <= n*(1+sim.service.RetryBudget+sim.service.HedgeBudget)+2*maxRouterBurst, "seed %d: %d calls for %.0f requests", seed, delivered, n)
-		assert.Assert(t, float64(sim.hedges) <= n*sim.service.HedgeBudget+maxRouterBurst, "seed %d: %d hedges", seed, sim.hedges)
-		sim.assertIdle(t, seed)
+		assert.Assert(t, r.answeredAt.Sub(r.started) <= limit, "seed %d: %s took %v", seed, r.request.ID, r.answeredAt.Sub(r.started))
+		assert.Assert(t, r.verdict != verdict.NotRun || r.runs == 0, "seed %d: %s ran but was refused as not run", seed, r.request.ID)
+		assert.Assert(t, r.verdict != verdict.Ran || r.runs > 0, "seed %d: %s did not run", seed, r.request.ID)
+		delivered += r.delivered
 	}
+	n := float64(len(sim.requests))
+	assert.Assert(t, float64(delivered) <= n*(1+sim.service.RetryBudget+sim.service.HedgeBudget)+2*maxRouterBurst, "seed %d: %d calls for %.0f requests", seed, delivered, n)
+	assert.Assert(t, float64(sim.hedges) <= n*sim.service.HedgeBudget+maxRouterBurst, "seed %d: %d hedges", seed, sim.hedges)
+	sim.assertIdle(t, seed)
 }
 
 // assertIdle checks that no state is left of requests that ended.
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -54,12 +54,17 @@
 	// unreachable is a router whose link cannot be opened.
 	unreachable fleet.RouterID
 	cancels     int
+	refused     int64                     // because of load reports
 	callRouters map[uint64]fleet.RouterID // router of each call by call number
 }
 
 func newSimulation(seed uint64) *simulation {
+	return newSimulationOf(balancer.Settings{Seed: seed, Self: "entry", DataCentre: "warszawa"})
+}
+
+func newSimulationOf(s balancer.Settings) *simulation {
 	sim := &simulation{
-		random: rand.New(rand.NewPCG(seed, 7)), core: New(Settings{Balancer: balancer.Settings{Seed: seed, Self: "entry", DataCentre: "warszawa"}}), byID: map[string]*requestHistory{},
+		random: rand.New(rand.NewPCG(s.Seed, 7)), core: New(Settings{Balancer: s}), byID: map[string]*requestHistory{},
 		callRouters: map[uint64]fleet.RouterID{},
 	}
 	sim.service = fleet.Service{
@@ -155,6 +160,7 @@
 			p.answeredAt, p.verdict = sim.now, reply.Answer.Verdict
 		}
 		sim.cancels += len(out.Cancels)
+		sim.refused += out.Refused
 		for _, s := range out.Sends {
 			sim.deliver(s)
 		}
--- a/internal/router/load_reporter_test.go
+++ b/internal/router/load_reporter_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,7 +11,9 @@
 
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
 	"endivespring/internal/metrics"
+	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/wire/wirepb"
 )
@@ -46,3 +50,54 @@
 	assert.Equal(t, links[2].Depth(), 0)
 	assert.Equal(t, len(r.lastCalls), 1)
 }
+
+// TestReportCrossesLink sends a report between answers over a real link, to a gateway that
+// uses reports and to one that does not.
+func TestReportCrossesLink(t *testing.T) {
+	for _, takes := range []bool{true, false} {
+		l, sink := openLink(t, takes)
+		want := call.Load{InFlight: 9, Queued: 3, Limit: 9, Latency: time.Millisecond, Wait: 50 * time.Millisecond, Slowdown: 1.5}
+		assert.Assert(t, sink.report(t.Context(), &want))
+		sink.answer(t.Context(), call.Answer{Number: 1})
+		in, err := l.answers.Take(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, in.load != nil, takes)
+		if takes {
+			assert.DeepEqual(t, *in.load, want)
+			assert.Equal(t, in.from, fleet.RouterID("r"))
+		}
+	}
+}
+
+// openLink opens a link to an executor and sends it a call.
+func openLink(t testing.TB, takesReports bool) (*link, answerSink) {
+	submissions := ring.New[*submission]("submissions", 64, ring.Refuse)
+	server := peer.NewServer()
+	wirepb.RegisterDoorsServer(server, &executorServer{fleet: "f", events: discardEvents{}, clock: clock.NewMonotonic(), executor: submissions})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = peer.Serve(server, listener) }()
+	t.Cleanup(server.Stop)
+	answers := ring.New[*inboundAnswer]("answers", 64, ring.Wait)
+	l := newLink("f", fleet.Router{ID: "r", Address: listener.Addr().String()}, &atomic.Int64{}, clock.NewMonotonic(), answers, discardEvents{})
+	l.takesReports = takesReports
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = l.Run(ctx) }()
+	assert.NilError(t, l.calls.Put(ctx, &outgoingCall{call: call.Call{Number: 1, Deadline: clock.NewMonotonic().Now().Add(time.Minute)}}))
+	opened, err := submissions.Take(ctx)
+	assert.NilError(t, err)
+	return l, opened.open
+}
+
+// BenchmarkReportOverLink measures one report from the executor duty to the gateway duty,
+// one at a time, with the work of both sides.
+func BenchmarkReportOverLink(b *testing.B) {
+	l, sink := openLink(b, true)
+	load := call.Load{InFlight: 9, Queued: 3, Limit: 9, Latency: time.Millisecond, Wait: 50 * time.Millisecond, Slowdown: 1.5}
+	b.ReportAllocs()
+	for range b.N {
+		sink.report(context.Background(), &load)
+		_, _ = l.answers.Take(context.Background())
+	}
+}
