--- a/internal/balancer/reported.go
+++ b/internal/balancer/reported.go
@@ -68,7 +68,8 @@
 	return float64(max(0, e.load.ExpectedWait()-max(0, age-reportPause)))
 }
 
-// wait returns how long a call waits for a slot, in nanoseconds: the reported wait, and the calls of this gateway since then for which no slot was free.
+// wait returns how long a call waits for a slot, in nanoseconds: the reported wait, and
+// that for the calls of this gateway since then for which no slot was free.
 func (e *executor) wait(age time.Duration) float64 {
 	free := max(0, e.load.Limit-e.load.InFlight)
 	later := float64(max(0, e.sentSince-free)) * e.reportedRun(age) / float64(e.load.Limit)
