--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -1,5 +1,7 @@
 // Package admission limits the concurrency of one upstream. A limit starts at
-// the upstream's cold capacity and rises only as the upstream proves healthy.
+// the upstream's cold capacity and rises only as the upstream proves healthy. If it is
+// to be learned, it also stays below the concurrency from which throughput no longer
+// grows.
 package admission
 
 import (
@@ -45,6 +47,10 @@
 	raisedAt  clock.Instant
 	reducedAt clock.Instant
 	pace      pace
+	// learner is nil while the limit is not learned.
+	learner *Learner
+	// accepted is kept while the limit is learned.
+	accepted acceptedConcurrency
 }
 
 // NewLimiter returns a limiter that admits nothing until Announce.
@@ -55,8 +61,12 @@
 func (l *Limiter) Announce(u fleet.Upstream) (reset bool) {
 	l.slots = max(1, u.Slots)
 	l.cold = min(l.slots, max(minLimit, u.ColdSlots))
+	if l.learner != nil {
+		l.learner.Announce(l.slots, u.Boot)
+	}
 	if l.limit == 0 || u.Boot != l.boot {
 		l.boot = u.Boot
+		l.accepted = acceptedConcurrency{}
 		l.resetCold()
 		return true
 	}
@@ -82,8 +92,74 @@
 	}
 }
 
-// Limit returns the maximum number of requests at once.
-func (l *Limiter) Limit() int { return l.limit }
+// LearnCapacity starts or stops learning a limit from run times. What was learned
+// is discarded when it stops.
+func (l *Limiter) LearnCapacity(on bool) {
+	switch {
+	case !on:
+		l.learner = nil
+	case l.learner == nil:
+		l.learner = NewLearner()
+		if l.slots > 0 {
+			l.learner.Announce(l.slots, l.boot)
+		}
+	}
+}
+
+// Observe takes a run that the upstream answered, after its Finish. It reports
+// whether the limit changed.
+func (l *Limiter) Observe(now clock.Instant, s *Sample) bool {
+	if l.learner == nil {
+		return false
+	}
+	before := l.Limit()
+	l.accepted.record(now, s.Concurrency)
+	l.learner.Observe(now, l.limit, s)
+	return l.Limit() != before
+}
+
+// FinishShed is Finish for a run that the upstream refused because of overload.
+// concurrency is the number of runs right after this one started. While the limit is
+// learned, the refusal lowers it only if no run that started at this or a higher
+// concurrency was answered lately: otherwise the upstream refuses for another reason, and
+// a lower limit would only leave its slots unused.
+func (l *Limiter) FinishShed(now clock.Instant, concurrency int) bool {
+	if l.learner == nil {
+		return l.Finish(now, Shed, 0)
+	}
+	before, accepted := l.Limit(), l.accepted.highest(now)
+	l.running--
+	if concurrency > accepted {
+		l.shed(now, accepted)
+	}
+	return l.Limit() != before
+}
+
+// Learned returns the learned limit, or zero if none is learned.
+func (l *Limiter) Learned() int {
+	if l.learner == nil {
+		return 0
+	}
+	return l.learner.Learned()
+}
+
+// TakeLearnedChange returns the last change of the learned limit since the last
+// call, and whether there was one.
+func (l *Limiter) TakeLearnedChange() (LearnedChange, bool) {
+	if l.learner == nil {
+		return LearnedChange{}, false
+	}
+	return l.learner.TakeChange()
+}
+
+// Limit returns the maximum number of requests at once: the lower one of the own
+// limit and the learned one.
+func (l *Limiter) Limit() int {
+	if l.learner == nil || l.limit == 0 {
+		return l.limit
+	}
+	return min(l.limit, l.learner.Limit())
+}
 
 // Running returns the number of requests in flight.
 func (l *Limiter) Running() int { return l.running }
@@ -117,7 +193,7 @@
 
 // Start takes a slot and reports whether one was free.
 func (l *Limiter) Start() bool {
-	if l.running >= l.limit {
+	if l.running >= l.Limit() {
 		return false
 	}
 	l.running++
@@ -128,7 +204,7 @@
 // Finish frees a slot and adapts the limit. It reports whether the limit
 // changed.
 func (l *Limiter) Finish(now clock.Instant, outcome Outcome, latency time.Duration) bool {
-	before := l.limit
+	before := l.Limit()
 	l.running--
 	switch outcome {
 	case Neutral:
@@ -137,11 +213,11 @@
 	case TimedOut:
 		l.timedOut(latency)
 	case Shed:
-		l.shed(now)
+		l.shed(now, 0)
 	default:
 		l.answered(now, latency)
 	}
-	return l.limit != before
+	return l.Limit() != before
 }
 
 // timedOut halves the limit, down to the cold capacity, and resets to cold
@@ -156,19 +232,19 @@
 		l.resetCold()
 		return
 	}
-	l.set(max(min(l.cold, l.limit), l.limit/2))
+	l.set(max(min(l.cold, l.Limit()), l.Limit()/2))
 	l.good = 0
 }
 
-// shed lowers the limit by a quarter: a shed request proves that it is too
-// high.
-func (l *Limiter) shed(now clock.Instant) {
+// shed lowers the limit by a quarter, but not below a concurrency at which runs are known
+// to be taken: a shed request proves that the limit is too high.
+func (l *Limiter) shed(now clock.Instant, accepted int) {
 	l.good = 0
 	if l.reducedAt != 0 && now.Sub(l.reducedAt) < shedPause {
 		return
 	}
 	l.reducedAt = now
-	l.set(max(minLimit, l.limit*3/4))
+	l.set(max(minLimit, l.Limit()*3/4, min(l.Limit(), accepted)))
 }
 
 func (l *Limiter) answered(now clock.Instant, latency time.Duration) {
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -53,6 +53,7 @@
 	// their key ranges by requests.
 	rangeRequests *rangeRequests
 	keyMeter      *keyMeter
+	earlyReport   earlyReport
 	// unavailableSince is when the upstream became unavailable for new work, or zero.
 	unavailableSince clock.Instant
 	// revocationCheckAt is when to check next whether the leases of revoked key
@@ -76,6 +77,9 @@
 	nextRun     uint64
 	// runTimes are the moving averages of run times, by operation.
 	runTimes map[string]time.Duration
+	slowdown slowdown
+	// steppedAt is when a run ended or could start last.
+	steppedAt clock.Instant
 	// nextStartBy is the earliest startBy of the queued jobs.
 	nextStartBy clock.Instant
 	// nextPacedStart is when the pace of a cold upstream allows its next call.
@@ -124,6 +128,9 @@
 			deadline = min(deadline, c.unavailableSince.Add(c.revocationGrace))
 		}
 	}
+	if c.earlyReport.dueAt != 0 {
+		deadline = min(deadline, c.earlyReport.dueAt)
+	}
 	if (len(c.queue) > 0 || len(c.timers) > 0) && c.keyed() {
 		deadline = min(deadline, c.ownershipExpiry)
 	}
@@ -215,9 +222,13 @@
 	c.abort(j)
 }
 
-// Load returns the current concurrency, queue length, limit and latency.
+// Load returns the current concurrency, queue length, limit and latency, and the
+// slowdown as of the last step.
 func (c *Core) Load() call.Load {
-	return call.Load{InFlight: c.limiter.Running(), Queued: len(c.queue), Limit: c.limiter.Limit(), Latency: c.limiter.Latency()}
+	return call.Load{
+		InFlight: c.limiter.Running(), Queued: len(c.queue), Limit: c.limiter.Limit(), Latency: c.limiter.Latency(),
+		Slowdown: c.slowdown.at(c.steppedAt),
+	}
 }
 
 // keyed reports whether the upstream's calls are keyed by shards, so that they
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -15,13 +15,15 @@
 	Requests       = define("requests_total", Counter, "verdict, reason, service, route", "Callers' requests answered by this gateway. Service and route are empty if unknown, and other once 512 label combinations exist.")
 	RequestLatency = define("request_latency_microseconds", Summary, "quantile", "Time from reading a caller's request to its answer, in microseconds.")
 
-	ExecutorLimit   = define("door_limit", Gauge, "", "Concurrency limit of the executor towards the upstream, in requests.")
-	ExecutorRunning = define("door_running", Gauge, "", "Requests running at the upstream.")
-	ExecutorQueued  = define("door_queued", Gauge, "", "Requests queued at the executor.")
-	LoadReports     = define("load_reports_total", Counter, "result", "Load reports between answers: sent to gateways, received by this gateway, and dropped because a ring was half full. Zero without load.reports.")
-	RefusedHere     = define("gateway_refusals_total", Counter, "", "Requests that this gateway refused without a try, since every executor reported too long a wait.")
-	Overflow        = define("gateway_overflow_total", Counter, "", "Calls that this gateway sent to another data centre because every executor of its own reported a longer wait.")
-	RangeRequests   = define("range_requests_total", Counter, "kind, result", "Grants and releases of key ranges that were sent to the upstream, by what is known of them.")
+	ExecutorLimit        = define("door_limit", Gauge, "", "Concurrency limit of the executor towards the upstream, in requests.")
+	ExecutorRunning      = define("door_running", Gauge, "", "Requests running at the upstream.")
+	ExecutorQueued       = define("door_queued", Gauge, "", "Requests queued at the executor.")
+	ExecutorLearnedLimit = define("door_learned_limit", Gauge, "", "Limit for requests at the upstream that was learned from run times; 0 if none is learned.")
+	ExecutorSlowdown     = define("door_slowdown_percent", Gauge, "", "How long work at the upstream takes, as it states itself, in percent of the usual time; 0 if it does not state it.")
+	LoadReports          = define("load_reports_total", Counter, "result", "Load reports between answers: sent to gateways, received by this gateway, and dropped because a ring was half full. Zero without load.reports.")
+	RefusedHere          = define("gateway_refusals_total", Counter, "", "Requests that this gateway refused without a try, since every executor reported too long a wait.")
+	Overflow             = define("gateway_overflow_total", Counter, "", "Calls that this gateway sent to another data centre because every executor of its own reported a longer wait.")
+	RangeRequests        = define("range_requests_total", Counter, "kind, result", "Grants and releases of key ranges that were sent to the upstream, by what is known of them.")
 
 	OwnershipLeft = define("ownership_lease_left_milliseconds", Gauge, "", "Time left on the ownership lease, under which this router serves its shards, in milliseconds; 0 once it has expired.")
 	ViewLeft      = define("view_lease_left_milliseconds", Gauge, "", "Time left on the view lease, under which this router accepts new requests, in milliseconds; 0 once it has expired.")
@@ -37,6 +39,9 @@
 	ConfigVersion = define("config_version", Gauge, "", "Operator changes in use at this process's gateway, or accepted so far at a control process.")
 	RoutersBehind = define("routers_behind", Gauge, "", "Routers with an open session that have not reported the latest operator change as applied to this leader; 0 at other processes.")
 
+	KeyMoves  = define("key_moves_total", Counter, "", "Moves of keys by capacity that this control process has planned as leader.")
+	KeyRanges = define("key_ranges", Gauge, "", "Ranges of keys in the key spaces of all services.")
+
 	Goroutines   = define("goroutines", Gauge, "", "Goroutines of the process.")
 	HeapBytes    = define("heap_bytes", Gauge, "", "Memory in use by the Go heap, in bytes.")
 	RuntimeBytes = define("runtime_bytes", Gauge, "", "Memory mapped by the Go runtime, in bytes.")
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -113,7 +113,10 @@
 		d.dispatch(ctx)
 		load := d.core.Load()
 		d.meter.Set(load)
-		d.reporter.report(ctx, d.clock.Now(), &load, d.sinks)
+		d.meter.SetLearned(d.core.LearnedLimit())
+		now := d.clock.Now()
+		load.Slowdown = d.core.SlowdownAt(now)
+		d.reporter.report(ctx, now, &load, d.sinks)
 		timer.Reset(d.sleep())
 	}
 }
