Count executors without a recent report as possibly having room

An idle executor reports once a second, and only to gateways that called it within 2 s, so most count as unknown to a gateway with few calls. Admit forced each request to the few with a recent report, past Choose. It now forces a choice only if at most a quarter of the executors are unknown or have room, and takes the better of two random ones of these. Executors that are failing or excluded are no longer chosen for probes.

The three tests of admit_test.go fail before: with one recent report of eight the call was forced; of two executors with room the one with ten times the run time was taken; a failing executor was probed.

--- a/internal/balancer/admit.go
+++ b/internal/balancer/admit.go
@@ -8,12 +8,14 @@
 	"endivespring/internal/fleet"
 )
 
-// minRoomShare is the inverse of the share of the executors with room below which a call
-// is sent to one of these. Two random ones would usually both be full.
+// minRoomShare is the inverse of the share of the executors that may have room below which
+// a call is sent to one of these. Two random ones would usually both be full.
 const minRoomShare = 4
 
-// Admit returns whether a call of a service that any executor may run can start in time. It looks at the executors that Choose chooses from, and usually ends after a
-// quarter of them.
+// Admit returns whether a call of a service that any executor may run can start in time.
+// It looks at the executors that Choose chooses from, usually at a quarter of them. One
+// without a recent report may have room: an idle executor reports once a second and only
+// to gateways that call it, so most are unknown to a gateway with few calls.
 func (t *Table) Admit(service string, now clock.Instant, limit StartLimit, exclude []fleet.RouterID) Admission {
 	p := t.pools[service]
 	if p == nil {
@@ -23,8 +25,9 @@
 	local, remote := p.subset()
 	total := len(local) + len(remote)
 	var result Admission
-	var withRoom, unknown *executor
-	rooms := 0
+	var withRoom [maxExecutors]*executor
+	var unknown *executor
+	rooms, unknowns := 0, 0
 	for i := range total {
 		e := at(local, remote, i)
 		if e.failing(now) || slices.Contains(exclude, e.router.ID) {
@@ -37,33 +40,54 @@
 		}
 		switch {
 		case now.Add(wait) > limit.By || known && e.queueFull(age, limit.Queue):
+			continue
 		case !known:
+			unknowns++
 			if unknown == nil || e.inFlight < unknown.inFlight {
 				unknown = e
 			}
 		default:
+			withRoom[rooms] = e
 			rooms++
-			if rooms*minRoomShare > total {
-				return Admission{}
-			}
-			if t.random.IntN(rooms) == 0 {
-				withRoom = e
-			}
+		}
+		if (rooms+unknowns)*minRoomShare > total {
+			return Admission{}
 		}
 	}
 	switch {
 	case result.Executors == 0:
-	case withRoom != nil:
-		t.force(&result, withRoom)
+	case rooms > 0:
+		t.force(&result, t.betterOfTwo(now, p, withRoom[:rooms]))
 	case unknown != nil:
 		t.force(&result, unknown)
 	default:
-		p.probeTurn++
-		t.refuse(&result, at(local, remote, p.probeTurn%total), exclude)
+		t.refuse(&result, p.nextProbe(now, local, remote, exclude))
 	}
 	return result
 }
 
+// betterOfTwo returns the one of two random executors with the smaller estimate.
+func (t *Table) betterOfTwo(now clock.Instant, p *pool, executors []*executor) *executor {
+	first := t.randomExecutor(executors, nil, nil)
+	second := t.randomExecutor(executors, first, nil)
+	if second != nil && second.estimate(now, p) < first.estimate(now, p) {
+		return second
+	}
+	return first
+}
+
+// nextProbe returns the next executor in turn that is neither failing nor excluded, of
+// which there must be one.
+func (p *pool) nextProbe(now clock.Instant, local, remote []*executor, exclude []fleet.RouterID) *executor {
+	for {
+		p.probeTurn++
+		e := at(local, remote, p.probeTurn%(len(local)+len(remote)))
+		if !e.failing(now) && !slices.Contains(exclude, e.router.ID) {
+			return e
+		}
+	}
+}
+
 // AdmitAt returns whether a call that only one executor may run can start in time.
 func (t *Table) AdmitAt(id fleet.RouterID, now clock.Instant, limit StartLimit) Admission {
 	e := t.executors[id]
@@ -73,16 +97,16 @@
 	wait, age, known := e.admissionWait(now, t.pool(e.router.Upstream.Service))
 	result := Admission{Wait: wait, Age: age, Executors: 1}
 	if known && !e.failing(now) && (now.Add(wait) > limit.By || e.queueFull(age, limit.Queue)) {
-		t.refuse(&result, e, nil)
+		t.refuse(&result, e)
 	}
 	return result
 }
 
 // refuse refuses a call, but for one in probeShare, which is sent to e.
-func (t *Table) refuse(result *Admission, e *executor, exclude []fleet.RouterID) {
+func (t *Table) refuse(result *Admission, e *executor) {
 	result.Refused = true
 	e.refusals++
-	if e.refusals >= probeShare && !slices.Contains(exclude, e.router.ID) {
+	if e.refusals >= probeShare {
 		e.refusals, result.Refused = 0, false
 		t.force(result, e)
 	}
--- /dev/null
+++ b/internal/balancer/admit_test.go
@@ -0,0 +1,76 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/call"
+	"endivespring/internal/fleet"
+)
+
+// newAdmitting returns a table of eight executors in one data centre.
+func newAdmitting() *simulation {
+	s := newSimulation(1, "g", "dc0", testRouters(8, 1)...)
+	s.table.settings.Reports = true
+	return s
+}
+
+func (s *simulation) reportWait(i int, wait time.Duration) {
+	load := call.Load{InFlight: 9, Limit: 9, Latency: 100 * time.Millisecond, Wait: wait}
+	if wait == 0 {
+		load.InFlight = 0
+	}
+	s.table.Reported(testRouter(i, "").ID, s.now, load)
+}
+
+func (s *simulation) admit(exclude ...fleet.RouterID) Admission {
+	return s.table.Admit(service, s.now, StartLimit{By: s.now.Add(400 * time.Millisecond)}, exclude)
+}
+
+// TestUnknownExecutorsMayHaveRoom guards against a gateway that sends all calls to the one
+// executor that has just reported, while the others are idle and have not.
+func TestUnknownExecutorsMayHaveRoom(t *testing.T) {
+	s := newAdmitting()
+	s.reportWait(0, 0)
+	assert.Assert(t, !s.admit().Forced)
+	for i := 1; i < 7; i++ {
+		s.reportWait(i, time.Second)
+	}
+	got := s.admit()
+	assert.Assert(t, got.Forced && got.Router.ID == testRouter(0, "").ID, "%+v", got)
+}
+
+// TestForcedCallsGoToTheBetterOfTwo has two of eight executors with room, of which one has
+// far longer run times. Drawn at random it would get half of the calls.
+func TestForcedCallsGoToTheBetterOfTwo(t *testing.T) {
+	s := newAdmitting()
+	for i := range 8 {
+		s.reportWait(i, time.Second)
+	}
+	s.reportWait(2, 0)
+	s.table.Reported(testRouter(5, "").ID, s.now, call.Load{Limit: 9, Latency: time.Second})
+	for range 50 {
+		got := s.admit()
+		assert.Assert(t, got.Forced && got.Router.ID == testRouter(2, "").ID, "%+v", got)
+	}
+}
+
+// TestProbesSkipExecutorsThatCannotServe has eight full executors, one of which fails and
+// one of which was asked already. Neither may be tried for the sake of its report.
+func TestProbesSkipExecutorsThatCannotServe(t *testing.T) {
+	s := newAdmitting()
+	for i := range 8 {
+		s.reportWait(i, time.Second)
+	}
+	s.table.Failed(s.table.Sent(testRouter(3, "").ID, s.now), s.now)
+	tried := 0
+	for range 20 * probeShare {
+		if got := s.admit(testRouter(4, "").ID); got.Forced {
+			tried++
+			assert.Assert(t, got.Router.ID != testRouter(3, "").ID && got.Router.ID != testRouter(4, "").ID, "%s", got.Router.ID)
+		}
+	}
+	assert.Assert(t, tried >= 15, "tried %d times", tried)
+}
