Filter reports in the test worlds by the last call and probe idle executors

Both test worlds sent each report to every router, so that no test saw an executor without a report. They now send reports only to gateways that called within 2 s, as the executor duty does.

An executor without calls for 1 s is now tried at every 16th comparison also if it reports no wait or nothing; each gets 3 or more.

--- a/internal/balancer/choose_reported.go
+++ b/internal/balancer/choose_reported.go
@@ -14,8 +14,8 @@
 // factor on its whole estimate, as without reports, kept calls at home the longer, the
 // longer they waited there: at 1.6 times the slots of a data centre, beside another one in
 // half use, the median of a burst of 5 s was 312 ms with it and 280 ms without. An
-// executor that has long been passed over because it reports a wait is tried all the
-// same, so that a wrong report does not exclude it for good.
+// executor that has long been passed over is tried all the same, so that wrong or old
+// figures do not exclude it for good.
 func (t *Table) chooseReported(p *pool, now clock.Instant, local, remote []*executor, exclude []fleet.RouterID) *executor {
 	p.updateOverflow(now, local, remote)
 	candidates := [maxCompared]*executor{t.randomExecutor(local, nil, exclude), nil, t.randomExecutor(remote, nil, exclude), nil}
--- a/internal/balancer/report_world_test.go
+++ b/internal/balancer/report_world_test.go
@@ -16,6 +16,9 @@
 	worldSlots = 9
 	worldRun   = 120 * time.Millisecond
 	worldLink  = 15 * time.Millisecond // one way to another data centre
+	// reportedAfterCall is how long after its last call a gateway gets reports, as from the
+	// executor duty.
+	reportedAfterCall = 2 * time.Second
 )
 
 // worldRouter is an executor with a queue, and a gateway with its table.
@@ -32,6 +35,8 @@
 	active   bool
 	// silent executors send no reports. liar is one that always reports a long wait.
 	silent, liar bool
+	// lastCalls is when each gateway sent its last call to this executor.
+	lastCalls map[*worldRouter]clock.Instant
 }
 
 type worldCall struct {
@@ -61,7 +66,7 @@
 		view.Apply(change)
 		table := NewTable(Settings{Seed: seed + uint64(i), Self: router.ID, DataCentre: router.DataCentre, Reports: reports})
 		table.Update(view, change)
-		w.routers = append(w.routers, &worldRouter{Router: router, table: table, latency: worldRun})
+		w.routers = append(w.routers, &worldRouter{Router: router, table: table, latency: worldRun, lastCalls: map[*worldRouter]clock.Instant{}})
 	}
 	return w
 }
@@ -110,7 +115,11 @@
 		r.switches++
 	}
 	c := worldCall{from: r, outstanding: r.table.Sent(router.ID, w.now), at: w.now}
-	w.after(w.delay(r, to), func() { to.queue = append(to.queue, c); w.start(to) })
+	w.after(w.delay(r, to), func() {
+		to.lastCalls[r] = w.now
+		to.queue = append(to.queue, c)
+		w.start(to)
+	})
 }
 
 // start runs queued calls while slots are free. Run times have a coefficient of variation
@@ -150,6 +159,9 @@
 		return
 	}
 	for _, to := range w.routers {
+		if at, ok := r.lastCalls[to]; !ok || w.now.Sub(at) > reportedAfterCall {
+			continue
+		}
 		w.after(w.delay(r, to), func() { to.table.Reported(r.ID, w.now, load) })
 	}
 }
--- a/internal/balancer/reported.go
+++ b/internal/balancer/reported.go
@@ -33,7 +33,7 @@
 	maxExcess      = 50  // limit of one sample of excess
 	excessHalfLife = 2 * time.Second
 	failedTime     = time.Second     // time after a failure during which an executor is not counted on to run requests
-	probeInterval  = time.Second     // time without calls after which an executor that reports a wait is tried
+	probeInterval  = time.Second     // time without calls after which an executor that is passed over is tried
 	usualTime      = 5 * time.Second // time constant of executor.usualRun; far above the phases of a busy VM
 	probeShare     = 16              // one request in so many is sent although the reports speak against it
 )
@@ -118,10 +118,11 @@
 }
 
 // probeDue counts that another executor was preferred, and reports whether this one is
-// to be tried all the same: it reports a wait and has had no call for probeInterval.
+// to be tried all the same: it has had no call for probeInterval and has not just failed.
+// A gateway gets no reports of executors that it does not call, and a mean of few run
+// times may be far too high.
 func (e *executor) probeDue(now clock.Instant) bool {
-	age, ok := e.reportAge(now)
-	if !ok || e.wait(age) == 0 || now.Sub(e.lastSent) < probeInterval {
+	if now.Sub(e.lastSent) < probeInterval || e.failing(now) {
 		return false
 	}
 	e.probes++
--- a/internal/gateway/load_world_test.go
+++ b/internal/gateway/load_world_test.go
@@ -24,6 +24,9 @@
 	loadTimeout  = time.Second
 	loadGrain    = time.Millisecond
 	loadLocation = "dc"
+	// reportedAfterCall is how long after its last call a gateway gets reports, as from the
+	// executor duty.
+	reportedAfterCall = 2 * time.Second
 )
 
 // loadRouter is a gateway and an executor with its upstream.
@@ -31,6 +34,9 @@
 	gateway  *Core
 	executor *executor.Core
 	schedule executor.ReportSchedule
+	// lastCalls is when each gateway sent its last call to this executor.
+	lastCalls [loadRouters]clock.Instant
+	submitted int
 }
 
 // loadCaller is a caller's request through its tries.
@@ -110,7 +116,10 @@
 			w.carryOut(i)
 			load := r.executor.Load()
 			if r.schedule.Due(w.now, &load) {
-				for _, to := range w.routers {
+				for g, to := range w.routers {
+					if w.now.Sub(r.lastCalls[g]) > reportedAfterCall {
+						continue
+					}
 					w.after(loadGrain, func() { to.gateway.HandleReport(w.now, routerID(i), load) })
 				}
 			}
@@ -118,11 +127,13 @@
 	}
 }
 
-func (w *loadWorld) ask(c *loadCaller) {
+func (w *loadWorld) ask(c *loadCaller) { w.askAt(w.random.IntN(loadRouters), c) }
+
+// askAt starts the request of a caller at a gateway.
+func (w *loadWorld) askAt(i int, c *loadCaller) {
 	c.tries++
 	w.token++
 	w.callers[w.token] = c
-	i := w.random.IntN(loadRouters)
 	w.routers[i].gateway.Start(w.now, Request{
 		Token: w.token, ID: strconv.FormatUint(w.token, 10), Method: "GET", Host: "h", Path: "/" + c.route + "/", Timeout: loadTimeout - w.now.Sub(c.at),
 	})
@@ -137,6 +148,8 @@
 	for _, s := range out.Sends {
 		to := int(s.Router.ID[len(s.Router.ID)-1] - '0')
 		w.after(loadGrain, func() {
+			w.routers[to].lastCalls[i] = w.now
+			w.routers[to].submitted++
 			w.routers[to].executor.Submit(w.now, executor.Ticket{Link: uint64(i), Number: s.Call.Number}, s.Call)
 			w.carryOut(to)
 		})
@@ -206,3 +219,34 @@
 
 // triesPerServed returns the calls that executors refused for each request served.
 func (w *loadWorld) triesPerServed() float64 { return float64(w.tries) / float64(w.inTime+w.late) }
+
+// TestLowLoadIsSpread has 2% to 50% of the load that the upstreams can serve. It guards
+// against gateways that send everything to the executors that have reported last. No
+// executor may get more than 1.5 times its share. The lower loads run for longer, so that
+// chance alone does not make the difference.
+func TestLowLoadIsSpread(t *testing.T) {
+	for _, load := range []float64{0.02, 0.05, 0.1, 0.2, 0.3, 0.5} {
+		w := newLoadWorld(1, true)
+		w.run(time.Duration(max(30, 6/load))*time.Second, load)
+		total, most := 0, 0
+		for _, r := range w.routers {
+			total, most = total+r.submitted, max(most, r.submitted)
+		}
+		t.Logf("load %.2f: %.2f times the share", load, float64(most*loadRouters)/float64(total))
+		assert.Assert(t, float64(most*loadRouters) <= 1.5*float64(total), "load %.2f: %d of %d calls to one of %d executors", load, most, total, loadRouters)
+	}
+}
+
+// TestGatewayWithFewRequestsUsesAllExecutors has one gateway with a request every 100 ms.
+// It guards against the same, since executors that it does not call send it no reports, and
+// against executors that one long run excludes for good.
+func TestGatewayWithFewRequestsUsesAllExecutors(t *testing.T) {
+	w := newLoadWorld(1, true)
+	for range 200 {
+		w.askAt(0, &loadCaller{at: w.now, route: "a"})
+		w.run(100*time.Millisecond, 0)
+	}
+	for i, r := range w.routers {
+		assert.Assert(t, r.submitted >= 3, "executor %d got %d of 200 calls", i, r.submitted)
+	}
+}
