Multiply the reported run time and wait by the slowdown

The gateway multiplied the slowdown by a moving average of reported run times over 5 s, which was needed only while the slowdown included the constant speed of a VM. The executor's run time is a mean of its last ten or so runs and follows a phase late; the slowdown is relative to the usual figure. The reported wait, which is derived from the mean, is multiplied as well. usualRun, observeRun and usualTime are removed.

TestSlowdownMultipliesRunAndWait fails before with 201 ms in place of 300 ms.

--- a/internal/balancer/admit_test.go
+++ b/internal/balancer/admit_test.go
@@ -74,3 +74,20 @@
 	}
 	assert.Assert(t, tried >= 15, "tried %d times", tried)
 }
+
+// TestSlowdownMultipliesRunAndWait guards against a run time that follows neither the mean of
+// the last runs nor the stated slowdown at once. Of the slowdown, half counts after 200 ms.
+func TestSlowdownMultipliesRunAndWait(t *testing.T) {
+	s := newAdmitting()
+	id := testRouter(0, "").ID
+	load := call.Load{InFlight: 9, Limit: 9, Latency: 100 * time.Millisecond, Wait: 50 * time.Millisecond, Slowdown: 1}
+	s.table.Reported(id, s.now, load)
+	s.now = s.now.Add(50 * time.Millisecond)
+	load.Latency, load.Slowdown = 150*time.Millisecond, 2
+	s.table.Reported(id, s.now, load)
+	e := s.table.executors[id]
+	assert.Equal(t, time.Duration(e.reportedRun(0)), 300*time.Millisecond)
+	assert.Equal(t, time.Duration(e.reportedRun(slowdownHalfLife)), 225*time.Millisecond)
+	assert.Equal(t, time.Duration(e.reportedWait(0)), 100*time.Millisecond)
+	assert.Equal(t, time.Duration(e.reportedWait(slowdownHalfLife)), 75*time.Millisecond)
+}
--- a/internal/balancer/executor.go
+++ b/internal/balancer/executor.go
@@ -48,10 +48,8 @@
 
 	// sentSince is the number of calls sent since loadAt, lastSent when the last one was.
 	sentSince int
-	// usualRun is a moving average of reported run times, in nanoseconds.
-	usualRun float64
-	lastSent clock.Instant
-	centre   *centre
+	lastSent  clock.Instant
+	centre    *centre
 	// excess is a moving average of latencies relative to their estimates.
 	excess float64
 	// failures counts consecutive failures, up to maxOutliers; the last was at failedAt.
--- a/internal/balancer/reported.go
+++ b/internal/balancer/reported.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"endivespring/internal/call"
 	"endivespring/internal/clock"
 )
 
@@ -32,10 +31,9 @@
 	minExcess      = 1.5 // excess below which it is taken for chance
 	maxExcess      = 50  // limit of one sample of excess
 	excessHalfLife = 2 * time.Second
-	failedTime     = time.Second     // time after a failure during which an executor is not counted on to run requests
-	probeInterval  = time.Second     // time without calls after which an executor that is passed over is tried
-	usualTime      = 5 * time.Second // time constant of executor.usualRun; far above the phases of a busy VM
-	probeShare     = 16              // one request in so many is sent although the reports speak against it
+	failedTime     = time.Second // time after a failure during which an executor is not counted on to run requests
+	probeInterval  = time.Second // time without calls after which an executor that is passed over is tried
+	probeShare     = 16          // one request in so many is sent although the reports speak against it
 )
 
 // reportAge returns the age of the last report, or false if there is none.
@@ -43,29 +41,26 @@
 	return now.Sub(e.loadAt), e.loadAt != 0 && e.load.Limit > 0 && e.load.Latency > 0
 }
 
-// observeRun adds a reported run time to the usual one.
-func (e *executor) observeRun(now clock.Instant, load *call.Load) {
-	if e.usualRun == 0 {
-		e.usualRun = float64(load.Latency)
-		return
+// slowness returns the stated slowdown, which decays towards 1 with the age of its report.
+// The upstream need not state one.
+func (e *executor) slowness(age time.Duration) float64 {
+	if e.load.Slowdown <= 0 {
+		return 1
 	}
-	weight := 1 - math.Exp(-float64(now.Sub(e.loadAt))/float64(usualTime))
-	e.usualRun += weight * (float64(load.Latency) - e.usualRun)
+	return 1 + (e.load.Slowdown-1)*decay(age, slowdownHalfLife)
 }
 
-// reportedRun returns the run time to expect, in nanoseconds: the usual one under the
-// stated slowdown. The reported run time is that of the last few calls and follows the
-// phases of the VM by itself; it counts as it is if the upstream states no slowdown.
+// reportedRun returns the run time to expect, in nanoseconds. The reported run time is the
+// mean of the last ten or so runs and follows the phases of a VM only late, so that it is
+// multiplied by the slowdown: a trial found two thirds of the error of the mean alone.
 func (e *executor) reportedRun(age time.Duration) float64 {
-	if e.load.Slowdown <= 0 {
-		return float64(e.load.Latency)
-	}
-	return e.usualRun * (1 + (e.load.Slowdown-1)*decay(age, slowdownHalfLife))
+	return float64(e.load.Latency) * e.slowness(age)
 }
 
-// reportedWait returns the reported wait, less the time since the next report was due.
+// reportedWait returns the reported wait under the slowdown, less the time since the next
+// report was due. Executors derive the wait from the mean run time.
 func (e *executor) reportedWait(age time.Duration) float64 {
-	return float64(max(0, e.load.ExpectedWait()-max(0, age-reportPause)))
+	return max(0, float64(e.load.ExpectedWait())*e.slowness(age)-float64(max(0, age-reportPause)))
 }
 
 // wait returns how long a call waits for a slot, in nanoseconds: the reported wait, and
--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -234,7 +234,6 @@
 	case !t.settings.Reports:
 		e.updateLoad(now, load)
 	case load.Limit > 0:
-		e.observeRun(now, &load)
 		e.updateLoad(now, load)
 	}
 }
