Bound Retry-After by the time that callers wait and spread them within it

Callers wait at most a third of the time they have left, so that all with a later Retry-After came back together. The latest time is now a third of the time left, and the earliest at most half of that. An empty schedule starts with a random credit.

TestEqualCallersAreSpread and TestLowRateDoesNotDelayTheFirst fail before: 100 ms for a caller with 30 ms left, 2.8 s for the first caller at 0.5 requests a second. TestReturnOrderAndBounds asserted the earlier bounds (100 ms up to the time left) and now asserts a sixth to a third of it. TestBurstReturnsSpreadOut needs callers with 12 s in place of 4 s: within a third of 4 s the burst cannot be spread to 7 callers in a slice (14). Its bounds are the same.

--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -94,6 +94,7 @@
 		if wait, ok := c.reportedWait(now, p); ok {
 			return p.service.returns.reserve(now, returnRequest{
 				wait: wait, left: p.deadline.Sub(now), rate: p.service.served.rate(now), returning: p.isReturning(now), random: c.random.Float64(),
+				credit: c.random.Float64(),
 			})
 		}
 	}
--- a/internal/gateway/return_request.go
+++ b/internal/gateway/return_request.go
@@ -13,4 +13,7 @@
 	returning bool
 	// random is a number from 0 to 1, by which requests are spread.
 	random float64
+	// credit is a random number from 0 to 1, the room with which an empty schedule starts.
+	// From zero, a low rate would delay the first caller to the end of its time.
+	credit float64
 }
--- a/internal/gateway/return_schedule.go
+++ b/internal/gateway/return_schedule.go
@@ -25,26 +25,32 @@
 
 // reserve returns when a refused caller is to come back: in the first slice after the wait
 // in which fewer callers are due than the service rate allows, or at a random time if
-// there is none. It is at least minRetryAfter. Only that may be above the time left.
+// there is none. It is at most a third of the time left, since callers wait no longer. The
+// times begin at half of that at the latest, so that callers can always be spread.
 func (s *returnSchedule) reserve(now clock.Instant, r returnRequest) time.Duration {
 	s.advance(now)
-	earliest := max(minRetryAfter, r.wait)
-	latest := min(r.left, (returnSlices-1)*returnSlice)
-	if latest <= earliest {
-		return max(minRetryAfter, min(r.left, earliest))
+	latest := min(r.left/3, (returnSlices-1)*returnSlice)
+	earliest := min(max(minRetryAfter, r.wait), latest/2)
+	if r.left/3 < minRetryAfter {
+		return earliest + time.Duration(r.random*float64(latest-earliest))
 	}
 	room := r.rate * returnSlice.Seconds()
 	if !r.returning {
 		room *= firstShare
 	}
-	end := sliceOf(now.Add(latest))
 	credit := 0.0
+	if s.counts == [returnSlices]uint32{} {
+		credit = r.credit
+	}
+	end := sliceOf(now.Add(latest))
 	for i := sliceOf(now.Add(earliest)); i <= end; i++ {
 		credit = max(0, credit+room-float64(s.counts[i%returnSlices]))
 		if credit >= 1 {
 			s.counts[i%returnSlices]++
-			at := clock.Instant(i * int64(returnSlice)).Add(time.Duration(r.random * float64(returnSlice))).Sub(now)
-			return min(max(at, earliest), r.left)
+			from := clock.Instant(i * int64(returnSlice)).Sub(now)
+			to := min(from+returnSlice, latest)
+			from = max(from, earliest)
+			return from + time.Duration(r.random*float64(to-from))
 		}
 	}
 	return earliest + time.Duration(r.random*float64(latest-earliest))
