Apply the load of an owner only to keys that it holds

A request whose owner only keeps its deduplication record was refused because that owner was full, and got no second try. It is now refused only if Admit refuses the service, and otherwise sent to the owner. A key of a range that is being moved, or that was redirected, is not refused because of its load. A redirect (not-owner, lease-expired, view-stale) is no failure that makes the reports of the executor count for nothing. An executor without an upstream, or one that is stopping, still counts as failing: its reports show free slots.

TestOwnerOfRecordOnlyDelegates and TestMovedKeysWait fail before: both requests were refused.

--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -125,6 +125,13 @@
 	return router, ok && r.HeldBy(router.ID, router.Upstream.Boot)
 }
 
+// KeyGranted reports whether a key of a ranged service is granted to its owner and not
+// being moved.
+func (t *Table) KeyGranted(service string, key uint32) bool {
+	space := t.view.KeySpaces[service]
+	return space != nil && key < fleet.KeyCount && space.Find(key).Phase == fleet.ShardGranted
+}
+
 // InFlight returns the number of this gateway's calls in flight at a router's
 // executor.
 func (t *Table) InFlight(id fleet.RouterID) int {
@@ -209,6 +216,16 @@
 	t.Dropped(o)
 }
 
+// Redirected ends a call that an executor refused because another one has to be asked. It
+// counts as a failure, but does not speak against the reports of the executor.
+func (t *Table) Redirected(o *Outstanding, now clock.Instant) {
+	if o == nil {
+		return
+	}
+	o.executor.observeFailure(now, t.typicalLatency(o.executor.router.Upstream.Service))
+	t.Dropped(o)
+}
+
 // Failed ends a call on a lost link or at an executor that cannot serve, and
 // records a failure.
 func (t *Table) Failed(o *Outstanding, now clock.Instant) {
--- a/internal/gateway/load_refusal.go
+++ b/internal/gateway/load_refusal.go
@@ -29,20 +29,37 @@
 
 // checkLoad returns whether a request can start in time according to load reports. A
 // resend of a request that must not run twice is always sent: its owner may have the
-// answer. So is a delegated one, whose executor was chosen by its own record keeper.
+// answer. So is a delegated one, whose executor was chosen by its own record keeper. A
+// key that is being moved waits for its next owner.
 func (c *Core) checkLoad(now clock.Instant, p *pendingRequest) balancer.Admission {
 	if !c.usesReports() || p.request.Delegated || p.request.Resend && !p.idempotent {
 		return balancer.Admission{}
 	}
 	limit := c.startLimit(now, p)
-	if p.sharded || p.ranged {
-		owner, ok := c.chooseExecutor(now, p)
-		if !ok {
-			return balancer.Admission{}
+	if !c.ownerRuns(p) {
+		if !p.sharded {
+			return c.table.Admit(p.request.Service, now, limit, p.attempted)
 		}
-		return c.table.AdmitAt(owner.ID, now, limit)
+		// The owner keeps the deduplication record and chooses the executor itself.
+		admission := c.table.Admit(p.request.Service, now, limit, nil)
+		admission.Forced = false
+		return admission
 	}
-	return c.table.Admit(p.request.Service, now, limit, p.attempted)
+	owner, ok := c.chooseExecutor(now, p)
+	if !ok || p.attempts > 0 && isRedirect(p.reason) || p.ranged && !c.table.KeyGranted(p.request.Service, p.request.KeyNumber) {
+		return balancer.Admission{}
+	}
+	return c.table.AdmitAt(owner.ID, now, limit)
+}
+
+// ownerRuns reports whether only the upstream of the owner may run a request. The owner of
+// a request of an unkeyed service keeps its deduplication record and delegates the run.
+func (c *Core) ownerRuns(p *pendingRequest) bool {
+	if p.ranged || !p.sharded {
+		return p.ranged
+	}
+	s := c.view.Preset.Service(p.request.Service)
+	return s != nil && s.Keyed
 }
 
 // startLimit returns the limits with which executors queue a request. They start a call
@@ -99,7 +116,7 @@
 // reportedWait returns the least wait for a slot among the executors that may run a
 // request, or false if none has reported it recently.
 func (c *Core) reportedWait(now clock.Instant, p *pendingRequest) (time.Duration, bool) {
-	if !p.sharded && !p.ranged {
+	if !c.ownerRuns(p) {
 		return c.table.ServiceWait(p.request.Service, now)
 	}
 	owner, ok := c.chooseExecutor(now, p)
--- a/internal/gateway/load_refusal_test.go
+++ b/internal/gateway/load_refusal_test.go
@@ -217,3 +217,57 @@
 		})
 	}
 }
+
+// TestOwnerOfRecordOnlyDelegates has a service without keys whose requests must not run
+// twice. It guards against refusals because the owner of the deduplication record is full
+// while another executor has room, and against requests that are given up after its refusal.
+func TestOwnerOfRecordOnlyDelegates(t *testing.T) {
+	c := newReportedCore()
+	service := fleet.Service{Name: "d", Shards: 1, RecordWindow: time.Minute, RetryBudget: 1}
+	preset := *c.view.Preset
+	preset.Services = append(preset.Services, service)
+	preset.Routes = append(preset.Routes, fleet.Route{Name: "d", Host: "h", Prefix: "/d/", Timeout: time.Second, Objective: 400 * time.Millisecond,
+		MaxUpstreams: 2, Priority: 1, Targets: []fleet.Target{{Service: "d", Weight: 1}}})
+	change := &fleet.Change{From: 1, To: 2, Preset: &preset}
+	for i := 5; i < 7; i++ {
+		change.Routers = append(change.Routers, fleet.Router{ID: routerID(i), Session: 1, DataCentre: "dc", Upstream: fleet.Upstream{Name: "u", Service: "d", Slots: 9}})
+	}
+	change.Shards = []fleet.Shard{{ID: fleet.ShardID{Service: "d"}, Phase: fleet.ShardGranted, Owner: routerID(5), Session: 1}}
+	c.SetView(c.now, change)
+	request := Request{Path: "/d/"}
+	c.reportOf(routerID(5), 900*time.Millisecond)
+	c.reportOf(routerID(6), 0)
+	sent, _ := c.ask(request)
+	assert.Assert(t, sent != nil && sent.Router.ID == routerID(5))
+	c.HandleAnswer(c.now, routerID(5), call.Answer{Number: sent.Call.Number, RequestID: "x", Verdict: verdict.NotRun, Reason: verdict.ReasonOverloaded})
+	assert.Equal(t, len(c.Take().Replies), 0)
+	c.reportOf(routerID(5), 900*time.Millisecond)
+	c.reportOf(routerID(6), 900*time.Millisecond)
+	sent, _ = c.ask(request)
+	assert.Assert(t, sent == nil)
+}
+
+// TestMovedKeysWait guards against refusals because of the load of an executor that is about
+// to hand over a key, and against redirects that count as failures: a failing executor's
+// reports refuse nothing.
+func TestMovedKeysWait(t *testing.T) {
+	k := Request{Path: "/k/", Numbered: true, KeyNumber: 7}
+	c := newReportedCore()
+	c.report(900 * time.Millisecond)
+	change := &fleet.Change{From: 1, To: 2, KeySpaces: []fleet.KeySpace{{Service: "k", Ranges: []fleet.KeyRange{{First: 0, Last: fleet.KeyCount - 1, Owner: "owner", Boot: "b", Phase: fleet.ShardRevoking}}}}}
+	c.SetView(c.now, change)
+	sent, _ := c.ask(k)
+	assert.Assert(t, sent != nil)
+
+	c = newReportedCore()
+	sent, _ = c.ask(k)
+	c.report(900 * time.Millisecond)
+	c.HandleAnswer(c.now, "owner", call.Answer{Number: sent.Call.Number, RequestID: "x", Verdict: verdict.NotRun, Reason: verdict.ReasonNotOwner})
+	assert.Equal(t, len(c.Take().Replies), 0)
+	c.now = c.now.Add(minParkDelay)
+	c.report(900 * time.Millisecond)
+	c.Tick(c.now)
+	assert.Equal(t, len(c.Take().Sends), 1)
+	sent, _ = c.ask(k)
+	assert.Assert(t, sent == nil)
+}
--- a/internal/gateway/outcomes.go
+++ b/internal/gateway/outcomes.go
@@ -39,6 +39,8 @@
 		c.table.Abandoned(pc.outstanding, now)
 	case executorResponsive(answer.Reason):
 		c.table.Refused(pc.outstanding, now, answer.Load)
+	case isKeyRedirect(answer.Reason):
+		c.table.Redirected(pc.outstanding, now)
 	default:
 		c.table.Failed(pc.outstanding, now)
 	}
@@ -122,7 +124,7 @@
 // request proved not to have run, or an idempotent one, is sent again. A redirect costs no
 // upstream anything and needs no token.
 func (c *Core) mayRetry(now clock.Instant, p *pendingRequest, answer *call.Answer) bool {
-	if c.usesReports() && (p.sharded || p.ranged) && answer.Verdict == verdict.NotRun && answer.Reason == verdict.ReasonOverloaded {
+	if c.usesReports() && c.ownerRuns(p) && answer.Verdict == verdict.NotRun && answer.Reason == verdict.ReasonOverloaded {
 		return false // the one owner is still full at a second try
 	}
 	if !answer.Verdict.Retryable(p.idempotent) || now >= p.deadline || p.attempts >= maxAttempts {
@@ -172,6 +174,12 @@
 	c.dispatch(now, p)
 }
 
+// isKeyRedirect reports whether a working executor refused a call because it does not hold
+// the key. One without an upstream, or one that is stopping, has failed for any call.
+func isKeyRedirect(reason verdict.Reason) bool {
+	return reason == verdict.ReasonNotOwner || reason == verdict.ReasonLeaseExpired || reason == verdict.ReasonViewStale
+}
+
 // isRedirect reports whether a refusal means that another executor has to be asked.
 func isRedirect(reason verdict.Reason) bool {
 	switch reason {
