Disregard silent and failing local executors in the overflow decision

An executor of the own data centre that was failing or had not reported counted as one without a wait, which kept calls in a full data centre. Failing ones no longer count, nor do local ones without a recent report.

TestSilentExecutorsHaveNoRoom fails before.

--- a/internal/balancer/admit_test.go
+++ b/internal/balancer/admit_test.go
@@ -91,3 +91,21 @@
 	assert.Equal(t, time.Duration(e.reportedWait(0)), 100*time.Millisecond)
 	assert.Equal(t, time.Duration(e.reportedWait(slowdownHalfLife)), 75*time.Millisecond)
 }
+
+// TestSilentExecutorsHaveNoRoom guards against calls that stay in a full data centre because
+// one of its executors is failing and another reports nothing.
+func TestSilentExecutorsHaveNoRoom(t *testing.T) {
+	s := newSimulation(1, "g", "dc0", testRouters(8, 2)...)
+	s.table.settings.Reports = true
+	for i := range 8 {
+		s.reportWait(i, time.Duration((i+1)%2)*time.Second)
+	}
+	s.reportWait(0, 0)
+	s.table.Failed(s.table.Sent(testRouter(0, "").ID, s.now), s.now)
+	s.table.executors[testRouter(2, "").ID].loadAt = 0
+	for range 20 {
+		s.now = s.now.Add(10 * time.Millisecond)
+		s.table.Choose(service, s.now, nil)
+	}
+	assert.Assert(t, s.table.pool(service).overflow.active)
+}
--- a/internal/balancer/choose_reported.go
+++ b/internal/balancer/choose_reported.go
@@ -67,19 +67,22 @@
 }
 
 // leastWait returns the least wait among executors, in nanoseconds, plus their distances
-// if a pool is given. An executor without a new report counts as one without a wait.
+// if a pool is given. Failing executors do not count. Those without a new report do not
+// count in the own data centre, where a silent one would keep calls in a full data centre,
+// and have no wait in others, which are called and report too seldom. Zero if none counts.
 func leastWait(now clock.Instant, executors []*executor, p *pool) float64 {
 	least := -1.0
 	for _, e := range executors {
-		wait := 0.0
-		if age, ok := e.reportAge(now); ok && age <= waitReportAge {
-			wait = e.wait(age)
+		wait, known := e.recentWait(now)
+		if e.failing(now) || !known && p == nil {
+			continue
 		}
+		total := float64(wait)
 		if p != nil {
-			wait += p.distance(e)
+			total += p.distance(e)
 		}
-		if least < 0 || wait < least {
-			least = wait
+		if least < 0 || total < least {
+			least = total
 		}
 		if least == 0 {
 			return 0
