Keep counting calls that a report cannot include

Each report and answer cleared the calls sent since, also those that were still on the link, so that they counted nowhere. Calls younger than the round trip of the link (15 ms if unknown) are kept.

TestCallsOnTheLinkAreCounted fails before (0 of 2 calls).

--- a/internal/balancer/admit_test.go
+++ b/internal/balancer/admit_test.go
@@ -109,3 +109,20 @@
 	}
 	assert.Assert(t, s.table.pool(service).overflow.active)
 }
+
+// TestCallsOnTheLinkAreCounted guards against a report that hides the calls that had not
+// arrived at the executor when it was made.
+func TestCallsOnTheLinkAreCounted(t *testing.T) {
+	s := newAdmitting()
+	id := testRouter(0, "").ID
+	s.reportWait(0, 0)
+	var calls []*Outstanding
+	for range 3 {
+		calls = append(calls, s.table.Sent(id, s.now))
+		s.now = s.now.Add(6 * time.Millisecond)
+	}
+	s.reportWait(0, 0)
+	assert.Equal(t, s.table.executors[id].sentSince, 2)
+	s.table.Answered(calls[2], s.now, s.table.executors[id].load)
+	assert.Equal(t, s.table.executors[id].sentSince, 0)
+}
--- a/internal/balancer/executor.go
+++ b/internal/balancer/executor.go
@@ -46,7 +46,8 @@
 	outliers int
 	// What follows is used with load reports only.
 
-	// sentSince is the number of calls sent since loadAt, lastSent when the last one was.
+	// sentSince is the number of calls that the report cannot include: those sent since
+	// loadAt, and those that were on the link at the time. lastSent is when the last one was.
 	sentSince int
 	lastSent  clock.Instant
 	centre    *centre
@@ -124,6 +125,14 @@
 	e.load, e.loadAt, e.sentSince = load, now, 0
 }
 
+// keepUnreported counts the calls in flight that are younger than the link's round trip. The
+// executor had not received them when it made the report that has just arrived.
+func (e *executor) keepUnreported(now clock.Instant, roundTrip time.Duration) {
+	for o := e.newest; o != nil && now.Sub(o.sent) < roundTrip; o = o.previous {
+		e.sentSince++
+	}
+}
+
 // score estimates how long a new call would take, in nanoseconds: the expected latency
 // times one plus the calls per unit of capacity. Calls of other gateways are known from
 // the load report and fade with its age. An executor without a free slot is rated by its
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -13,6 +13,8 @@
 	maxExecutors        = 20   // executors of all data centres that a gateway uses for a service
 	typicalSampleWeight = 0.02 // weight of a new sample in typicalLatency
 
+	unknownRoundTrip = 15 * time.Millisecond // round trip of a link before it is known
+
 	localSide  = 0
 	remoteSide = 1
 )
@@ -71,6 +73,18 @@
 	}
 }
 
+// roundTrip returns the round trip of the link to an executor: the distance of its data centre
+// or, if that is not known, unknownRoundTrip, but at most the least latency there.
+func (p *pool) roundTrip(e *executor) time.Duration {
+	if e.centre != p.own && p.own != nil && p.own.least > 0 && e.centre.least > p.own.least {
+		return e.centre.least - p.own.least
+	}
+	if e.centre.least > 0 {
+		return min(unknownRoundTrip, e.centre.least)
+	}
+	return unknownRoundTrip
+}
+
 // observeLatency adds a sample to the typical latency.
 func (p *pool) observeLatency(latency time.Duration) {
 	if p.typicalLatency == initialLatency {
--- a/internal/balancer/report_world_test.go
+++ b/internal/balancer/report_world_test.go
@@ -52,6 +52,8 @@
 	routers []*worldRouter
 	steps   map[clock.Instant][]func()
 	took    []time.Duration
+	// localLink is the time one way within a data centre.
+	localLink time.Duration
 }
 
 func newWorld(seed uint64, each int, reports bool) *world {
@@ -80,7 +82,7 @@
 	if a.DataCentre != b.DataCentre {
 		return worldLink
 	}
-	return 0
+	return w.localLink
 }
 
 // run advances the world. load is the offered load of a data centre relative to its slots.
--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -179,25 +179,27 @@
 	if o == nil {
 		return
 	}
-	pool := t.pool(o.executor.router.Upstream.Service)
+	e, pool := o.executor, t.pool(o.executor.router.Upstream.Service)
 	if t.settings.Reports {
 		o.executor.failures = 0
 		o.executor.observeExcess(o.estimate, now.Sub(o.sent))
 		o.executor.centre.observe(now.Sub(o.sent))
 	}
-	t.updateLoad(o.executor, now, load)
-	o.executor.observeLatency(now, now.Sub(o.sent), pool.typicalLatency)
+	e.observeLatency(now, now.Sub(o.sent), pool.typicalLatency)
 	pool.observeLatency(now.Sub(o.sent))
 	t.Dropped(o)
+	t.updateLoad(e, now, load)
 }
 
 // Refused ends a call that a working executor refused, and records the reported
 // load. Its latency is ignored: a refusal takes less time than a run.
 func (t *Table) Refused(o *Outstanding, now clock.Instant, load call.Load) {
-	if o != nil {
-		t.updateLoad(o.executor, now, load)
+	if o == nil {
+		return
 	}
+	e := o.executor
 	t.Dropped(o)
+	t.updateLoad(e, now, load)
 }
 
 // Abandoned ends a call whose deadline passed, or whose request ended first, without an
@@ -252,6 +254,7 @@
 		e.updateLoad(now, load)
 	case load.Limit > 0:
 		e.updateLoad(now, load)
+		e.keepUnreported(now, t.pool(e.router.Upstream.Service).roundTrip(e))
 	}
 }
 
