--- a/internal/balancer/admit_test.go
+++ b/internal/balancer/admit_test.go
@@ -126,3 +126,13 @@
 	s.table.Answered(calls[2], s.now, s.table.executors[id].load)
 	assert.Equal(t, s.table.executors[id].sentSince, 0)
 }
+
+// TestOldWaitsDoNotCount guards against a long wait that is still counted when its report is
+// too old for what it says of requests.
+func TestOldWaitsDoNotCount(t *testing.T) {
+	s := newAdmitting()
+	s.reportWait(0, 9*time.Second)
+	s.now = s.now.Add(waitReportAge + time.Millisecond)
+	e := s.table.executors[testRouter(0, "").ID]
+	assert.Equal(t, time.Duration(e.reportedEstimate(s.now, s.table.pool(service))), 100*time.Millisecond)
+}
--- a/internal/balancer/reported.go
+++ b/internal/balancer/reported.go
@@ -78,10 +78,11 @@
 	if !ok || age > runReportAge {
 		return 0
 	}
-	run, limit, running := e.reportedRun(age), float64(e.load.Limit), 0.0
-	if age <= waitReportAge {
-		running = runningWeight * min(1, float64(e.load.InFlight)/limit)
+	run, limit := e.reportedRun(age), float64(e.load.Limit)
+	if age > waitReportAge {
+		return run*(1+float64(e.inFlight)/limit) + p.distance(e)
 	}
+	running := runningWeight * min(1, float64(e.load.InFlight)/limit)
 	return run*(1+running+float64(e.sentSince)/limit) + e.reportedWait(age) + p.distance(e)
 }
 
--- a/internal/gateway/load_refusal_test.go
+++ b/internal/gateway/load_refusal_test.go
@@ -100,6 +100,7 @@
 		{"full queue", k, 300 * time.Millisecond, fullQueue, false},
 		{"full queue bounded by time", k, 300 * time.Millisecond, func(c *reportedCore) { byTime(c); fullQueue(c) }, true},
 		{"no time left for its run", k, 380 * time.Millisecond, func(c *reportedCore) { c.runTimes["k"] = 50 * time.Millisecond }, false},
+		{"run time above the objective", k, 190 * time.Millisecond, func(c *reportedCore) { c.runTimes["k"] = 900 * time.Millisecond }, true},
 		{"nested in time for its deadline", nested, 900 * time.Millisecond, nil, true},
 		{"nested beyond its deadline", nested, 1100 * time.Millisecond, nil, false},
 		{"higher priority", Request{Path: "/p/"}, 900 * time.Millisecond, nil, true},
