Return the retry token of a retry that the load forbids

A token was withdrawn before the retry was checked against load reports, and was lost if it was refused. It is now returned, also for a retry that was parked first. TestRefusedRetryCostsNoToken fails before (9 tokens in place of 10).

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -43,6 +43,7 @@
 func (c *Core) send(now clock.Instant, p *pendingRequest, router fleet.Router, hedge bool) {
 	c.lastCall++
 	p.attempts++
+	p.retryWithdrawn = false
 	p.attempted = append(p.attempted, router.ID)
 	p.calls = append(p.calls, c.lastCall)
 	wait, _ := c.table.ExecutorWait(router.ID, now)
--- a/internal/gateway/load_refusal.go
+++ b/internal/gateway/load_refusal.go
@@ -109,6 +109,7 @@
 
 // refuseByLoad answers a request without a try.
 func (c *Core) refuseByLoad(now clock.Instant, p *pendingRequest, admission *balancer.Admission) {
+	p.returnRetry()
 	p.refusedByLoad, p.reason = true, verdict.ReasonOverloaded
 	c.output.Refused++
 	c.output.Events = append(c.output.Events, call.NewEvent(event.RequestNotSent,
--- a/internal/gateway/load_refusal_test.go
+++ b/internal/gateway/load_refusal_test.go
@@ -272,3 +272,17 @@
 	sent, _ = c.ask(k)
 	assert.Assert(t, sent == nil)
 }
+
+// TestRefusedRetryCostsNoToken guards against tokens of the retry budget that are spent on
+// retries which the load then forbids.
+func TestRefusedRetryCostsNoToken(t *testing.T) {
+	c := newReportedCore()
+	c.report(0)
+	sent, _ := c.ask(Request{Path: "/a/"})
+	before := c.service("s").retryBudget.tokens
+	c.report(900 * time.Millisecond)
+	c.HandleAnswer(c.now, sent.Router.ID, call.Answer{Number: sent.Call.Number, RequestID: "x", Verdict: verdict.NotRun, Reason: verdict.ReasonShed,
+		Load: call.Load{InFlight: 9, Limit: 9, Latency: 150 * time.Millisecond, Wait: 900 * time.Millisecond}})
+	assert.Equal(t, len(c.Take().Replies), 1)
+	assert.Equal(t, c.service("s").retryBudget.tokens, before)
+}
--- a/internal/gateway/outcomes.go
+++ b/internal/gateway/outcomes.go
@@ -136,7 +136,7 @@
 	if answer.Verdict == verdict.NotRun && isRedirect(answer.Reason) {
 		return true
 	}
-	return p.service.retryBudget.withdraw()
+	return p.withdrawRetry()
 }
 
 // mayRetryRouted is mayRetry for a request with a route, which limits the number of
@@ -146,7 +146,7 @@
 	if !reachedUpstream(answer) {
 		return now < p.waitUntil && (isRedirect(answer.Reason) || p.executorRefusals < maxExecutorRefusals)
 	}
-	return p.upstreamAttempts < p.route.MaxUpstreams && p.service.retryBudget.withdraw()
+	return p.upstreamAttempts < p.route.MaxUpstreams && p.withdrawRetry()
 }
 
 // reachedUpstream reports whether the call may have reached an upstream.
--- a/internal/gateway/pending_request.go
+++ b/internal/gateway/pending_request.go
@@ -45,6 +45,9 @@
 	// mayHaveRun is set once a call of the request ended without proof that it did
 	// not run.
 	mayHaveRun bool
+	// retryWithdrawn is set while a token of the retry budget is withdrawn for a call that is
+	// not sent yet.
+	retryWithdrawn bool
 	// refusedByLoad is set if the request is refused because of load reports. No executor
 	// has then spoken for earlier sends of it.
 	refusedByLoad bool
@@ -61,6 +64,20 @@
 	}
 }
 
+// withdrawRetry withdraws a token of the retry budget and reports whether there was one.
+func (p *pendingRequest) withdrawRetry() bool {
+	p.retryWithdrawn = p.service.retryBudget.withdraw()
+	return p.retryWithdrawn
+}
+
+// returnRetry returns the token of a retry that is refused because of the load.
+func (p *pendingRequest) returnRetry() {
+	if p.retryWithdrawn {
+		p.service.retryBudget.deposit(1)
+		p.retryWithdrawn = false
+	}
+}
+
 // priority returns the route's priority, where 0 is the highest, and 0 for an
 // operation called by name.
 func (p *pendingRequest) priority() int {
