Name figures of load-aware balancing for what they hold

refusalsSinceProbe, dataCentreLatency, latencyRatio, leastLatency and runReserve replace refusals, centre, excess, least and needs.

--- a/internal/balancer/admit.go
+++ b/internal/balancer/admit.go
@@ -105,9 +105,9 @@
 // refuse refuses a call, but for one in probeShare, which is sent to e.
 func (t *Table) refuse(result *Admission, e *executor) {
 	result.Refused = true
-	e.refusals++
-	if e.refusals >= probeShare {
-		e.refusals, result.Refused = 0, false
+	e.refusalsSinceProbe++
+	if e.refusalsSinceProbe >= probeShare {
+		e.refusalsSinceProbe, result.Refused = 0, false
 		t.force(result, e)
 	}
 }
--- a/internal/balancer/executor.go
+++ b/internal/balancer/executor.go
@@ -48,18 +48,18 @@
 
 	// sentSince is the number of calls that the report cannot include: those sent since
 	// loadAt, and those that were on the link at the time. lastSent is when the last one was.
-	sentSince int
-	lastSent  clock.Instant
-	centre    *centre
-	// excess is a moving average of latencies relative to their estimates.
-	excess float64
+	sentSince         int
+	lastSent          clock.Instant
+	dataCentreLatency *dataCentreLatency
+	// latencyRatio is a moving average of latencies relative to their estimates.
+	latencyRatio float64
 	// failures counts consecutive failures, up to maxOutliers; the last was at failedAt.
 	failures int
 	failedAt clock.Instant
 	// probes counts how often the executor was passed over because of its reports.
 	probes int
-	// refusals counts the calls refused because of its reports since one was sent.
-	refusals int
+	// refusalsSinceProbe counts the calls refused because of its reports since one was sent.
+	refusalsSinceProbe int
 }
 
 func (e *executor) addCall(o *Outstanding) {
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -28,27 +28,27 @@
 	// outliers are capped. It is initialLatency before the first sample.
 	typicalLatency time.Duration
 	roundRobinTurn int
-	// centres holds the latencies of each data centre with executors.
-	centres []*centre
-	// own is the centre of the gateway, or nil.
-	own      *centre
+	// dataCentres holds the latencies of each data centre with executors.
+	dataCentres []*dataCentreLatency
+	// own is that of the gateway, or nil.
+	own      *dataCentreLatency
 	overflow overflow
 	// probeTurn is the index of the executor that is tried next although it reports that
 	// it is full.
 	probeTurn int
 }
 
-// centre returns the latencies of a data centre, created on first use.
-func (p *pool) centre(name fleet.DataCentre, side int) *centre {
-	i := slices.IndexFunc(p.centres, func(c *centre) bool { return c.name == name })
+// dataCentre returns the latencies of a data centre, created on first use.
+func (p *pool) dataCentre(name fleet.DataCentre, side int) *dataCentreLatency {
+	i := slices.IndexFunc(p.dataCentres, func(c *dataCentreLatency) bool { return c.name == name })
 	if i < 0 {
-		i = len(p.centres)
-		p.centres = append(p.centres, &centre{name: name})
+		i = len(p.dataCentres)
+		p.dataCentres = append(p.dataCentres, &dataCentreLatency{name: name})
 	}
 	if side == localSide {
-		p.own = p.centres[i]
+		p.own = p.dataCentres[i]
 	}
-	return p.centres[i]
+	return p.dataCentres[i]
 }
 
 // run returns the reported run time of an executor, or the typical latency before its first
@@ -64,23 +64,23 @@
 // It is remoteShare of the run time until both data centres have answered calls.
 func (p *pool) distance(e *executor) float64 {
 	switch {
-	case e.centre == p.own:
+	case e.dataCentreLatency == p.own:
 		return 0
-	case p.own == nil || p.own.least == 0 || e.centre.least == 0:
+	case p.own == nil || p.own.leastLatency == 0 || e.dataCentreLatency.leastLatency == 0:
 		return remoteShare * p.run(e)
 	default:
-		return float64(max(0, e.centre.least-p.own.least))
+		return float64(max(0, e.dataCentreLatency.leastLatency-p.own.leastLatency))
 	}
 }
 
 // roundTrip returns the round trip of the link to an executor: the distance of its data centre
 // or, if that is not known, unknownRoundTrip, but at most the least latency there.
 func (p *pool) roundTrip(e *executor) time.Duration {
-	if e.centre != p.own && p.own != nil && p.own.least > 0 && e.centre.least > p.own.least {
-		return e.centre.least - p.own.least
+	if e.dataCentreLatency != p.own && p.own != nil && p.own.leastLatency > 0 && e.dataCentreLatency.leastLatency > p.own.leastLatency {
+		return e.dataCentreLatency.leastLatency - p.own.leastLatency
 	}
-	if e.centre.least > 0 {
-		return min(unknownRoundTrip, e.centre.least)
+	if e.dataCentreLatency.leastLatency > 0 {
+		return min(unknownRoundTrip, e.dataCentreLatency.leastLatency)
 	}
 	return unknownRoundTrip
 }
--- a/internal/balancer/reported.go
+++ b/internal/balancer/reported.go
@@ -25,15 +25,15 @@
 	// use takes longer. It makes the emptier of two executors with free slots win.
 	runningWeight = 0.25
 	remoteShare   = 0.25 // share of the run time that another data centre costs before its distance is known
-	// excessWeight is the weight of a sample in executor.excess. With run times whose
-	// coefficient of variation is 0.8, excess then has a standard deviation of 0.13.
-	excessWeight   = 0.05
-	minExcess      = 1.5 // excess below which it is taken for chance
-	maxExcess      = 50  // limit of one sample of excess
-	excessHalfLife = 2 * time.Second
-	failedTime     = time.Second // time after a failure during which an executor is not counted on to run requests
-	probeInterval  = time.Second // time without calls after which an executor that is passed over is tried
-	probeShare     = 16          // one request in so many is sent although the reports speak against it
+	// latencyRatioWeight is the weight of a sample in executor.latencyRatio. With run times whose
+	// coefficient of variation is 0.8, latencyRatio then has a standard deviation of 0.13.
+	latencyRatioWeight   = 0.05
+	minLatencyRatio      = 1.5 // ratio below which it is taken for chance
+	maxLatencyRatio      = 50  // limit of one sample of latencyRatio
+	latencyRatioHalfLife = 2 * time.Second
+	failedTime           = time.Second // time after a failure during which an executor is not counted on to run requests
+	probeInterval        = time.Second // time without calls after which an executor that is passed over is tried
+	probeShare           = 16          // one request in so many is sent although the reports speak against it
 )
 
 // reportAge returns the age of the last report, or false if there is none.
@@ -93,8 +93,8 @@
 	if estimate == 0 {
 		return e.score(now, p.typicalLatency)
 	}
-	if excess := 1 + (e.excess-1)*decay(now.Sub(e.observedAt), excessHalfLife); excess > minExcess {
-		estimate *= excess
+	if ratio := 1 + (e.latencyRatio-1)*decay(now.Sub(e.observedAt), latencyRatioHalfLife); ratio > minLatencyRatio {
+		estimate *= ratio
 	}
 	if e.failures > 0 {
 		penalty := max(failureLatencyFactor*float64(p.typicalLatency), float64(minFailureLatency))
@@ -106,10 +106,10 @@
 	return estimate
 }
 
-// observeExcess compares a latency with the estimate made when the call was sent.
-func (e *executor) observeExcess(estimate float64, latency time.Duration) {
+// observeLatencyRatio compares a latency with the estimate made when the call was sent.
+func (e *executor) observeLatencyRatio(estimate float64, latency time.Duration) {
 	if estimate > 0 {
-		e.excess += excessWeight * (math.Min(maxExcess, float64(latency)/estimate) - e.excess)
+		e.latencyRatio += latencyRatioWeight * (math.Min(maxLatencyRatio, float64(latency)/estimate) - e.latencyRatio)
 	}
 }
 
--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -76,11 +76,11 @@
 		return
 	}
 	if e == nil || e.router.Session != router.Session || e.router.Upstream.Boot != router.Upstream.Boot {
-		e = &executor{excess: 1, hash: xxhash.Sum64String(string(t.settings.Self) + "/" + string(id))}
+		e = &executor{latencyRatio: 1, hash: xxhash.Sum64String(string(t.settings.Self) + "/" + string(id))}
 		t.executors[id] = e
 	}
 	e.router = router
-	e.centre = t.pool(router.Upstream.Service).centre(router.DataCentre, t.side(router))
+	e.dataCentreLatency = t.pool(router.Upstream.Service).dataCentre(router.DataCentre, t.side(router))
 	if t.view.Eligible(router) {
 		t.pool(router.Upstream.Service).insert(t.side(router), e)
 	}
@@ -182,8 +182,8 @@
 	e, pool := o.executor, t.pool(o.executor.router.Upstream.Service)
 	if t.settings.Reports {
 		o.executor.failures = 0
-		o.executor.observeExcess(o.estimate, now.Sub(o.sent))
-		o.executor.centre.observe(now.Sub(o.sent))
+		o.executor.observeLatencyRatio(o.estimate, now.Sub(o.sent))
+		o.executor.dataCentreLatency.observe(now.Sub(o.sent))
 	}
 	e.observeLatency(now, now.Sub(o.sent), pool.typicalLatency)
 	pool.observeLatency(now.Sub(o.sent))
@@ -209,8 +209,8 @@
 	if o == nil {
 		return
 	}
-	if elapsed := now.Sub(o.sent); float64(elapsed) > o.executor.excess*o.estimate {
-		o.executor.observeExcess(o.estimate, elapsed)
+	if elapsed := now.Sub(o.sent); float64(elapsed) > o.executor.latencyRatio*o.estimate {
+		o.executor.observeLatencyRatio(o.estimate, elapsed)
 	}
 	if elapsed := now.Sub(o.sent); elapsed > o.executor.latency {
 		o.executor.observeLatency(now, elapsed, t.pool(o.executor.router.Upstream.Service).typicalLatency)
--- a/internal/gateway/load_refusal.go
+++ b/internal/gateway/load_refusal.go
@@ -69,16 +69,16 @@
 // executors put before another one of the service, since the reported wait is not that
 // of such a route.
 func (c *Core) startLimit(now clock.Instant, p *pendingRequest) balancer.StartLimit {
-	needs := time.Duration(0)
+	runReserve := time.Duration(0)
 	if p.route != nil {
 		// The run time includes the link and queueing, which may exceed the objective under
 		// overload; then nothing would be sent that could correct it.
-		needs = time.Duration(startShare * float64(c.runTimes[p.route.Name]))
+		runReserve = time.Duration(startShare * float64(c.runTimes[p.route.Name]))
 		if p.route.Objective > 0 {
-			needs = min(needs, p.route.Objective/2)
+			runReserve = min(runReserve, p.route.Objective/2)
 		}
 	}
-	latest, inTime := p.deadline.Add(-needs), p.objective.Add(-needs)
+	latest, inTime := p.deadline.Add(-runReserve), p.objective.Add(-runReserve)
 	if p.request.Nested || p.objective == 0 || p.priority() < c.lastPriority[p.request.Service] {
 		return balancer.StartLimit{By: latest}
 	}
