Merge load reports, load-aware balancing and refusal at the gateway

A gateway learned by refusals that an upstream is full. Where load.reports is set, executors send their load between answers, gateways choose by it and refuse at once what cannot start in time; off by default, docs/design/load-reports.md.

--- a/internal/balancer/executor.go
+++ b/internal/balancer/executor.go
@@ -44,6 +44,22 @@
 	observedAt clock.Instant
 	// outliers counts consecutive outliers and failures, up to maxOutliers.
 	outliers int
+	// What follows is used with load reports only.
+
+	// sentSince is the number of calls that the report cannot include: those sent since
+	// loadAt, and those that were on the link at the time. lastSent is when the last one was.
+	sentSince         int
+	lastSent          clock.Instant
+	dataCentreLatency *dataCentreLatency
+	// latencyRatio is a moving average of latencies relative to their estimates.
+	latencyRatio float64
+	// failures counts consecutive failures, up to maxOutliers; the last was at failedAt.
+	failures int
+	failedAt clock.Instant
+	// probes counts how often the executor was passed over because of its reports.
+	probes int
+	// refusalsSinceProbe counts the calls refused because of its reports since one was sent.
+	refusalsSinceProbe int
 }
 
 func (e *executor) addCall(o *Outstanding) {
@@ -55,6 +71,8 @@
 	}
 	e.newest = o
 	e.inFlight++
+	e.sentSince++
+	e.lastSent = o.sent
 }
 
 func (e *executor) removeCall(o *Outstanding) {
@@ -104,7 +122,15 @@
 }
 
 func (e *executor) updateLoad(now clock.Instant, load call.Load) {
-	e.load, e.loadAt = load, now
+	e.load, e.loadAt, e.sentSince = load, now, 0
+}
+
+// keepUnreported counts the calls in flight that are younger than the link's round trip. The
+// executor had not received them when it made the report that has just arrived.
+func (e *executor) keepUnreported(now clock.Instant, roundTrip time.Duration) {
+	for o := e.newest; o != nil && now.Sub(o.sent) < roundTrip; o = o.previous {
+		e.sentSince++
+	}
 }
 
 // score estimates how long a new call would take, in nanoseconds: the expected latency
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -46,6 +46,7 @@
 	RequestRouted      = define(510, "request-routed", Info, "The entry chose a door for a request.")
 	RequestRetried     = define(511, "request-retried", Info, "The entry tries a request again at another door.")
 	RequestFinished    = define(512, "request-finished", Info, "The entry answered a request.")
+	RequestNotSent     = define(513, "request-not-sent", Info, "The entry refused a request without a try: by the load that the doors report it cannot start in time at any that may run it.")
 	AnswerDropped      = define(520, "answer-dropped", Warn, "A late or crossed answer was dropped.")
 	CallerRefused      = define(521, "caller-refused", Warn, "A front end refused a caller's request or closed a connection because of its limits on memory and connections; `cause` says which: connections, memory (to read or run the request), slow (it was read, or its answer sent, too slowly while others needed the memory) or answer (no memory for an answer that its caller does not read).")
 	RequestRefused     = define(600, "request-refused", Info, "The door refused a request before it ran. For overloaded ones `why` is wait (no start in time), room (queue full), share (its place went to an operation below its floor) or parent (its nested calls would wait for too long); `wait` is the wait of a new call.")
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -10,6 +10,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"endivespring/internal/balancer"
 	"endivespring/internal/call"
@@ -37,6 +38,10 @@
 	// in no order.
 	parked   []*pendingRequest
 	services map[string]*serviceState
+	// lastPriority is the lowest priority of the routes to each service.
+	lastPriority map[string]int
+	// runTimes are moving averages of the run times of routes, by name.
+	runTimes map[string]time.Duration
 	random   *rand.Rand
 	// nestedServices are those that the upstream beside the gateway calls for its runs;
 	// waitsReportedAt is when their waits were last reported.
@@ -81,6 +86,7 @@
 	}
 	if change.ChangesPreset() || change.Full {
 		c.routes = routes.NewTable(c.view.Preset, c.routes, c.random)
+		c.lastPriority, c.runTimes = lastPriorities(c.view.Preset), map[string]time.Duration{}
 	}
 	c.table.Update(c.view, change)
 	for _, s := range c.services {
--- a/internal/gateway/outcomes.go
+++ b/internal/gateway/outcomes.go
@@ -23,16 +23,24 @@
 	c.completeCall(now, &answer)
 }
 
+// HandleReport handles a load report that an executor sent between answers.
+func (c *Core) HandleReport(now clock.Instant, from fleet.RouterID, load call.Load) {
+	c.table.Reported(from, now, load)
+}
+
 // recordOutcome updates the balancer with what an answer says about its executor.
 func (c *Core) recordOutcome(now clock.Instant, pc *pendingCall, answer *call.Answer) {
 	switch {
 	case answer.Verdict == verdict.Ran:
 		c.table.Answered(pc.outstanding, now, answer.Load)
 		c.observeLatency(now, pc)
+		c.observeRun(now, pc)
 	case answer.Verdict == verdict.MayHaveRun && answer.Reason == verdict.ReasonDeadline:
 		c.table.Abandoned(pc.outstanding, now)
 	case executorResponsive(answer.Reason):
 		c.table.Refused(pc.outstanding, now, answer.Load)
+	case isKeyRedirect(answer.Reason):
+		c.table.Redirected(pc.outstanding, now)
 	default:
 		c.table.Failed(pc.outstanding, now)
 	}
@@ -116,6 +124,9 @@
 // request proved not to have run, or an idempotent one, is sent again. A redirect costs no
 // upstream anything and needs no token.
 func (c *Core) mayRetry(now clock.Instant, p *pendingRequest, answer *call.Answer) bool {
+	if c.usesReports() && c.ownerRuns(p) && answer.Verdict == verdict.NotRun && answer.Reason == verdict.ReasonOverloaded {
+		return false // the one owner is still full at a second try
+	}
 	if !answer.Verdict.Retryable(p.idempotent) || now >= p.deadline || p.attempts >= maxAttempts {
 		return false
 	}
@@ -125,7 +136,7 @@
 	if answer.Verdict == verdict.NotRun && isRedirect(answer.Reason) {
 		return true
 	}
-	return p.service.retryBudget.withdraw()
+	return p.withdrawRetry()
 }
 
 // mayRetryRouted is mayRetry for a request with a route, which limits the number of
@@ -135,7 +146,7 @@
 	if !reachedUpstream(answer) {
 		return now < p.waitUntil && (isRedirect(answer.Reason) || p.executorRefusals < maxExecutorRefusals)
 	}
-	return p.upstreamAttempts < p.route.MaxUpstreams && p.service.retryBudget.withdraw()
+	return p.upstreamAttempts < p.route.MaxUpstreams && p.withdrawRetry()
 }
 
 // reachedUpstream reports whether the call may have reached an upstream.
@@ -163,6 +174,12 @@
 	c.dispatch(now, p)
 }
 
+// isKeyRedirect reports whether a working executor refused a call because it does not hold
+// the key. One without an upstream, or one that is stopping, has failed for any call.
+func isKeyRedirect(reason verdict.Reason) bool {
+	return reason == verdict.ReasonNotOwner || reason == verdict.ReasonLeaseExpired || reason == verdict.ReasonViewStale
+}
+
 // isRedirect reports whether a refusal means that another executor has to be asked.
 func isRedirect(reason verdict.Reason) bool {
 	switch reason {
--- a/internal/gateway/output.go
+++ b/internal/gateway/output.go
@@ -12,4 +12,7 @@
 	// NestedCalls and Waits are for the executor of this router.
 	NestedCalls []call.NestedCall
 	Waits       []call.ServiceWait
+	// Refused is the number of requests refused because of load reports, Overflow that of
+	// calls sent to another data centre because the own one has no room.
+	Refused, Overflow int64
 }
--- a/internal/metrics/registry_test.go
+++ b/internal/metrics/registry_test.go
@@ -71,6 +71,7 @@
 	RegisterCallerMemory(r, caller.NewMemory(fixedClock(time.Second), caller.MemoryLimits{
 		MaxConnections: 1, Connections: memory.NewBudget(1), Bodies: bodies, Answers: memory.NewBudget(1),
 	}, log))
+	NewLoadMeter(r).CountSent(false)
 	session := NewSessionMeter(r, fixedClock(time.Second))
 	session.SetLeases(clock.Instant(1500*time.Millisecond), clock.Instant(time.Millisecond))
 	session.SetView(9)
@@ -98,6 +99,7 @@
 		`endivespring_door_limit 10`, `endivespring_door_running 7`, `endivespring_door_queued 3`,
 		`endivespring_door_wait_milliseconds 40`, `endivespring_door_refused_total{why="parent"} 1`, `endivespring_operation_queued{operation="o",nested="true"} 2`,
 		`endivespring_operation_asked_percent{operation="o",nested="true"} 40`, `endivespring_operation_given_percent{operation="o",nested="true"} 25`, `endivespring_operation_asked_percent{operation="vanished",nested="false"} 0`,
+		`endivespring_load_reports_total{result="sent"} 0`, `endivespring_load_reports_total{result="dropped"} 1`,
 		`endivespring_door_learned_limit 11`, `endivespring_door_slowdown_percent 300`,
 		`endivespring_ownership_lease_left_milliseconds 500`, `endivespring_view_lease_left_milliseconds 0`,
 		`endivespring_log_commit_index 40`, `endivespring_log_applied_index 39`, `endivespring_log_snapshot_index 32`,
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -55,7 +55,9 @@
 	meter *metrics.ExecutorMeter
 	// operationsAt is when the metrics of operations were last set.
 	operationsAt clock.Instant
-	startSender  func()
+	// reporter is nil unless load reports are sent.
+	reporter    *loadReporter
+	startSender func()
 
 	senders int
 	// cancels are the cancel functions of the contexts of runs in flight, by run ID.
@@ -121,6 +123,8 @@
 		}
 		d.dispatch(ctx)
 		d.measure()
+		now := d.clock.Now()
+		d.reporter.report(ctx, now, d.load(now), d.sinks)
 		timer.Reset(d.sleep())
 	}
 }
@@ -141,6 +145,14 @@
 	d.meter.ZeroVanished()
 }
 
+// load returns the load as of now. Reports and the time of the next one are derived from the
+// same slowdown, which decays without a step of the core.
+func (d *executorDuty) load(now clock.Instant) call.Load {
+	load := d.core.Load()
+	load.Slowdown = d.core.SlowdownAt(now)
+	return load
+}
+
 // sleep returns the time until the next deadline of the duty or its core.
 func (d *executorDuty) sleep() time.Duration {
 	deadline := d.core.Deadline()
@@ -148,6 +160,10 @@
 		deadline = min(deadline, d.lastContact.Add(d.contactTimeout))
 	}
 	now := d.clock.Now()
+	if d.reporter != nil {
+		load := d.load(now)
+		deadline = min(deadline, d.reporter.next(now, &load))
+	}
 	if d.stopping && d.core.Held(now) > 0 {
 		deadline = min(deadline, d.core.OwnershipExpiry())
 	}
@@ -224,6 +240,7 @@
 		}
 	case s.closed:
 		delete(d.sinks, s.link)
+		d.reporter.closed(s.link)
 		d.core.CancelLink(d.clock.Now(), s.link)
 		d.releaseLink(s.link)
 	case s.cancel != 0:
@@ -235,6 +252,7 @@
 		if s.memory != nil {
 			d.bodies[ticket] = s.memory
 		}
+		d.reporter.called(d.clock.Now(), s.link)
 		d.core.Submit(d.clock.Now(), ticket, s.call)
 	}
 }
