Treat a response without a valid status as no answer

Cause: fasthttp reports a status of 000 as 200, and passes 001 to 099 and 600 to 999, so that a failing upstream's response reached the caller as a success, and a grant or a release answered with 000 counted as applied. Answers of other routers were not checked.

Change: the status line of every response, informational ones included, is checked before it is parsed. A status that is not a number from 100 to 599 is an error in reading: the request may have run, a range request is unanswered, and the connection is closed. wire.ToAnswer reports an answer with an invalid status, or one that ran without a status, as lost.

TestStoppingRouterEndsLinksInOrder sent an answer that ran without a status, which no executor sends; it now has 200.

--- a/internal/call/answer.go
+++ b/internal/call/answer.go
@@ -41,3 +41,7 @@
 func Refusal(c *Call, v verdict.Verdict, reason verdict.Reason) Answer {
 	return Answer{Number: c.Number, RequestID: c.RequestID, Verdict: v, Reason: reason}
 }
+
+// ValidStatus reports whether a number is an HTTP status. Callers' HTTP libraries may read
+// other numbers as a success.
+func ValidStatus(status int) bool { return status >= 100 && status <= 599 }
--- a/internal/router/retired_link_test.go
+++ b/internal/router/retired_link_test.go
@@ -48,7 +48,7 @@
 	assert.Equal(t, take().call.Number, uint64(1))
 	send(2) // in transit while the other router asks for no more
 	sink.retire(ctx)
-	sink.answer(ctx, call.Answer{Number: 1, Verdict: verdict.Ran})
+	sink.answer(ctx, call.Answer{Number: 1, Verdict: verdict.Ran, Status: 200})
 	assert.Equal(t, take().call.Number, uint64(2))
 	retired := false
 	for !retired {
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
+	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/executor"
 	"endivespring/internal/memory"
@@ -31,6 +34,7 @@
 var (
 	errInterim = eris.New("too many interim responses before the final response")
 	errStray   = eris.New("too many responses to earlier requests before the matching response")
+	errStatus  = eris.New("response status is not a number from 100 to 599")
 	// errNoMemory means that an answer is larger than the memory that answers may use.
 	errNoMemory = eris.New("not enough memory for the response")
 )
@@ -155,16 +159,44 @@
 
 func (c *connection) readHeader(response *fasthttp.Response) error {
 	for range maxResponseHeaders {
+		if err := c.checkStatus(); err != nil {
+			return err
+		}
 		if err := response.Header.Read(c.reader); err != nil {
 			return err
 		}
-		if status := response.StatusCode(); status < 100 || status > 199 {
+		if response.StatusCode() > 199 {
 			return nil
 		}
 	}
 	return errInterim
 }
 
+// checkStatus returns errStatus if the next response has no valid status. It examines the
+// status line before the response is parsed, since fasthttp reports a status of 000 as 200.
+func (c *connection) checkStatus() error {
+	for {
+		line, _, complete := bytes.Cut(bytes.TrimLeft(c.buffered(), "\r\n"), []byte{'\n'})
+		if complete {
+			_, rest, _ := bytes.Cut(bytes.TrimRight(line, "\r"), []byte{' '})
+			text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
+			if status, err := strconv.ParseUint(string(text), 10, 16); err != nil || len(text) != 3 || !call.ValidStatus(int(status)) {
+				return errStatus
+			}
+			return nil
+		}
+		if _, err := c.reader.Peek(c.reader.Buffered() + 1); err != nil {
+			return err
+		}
+	}
+}
+
+// buffered returns the bytes that were received and not read yet.
+func (c *connection) buffered() []byte {
+	data, _ := c.reader.Peek(c.reader.Buffered())
+	return data
+}
+
 // setDeadline sets the deadline of pending reads and writes to grace from now. It may
 // be called while another goroutine uses the connection.
 func (c *connection) setDeadline(grace time.Duration) { _ = c.net.SetDeadline(time.Now().Add(grace)) }
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -59,14 +59,18 @@
 }
 
 // ToAnswer converts a message. It returns false if the body does not match the
-// checksum.
+// checksum, or if the status is invalid: only an answer without content has none.
 func ToAnswer(a *wirepb.Answer) (call.Answer, bool) {
 	return call.Answer{
 		Number: a.GetNumber(), RequestID: string(a.GetRequestId()), Verdict: verdict.Verdict(a.GetVerdict()), Reason: verdict.Reason(a.GetReason()),
 		Status: int(a.GetStatus()), Body: a.GetBody(), ContentType: a.GetContentType(), Upstream: a.GetUpstream(), Epoch: fleet.Epoch(a.GetEpoch()),
 		Header: toFields(a.GetHeader()), RetryAfter: time.Duration(a.GetRetryAfterNs()),
 		Load: ToLoad(a.GetLoad()),
-	}, xxhash.Sum64(a.GetBody()) == a.GetChecksum()
+	}, xxhash.Sum64(a.GetBody()) == a.GetChecksum() && validStatus(a)
+}
+
+func validStatus(a *wirepb.Answer) bool {
+	return call.ValidStatus(int(a.GetStatus())) || a.GetStatus() == 0 && verdict.Verdict(a.GetVerdict()) != verdict.Ran
 }
 
 func fromFields(fields []call.HeaderField) []*wirepb.Field {
--- a/internal/wire/roundtrip_test.go
+++ b/internal/wire/roundtrip_test.go
@@ -96,6 +96,7 @@
 	check("answer", func(t *rapid.T) {
 		a := rapid.MakeCustom[call.Answer](wireRange).Draw(t, "answer")
 		a.Service, a.Route = "", "" // known to the gateway; not sent
+		a.Status = rapid.IntRange(100, 599).Draw(t, "status")
 		back, intact := ToAnswer(roundTrip(t, FromAnswer(&a)))
 		assert.Assert(t, intact)
 		assert.DeepEqual(t, back, a, emptyIsNil)
