--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -43,7 +43,10 @@
 }
 
 // Execute runs the command.
-func (c *Explain) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *Explain) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if asksWhere(f) {
+		return executeWhere(ctx, f.Args()[1:])
+	}
 	args, err := parseArguments(f)
 	switch {
 	case err != nil:
--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -31,7 +31,7 @@
 func groups(frontEnds []FrontEnd) []group {
 	return []group{
 		{"processes", []subcommands.Command{&Control{frontEnds: frontEnds}, &Router{frontEnds: frontEnds}}},
-		{"operators", []subcommands.Command{&Preset{}, &DataCentre{}, &Upstream{}, &Status{}, &Explain{}, &Check{}, &Reference{}}},
+		{"operators", []subcommands.Command{&Preset{}, &DataCentre{}, &Upstream{}, &Status{}, &Explain{}, &ExplainWhere{}, &Check{}, &Reference{}}},
 		{"tests and measurements", []subcommands.Command{&Standin{}, &Load{}, &Soak{}}},
 	}
 }
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -15,8 +15,12 @@
 
 // simulateFaults runs a simulation with requests, membership changes and lost links
 // at random times.
-func simulateFaults(seed uint64) *simulation {
+func simulateFaults(seed uint64) *simulation { return simulateFaultsAsked(seed, 0) }
+
+// simulateFaultsAsked also asks the core a number of questions after each step.
+func simulateFaultsAsked(seed uint64, questions int) *simulation {
 	sim := newSimulation(seed)
+	sim.questions = questions
 	sim.failureShare = sim.random.Float64()
 	for i := range testRouters {
 		sim.addRouter(i)
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -53,6 +53,8 @@
 	hedges       int
 	// unreachable is a router whose link cannot be opened.
 	unreachable fleet.RouterID
+	// questions is how many questions are asked after each step.
+	questions   int
 	cancels     int
 	callRouters map[uint64]fleet.RouterID // router of each call by call number
 }
@@ -147,6 +149,10 @@
 }
 
 func (sim *simulation) dispatch() {
+	for range sim.questions {
+		sim.core.ExplainWhere(sim.now, &Question{Service: "reservations", Operation: "lookup"})
+		sim.core.ExplainWhere(sim.now, &Question{Service: "reservations", Operation: "reserve"})
+	}
 	for {
 		out := sim.core.Take()
 		for _, reply := range out.Replies {
--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -32,6 +32,8 @@
 	answers  *ring.Ring[*inboundAnswer]
 	updates  *ring.Ring[session.Update]
 	executor *ring.Ring[*submission]
+	// questions are operators' questions where a request would go.
+	questions *ring.Ring[*whereQuestion]
 	// nestedCalls and waits tell the executor duty about nested requests. They drop the oldest.
 	nestedCalls *ring.Ring[call.NestedCall]
 	waits       *ring.Ring[call.ServiceWait]
@@ -75,6 +77,9 @@
 			d.handleAnswer(answer)
 		case update := <-d.updates.Out():
 			d.update(&update)
+		case q := <-d.questions.Out():
+			q.reply.Send(d.core.ExplainWhere(d.clock.Now(), &q.question))
+			continue // nothing has changed
 		}
 		d.core.ReportWaits(d.clock.Now())
 		d.dispatch(ctx)
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -162,6 +162,7 @@
 		updates: ring.New[session.Update]("entry-updates", updateCapacity, ring.Wait),
 		pending: map[uint64]*caller.Request{}, tokens: map[uint64]uint64{}, links: map[fleet.RouterID]*link{},
 		readiness:   &n.readiness,
+		questions:   ring.New[*whereQuestion]("questions", questionCapacity, ring.Refuse),
 		delegations: delegations, delegatedRuns: map[uint64]uint64{}, nestedCalls: nestedCalls, waits: waits,
 	}
 	n.executor = &executorDuty{
@@ -208,6 +209,7 @@
 	n.announce = upstream.NewServer(n.executor.notifications).App()
 	n.grpc = peer.NewServer()
 	wirepb.RegisterDoorsServer(n.grpc, &executorServer{fleet: s.Fleet, events: n.events, clock: n.clock, executor: submissions, memory: n.requestMemory})
+	wirepb.RegisterExplainerServer(n.grpc, &explainServer{fleet: s.Fleet, events: n.events, questions: n.gateway.questions})
 }
 
 func newFinder(s *settings.Router) *session.Finder {
@@ -231,7 +233,7 @@
 
 // registerMetrics registers the metrics of the rings and duties.
 func (n *Node) registerMetrics(answers *ring.Ring[*inboundAnswer], submissions *ring.Ring[*submission]) {
-	n.registry.RegisterRings(n.events.Ring(), n.gateway.requests, answers, submissions, n.gateway.updates,
+	n.registry.RegisterRings(n.events.Ring(), n.gateway.requests, n.gateway.questions, answers, submissions, n.gateway.updates,
 		n.executor.outcomes, n.executor.delegations, n.executor.updates, n.executor.notifications, n.executor.nestedCalls, n.executor.waits, n.executor.runs, n.executor.aborts, n.executor.releases, n.executor.registrations, n.executor.rangeUpdates,
 		n.executor.ranges.grants, n.executor.ranges.releases, n.executor.ranges.responses)
 	n.gateway.registry = n.registry
