--- a/internal/balancer/table.go
+++ b/internal/balancer/table.go
@@ -28,6 +28,9 @@
 	// compared holds the comparedCount executors that the last Choose compared.
 	compared      [maxCompared]Estimate
 	comparedCount int
+	// overflowed is set if the last Choose found an executor of another data centre
+	// because the own one has no room.
+	overflowed bool
 }
 
 // NewTable returns an empty table.
@@ -73,10 +76,11 @@
 		return
 	}
 	if e == nil || e.router.Session != router.Session || e.router.Upstream.Boot != router.Upstream.Boot {
-		e = &executor{hash: xxhash.Sum64String(string(t.settings.Self) + "/" + string(id))}
+		e = &executor{latencyRatio: 1, hash: xxhash.Sum64String(string(t.settings.Self) + "/" + string(id))}
 		t.executors[id] = e
 	}
 	e.router = router
+	e.dataCentreLatency = t.pool(router.Upstream.Service).dataCentre(router.DataCentre, t.side(router))
 	if t.view.Eligible(router) {
 		t.pool(router.Upstream.Service).insert(t.side(router), e)
 	}
@@ -121,6 +125,13 @@
 	return router, ok && r.HeldBy(router.ID, router.Upstream.Boot)
 }
 
+// KeyGranted reports whether a key of a ranged service is granted to its owner and not
+// being moved.
+func (t *Table) KeyGranted(service string, key uint32) bool {
+	space := t.view.KeySpaces[service]
+	return space != nil && key < fleet.KeyCount && space.Find(key).Phase == fleet.ShardGranted
+}
+
 // InFlight returns the number of this gateway's calls in flight at a router's
 // executor.
 func (t *Table) InFlight(id fleet.RouterID) int {
@@ -143,7 +154,11 @@
 	} else {
 		t.freeList = o.next
 	}
-	o.sent = now
+	o.sent, o.estimate = now, 0
+	if t.settings.Reports {
+		o.estimate = e.reportedEstimate(now, t.pool(e.router.Upstream.Service))
+		e.probes = 0
+	}
 	e.addCall(o)
 	return o
 }
@@ -164,20 +179,27 @@
 	if o == nil {
 		return
 	}
-	pool := t.pool(o.executor.router.Upstream.Service)
-	o.executor.updateLoad(now, load)
-	o.executor.observeLatency(now, now.Sub(o.sent), pool.typicalLatency)
+	e, pool := o.executor, t.pool(o.executor.router.Upstream.Service)
+	if t.settings.Reports {
+		o.executor.failures = 0
+		o.executor.observeLatencyRatio(o.estimate, now.Sub(o.sent))
+		o.executor.dataCentreLatency.observe(now.Sub(o.sent))
+	}
+	e.observeLatency(now, now.Sub(o.sent), pool.typicalLatency)
 	pool.observeLatency(now.Sub(o.sent))
 	t.Dropped(o)
+	t.updateLoad(e, now, load)
 }
 
 // Refused ends a call that a working executor refused, and records the reported
 // load. Its latency is ignored: a refusal takes less time than a run.
 func (t *Table) Refused(o *Outstanding, now clock.Instant, load call.Load) {
-	if o != nil {
-		o.executor.updateLoad(now, load)
+	if o == nil {
+		return
 	}
+	e := o.executor
 	t.Dropped(o)
+	t.updateLoad(e, now, load)
 }
 
 // Abandoned ends a call whose deadline passed, or whose request ended first, without an
@@ -187,20 +209,53 @@
 	if o == nil {
 		return
 	}
+	if elapsed := now.Sub(o.sent); float64(elapsed) > o.executor.latencyRatio*o.estimate {
+		o.executor.observeLatencyRatio(o.estimate, elapsed)
+	}
 	if elapsed := now.Sub(o.sent); elapsed > o.executor.latency {
 		o.executor.observeLatency(now, elapsed, t.pool(o.executor.router.Upstream.Service).typicalLatency)
 	}
 	t.Dropped(o)
 }
 
+// Redirected ends a call that an executor refused because another one has to be asked. It
+// counts as a failure, but does not speak against the reports of the executor.
+func (t *Table) Redirected(o *Outstanding, now clock.Instant) {
+	if o == nil {
+		return
+	}
+	o.executor.observeFailure(now, t.typicalLatency(o.executor.router.Upstream.Service))
+	t.Dropped(o)
+}
+
 // Failed ends a call on a lost link or at an executor that cannot serve, and
 // records a failure.
 func (t *Table) Failed(o *Outstanding, now clock.Instant) {
 	if o == nil {
 		return
 	}
+	o.executor.failures, o.executor.failedAt = min(maxOutliers, o.executor.failures+1), now
 	o.executor.observeFailure(now, t.typicalLatency(o.executor.router.Upstream.Service))
 	t.Dropped(o)
 }
 
+// Reported records a load report that came without an answer.
+func (t *Table) Reported(id fleet.RouterID, now clock.Instant, load call.Load) {
+	if e := t.executors[id]; e != nil && t.settings.Reports {
+		t.updateLoad(e, now, load)
+	}
+}
+
+// updateLoad records a load report. With reports, an empty one is ignored: it comes from
+// a link whose executor has not seen the call.
+func (t *Table) updateLoad(e *executor, now clock.Instant, load call.Load) {
+	switch {
+	case !t.settings.Reports:
+		e.updateLoad(now, load)
+	case load.Limit > 0:
+		e.updateLoad(now, load)
+		e.keepUnreported(now, t.pool(e.router.Upstream.Service).roundTrip(e))
+	}
+}
+
 func (t *Table) typicalLatency(service string) time.Duration { return t.pool(service).typicalLatency }
--- a/internal/command/explain_where.go
+++ b/internal/command/explain_where.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	report := newWhereReport(&answer)
+	report := newWhereReport(&question, &answer)
 	if c.output == outputJSON {
 		if code := printJSON(report); code != subcommands.ExitSuccess {
 			return code
--- a/internal/command/where_candidate.go
+++ b/internal/command/where_candidate.go
@@ -18,6 +18,10 @@
 	Sent      int     `json:"sent"`
 	LatencyMs float64 `json:"latencyMs"`
 	Outliers  int     `json:"outliers"`
+	// Failing and Full are set with load reports only: the executor has just failed, or
+	// the request cannot start there in time.
+	Failing bool `json:"failing,omitempty"`
+	Full    bool `json:"full,omitempty"`
 	// Report is the last report of the executor, or nil.
 	Report *whereLoad `json:"report,omitempty"`
 }
@@ -25,7 +29,7 @@
 func newWhereCandidate(c *balancer.Candidate) whereCandidate {
 	out := whereCandidate{
 		Router: string(c.Router.ID), Upstream: c.Router.Upstream.Name, DataCentre: string(c.Router.DataCentre), Remote: c.Remote,
-		EstimateMs: milliseconds(c.Estimate), Sent: c.InFlight, LatencyMs: milliseconds(c.Latency), Outliers: c.Outliers,
+		EstimateMs: milliseconds(c.Estimate), Sent: c.InFlight, LatencyMs: milliseconds(c.Latency), Outliers: c.Outliers, Failing: c.Failing, Full: c.Full,
 	}
 	if c.Reported {
 		out.Report = &whereLoad{InFlight: c.Load.InFlight, Queued: c.Load.Queued, Limit: c.Load.Limit, WaitMs: milliseconds(c.Load.Wait), AgeMs: milliseconds(c.Age)}
@@ -36,6 +40,12 @@
 func (c *whereCandidate) print(w io.Writer) {
 	fmt.Fprintf(w, "  %s (upstream %s, %s): estimate %.1f ms, latency %.1f ms, %d sent, %d outliers; ",
 		c.Router, c.Upstream, c.DataCentre, c.EstimateMs, c.LatencyMs, c.Sent, c.Outliers)
+	if c.Failing {
+		fmt.Fprint(w, "failing; ")
+	}
+	if c.Full {
+		fmt.Fprint(w, "full; ")
+	}
 	if c.Report == nil {
 		fmt.Fprintln(w, "no report yet")
 		return
--- a/internal/command/where_key.go
+++ b/internal/command/where_key.go
@@ -7,6 +7,7 @@
 
 // whereKey is the ownership of the key of a request in the output of explain where.
 type whereKey struct {
+	Key   string `json:"key"`
 	Shard string `json:"shard,omitempty"`
 	Phase string `json:"phase"`
 	Owner string `json:"owner"`
@@ -14,9 +15,9 @@
 }
 
 func (k *whereKey) print(w io.Writer) {
-	name, owner := "key", k.Owner
+	name, owner := "key "+k.Key, k.Owner
 	if k.Shard != "" {
-		name = "key in shard " + k.Shard
+		name += " in shard " + k.Shard
 	}
 	if owner == "" {
 		owner = "none"
--- a/internal/command/where_report.go
+++ b/internal/command/where_report.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strconv"
 	"time"
 
 	"endivespring/internal/gateway"
@@ -23,7 +24,7 @@
 	refusal string
 }
 
-func newWhereReport(w *gateway.Whereabouts) *whereReport {
+func newWhereReport(q *gateway.Question, w *gateway.Whereabouts) *whereReport {
 	r := &whereReport{
 		View: uint64(w.View), Decision: string(w.Decision), Reason: string(w.Reason), Why: w.Why, Route: w.Route, Service: w.Service,
 		refusal: refusalText(w.Reason),
@@ -35,7 +36,7 @@
 		r.Split[target.Service] = target.Weight
 	}
 	if w.Keyed {
-		r.Key = &whereKey{Shard: w.Shard, Phase: w.Phase.String(), Owner: string(w.Owner), Epoch: uint64(w.Epoch)}
+		r.Key = &whereKey{Key: keyOf(q), Shard: w.Shard, Phase: w.Phase.String(), Owner: string(w.Owner), Epoch: uint64(w.Epoch)}
 	}
 	for i := range w.Candidates {
 		r.Candidates = append(r.Candidates, newWhereCandidate(&w.Candidates[i]))
@@ -62,4 +63,12 @@
 	}
 }
 
+// keyOf returns the key of a question as the operator gave it.
+func keyOf(q *gateway.Question) string {
+	if q.Numbered {
+		return strconv.FormatUint(uint64(q.KeyNumber), 10)
+	}
+	return q.Key
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/gateway/explain_where.go
+++ b/internal/gateway/explain_where.go
@@ -41,10 +41,15 @@
 		w.Reason, w.Why = verdict.ReasonUnknownService, "the preset has no such service"
 	case service.Ranged && !q.Numbered:
 		w.Reason, w.Why = verdict.ReasonMissingKey, "the service needs a numbered key"
-	case service.Ranged:
-		c.explainRange(now, q, w)
 	default:
-		c.explainShard(now, q, service, entry.Route.Idempotent, w)
+		p := &pendingRequest{
+			request: Request{Service: service.Name, Key: q.Key, KeyNumber: q.KeyNumber}, route: entry.Route, ranged: service.Ranged,
+			idempotent: entry.Route.Idempotent, deadline: now.Add(entry.Route.Timeout),
+		}
+		if entry.Route.Objective > 0 {
+			p.objective = now.Add(entry.Route.Objective)
+		}
+		c.explainTarget(now, p, service, w)
 	}
 }
 
@@ -61,57 +66,85 @@
 	case service.Keyed && q.Key == "":
 		w.Reason, w.Why = verdict.ReasonMissingKey, "the service needs a key"
 	default:
-		c.explainShard(now, q, service, operation.Idempotent, w)
+		p := &pendingRequest{request: Request{Service: service.Name, Key: q.Key}, idempotent: operation.Idempotent, deadline: now.Add(operation.Deadline)}
+		c.explainTarget(now, p, service, w)
 	}
 }
 
-// explainShard explains a request to a service whose keys are not numbered.
-func (c *Core) explainShard(now clock.Instant, q *Question, service *fleet.Service, idempotent bool, w *Whereabouts) {
-	p := pendingRequest{request: Request{Key: q.Key}, idempotent: idempotent}
-	p.assignShard(service)
+// explainTarget explains where an admitted request to a service goes.
+func (c *Core) explainTarget(now clock.Instant, p *pendingRequest, service *fleet.Service, w *Whereabouts) {
+	limit := c.startLimit(now, p)
+	if !p.ranged {
+		p.assignShard(service)
+	}
 	switch {
+	case p.ranged:
+		c.explainRange(p, w)
 	case service.Keyed:
 		shard := c.view.Shard(p.shard)
 		w.Keyed, w.Shard, w.Phase, w.Owner, w.Epoch = true, p.shard.String(), shard.Phase, shard.Owner, shard.Epoch
-		router, ok := c.table.Owner(p.shard)
-		c.explainOwner(now, router, ok, w)
-	case p.sharded:
-		w.Candidates = c.table.Candidates(service.Name, now)
-		w.Decision, w.Why = Sent, "owner of the shard of the request ID, which keeps its record"
 	default:
-		c.explainChoiceAmong(now, w)
-	}
-}
-
-func (c *Core) explainRange(now clock.Instant, q *Question, w *Whereabouts) {
-	w.Keyed = true
-	if space := c.view.KeySpaces[w.Service]; space != nil && q.KeyNumber < fleet.KeyCount {
-		r := space.Find(q.KeyNumber)
-		w.Phase, w.Owner, w.Epoch = r.Phase, r.Owner, r.Epoch
+		c.explainChoiceAmong(now, p, limit, w)
+		return
 	}
-	router, ok := c.table.KeyOwner(w.Service, q.KeyNumber)
-	c.explainOwner(now, router, ok, w)
-}
-
-func (c *Core) explainOwner(now clock.Instant, router fleet.Router, ok bool, w *Whereabouts) {
+	router, ok := c.chooseExecutor(now, p)
 	if !ok {
 		w.Decision, w.Reason, w.Why = Parked, verdict.ReasonNoOwner, "the key has no owner that may serve it now"
 		return
 	}
 	w.Decision, w.Why = Sent, "owner of the key"
-	if candidate, known := c.table.Candidate(router.ID, now); known {
-		w.Candidates = []balancer.Candidate{candidate}
+	candidate, known := c.table.Candidate(router.ID, now, limit)
+	if !known {
+		return
+	}
+	w.Candidates = []balancer.Candidate{candidate}
+	moving := p.ranged && w.Phase != fleet.ShardGranted
+	if c.usesReports() && candidate.Known && candidate.Full && !candidate.Failing && !moving {
+		w.refuseByLoad()
 	}
 }
 
-func (c *Core) explainChoiceAmong(now clock.Instant, w *Whereabouts) {
-	w.Candidates = c.table.Candidates(w.Service, now)
+func (c *Core) explainRange(p *pendingRequest, w *Whereabouts) {
+	w.Keyed = true
+	if space := c.view.KeySpaces[w.Service]; space != nil && p.request.KeyNumber < fleet.KeyCount {
+		r := space.Find(p.request.KeyNumber)
+		w.Phase, w.Owner, w.Epoch = r.Phase, r.Owner, r.Epoch
+	}
+}
+
+func (c *Core) explainChoiceAmong(now clock.Instant, p *pendingRequest, limit balancer.StartLimit, w *Whereabouts) {
+	w.Candidates = c.table.Candidates(w.Service, now, limit)
 	switch {
+	case c.usesReports() && allFull(w.Candidates):
+		w.refuseByLoad()
+	case p.sharded:
+		w.Decision, w.Why = Sent, "owner of the shard of the request ID, which keeps its record"
 	case len(w.Candidates) == 0:
 		w.Decision, w.Reason, w.Why = Parked, verdict.ReasonNoOwner, "the service has no executor that takes work"
-	case c.table.Policy() != balancer.Estimated:
+	case c.settings.Balancer.Policy != balancer.Estimated:
 		w.Decision, w.Why = Sent, "baseline policy"
 	default:
 		w.Decision, w.Why = Sent, "least estimated time to finish among those drawn at random from the candidates"
 	}
 }
+
+// allFull reports whether a request can start in time at none of the executors that work.
+// There must be one.
+func allFull(candidates []balancer.Candidate) bool {
+	working := 0
+	for i := range candidates {
+		if candidates[i].Failing {
+			continue
+		}
+		if !candidates[i].Full {
+			return false
+		}
+		working++
+	}
+	return working > 0
+}
+
+func (w *Whereabouts) refuseByLoad() {
+	w.Decision, w.Reason = Refused, verdict.ReasonOverloaded
+	w.Why = "no executor can start it in time by its reports; one request in 16 is sent all the same"
+}
--- a/internal/gateway/explain_where_test.go
+++ b/internal/gateway/explain_where_test.go
@@ -8,23 +8,56 @@
 	"gotest.tools/v3/assert"
 
 	"endivespring/internal/balancer"
+	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
 	"endivespring/internal/verdict"
 )
 
+// simulateQuestions runs a simulation with faults and load reports, and asks a number of
+// questions after each step.
+func simulateQuestions(seed uint64, reports bool, questions int) *simulation {
+	sim := newSimulationOf(balancer.Settings{Seed: seed, Self: "entry", DataCentre: "warszawa", Reports: reports})
+	sim.questions = questions
+	for range 300 {
+		id, wait := routerID(sim.random.IntN(testRouters)), time.Duration(sim.random.IntN(2000))*time.Millisecond
+		sim.after(time.Duration(sim.random.IntN(1000))*time.Millisecond, func() {
+			sim.core.HandleReport(sim.now, id, call.Load{InFlight: 10, Limit: 10, Latency: 10 * time.Millisecond, Wait: wait})
+		})
+	}
+	return simulateFaults(sim)
+}
+
 // Guards against a question that draws from the requests' random numbers, or changes a
 // budget, an estimate or a timer: with questions, requests must take the same course.
 func TestQuestionsChangeNothing(t *testing.T) {
-	for seed := range uint64(20) {
-		plain, asked := simulateFaults(seed), simulateFaultsAsked(seed, 10)
+	for seed := range uint64(40) {
+		plain, asked := simulateQuestions(seed, seed%2 == 0, 0), simulateQuestions(seed, seed%2 == 0, 10)
 		assert.Equal(t, len(plain.requests), len(asked.requests))
 		for i, r := range plain.requests {
 			other := asked.requests[i]
 			assert.DeepEqual(t, r.sentTo, other.sentTo)
 			assert.Assert(t, r.verdict == other.verdict && r.answeredAt == other.answeredAt && r.runs == other.runs, "seed %d: %s", seed, r.request.ID)
 		}
-		assert.Equal(t, plain.hedges, asked.hedges)
+		assert.Assert(t, plain.hedges == asked.hedges && plain.refused == asked.refused, "seed %d", seed)
+	}
+}
+
+// Guards against an answer that differs from the decision by load reports: in time, too
+// late, and by reports that are too old.
+func TestAnswersAgreeWithRefusalsByLoad(t *testing.T) {
+	for _, path := range []string{"/a/", "/k/", "/p/"} {
+		for wait := time.Duration(0); wait < 1200*time.Millisecond; wait += 30 * time.Millisecond {
+			for _, age := range []time.Duration{0, 100 * time.Millisecond, 301 * time.Millisecond} {
+				c := newReportedCore()
+				c.report(wait)
+				c.now = c.now.Add(age)
+				w := c.ExplainWhere(c.now, &Question{Method: "GET", Host: "h", Path: path, Numbered: true, KeyNumber: 7})
+				send, answer := c.ask(Request{Path: path, Numbered: true, KeyNumber: 7})
+				assert.Assert(t, (w.Decision == Sent) == (send != nil), "%s, wait %v, age %v: %+v", path, wait, age, w)
+				assert.Assert(t, answer == nil || answer.Reason == w.Reason)
+			}
+		}
 	}
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -10,4 +10,7 @@
 	// ReportNested reports nested requests, and the waits at their services, to the executor
 	// of this router.
 	ReportNested bool
+	// QueueByTime is set if executors bound their queues by time instead of by the queue
+	// limit of the service.
+	QueueByTime bool
 }
--- a/internal/wire/where.go
+++ b/internal/wire/where.go
@@ -41,7 +41,7 @@
 			return &wirepb.WhereCandidate{
 				Router: string(c.Router.ID), Upstream: c.Router.Upstream.Name, DataCentre: string(c.Router.DataCentre), Remote: c.Remote,
 				EstimateNs: int64(c.Estimate), InFlight: int64(c.InFlight), Load: FromLoad(&c.Load), AgeNs: int64(c.Age), Reported: c.Reported,
-				LatencyNs: int64(c.Latency), Outliers: int64(c.Outliers),
+				LatencyNs: int64(c.Latency), Outliers: int64(c.Outliers), Failing: c.Failing, Full: c.Full, Known: c.Known,
 			}
 		}),
 	}
@@ -60,6 +60,7 @@
 				Router: fleet.Router{ID: fleet.RouterID(c.GetRouter()), DataCentre: fleet.DataCentre(c.GetDataCentre()), Upstream: fleet.Upstream{Name: c.GetUpstream()}},
 				Remote: c.GetRemote(), Estimate: time.Duration(c.GetEstimateNs()), InFlight: int(c.GetInFlight()), Load: ToLoad(c.GetLoad()),
 				Age: time.Duration(c.GetAgeNs()), Reported: c.GetReported(), Latency: time.Duration(c.GetLatencyNs()), Outliers: int(c.GetOutliers()),
+				Failing: c.GetFailing(), Full: c.GetFull(), Known: c.GetKnown(),
 			}
 		}),
 	}
