Move busy keys by gain against cost

A busy key with more load than any owner has room for stayed with its owner at 24 ranges for each owner, because none may be split there, and whenever the owner had more than 0.6 of the capacity of the others.

It now moves, with its range if none may be split, if the owner with the most room serves enough more of it than the present one does.

--- a/internal/controller/planning.go
+++ b/internal/controller/planning.go
@@ -25,7 +25,7 @@
 	}
 	limits := c.limits
 	limits.DelayFirstGrants, limits.SuspendRebalancing = c.joins.delayFirstGrants(now), c.joins.suspendRebalancing(now)
-	commands := c.planCommands(limits)
+	commands := c.planCommands(now, limits)
 	// Planning goes on until a plan is empty: a proposal may be lost, and entries
 	// that are committed before it may invalidate parts of it.
 	c.planDue = len(commands) > 0
@@ -43,7 +43,7 @@
 
 // planCommands returns the commands that change ownership now, at most one for the
 // shards and one for each service with ranges.
-func (c *Core) planCommands(limits placement.Limits) []fsm.Command {
+func (c *Core) planCommands(now clock.Instant, limits placement.Limits) []fsm.Command {
 	var commands []fsm.Command
 	if assign := placement.Plan(c.state.View, limits); !assign.Empty() {
 		commands = append(commands, fsm.Command{Assign: assign})
@@ -56,8 +56,15 @@
 		if !service.Ranged {
 			continue
 		}
-		if assign, moves := placement.PlanRangeMoves(c.state.View, service.Name, c.keyLoads[service.Name], limits); assign != nil {
+		loads := c.keyLoads[service.Name]
+		if loads != nil {
+			loads.Expire(now)
+		}
+		if assign, moves := placement.PlanRangeMoves(c.state.View, service.Name, loads, limits); assign != nil {
 			commands = append(commands, fsm.Command{AssignRanges: assign})
+			if loads != nil {
+				loads.FollowMoves(now, moves)
+			}
 			c.logMoves(service.Name, moves)
 		}
 	}
--- a/internal/placement/key_loads.go
+++ b/internal/placement/key_loads.go
@@ -52,12 +52,15 @@
 	settling map[string]int
 	// countedAt is when the last report of a settling upstream was counted, by boot ID.
 	countedAt map[string]clock.Instant
+	// busyMoves holds the latest moves of busy keys.
+	busyMoves map[uint32]busyKeyMove
 }
 
 // NewKeyLoads returns loads without any measurement.
 func NewKeyLoads() *KeyLoads {
 	return &KeyLoads{
 		rates: make([]float32, fleet.KeyCount), runTimes: map[string]time.Duration{}, limits: map[string]float64{}, settling: map[string]int{}, countedAt: map[string]clock.Instant{},
+		busyMoves: map[uint32]busyKeyMove{},
 	}
 }
 
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -14,4 +14,6 @@
 	// Gain is the number of requests served in addition in the next seconds, and Cost
 	// the number of those that arrive while nobody serves the keys.
 	Gain, Cost float64
+	// BusyKey is set if the next owner cannot serve all of the load.
+	BusyKey *BusyKey
 }
--- a/internal/placement/range_owner_list.go
+++ b/internal/placement/range_owner_list.go
@@ -92,6 +92,11 @@
 	return slices.MaxFunc(l, func(a, b *rangeOwner) int { return cmp.Compare(a.room(), b.room()) })
 }
 
+// without returns the owners except for the upstream with the given boot ID.
+func (l rangeOwnerList) without(boot string) rangeOwnerList {
+	return slices.DeleteFunc(slices.Clone(l), func(o *rangeOwner) bool { return o.boot == boot })
+}
+
 // alternating returns the owners in an order in which successive ones are in different
 // data centres as far as possible: the owners of each data centre are evenly spaced.
 func (l rangeOwnerList) alternating() rangeOwnerList {
--- a/internal/placement/range_relief.go
+++ b/internal/placement/range_relief.go
@@ -25,9 +25,10 @@
 	// minNetGain is the least number of requests that a move must gain in excess of its
 	// cost.
 	minNetGain = 1.0
-	// slowOwnerRatio is the ratio of the capacities of two owners below which a key that
-	// alone exceeds the capacity of the slower one moves to the faster one.
-	slowOwnerRatio = 0.6
+	// minNetGainShare is the least net gain of the move of a busy key, as a share of the
+	// requests that its owner serves in gainTime. It exceeds the random variation of
+	// reported capacities.
+	minNetGainShare = 0.1
 )
 
 // relieve revokes keys of owners whose load exceeds their capacity, as long as that serves
@@ -84,25 +85,37 @@
 	return found
 }
 
-// moveBusyKey moves the busiest key of an owner if the key alone exceeds its capacity and
-// another owner is much faster. Otherwise such a key stays, and its owner gives other keys away.
+// moveBusyKey moves the busiest key of an owner, or its range if none may be split, if no
+// owner has room for all of its load and the roomiest one serves enough more of it than the
+// present one. Otherwise such a key stays, and its owner gives other keys away.
 func (p *rangePlan) moveBusyKey(from *rangeOwner) bool {
 	to := p.owners.roomiest()
-	if p.full() || from.capacity >= slowOwnerRatio*to.capacity {
+	if to == from || to.room() <= 0 {
 		return false
 	}
 	key, load := p.busiestKey(from)
-	if load*from.original <= from.capacity {
+	if load == 0 || p.loads.movedRecently(key, from.boot) {
+		return false
+	}
+	first, last := key, key
+	if p.full() {
+		r := p.space.Find(key)
+		first, last = r.First, r.Last
+		load = p.loads.Sum(first, last)
+	}
+	if load <= to.room() {
 		return false
 	}
-	// What else the next owner serves moves away in turn.
-	gain := gainTime * (min(load*from.original, usableCapacity*to.capacity) - from.capacity)
-	cost := gapTime * from.capacity
-	if gain-cost < minNetGain {
+	demand := load * from.original
+	lost := min(from.demand(), from.capacity) - min(from.demand()-demand, from.capacity)
+	// The next owner serves the keys after the gap, the present one would serve them all the time.
+	gain, cost := (gainTime-gapTime)*min(demand, to.room()), gainTime*lost
+	if gain-cost < max(minNetGain, minNetGainShare*gainTime*from.capacity) {
 		return false
 	}
 	p.move(&Move{
-		First: key, Last: key, From: from.router, To: to.router, Load: load, Demand: from.demand(), Capacity: from.capacity, Room: to.room(), Gain: gain, Cost: cost,
+		First: first, Last: last, From: from.router, To: to.router, Load: load, Demand: from.demand(), Capacity: from.capacity, Room: to.room(), Gain: gain, Cost: cost,
+		BusyKey: &BusyKey{Key: key, Boot: from.boot},
 	}, from, to)
 	return true
 }
--- a/internal/placement/range_relief_test.go
+++ b/internal/placement/range_relief_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
 	"endivespring/internal/fsm"
 )
@@ -61,6 +62,58 @@
 	assert.Assert(t, w.space().Find(30000).Owner != slow && greatest < 1, "%.2f, %+v", greatest, w.moves)
 }
 
+// TestBusyKeyMovesOnceToFasterOwner gives a key more load than any owner has room for, at an
+// owner that serves 37.5 a second beside others that serve 97.5, while reported run times vary by a
+// fifth. It guards against a key that stays there, also where only whole ranges move, against
+// a grant back to the slow owner, which lacks load then, and against moves to and fro.
+func TestBusyKeyMovesOnceToFasterOwner(t *testing.T) {
+	for _, interleave := range []int{24, 16} {
+		w := newRangeWorld(t, 12, Policy{Interleave: interleave, ByCapacity: true})
+		w.variation = 0.2
+		w.addDemand(0, fleet.KeyCount-1, 120)
+		w.run(10)
+		slow := w.space().Find(30000).Owner
+		for i := range w.speeds {
+			w.speeds[i] = 1.3
+			if slow == routerID(i) {
+				w.speeds[i] = 0.5
+			}
+		}
+		w.run(30)
+		w.hot = []uint32{30000}
+		w.addDemand(30000, 30000, 110)
+		owner, changes, left := slow, 0, clock.Instant(0)
+		for start := w.now; w.now < start.Add(30*time.Second); {
+			w.run(heartbeat)
+			if r := w.space().Find(30000); r.Phase == fleet.ShardGranted && r.Owner != owner {
+				assert.Assert(t, r.Owner != slow, "interleave %d: the key is back at the slow owner", interleave)
+				if owner, changes = r.Owner, changes+1; changes == 1 {
+					left = clock.Instant(w.now.Sub(start))
+				}
+			}
+		}
+		t.Logf("interleave %d: %d changes of owner, the first after %v", interleave, changes, time.Duration(left))
+		assert.Equal(t, changes, 1, "interleave %d: %+v", interleave, w.moves)
+		assert.Assert(t, time.Duration(left) <= 5*time.Second, "interleave %d: granted after %v", interleave, time.Duration(left))
+	}
+}
+
+// TestBusyKeyStaysAmongEqualOwners guards against moves of a busy key that gain nothing,
+// because reported run times vary by a fifth.
+func TestBusyKeyStaysAmongEqualOwners(t *testing.T) {
+	for _, interleave := range []int{24, 16} {
+		w := newRangeWorld(t, 12, Policy{Interleave: interleave, ByCapacity: true})
+		w.variation = 0.2
+		w.addDemand(0, fleet.KeyCount-1, 120)
+		w.run(30)
+		w.hot = []uint32{30000}
+		before := *w.space().Find(30000)
+		w.addDemand(30000, 30000, 110)
+		w.run(30)
+		assert.Equal(t, w.space().Find(30000).Epoch, before.Epoch, "interleave %d: %+v", interleave, w.moves)
+	}
+}
+
 // TestOverloadedRegionIsRelieved overloads a region that few owners hold, so that repeated
 // calls exceed the demand. The owners must be at their capacity within 10 s, and the moves
 // must not exceed twice the excess.
--- a/internal/placement/range_spread.go
+++ b/internal/placement/range_spread.go
@@ -33,7 +33,7 @@
 	for i := 0; i < len(free); i++ {
 		r := p.space.Find(free[i])
 		load := p.loads.Sum(r.First, r.Last)
-		o := p.receiver(load)
+		o := p.receiver(r, load)
 		if most := max(o.lack(), wholeShare*o.target); load > maxOvershoot*most && p.maySplit(r) {
 			if last := p.loads.PrefixEnd(r.First, r.Last, most); last < r.Last {
 				p.space.Split(last + 1)
@@ -46,8 +46,14 @@
 }
 
 // receiver returns the owner that gets a free range with the given load next. A busy key
-// that the next in turn has no room for goes to the owner with the most.
-func (p *rangePlan) receiver(load float64) *rangeOwner {
+// that the next in turn has no room for goes to the owner with the most. One that was moved
+// lately does not go back: its earlier owner lacks load without it.
+func (p *rangePlan) receiver(r *fleet.KeyRange, load float64) *rangeOwner {
+	if from := p.loads.movedFrom(r.First, r.Last); from != "" {
+		if others := p.owners.without(from); len(others) > 0 {
+			return others.roomiest()
+		}
+	}
 	o := p.owners.receiver()
 	if o.capacity == 0 || load <= max(o.lack(), o.room()) {
 		return o
--- a/internal/placement/range_world_test.go
+++ b/internal/placement/range_world_test.go
@@ -28,6 +28,8 @@
 	random *rand.Rand
 	demand *KeyLoads
 	speeds []float64
+	// variation is the greatest relative difference of a reported run time from the mean.
+	variation float64
 	// rates and epochs are what the owner of each key measures and under which grant.
 	rates  []float64
 	epochs []fleet.Epoch
@@ -73,7 +75,9 @@
 		if w.space().LastEpoch > 0 {
 			w.follow(w.releaseRevoked)
 		}
+		w.loads.Expire(w.now)
 		assign, moves := PlanRangeMoves(w.state.View, "s", w.loads, w.limits)
+		w.loads.FollowMoves(w.now, moves)
 		w.moves = append(w.moves, moves...)
 		w.follow(func() {
 			if before := w.state.View.KeySpaces["s"]; assign != nil {
@@ -119,7 +123,8 @@
 	if boot == "" {
 		return
 	}
-	w.loads.AddRunTime(boot, time.Duration(0.12/w.speeds[i]*float64(time.Second)))
+	varied := 1 + w.variation*(2*w.random.Float64()-1)
+	w.loads.AddRunTime(boot, time.Duration(varied*0.12/w.speeds[i]*float64(time.Second)))
 	w.loads.AddLimit(boot, 9, 9)
 	ranges, demand := w.ranges(i)
 	repeated := offered(demand, w.capacity(i)) / max(1e-9, demand)
