Grant no busy key to an owner with all its ranges

The owner with the most room got a busy range even if it held MaxOwnerRanges, and its list then exceeded the answer to a heartbeat. Such owners now come last, and moves by capacity do not choose them.

--- a/internal/placement/range_owner.go
+++ b/internal/placement/range_owner.go
@@ -54,5 +54,8 @@
 	return 0
 }
 
+// full reports whether the owner holds as many ranges as it may.
+func (o *rangeOwner) full() bool { return o.ranges >= MaxOwnerRanges }
+
 // room returns the load that the owner can take in addition.
 func (o *rangeOwner) room() float64 { return usableCapacity*o.capacity - o.load }
--- a/internal/placement/range_owner_list.go
+++ b/internal/placement/range_owner_list.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 
+	"github.com/samber/lo"
+
 	"endivespring/internal/fleet"
 )
 
@@ -70,7 +72,7 @@
 func (l rangeOwnerList) receiver() *rangeOwner {
 	order := func(o *rangeOwner) (class, received int) {
 		switch {
-		case o.ranges >= MaxOwnerRanges:
+		case o.full():
 			return 3, 0
 		case o.ranges == 0:
 			return 0, 0
@@ -87,9 +89,12 @@
 	})
 }
 
-// roomiest returns the owner that can take the most load in addition.
+// roomiest returns the owner that can take the most load in addition. Owners with
+// MaxOwnerRanges come last.
 func (l rangeOwnerList) roomiest() *rangeOwner {
-	return slices.MaxFunc(l, func(a, b *rangeOwner) int { return cmp.Compare(a.room(), b.room()) })
+	return slices.MinFunc(l, func(a, b *rangeOwner) int {
+		return cmp.Or(lo.Ternary(a.full(), 1, 0)-lo.Ternary(b.full(), 1, 0), cmp.Compare(b.room(), a.room()))
+	})
 }
 
 // without returns the owners except for the upstream with the given boot ID.
--- a/internal/placement/range_relief.go
+++ b/internal/placement/range_relief.go
@@ -60,10 +60,10 @@
 		return true
 	}
 	to := p.owners.receiver()
-	if to == from || to.room() <= 0 {
+	if to == from || to.full() || to.room() <= 0 {
 		to = p.owners.roomiest()
 	}
-	if to == from || to.room() <= 0 {
+	if to == from || to.full() || to.room() <= 0 {
 		return false
 	}
 	best := Move{From: from.router, To: to.router, Demand: from.demand(), Capacity: from.capacity, Room: to.room()}
@@ -90,7 +90,7 @@
 // present one. Otherwise such a key stays, and its owner gives other keys away.
 func (p *rangePlan) moveBusyKey(from *rangeOwner) bool {
 	to := p.owners.roomiest()
-	if to == from || to.room() <= 0 {
+	if to == from || to.full() || to.room() <= 0 {
 		return false
 	}
 	key, load := p.busiestKey(from)
