Drop what is known of upstreams that are gone

The mean run time included upstreams that no longer exist, so that the capacity of the present ones was judged by them, and after 4,096 boot IDs all run times and limits were lost at once. The leader now drops the boot IDs that are not in the view before each plan.

--- a/internal/controller/planning.go
+++ b/internal/controller/planning.go
@@ -58,7 +58,7 @@
 		}
 		loads := c.keyLoads[service.Name]
 		if loads != nil {
-			loads.Expire(now)
+			loads.Prune(now, c.state.View)
 		}
 		if assign, moves := placement.PlanRangeMoves(c.state.View, service.Name, loads, limits); assign != nil {
 			commands = append(commands, fsm.Command{AssignRanges: assign})
--- a/internal/placement/busy_key_move.go
+++ b/internal/placement/busy_key_move.go
@@ -26,15 +26,6 @@
 	}
 }
 
-// Expire drops the moves of busy keys that no longer restrict plans.
-func (k *KeyLoads) Expire(now clock.Instant) {
-	for key, move := range k.busyMoves {
-		if now.Sub(move.plannedAt) >= busyKeyPause {
-			delete(k.busyMoves, key)
-		}
-	}
-}
-
 // movedRecently reports whether a busy key was moved lately to the upstream with the given
 // boot ID. If it is still at the upstream that was to give it away, the plan was rejected.
 func (k *KeyLoads) movedRecently(key uint32, boot string) bool {
--- a/internal/placement/busy_key_move_test.go
+++ b/internal/placement/busy_key_move_test.go
@@ -27,7 +27,7 @@
 		f.loads.Set(30000, 30000, 300)
 		now := clock.Instant(1)
 		plan := func() (busy []Move) {
-			f.loads.Expire(now)
+			f.loads.Prune(now, f.state.View)
 			assign, moves := PlanRangeMoves(f.state.View, "s", f.loads, f.limits)
 			f.loads.FollowMoves(now, moves)
 			if assign != nil {
--- a/internal/placement/key_loads.go
+++ b/internal/placement/key_loads.go
@@ -17,7 +17,8 @@
 	// of its service.
 	minSpeed = 0.4
 	maxSpeed = 2.0
-	// maxBootIDs bounds the number of boot IDs whose run time is kept.
+	// maxBootIDs bounds the number of upstreams whose rates settle. A former leader goes on
+	// noting them, but does not plan, so that Prune does not drop any.
 	maxBootIDs = 4096
 	// limitWeight is the weight of a new sample in the moving average of an upstream's
 	// limit. A cold start lowers the limit for seconds only.
@@ -127,15 +128,13 @@
 func (k *KeyLoads) keyLoad(key uint32) float64 { return float64(k.rates[key]) + baseKeyLoad }
 
 // AddRunTime adds a sample of the mean run time of the upstream with the given boot ID
-// to its moving average. When there are too many boot IDs, all are dropped.
+// to its moving average.
 func (k *KeyLoads) AddRunTime(boot string, runTime time.Duration) {
 	if runTime <= 0 {
 		return
 	}
 	if known, ok := k.runTimes[boot]; ok {
 		runTime = known + time.Duration(runTimeWeight*float64(runTime-known))
-	} else if len(k.runTimes) >= maxBootIDs {
-		clear(k.runTimes)
 	}
 	k.runTimes[boot] = runTime
 }
@@ -151,9 +150,6 @@
 	}
 	known, ok := k.limits[boot]
 	if !ok {
-		if len(k.limits) >= maxBootIDs {
-			clear(k.limits)
-		}
 		known = float64(max(1, slots))
 		k.unsettle(boot)
 	}
--- a/internal/placement/range_world_test.go
+++ b/internal/placement/range_world_test.go
@@ -75,7 +75,7 @@
 		if w.space().LastEpoch > 0 {
 			w.follow(w.releaseRevoked)
 		}
-		w.loads.Expire(w.now)
+		w.loads.Prune(w.now, w.state.View)
 		assign, moves := PlanRangeMoves(w.state.View, "s", w.loads, w.limits)
 		w.loads.FollowMoves(w.now, moves)
 		w.moves = append(w.moves, moves...)
