Keep an unsent run time over a report without runs

A load report that was not sent yet was replaced by the next one as a whole. With early reports two can come between renewals, and the second often has no runs: the run time was then lost.

--- a/internal/session/reporting.go
+++ b/internal/session/reporting.go
@@ -32,8 +32,12 @@
 }
 
 // ReportLoads sends the load of keys, the mean run time of requests and the limit of the
-// upstream with the next renewal, once. A later report replaces one that was not sent yet.
+// upstream with the next renewal, once. A later report replaces one that was not sent yet,
+// except that one without runs has no run time and does not replace a known one.
 func (c *Core) ReportLoads(loads []KeyLoad, runTime time.Duration, limit int) {
+	if runTime == 0 {
+		runTime = c.runTime
+	}
 	c.keyLoads, c.runTime, c.limit = loads, runTime, limit
 }
 
