Report loads early when the upstream sheds calls for keys

Early reports started only with calls that the executor refused as overloaded. If the upstream itself sheds calls, the queue may never fill, and control learned of the overload with the next heartbeat only.

The test failed before: no report within 1 s without a heartbeat; now one within 410 ms of the shed call.

--- a/internal/executor/early_report.go
+++ b/internal/executor/early_report.go
@@ -3,20 +3,22 @@
 import (
 	"time"
 
+	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/fleet"
+	"endivespring/internal/verdict"
 )
 
 const (
-	// earlyReportDelay is the time from the first call refused for a full queue to a
-	// report of loads, in which the refused calls show which keys are busy.
+	// earlyReportDelay is the time from the first call refused for a full queue, or shed
+	// by the upstream, to a report of loads, in which the refused calls show which keys are busy.
 	earlyReportDelay = 250 * time.Millisecond
 	// earlyReportInterval is the least time between an early report and the one before.
 	earlyReportInterval = 400 * time.Millisecond
 )
 
 // earlyReport decides when the load of keys is reported before the next heartbeat, because
-// calls for keys are refused as overloaded. The zero value reports nothing early.
+// calls for keys are refused as overloaded or shed by the upstream. The zero value reports nothing early.
 type earlyReport struct {
 	enabled bool
 	// refused is set from a refusal on until the load is reported, dueAt once its time is
@@ -30,6 +32,13 @@
 // since refused calls come back.
 func (c *Core) SetEarlyReports(enabled bool) { c.earlyReport.enabled = enabled }
 
+// observe takes the reason why a call was refused or failed.
+func (e *earlyReport) observe(request *call.Call, reason verdict.Reason) {
+	if e.enabled && request.Ranged && (reason == verdict.ReasonOverloaded || reason == verdict.ReasonShed) {
+		e.refused = true
+	}
+}
+
 // reportEarly reports the load of keys if an early report is due.
 func (c *Core) reportEarly(now clock.Instant) {
 	e := &c.earlyReport
--- a/internal/executor/early_report_test.go
+++ b/internal/executor/early_report_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"endivespring/internal/admission"
+	"endivespring/internal/call"
 	"endivespring/internal/fleet"
 	"endivespring/internal/verdict"
 )
@@ -39,3 +41,24 @@
 		assert.Assert(t, reports[1]-reports[0] >= 400*time.Millisecond, "%v", reports)
 	}
 }
+
+// Guards against reports that wait for the next heartbeat while the upstream itself sheds calls
+// for keys, so that no queue ever fills.
+func TestShedKeysAreReportedEarly(t *testing.T) {
+	s := newRangeFixture(t)
+	s.SetEarlyReports(true)
+	s.setPhase(t, fleet.ShardGranted)
+	s.sendHeartbeat(Heartbeat{})
+	s.keyMeter.started = s.now
+	assert.Equal(t, s.submitKey(5).Verdict, verdict.Ran, "the call did not start")
+	for run := range s.jobs {
+		s.Complete(s.now, Outcome{Run: run, Answer: call.Answer{Verdict: verdict.NotRun, Reason: verdict.ReasonShed}, Health: admission.Shed})
+	}
+	start := s.now
+	for s.keyMeter.started == start && s.now < start.Add(time.Second) {
+		s.now = s.now.Add(10 * time.Millisecond)
+		s.Tick(s.now)
+	}
+	assert.Assert(t, s.now.Sub(start) <= 410*time.Millisecond, "no report within %v", s.now.Sub(start))
+	assert.Assert(t, len(s.Take().KeyLoads) > 0)
+}
--- a/internal/executor/refusal.go
+++ b/internal/executor/refusal.go
@@ -82,9 +82,7 @@
 
 // logRefusal logs a refusal with the state that it was based on.
 func (c *Core) logRefusal(request *call.Call, v verdict.Verdict, reason verdict.Reason, cause RefusalCause) {
-	if c.earlyReport.enabled && request.Ranged && reason == verdict.ReasonOverloaded {
-		c.earlyReport.refused = true
-	}
+	c.earlyReport.observe(request, reason)
 	if cause != CauseNone {
 		c.output.Refusals = append(c.output.Refusals, cause)
 	}
--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -131,6 +131,7 @@
 		if refusedByUpstream(&answer) {
 			c.refused.add(j.call.RequestID)
 		}
+		c.earlyReport.observe(&j.call, answer.Reason)
 		if j.call.Ranged && answer.Reason == verdict.ReasonFenced {
 			c.rangeRequests.keyRefused(now, j.call.KeyNumber)
 		}
