--- a/internal/executor/key_meter.go
+++ b/internal/executor/key_meter.go
@@ -1,9 +1,10 @@
 package executor
 
 import (
-	"cmp"
+	"maps"
 	"math"
 	"slices"
+	"sort"
 	"time"
 
 	"endivespring/internal/clock"
@@ -84,15 +85,21 @@
 // rows returns the load of equal parts of the ranges, then that of the hottest
 // keys, which the parts leave out.
 func (m *keyMeter) rows(owned []fleet.KeyRange) []session.KeyLoad {
-	hot := m.hottest()
+	keys := slices.Sorted(maps.Keys(m.rates))
+	hot := m.hottest(keys)
+	rest := slices.DeleteFunc(keys, func(key uint32) bool { return slices.Contains(hot, key) })
 	var rows []session.KeyLoad
 	parts := uint32(max(1, maxRangeParts/max(1, len(owned))))
 	for _, r := range owned {
 		step := max(1, (uint32(r.Size())+parts-1)/parts)
+		next, _ := slices.BinarySearch(rest, r.First)
 		for first := r.First; ; first += step {
-			last := min(r.Last, first+step-1)
-			rows = append(rows, session.KeyLoad{First: first, Last: last, Rate: m.between(first, last, hot)})
-			if last == r.Last {
+			row := session.KeyLoad{First: first, Last: min(r.Last, first+step-1)}
+			for ; next < len(rest) && rest[next] <= row.Last; next++ {
+				row.Rate += m.rates[rest[next]]
+			}
+			rows = append(rows, row)
+			if row.Last == r.Last {
 				break
 			}
 		}
@@ -105,21 +112,19 @@
 	return rows
 }
 
-func (m *keyMeter) between(first, last uint32, except []uint32) float64 {
-	sum := 0.0
-	for key, rate := range m.rates {
-		if key >= first && key <= last && !slices.Contains(except, key) {
-			sum += rate
+// hottest returns those of the sorted keys with the highest rates, the highest first.
+func (m *keyMeter) hottest(keys []uint32) []uint32 {
+	hot := make([]uint32, 0, maxHotKeys+1)
+	least := 0.0
+	for _, key := range keys {
+		rate := m.rates[key]
+		if len(hot) == maxHotKeys && rate <= least {
+			continue
 		}
+		at := sort.Search(len(hot), func(i int) bool { return m.rates[hot[i]] < rate })
+		hot = slices.Insert(hot, at, key)
+		hot = hot[:min(len(hot), maxHotKeys)]
+		least = m.rates[hot[len(hot)-1]]
 	}
-	return sum
-}
-
-func (m *keyMeter) hottest() []uint32 {
-	keys := make([]uint32, 0, len(m.rates))
-	for key := range m.rates {
-		keys = append(keys, key)
-	}
-	slices.SortFunc(keys, func(a, b uint32) int { return cmp.Or(cmp.Compare(m.rates[b], m.rates[a]), cmp.Compare(a, b)) })
-	return keys[:min(len(keys), maxHotKeys)]
+	return hot
 }
