--- a/internal/placement/key_loads.go
+++ b/internal/placement/key_loads.go
@@ -141,9 +141,8 @@
 
 // AddLimit adds a sample of the limit of the upstream with the given boot ID to its moving
 // average, which begins at the announced number of slots. It follows a higher limit at once,
-// since an executor raises it only after the upstream has proved it.
-// The first samples of an upstream
-// that is not known yet are no basis for moves.
+// since an executor raises it only after the upstream has proved it. The first samples of
+// an upstream that is not known yet are no basis for moves.
 func (k *KeyLoads) AddLimit(boot string, slots, limit int) {
 	if limit <= 0 {
 		return
--- a/internal/placement/range_balance.go
+++ b/internal/placement/range_balance.go
@@ -40,7 +40,7 @@
 	if p.inTransition() {
 		return
 	}
-	if p.policy.spreads() && p.supplyNewcomers() {
+	if p.policy.spreads() && p.supplyNewOwners() {
 		return
 	}
 	if p.policy.ByCapacity {
--- a/internal/placement/range_newcomers.go
+++ b/internal/placement/range_new_owners.go
@@ -7,28 +7,28 @@
 	"endivespring/internal/fleet"
 )
 
-// supplyNewcomers revokes one range for each owner without any, so that an upstream that
+// supplyNewOwners revokes one range for each owner without any, so that an upstream that
 // has joined gets work although nobody is overloaded. Each is the range with the least
 // load of the owner with the most, since its keys are not served meanwhile. It reports
-// whether it revoked any. A later plan grants them to the newcomers.
-func (p *rangePlan) supplyNewcomers() bool {
+// whether it revoked any. A later plan grants them to the new owners.
+func (p *rangePlan) supplyNewOwners() bool {
 	supplied := false
-	for _, newcomer := range p.owners {
-		if newcomer.ranges > 0 {
+	for _, newOwner := range p.owners {
+		if newOwner.ranges > 0 {
 			continue
 		}
-		giver := slices.MaxFunc(p.owners, func(a, b *rangeOwner) int {
+		donor := slices.MaxFunc(p.owners, func(a, b *rangeOwner) int {
 			return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.ranges, b.ranges))
 		})
-		first, last, found := p.leastLoaded(giver)
+		first, last, found := p.leastLoaded(donor)
 		if !found {
 			break
 		}
 		load := p.loads.Sum(first, last)
 		p.revoke(first, last)
-		giver.load -= load
-		newcomer.load += load
-		newcomer.ranges++
+		donor.load -= load
+		newOwner.load += load
+		newOwner.ranges++
 		supplied = true
 	}
 	return supplied
--- a/internal/placement/range_relief.go
+++ b/internal/placement/range_relief.go
@@ -38,17 +38,17 @@
 	if p.loads.Total() < minBalancedRate {
 		return
 	}
-	var givers []*rangeOwner
+	var donors []*rangeOwner
 	for _, o := range p.owners {
 		o.received, o.original = 0, o.originalShare()
 		if o.capacity > 0 && !p.loads.Settling(o.boot) && o.excess() > 0 {
-			givers = append(givers, o)
+			donors = append(donors, o)
 		}
 	}
-	for moves := max(minMoves, len(p.owners)); moves > 0 && len(givers) > 0; moves-- {
-		slices.SortStableFunc(givers, func(a, b *rangeOwner) int { return cmp.Compare(b.excess(), a.excess()) })
-		if from := givers[0]; !p.relieveOnce(from) || from.excess() == 0 {
-			givers = givers[1:]
+	for moves := max(minMoves, len(p.owners)); moves > 0 && len(donors) > 0; moves-- {
+		slices.SortStableFunc(donors, func(a, b *rangeOwner) int { return cmp.Compare(b.excess(), a.excess()) })
+		if from := donors[0]; !p.relieveOnce(from) || from.excess() == 0 {
+			donors = donors[1:]
 		}
 	}
 }
