Date the proof of a concurrency at the start of the run

An answered run proved its concurrency for 2 s from its end. A run of 5 s that the upstream took before its overload then kept a limit that the upstream refused. The proof now counts from the start of the run. The model of a shedding upstream passes the concurrency at the start, as the executor does; it passed that at the end.

The new test failed before: the limit stayed at 9 after a run of 5 s; now it falls. Runs of 0.12 and 0.9 s still keep it.

--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -113,15 +113,15 @@
 		return false
 	}
 	before := l.Limit()
-	l.accepted.record(now, s.Concurrency)
+	l.accepted.record(now, now.Add(-s.RunTime), s.Concurrency)
 	l.learner.Observe(now, l.limit, s)
 	return l.Limit() != before
 }
 
 // FinishShed is Finish for a run that the upstream refused because of overload.
 // concurrency is the number of runs right after this one started. While the limit is
-// learned, the refusal lowers it only if no run that started at this or a higher
-// concurrency was answered lately: otherwise the upstream refuses for another reason, and
+// learned, the refusal lowers it only if no answered run has lately started at this or a
+// higher concurrency: otherwise the upstream refuses for another reason, and
 // a lower limit would only leave its slots unused.
 func (l *Limiter) FinishShed(now clock.Instant, concurrency int) bool {
 	if l.learner == nil {
--- a/internal/admission/shedding_test.go
+++ b/internal/admission/shedding_test.go
@@ -17,11 +17,18 @@
 	sheddingWork  = 120 * time.Millisecond
 )
 
+// sheddingRun is a run that the upstream has taken, with the number of runs right after its
+// start.
+type sheddingRun struct {
+	ends        clock.Instant
+	concurrency int
+}
+
 // sheddingUpstream answers runs after sheddingWork and sheds others at once.
 type sheddingUpstream struct {
 	limiter *Limiter
 	now     clock.Instant
-	running []clock.Instant
+	running []sheddingRun
 	// sheds decides for a run, given the number of runs with it.
 	sheds func(concurrency int) bool
 	least int
@@ -37,10 +44,11 @@
 // run sends runs for a time, as many at once as the limit allows.
 func (u *sheddingUpstream) run(d time.Duration) {
 	for end := u.now.Add(d); u.now < end; u.now = u.now.Add(time.Second / sheddingRuns / 4) {
-		for len(u.running) > 0 && u.running[0] <= u.now {
+		for len(u.running) > 0 && u.running[0].ends <= u.now {
+			concurrency := u.running[0].concurrency
 			u.running = u.running[1:]
 			u.limiter.Finish(u.now, Good, sheddingWork)
-			u.limiter.Observe(u.now, &Sample{Operation: "o", RunTime: sheddingWork, Concurrency: u.limiter.Running() + 1})
+			u.limiter.Observe(u.now, &Sample{Operation: "o", RunTime: sheddingWork, Concurrency: concurrency})
 		}
 		if !u.limiter.Start() {
 			continue
@@ -48,7 +56,7 @@
 		if u.sheds(u.limiter.Running()) {
 			u.limiter.FinishShed(u.now, u.limiter.Running())
 		} else {
-			u.running = append(u.running, u.now.Add(sheddingWork))
+			u.running = append(u.running, sheddingRun{ends: u.now.Add(sheddingWork), concurrency: u.limiter.Running()})
 		}
 		u.least = min(u.least, u.limiter.Limit())
 	}
@@ -84,3 +92,21 @@
 	assert.Assert(t, u.limiter.Limit() <= 5, "limit is %d", u.limiter.Limit())
 	assert.Assert(t, sheds*10 <= sent, "%d of %d runs were shed", sheds, sent)
 }
+
+// TestLongRunsDoNotProveThePresentConcurrency answers a run that started at 9 runs and then
+// sheds one at 9. It guards against a limit that stays too high while runs that the upstream
+// took before its overload end.
+func TestLongRunsDoNotProveThePresentConcurrency(t *testing.T) {
+	for runTime, lowered := range map[time.Duration]bool{sheddingWork: false, 900 * time.Millisecond: false, 5 * time.Second: true} {
+		u := newSheddingUpstream(func(int) bool { return false })
+		for range sheddingSlots {
+			assert.Assert(t, u.limiter.Start())
+		}
+		u.now = u.now.Add(10 * time.Second)
+		u.limiter.Finish(u.now, Good, runTime)
+		u.limiter.Observe(u.now, &Sample{Operation: "o", RunTime: runTime, Concurrency: sheddingSlots})
+		before := u.limiter.Limit()
+		u.limiter.FinishShed(u.now, sheddingSlots)
+		assert.Equal(t, u.limiter.Limit() < before, lowered, "run of %v: limit %d after %d", runTime, u.limiter.Limit(), before)
+	}
+}
