--- a/internal/placement/key_loads.go
+++ b/internal/placement/key_loads.go
@@ -17,7 +17,8 @@
 	// of its service.
 	minSpeed = 0.4
 	maxSpeed = 2.0
-	// maxBootIDs bounds the number of boot IDs whose run time is kept.
+	// maxBootIDs bounds the number of upstreams whose rates settle. A former leader goes on
+	// noting them, but does not plan, so that Prune does not drop any.
 	maxBootIDs = 4096
 	// limitWeight is the weight of a new sample in the moving average of an upstream's
 	// limit. A cold start lowers the limit for seconds only.
@@ -52,12 +53,15 @@
 	settling map[string]int
 	// countedAt is when the last report of a settling upstream was counted, by boot ID.
 	countedAt map[string]clock.Instant
+	// busyMoves holds the latest moves of busy keys.
+	busyMoves map[uint32]busyKeyMove
 }
 
 // NewKeyLoads returns loads without any measurement.
 func NewKeyLoads() *KeyLoads {
 	return &KeyLoads{
 		rates: make([]float32, fleet.KeyCount), runTimes: map[string]time.Duration{}, limits: map[string]float64{}, settling: map[string]int{}, countedAt: map[string]clock.Instant{},
+		busyMoves: map[uint32]busyKeyMove{},
 	}
 }
 
@@ -124,33 +128,27 @@
 func (k *KeyLoads) keyLoad(key uint32) float64 { return float64(k.rates[key]) + baseKeyLoad }
 
 // AddRunTime adds a sample of the mean run time of the upstream with the given boot ID
-// to its moving average. When there are too many boot IDs, all are dropped.
+// to its moving average.
 func (k *KeyLoads) AddRunTime(boot string, runTime time.Duration) {
 	if runTime <= 0 {
 		return
 	}
 	if known, ok := k.runTimes[boot]; ok {
 		runTime = known + time.Duration(runTimeWeight*float64(runTime-known))
-	} else if len(k.runTimes) >= maxBootIDs {
-		clear(k.runTimes)
 	}
 	k.runTimes[boot] = runTime
 }
 
 // AddLimit adds a sample of the limit of the upstream with the given boot ID to its moving
 // average, which begins at the announced number of slots. It follows a higher limit at once,
-// since an executor raises it only after the upstream has proved it.
-// The first samples of an upstream
-// that is not known yet are no basis for moves.
+// since an executor raises it only after the upstream has proved it. The first samples of
+// an upstream that is not known yet are no basis for moves.
 func (k *KeyLoads) AddLimit(boot string, slots, limit int) {
 	if limit <= 0 {
 		return
 	}
 	known, ok := k.limits[boot]
 	if !ok {
-		if len(k.limits) >= maxBootIDs {
-			clear(k.limits)
-		}
 		known = float64(max(1, slots))
 		k.unsettle(boot)
 	}
