Keep large bodies that arrive at a fair rate

Cause: a body counts with its whole slice from its first read, and the time to move what is held decided alone, so that a body with a slice of 64 MiB at 1 MB/s was given up for one request of 100 KiB.

--- a/internal/memory/slowest_test.go
+++ b/internal/memory/slowest_test.go
@@ -21,6 +21,8 @@
 		"stopped before slow":               {[]Usage{{100_000, 10, 9 * s, 10 * ms}, {100_000, 99_000, 2 * s, 1500 * ms}}, 1},
 		"longest pause":                     {[]Usage{{1000, 10, 9 * s, 2 * s}, {1000, 10, 9 * s, 3 * s}, {1000, 10, 9 * s, s}}, 1},
 		"slowest for what it holds":         {[]Usage{{100_000, 20_000, 3 * s, 0}, {64 << 20, 40_000, 3 * s, 0}}, 1},
+		"large at a fair rate":              {[]Usage{{64 << 20, 2 << 20, 2 * s, 10 * ms}}, -1},
+		"large below a fair rate":           {[]Usage{{64 << 20, 60 << 10, s, 10 * ms}}, 0},
 		"pauses shorter than a lost packet": {[]Usage{{100_000, 60_000, 2 * s, 900 * ms}}, -1},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/memory/usage.go
+++ b/internal/memory/usage.go
@@ -18,6 +18,9 @@
 	longPause = time.Second
 	// slowTime is how long a user may take to move what it holds, at its average rate.
 	slowTime = 10 * time.Second
+	// fairRate is the average rate, in bytes a second, from which on a user is not slow, whatever it
+	// holds: a large body counts as a whole from its first bytes on.
+	fairRate = 64 << 10
 )
 
 // paused reports whether the user has stopped for long.
@@ -25,7 +28,7 @@
 
 // slow reports whether the memory of the user may be given to others.
 func (u *Usage) slow() bool {
-	return u.Bytes > 0 && u.Age >= minAge && (u.paused() || u.moveTime() > slowTime.Seconds())
+	return u.Bytes > 0 && u.Age >= minAge && (u.paused() || u.moveTime() > slowTime.Seconds() && float64(u.Moved) < fairRate*u.Age.Seconds())
 }
 
 // moveTime returns the seconds in which as much is moved as is held, at the average rate.
