--- a/internal/caller/request_memory_test.go
+++ b/internal/caller/request_memory_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -32,3 +33,29 @@
 	assert.Equal(t, response.Header.Get(HeaderReason), string(verdict.ReasonOverloaded))
 	assert.Equal(t, requests.Depth(), 0)
 }
+
+// Guards against requests that the library refuses on a connection that is kept, whose bytes
+// add up.
+func TestRefusedRequestsGiveBackTheirMemory(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := NewServer(testClock, ring.New[*Request]("requests", 1, ring.Refuse), 1<<20, func(*call.Answer, time.Duration) {})
+	shared := newTestMemory(memory.NewBudget(1 << 20))
+	go func() { _ = server.App().Listener(NewListener(listener, shared)) }()
+	defer func() { _ = server.App().ShutdownWithTimeout(time.Second) }()
+	for range 100 {
+		response, err := http.Post("http://"+listener.Addr().String()+"/unknown", "text/plain", strings.NewReader(strings.Repeat("b", 20000)))
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, http.StatusNotFound)
+	}
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		connections, bodies, _ := shared.Used()
+		if connections == shared.Open()*idleCost && bodies == 0 {
+			return
+		}
+		assert.Assert(t, time.Now().Before(end), "used: %d and %d bytes by %d connections", connections, bodies, shared.Open())
+	}
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -205,6 +205,9 @@
 		answer.Verdict, answer.Reason = verdict.NotRun, reasonForStatus(known.Code)
 	}
 	s.gateway.Observe(&answer, 0)
+	if !StartAnswer(c.Context().Conn(), 0) { // the connection stays open after an unknown path
+		c.Response().SetConnectionClose()
+	}
 	if err := writeAnswer(c, &answer); err != nil {
 		return err
 	}
