Give up connections only in the phase that was judged

Cause: a phase began before its times were stored, and a connection was given up if it was in the same phase as when it was looked at, also with a later request. A front end that set a new deadline wrote on after the memory of its answer was gone.

Change: times are stored first; the phase has a number, and exactly the judged one is given up; writes fail once the connection was given up while writing.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -46,6 +46,9 @@
 // ErrNoMemory means that a request needs more memory than requests may use at the moment.
 var ErrNoMemory = eris.New("not enough memory for the request")
 
+// errCut means that the caller was too slow to take its answer while others needed the memory.
+var errCut = eris.New("the connection was given up for its memory")
+
 // Connection is a caller's connection that records when requests arrive on it, and withdraws
 // what it holds from the budgets of its front end. It is owned by the goroutine that reads
 // and writes on it; others may make it give up its memory.
@@ -53,7 +56,8 @@
 	net.Conn
 	memory *Memory
 	slot   int
-	phase  atomic.Int32
+	// word is a phaseWord.
+	word atomic.Int64
 	// connection, body and answer are what is withdrawn from the budgets.
 	connection, body, answer *memory.Reservation
 	// received is how many bytes of the present request have arrived.
@@ -63,6 +67,9 @@
 	// began is when the present phase began, movedAt when its last byte was received or sent, as
 	// clock.Instant. moved is how many bytes that were.
 	began, movedAt, moved atomic.Int64
+	// cut is set once the connection was given up while an answer was written. The front end may
+	// replace the deadline of writes after that.
+	cut atomic.Bool
 	// refused is set once a request was refused before it was read as a whole.
 	refused atomic.Bool
 	// receivedAt is when the bytes that were read last arrived.
@@ -80,34 +87,38 @@
 	return c
 }
 
-func (c *Connection) inPhase(p phase) bool { return phase(c.phase.Load()) == p }
+func (c *Connection) phaseWord() phaseWord { return phaseWord(c.word.Load()) }
+
+func (c *Connection) inPhase(p phase) bool { return c.phaseWord().phase() == p }
 
-// enter begins a phase. It returns false if the connection was given up.
+// enter begins a phase. It returns false if the connection was given up. The times are stored
+// first, since others judge a phase by them as soon as it has begun.
 func (c *Connection) enter(p phase) bool {
 	for {
-		old := c.phase.Load()
-		if phase(old) == phaseGivenUp {
+		old := c.phaseWord()
+		if old.phase() == phaseGivenUp {
 			return false
 		}
-		if c.phase.CompareAndSwap(old, int32(p)) {
-			now := int64(c.memory.clock.Now())
-			c.began.Store(now)
-			c.movedAt.Store(now)
-			c.moved.Store(0)
+		now := int64(c.memory.clock.Now())
+		c.began.Store(now)
+		c.movedAt.Store(now)
+		c.moved.Store(0)
+		if c.word.CompareAndSwap(int64(old), int64(old.next(p))) {
 			return true
 		}
 	}
 }
 
-// giveUp makes a connection that is in a phase give back its memory at once. A read or write
-// in progress on it fails.
-func (c *Connection) giveUp(p phase) bool {
-	if !c.phase.CompareAndSwap(int32(p), int32(phaseGivenUp)) {
+// giveUp makes a connection that is still in the phase that was judged give back its memory at
+// once. A read or write in progress on it fails.
+func (c *Connection) giveUp(judged phaseWord) bool {
+	if !c.word.CompareAndSwap(int64(judged), int64(judged.next(phaseGivenUp))) {
 		return false
 	}
 	c.release()
 	now := time.Now()
-	if p == phaseWriting {
+	if judged.phase() == phaseWriting {
+		c.cut.Store(true)
 		_ = c.Conn.SetWriteDeadline(now)
 	}
 	_ = c.Conn.SetReadDeadline(now)
@@ -218,10 +229,14 @@
 	return ErrNoMemory
 }
 
-// Write writes to the connection in pieces, and records its progress.
+// Write writes to the connection in pieces, and records its progress. It fails once the
+// connection was given up while an answer was written.
 func (c *Connection) Write(p []byte) (int, error) {
 	written := 0
 	for len(p) > 0 {
+		if c.cut.Load() {
+			return written, errCut
+		}
 		n, err := c.Conn.Write(p[:min(len(p), writePiece)])
 		written += n
 		if n > 0 {
@@ -250,7 +265,9 @@
 // refused request, that is read and dropped first: a connection that is closed with unread
 // bytes is reset, and the refusal would be lost.
 func (c *Connection) Close() error {
-	c.phase.Store(int32(phaseGivenUp))
+	for word := c.phaseWord(); !c.word.CompareAndSwap(int64(word), int64(word.next(phaseGivenUp))); {
+		word = c.phaseWord()
+	}
 	c.release()
 	defer c.memory.remove(c)
 	if c.refused.CompareAndSwap(true, false) {
--- /dev/null
+++ b/internal/caller/connection_test.go
@@ -0,0 +1,59 @@
+package caller
+
+import (
+	"bytes"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"endivespring/internal/event"
+	"endivespring/internal/memory"
+)
+
+// newHookedConnection returns a connection at a time of 100 s that has been idle since 0 s.
+func newHookedConnection(t *testing.T) (*Connection, *hookedClock) {
+	t.Helper()
+	hooked := &hookedClock{}
+	m := NewMemory(hooked, MemoryLimits{
+		MaxConnections: 4, MaxBody: 1 << 20, Connections: memory.NewBudget(1 << 20), Bodies: memory.NewBudget(1 << 20), Answers: memory.NewBudget(1 << 20),
+	}, event.NewLog(io.Discard, "test"))
+	c := newConnection(&memoryConnection{in: bytes.NewReader(nil)}, m)
+	assert.Assert(t, m.add(c))
+	hooked.now = 100 * time.Second
+	return c, hooked
+}
+
+// Guards against a connection that is given up for its pause before a request, when others look
+// at it just as the request begins.
+func TestPhaseBeginsWithItsTimes(t *testing.T) {
+	c, hooked := newHookedConnection(t)
+	hooked.hook = func() { c.memory.giveUpSlowest(c.memory.limits.Connections) }
+	assert.Assert(t, c.enter(phaseReading))
+	assert.Assert(t, c.inPhase(phaseReading), "the connection was given up")
+}
+
+// Guards against a connection that is given up in a later request than the one that was judged.
+func TestOnlyTheJudgedPhaseIsGivenUp(t *testing.T) {
+	c, _ := newHookedConnection(t)
+	for _, p := range []phase{phaseIdle, phaseReading, phaseWriting} {
+		assert.Assert(t, c.enter(p))
+		judged := c.phaseWord()
+		assert.Assert(t, c.enter(phaseRunning) && c.enter(p))
+		assert.Assert(t, !c.giveUp(judged))
+	}
+	assert.Assert(t, c.giveUp(c.phaseWord()) && !c.enter(phaseIdle))
+}
+
+// Guards against an answer that is written on after its memory went to others, since the front
+// end has set a new deadline; and against a refusal that is not written.
+func TestGivenUpAnswersAreNotWritten(t *testing.T) {
+	for p, written := range map[phase]bool{phaseReading: true, phaseWriting: false} {
+		c, _ := newHookedConnection(t)
+		assert.Assert(t, c.enter(p) && c.giveUp(c.phaseWord()))
+		assert.NilError(t, c.SetWriteDeadline(time.Now().Add(time.Minute)))
+		_, err := c.Write([]byte("answer"))
+		assert.Equal(t, err == nil, written)
+	}
+}
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -98,13 +98,19 @@
 // one that has been for the given time.
 func (m *Memory) closeIdle(least time.Duration) bool {
 	var longest *Connection
+	var judged phaseWord
 	until := int64(m.clock.Now()) - int64(least)
 	for i := range m.slots {
-		if c := m.slots[i].Load(); c != nil && c.inPhase(phaseIdle) && c.movedAt.Load() <= until && (longest == nil || c.movedAt.Load() < longest.movedAt.Load()) {
-			longest = c
+		c := m.slots[i].Load()
+		if c == nil {
+			continue
+		}
+		word := c.phaseWord()
+		if word.phase() == phaseIdle && c.movedAt.Load() <= until && (longest == nil || c.movedAt.Load() < longest.movedAt.Load()) {
+			longest, judged = c, word
 		}
 	}
-	if longest != nil && longest.giveUp(phaseIdle) {
+	if longest != nil && longest.giveUp(judged) {
 		m.countRefusal(RefusedConnection)
 	}
 	return longest != nil
@@ -130,17 +136,21 @@
 }
 
 func (m *Memory) giveUpSlowest(budget *memory.Budget) bool {
-	now, slowest := m.clock.Now(), memory.Slowest[*Connection]{}
+	now, slowest := m.clock.Now(), memory.Slowest[candidate]{}
 	for i := range m.slots {
-		if c := m.slots[i].Load(); c != nil && (c.inPhase(phaseReading) || c.inPhase(phaseWriting)) {
-			slowest.Offer(c, c.usage(budget, now))
+		c := m.slots[i].Load()
+		if c == nil {
+			continue
+		}
+		if word := c.phaseWord(); word.phase() == phaseReading || word.phase() == phaseWriting {
+			slowest.Offer(candidate{c, word}, c.usage(budget, now))
 		}
 	}
-	c, found := slowest.User()
+	chosen, found := slowest.User()
 	if !found {
 		return false
 	}
-	if c.giveUp(phaseReading) || c.giveUp(phaseWriting) {
+	if chosen.connection.giveUp(chosen.word) {
 		m.countRefusal(RefusedSlow)
 	}
 	return true
--- a/internal/caller/phase.go
+++ b/internal/caller/phase.go
@@ -13,3 +13,6 @@
 	// phaseGivenUp: its memory was given to others. It serves no further request.
 	phaseGivenUp
 )
+
+// phaseBits is how many bits of a phaseWord the phase takes.
+const phaseBits = 3
