Deliver answers that are ready, apart from those being read

Cause: answers being read from the upstream and answers being sent to callers shared answerMemory, so that callers that took theirs slowly made the answers of others 502; so did a budget of sent answers that was used up, for answers that had run.

Change: answers being sent have a budget of the same size; one large answer at a time may overdraw it. While one does, other large ones are still replaced by 502.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -322,8 +322,9 @@
 
 // StartAnswer gives back the memory of the request on a connection, which is not used any more,
 // and withdraws what an answer takes until it is written. It returns false if there is no
-// memory for a large one. Small ones are always delivered: the system's buffer takes them also
-// if the caller does not read.
+// memory for a large one: one at a time may overdraw the budget, since what it answers was run.
+// Small ones are always delivered: the system's buffer takes them also if the caller does not
+// read.
 func StartAnswer(connection net.Conn, bytes int) bool {
 	c, ok := connection.(*Connection)
 	if !ok {
@@ -333,7 +334,7 @@
 	c.body.Release()
 	c.connection.Shrink(writingCost + min(bytes, firstBytes))
 	c.connection.Force(writingCost + min(bytes, firstBytes))
-	if m := c.memory; bytes > firstBytes && !m.grow(c.answer, m.limits.Answers, bytes-firstBytes) {
+	if m := c.memory; bytes > firstBytes && !m.grow(c.answer, m.limits.Answers, bytes-firstBytes) && !c.answer.Overdraw(bytes-firstBytes) {
 		m.countRefusal(RefusedAnswer)
 		return false
 	}
--- a/internal/caller/connection_test.go
+++ b/internal/caller/connection_test.go
@@ -57,3 +57,26 @@
 		assert.Equal(t, err == nil, written)
 	}
 }
+
+// Guards against an answer that ran and is ready, but is replaced by an error as soon as the
+// budget is used up; and against a budget that many answers overdraw.
+func TestOneReadyAnswerMayOverdraw(t *testing.T) {
+	first, hooked := newHookedConnection(t)
+	connect := func() *Connection {
+		c := newConnection(&memoryConnection{in: bytes.NewReader(nil)}, first.memory)
+		assert.Assert(t, first.memory.add(c))
+		return c
+	}
+	const large = 900 << 10
+	second, third := connect(), connect()
+	hooked.now += time.Millisecond
+	assert.Assert(t, StartAnswer(first, large) && StartAnswer(second, large))
+	assert.Assert(t, !StartAnswer(third, large) && StartAnswer(third, 1<<10))
+	assert.NilError(t, second.Close())
+	assert.Assert(t, StartAnswer(third, large))
+	for _, c := range []*Connection{first, third} {
+		assert.NilError(t, c.Close())
+	}
+	_, _, answers := first.memory.Used()
+	assert.Equal(t, answers, 0)
+}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -26,6 +26,20 @@
 	return false
 }
 
+// Overdraw withdraws bytes even if they are not free, and reports whether it did: it does so only
+// while the budget is not overdrawn.
+func (b *Budget) Overdraw(bytes int) bool {
+	for {
+		free := b.free.Load()
+		if free < 0 {
+			return false
+		}
+		if b.free.CompareAndSwap(free, free-int64(bytes)) {
+			return true
+		}
+	}
+}
+
 // Give returns bytes.
 func (b *Budget) Give(bytes int) { b.free.Add(int64(bytes)) }
 
--- a/internal/memory/reservation.go
+++ b/internal/memory/reservation.go
@@ -35,6 +35,20 @@
 	}
 }
 
+// Overdraw withdraws what is lacking to hold the given number of bytes, and reports whether it
+// did: only while the budget is not overdrawn.
+func (r *Reservation) Overdraw(bytes int) bool {
+	lacking := bytes - int(r.taken.Load())
+	if lacking <= 0 {
+		return true
+	}
+	if !r.budget.Overdraw(lacking) {
+		return false
+	}
+	r.taken.Add(int64(lacking))
+	return true
+}
+
 // Shrink gives back what exceeds the given number of bytes.
 func (r *Reservation) Shrink(bytes int) {
 	for {
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -94,7 +94,8 @@
 	hasPreset *ring.Ring[struct{}]
 	// requestMemory is what large requests of callers and of other routers may use.
 	requestMemory *memory.Budget
-	// answerMemory is what large answers may use, read from the upstream or sent to callers.
+	// answerMemory is what large answers may use that are read from the upstream. Answers that are
+	// sent have a budget of their own, so that slow callers do not keep others from being read.
 	answerMemory *memory.Budget
 	// callerMemory is what callers' connections share.
 	callerMemory *caller.Memory
@@ -197,7 +198,7 @@
 	n.gatewayClient = caller.NewGatewayClient(n.clock, n.gateway.requests, observe)
 	n.answerMemory = memory.NewBudget(s.AnswerMemory)
 	n.callerMemory = caller.NewMemory(n.clock, caller.MemoryLimits{
-		MaxConnections: s.MaxConnections, MaxBody: s.MaxBody, Connections: memory.NewBudget(s.ConnectionMemory), Bodies: n.requestMemory, Answers: n.answerMemory,
+		MaxConnections: s.MaxConnections, MaxBody: s.MaxBody, Connections: memory.NewBudget(s.ConnectionMemory), Bodies: n.requestMemory, Answers: memory.NewBudget(s.AnswerMemory),
 	}, n.events)
 	metrics.RegisterCallerMemory(n.registry, n.callerMemory)
 	n.gatewayClient.LimitMemory(n.callerMemory)
