--- a/internal/caller/request_memory_test.go
+++ b/internal/caller/request_memory_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"net/http"
+	"reflect"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"endivespring/internal/call"
 	"endivespring/internal/memory"
 	"endivespring/internal/ring"
+	"endivespring/internal/settings"
 	"endivespring/internal/verdict"
 )
 
@@ -59,3 +62,18 @@
 		assert.Assert(t, time.Now().Before(end), "used: %d and %d bytes by %d connections", connections, bodies, shared.Open())
 	}
 }
+
+// Guards against defaults with which idle connections alone use up the memory of connections, so
+// that each request closes one.
+func TestRequestsFitBesideIdleConnections(t *testing.T) {
+	setting := func(name string) int {
+		field, ok := reflect.TypeFor[settings.Router]().FieldByName(name)
+		assert.Assert(t, ok)
+		number, err := strconv.Atoi(field.Tag.Get("default"))
+		assert.NilError(t, err)
+		return number
+	}
+	const reading = 200
+	idle := setting("MaxConnections") - reading
+	assert.Assert(t, idle*idleCost+reading*readingCost <= setting("ConnectionMemory"))
+}
