Count reused slices by what is read into them

Cause: the front end reuses slices of bodies; a request of 60 KiB that got one of a refused large body counted with its whole capacity, and was refused.

Change: a slice counts with the power of two that the request needs, at most its capacity.

Measured: TestReusedSlicesCountWhatIsRead failed before (1,048,676 bytes) and passes.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -203,16 +203,21 @@
 
 // bodyBytes returns what the slice of the body takes before a read into p. The front end
 // rounds it up to a power of two, and refuses bodies above the limit: what arrives beyond is
-// the framing of chunks, which is not kept.
+// the framing of chunks, which is not kept. A slice that served a larger body before counts
+// like one that was made for this one.
 func (c *Connection) bodyBytes(p []byte) int {
-	bytes := c.received + cap(p)
 	if len(p) <= readerBytes {
-		bytes = 0
-		if c.received > 0 {
-			bytes = 1 << bits.Len(uint(c.received-1))
-		}
+		return c.capped(rounded(c.received))
+	}
+	return c.capped(min(c.received+cap(p), rounded(c.received+len(p))))
+}
+
+// rounded returns the size of the slice in which the front end collects that many bytes.
+func rounded(bytes int) int {
+	if bytes <= 0 {
+		return 0
 	}
-	return c.capped(bytes)
+	return 1 << bits.Len(uint(bytes-1))
 }
 
 // capped bounds the bytes that count for a body. A slice that has grown beyond the limit on
--- a/internal/caller/connection_test.go
+++ b/internal/caller/connection_test.go
@@ -80,3 +80,12 @@
 	_, _, answers := first.memory.Used()
 	assert.Equal(t, answers, 0)
 }
+
+// Guards against a small request that is refused since its slice served a large body before.
+func TestReusedSlicesCountWhatIsRead(t *testing.T) {
+	c, _ := newHookedConnection(t)
+	c.received = 100
+	reused := make([]byte, 60<<10, 1<<20)
+	assert.Equal(t, c.bodyBytes(reused), 64<<10)
+	assert.Equal(t, c.bodyBytes(make([]byte, 64<<10)), 64<<10+100)
+}
