Give up slow requests only if that suffices

Cause: as many as 32 connections were given up for a request that did not fit even then; a body was let in by its length and refused by its slice; each read without memory looked through all connections.

Change: what slow and idle connections hold is added up first, bodies are admitted by their slice, and for 10 ms it is remembered that nobody is slow with a body.

Measured: TestNobodyIsGivenUpInVain and TestThatNobodyIsSlowIsRemembered failed with each of the three old behaviours put back and pass; internal/caller and internal/memory pass with -race.

--- a/internal/caller/connection_test.go
+++ b/internal/caller/connection_test.go
@@ -29,7 +29,8 @@
 // at it just as the request begins.
 func TestPhaseBeginsWithItsTimes(t *testing.T) {
 	c, hooked := newHookedConnection(t)
-	hooked.hook = func() { c.memory.giveUpSlowest(c.memory.limits.Connections) }
+	assert.Assert(t, c.hold(idleCost, 2*firstBytes))
+	hooked.hook = func() { c.memory.giveUpSlowest(c.memory.limits.Bodies, 1) }
 	assert.Assert(t, c.enter(phaseReading))
 	assert.Assert(t, c.inPhase(phaseReading), "the connection was given up")
 }
@@ -89,3 +90,32 @@
 	assert.Equal(t, c.bodyBytes(reused), 64<<10)
 	assert.Equal(t, c.bodyBytes(make([]byte, 64<<10)), 64<<10+100)
 }
+
+// Guards against slow requests that are given up in vain, for one that does not fit even then,
+// and against a body that is let in by its length and refused by its slice.
+func TestNobodyIsGivenUpInVain(t *testing.T) {
+	c, hooked := newHookedConnection(t)
+	assert.Assert(t, c.enter(phaseReading) && c.hold(readingCost, 512<<10))
+	hooked.now += 5 * time.Second
+	client := NewGatewayClient(hooked, nil, nil)
+	client.LimitMemory(c.memory)
+	other := c.memory.limits.Bodies.Reserve()
+	assert.Assert(t, other.Grow(512<<10))
+	assert.Assert(t, !client.HasMemoryFor(520<<10), "its slice takes 1 MiB")
+	assert.Assert(t, c.inPhase(phaseReading), "given up in vain")
+	assert.Assert(t, client.HasMemoryFor(400<<10))
+	assert.Assert(t, c.inPhase(phaseGivenUp))
+}
+
+// Guards against a crowd in which each read looks through all connections.
+func TestThatNobodyIsSlowIsRemembered(t *testing.T) {
+	c, hooked := newHookedConnection(t)
+	bodies := c.memory.limits.Bodies
+	assert.Assert(t, c.enter(phaseReading) && c.hold(readingCost, 512<<10))
+	hooked.now += 500*time.Millisecond - time.Millisecond
+	assert.Assert(t, !c.memory.giveUpSlowest(bodies, 1))
+	hooked.now += noneSlowTime - time.Millisecond
+	assert.Assert(t, !c.memory.giveUpSlowest(bodies, 1))
+	hooked.now += time.Millisecond
+	assert.Assert(t, c.memory.giveUpSlowest(bodies, 1))
+}
--- a/internal/caller/gateway_client.go
+++ b/internal/caller/gateway_client.go
@@ -47,7 +47,11 @@
 // HasMemoryFor reports whether there is memory for a request with a body of the given length
 // now, after slow requests have given up theirs. An unknown length, below zero, is not refused.
 func (g *GatewayClient) HasMemoryFor(length int) bool {
-	return g.memory == nil || length <= firstBytes || g.memory.makeRoom(g.memory.limits.Bodies, length-firstBytes)
+	if g.memory == nil || length <= firstBytes {
+		return true
+	}
+	slice := min(rounded(length), int(g.memory.maxBody.Load())+firstBytes)
+	return g.memory.makeRoom(g.memory.limits.Bodies, slice-firstBytes)
 }
 
 // SetLimits replaces the limits on callers' requests.
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -21,6 +21,9 @@
 	// minIdle is for how long a connection must have been idle to be closed for memory: the first
 	// bytes of a request may have arrived on it and not been read yet.
 	minIdle = time.Second
+	// noneSlowTime is how long it is remembered that nobody is slow with a body, so that a crowd
+	// does not look through all connections at each read.
+	noneSlowTime = 10 * time.Millisecond
 	// bodyPause is the longest pause within a body, unless the configuration sets one.
 	bodyPause = 15 * time.Second
 )
@@ -36,7 +39,9 @@
 	open    atomic.Int64
 	maxBody atomic.Int64
 	pause   atomic.Int64
-	refused [len(refusalCauses)]atomic.Int64
+	// noneSlowUntil is until when no connection is looked for that is slow with a body.
+	noneSlowUntil atomic.Int64
+	refused       [len(refusalCauses)]atomic.Int64
 }
 
 // NewMemory returns the memory of a front end without connections.
@@ -117,13 +122,14 @@
 }
 
 // makeRoom reports whether a budget has the given number of bytes left, after slow connections
-// have given up what they hold of it, and then idle ones.
+// have given up what they hold of it, and then idle ones. None does if all together do not hold
+// enough.
 func (m *Memory) makeRoom(budget *memory.Budget, bytes int) bool {
 	for range maxGivenUp {
 		if budget.Left() >= bytes {
 			return true
 		}
-		if !m.giveUpSlowest(budget) && (budget != m.limits.Connections || !m.closeIdle(minIdle)) {
+		if !m.giveUpSlowest(budget, bytes) {
 			return false
 		}
 	}
@@ -135,21 +141,38 @@
 	return r.Grow(bytes) || m.makeRoom(budget, bytes-r.Taken()) && r.Grow(bytes)
 }
 
-func (m *Memory) giveUpSlowest(budget *memory.Budget) bool {
+// giveUpSlowest makes the slowest connection give up its memory, else one that is idle if that
+// counts for the budget. It returns false if that can't free the given number of bytes.
+func (m *Memory) giveUpSlowest(budget *memory.Budget, bytes int) bool {
 	now, slowest := m.clock.Now(), memory.Slowest[candidate]{}
+	if budget == m.limits.Bodies && int64(now) < m.noneSlowUntil.Load() {
+		return false
+	}
+	idle := 0
 	for i := range m.slots {
 		c := m.slots[i].Load()
 		if c == nil {
 			continue
 		}
-		if word := c.phaseWord(); word.phase() == phaseReading || word.phase() == phaseWriting {
+		switch word := c.phaseWord(); word.phase() {
+		case phaseReading, phaseWriting:
 			slowest.Offer(candidate{c, word}, c.usage(budget, now))
+		case phaseIdle:
+			if u := c.usage(budget, now); budget == m.limits.Connections && u.Pause >= minIdle {
+				idle += u.Bytes
+			}
 		}
 	}
 	chosen, found := slowest.User()
-	if !found {
+	if !found && budget == m.limits.Bodies {
+		m.noneSlowUntil.Store(int64(now) + int64(noneSlowTime))
+	}
+	if budget.Left()+slowest.Total()+idle < bytes {
 		return false
 	}
+	if !found {
+		return idle > 0 && m.closeIdle(minIdle)
+	}
 	if chosen.connection.giveUp(chosen.word) {
 		m.countRefusal(RefusedSlow)
 	}
