--- a/internal/caller/request_memory_test.go
+++ b/internal/caller/request_memory_test.go
@@ -1,8 +1,11 @@
 package caller
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"reflect"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +15,7 @@
 	"endivespring/internal/call"
 	"endivespring/internal/memory"
 	"endivespring/internal/ring"
+	"endivespring/internal/settings"
 	"endivespring/internal/verdict"
 )
 
@@ -32,3 +36,44 @@
 	assert.Equal(t, response.Header.Get(HeaderReason), string(verdict.ReasonOverloaded))
 	assert.Equal(t, requests.Depth(), 0)
 }
+
+// Guards against requests that the library refuses on a connection that is kept, whose bytes
+// add up.
+func TestRefusedRequestsGiveBackTheirMemory(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := NewServer(testClock, ring.New[*Request]("requests", 1, ring.Refuse), 1<<20, func(*call.Answer, time.Duration) {})
+	shared := newTestMemory(memory.NewBudget(1 << 20))
+	go func() { _ = server.App().Listener(NewListener(listener, shared)) }()
+	defer func() { _ = server.App().ShutdownWithTimeout(time.Second) }()
+	for range 100 {
+		response, err := http.Post("http://"+listener.Addr().String()+"/unknown", "text/plain", strings.NewReader(strings.Repeat("b", 20000)))
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, http.StatusNotFound)
+	}
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		connections, bodies, _ := shared.Used()
+		if connections == shared.Open()*idleCost && bodies == 0 {
+			return
+		}
+		assert.Assert(t, time.Now().Before(end), "used: %d and %d bytes by %d connections", connections, bodies, shared.Open())
+	}
+}
+
+// Guards against defaults with which idle connections alone use up the memory of connections, so
+// that each request closes one.
+func TestRequestsFitBesideIdleConnections(t *testing.T) {
+	setting := func(name string) int {
+		field, ok := reflect.TypeFor[settings.Router]().FieldByName(name)
+		assert.Assert(t, ok)
+		number, err := strconv.Atoi(field.Tag.Get("default"))
+		assert.NilError(t, err)
+		return number
+	}
+	const reading = 200
+	idle := setting("MaxConnections") - reading
+	assert.Assert(t, idle*idleCost+reading*readingCost <= setting("ConnectionMemory"))
+}
