--- a/internal/executor/slot_shares.go
+++ b/internal/executor/slot_shares.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxShares is the number of operations that are accounted each on its own. Others share
-	// one account. The presets of both deployments have at most 8 routes for a service.
+	// one account. Usual presets have at most 8 routes for a service.
 	maxShares = 64
 	// maxShareAge is the number of time constants after which the unit is set anew. Values
 	// grow by e for each, and float64 holds e^700.
--- a/internal/executor/waiting.go
+++ b/internal/executor/waiting.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxQueued bounds the queue if it is bounded by time: 512 calls of 94 ms, the shortest
-	// operation of the first deployment, take 18 slots 2.7 s.
+	// maxQueued bounds the queue if it is bounded by time: even short calls, of some 94 ms,
+	// then take 18 slots 2.7 s, longer than their objectives.
 	maxQueued = 512
 	// estimateMargin is the factor by which an estimated wait must exceed the remaining time
 	// of a queued call before it is refused ahead of that time. Estimates vary by some 20%
