--- a/review/rig-2/backend.go
+++ b/review/rig-2/backend.go
@@ -45,6 +45,7 @@
 	crashAt   int // requests in a second at which a cold backend crashes, or zero
 	crashed   bool
 	sequence  int
+	answered  int // bytes of the last answer to a check-in
 	state     string
 	holds     []held
 	released  [][3]any
@@ -279,6 +280,9 @@
 	sent := time.Now()
 	status, data, err := b.put("PUT", body)
 	b.rec.note("backend %s check-in %d: %d %.60s %v", b.id, number, status, data, err)
+	b.mu.Lock()
+	b.answered = len(data)
+	b.mu.Unlock()
 	if err != nil || status != 200 || len(data) > 4096 || time.Since(sent) > time.Second {
 		return
 	}
--- a/review/rig-2/client.go
+++ b/review/rig-2/client.go
@@ -69,7 +69,7 @@
 // one control process after the other and follow redirects.
 func order(rec *record, f *fleet, method, path, body string) bool {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for attempt := range 40 {
+	for attempt := range 300 {
 		controls := f.controls()
 		m := controls[attempt%len(controls)]
 		req, err := http.NewRequest(method, "http://"+m.address(portControl)+path, strings.NewReader(body))
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -14,7 +14,7 @@
 var trouble = os.Getenv("TROUBLE") != "0"
 
 func main() {
-	cases := map[string]func(*record, *fleet) bool{"owner": owner, "drain": drain, "cold": cold}
+	cases := map[string]func(*record, *fleet) bool{"owner": owner, "drain": drain, "cold": cold, "memory": memory, "scale": scale}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: rig-2 CASE RECORD")
 		os.Exit(2)
