--- a/review/rig-2/platform/backend_test.go
+++ b/review/rig-2/platform/backend_test.go
@@ -49,7 +49,7 @@
 	state     string
 	holds     []held
 	released  [][3]any
-	seen      map[int]int // highest fence, by key
+	seen      [65536]int // highest fence, by key
 	running   map[*run]bool
 	arrivals  []time.Time
 	began     []run
@@ -73,8 +73,7 @@
 
 func newBackend(rec *record, m *machine, id string, work time.Duration, sharded bool) *backend {
 	return &backend{
-		rec: rec, m: m, id: id, born: time.Now().UnixMilli(), slots: 9, sharded: sharded, work: work, state: "ready", seen: map[int]int{},
-		running: map[*run]bool{}, stop: make(chan struct{}), hurry: make(chan struct{}, 1),
+		rec: rec, m: m, id: id, born: time.Now().UnixMilli(), slots: 9, sharded: sharded, work: work, state: "ready", running: map[*run]bool{}, stop: make(chan struct{}), hurry: make(chan struct{}, 1),
 	}
 }
 
@@ -306,7 +305,9 @@
 func (b *backend) take(rows [][]any, until time.Time) {
 	var next []held
 	for _, row := range rows {
-		next = append(next, held{int(row[0].(float64)), int(row[1].(float64)), int(row[2].(float64)), until})
+		if h := (held{int(row[0].(float64)), int(row[1].(float64)), int(row[2].(float64)), until}); b.accepts(h) {
+			next = append(next, h)
+		}
 	}
 	pending := false
 	granted := append([]held(nil), next...)
@@ -343,6 +344,20 @@
 	}
 }
 
+// accepts reports whether the backend takes a row: it has seen no higher fence on its keys.
+func (b *backend) accepts(h held) bool {
+	for key := h.from; key <= h.to; key++ {
+		if b.seen[key] > h.fence {
+			b.rec.note("backend %s does not take %d-%d with fence %d", b.id, h.from, h.to, h.fence)
+			return false
+		}
+	}
+	for key := h.from; key <= h.to; key++ {
+		b.seen[key] = h.fence
+	}
+	return true
+}
+
 // without returns the parts of a range that no row has.
 func without(r held, rows []held) []held {
 	parts := []held{r}
--- a/review/rig-2/platform/template_test.go
+++ b/review/rig-2/platform/template_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"sort"
 	"strings"
 )
 
@@ -118,12 +117,3 @@
 	}
 	return nil, false
 }
-
-func sorted(m map[string]bool) []string {
-	var keys []string
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
