--- a/review/rig-2/platform/client_test.go
+++ b/review/rig-2/platform/client_test.go
@@ -7,12 +7,22 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
 
 var lastRequest atomic.Uint64
 
+// sentAt holds when clients sent their requests, by id.
+var sentAt sync.Map
+
+// sentBefore reports whether a client sent a request before a time.
+func sentBefore(id string, t time.Time) bool {
+	at, ok := sentAt.Load(id)
+	return !ok || at.(time.Time).Before(t)
+}
+
 // request is one attempt of a client, on a connection of its own.
 type request struct {
 	method, host, path, body string
@@ -32,6 +42,7 @@
 func send(rec *record, m *machine, r request) answer {
 	id := fmt.Sprintf("%016x", lastRequest.Add(1)+0xa0000000)
 	a := answer{id: id}
+	sentAt.Store(id, time.Now())
 	rec.note("client sends %s %s %s%s to %s %v", id, r.method, r.host, r.path, m.name, r.headers)
 	defer func() { rec.note("client gets %s: status %d signature %q error %v", id, a.status, a.signature, a.err) }()
 	c, err := net.DialTimeout("tcp", m.address(portOutbound), time.Second)
