Treat a response with an invalid field name as no answer

Callers saw: an upstream in trouble answered with a header line whose name held a blank. Callers got it as the upstream's answer: "X Field: 1" was passed on, "X-Field : 1" as "X-Field: 1", " X-Field: 1" as a part of the value before it, and "Content-Length : 3" cut the body "whole" to "who" in an answer that looks complete.

Cause: fasthttp accepts blanks in field names. It drops those at the end of a name and keeps those within it, and joins a line that begins with a blank or a tab to the line before.

Change: package httphead checks the status and each field line of a head, interim responses and trailers included, before fasthttp parses it. A line whose name is not a token (RFC 9110) is an error in reading: the request may have run, a grant or release is unanswered, the connection is closed. This holds for folded values too, since a name that begins with a blank cannot be told from one; RFC 9112 lets a gateway reject them. All answers of upstreams are read at this place, runs and ranges of both dialects.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -2,18 +2,16 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"net"
-	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
-	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/executor"
+	"endivespring/internal/httphead"
 	"endivespring/internal/memory"
 	"endivespring/internal/peer"
 )
@@ -34,7 +32,6 @@
 var (
 	errInterim = eris.New("too many interim responses before the final response")
 	errStray   = eris.New("too many responses to earlier requests before the matching response")
-	errStatus  = eris.New("response status is not a number from 100 to 599")
 	// errNoMemory means that an answer is larger than the memory that answers may use.
 	errNoMemory = eris.New("not enough memory for the response")
 )
@@ -139,6 +136,9 @@
 	if length >= 0 {
 		return nil
 	}
+	if err := c.await(httphead.CheckFields); err != nil {
+		return err
+	}
 	return response.Header.ReadTrailer(c.reader)
 }
 
@@ -159,7 +159,7 @@
 
 func (c *connection) readHeader(response *fasthttp.Response) error {
 	for range maxResponseHeaders {
-		if err := c.checkStatus(); err != nil {
+		if err := c.await(httphead.CheckResponse); err != nil {
 			return err
 		}
 		if err := response.Header.Read(c.reader); err != nil {
@@ -172,18 +172,12 @@
 	return errInterim
 }
 
-// checkStatus returns errStatus if the next response has no valid status. It examines the
-// status line before the response is parsed, since fasthttp reports a status of 000 as 200.
-func (c *connection) checkStatus() error {
+// await reads ahead until check has found the end of the section that begins with the next
+// unread byte, or an error in it.
+func (c *connection) await(check func(data []byte) (int, error)) error {
 	for {
-		line, _, complete := bytes.Cut(bytes.TrimLeft(c.buffered(), "\r\n"), []byte{'\n'})
-		if complete {
-			_, rest, _ := bytes.Cut(bytes.TrimRight(line, "\r"), []byte{' '})
-			text, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
-			if status, err := strconv.ParseUint(string(text), 10, 16); err != nil || len(text) != 3 || !call.ValidStatus(int(status)) {
-				return errStatus
-			}
-			return nil
+		if length, err := check(c.buffered()); err != nil || length > 0 {
+			return err
 		}
 		if _, err := c.reader.Peek(c.reader.Buffered() + 1); err != nil {
 			return err
