Lose answers of other routers that have an invalid field name

Callers saw: nothing yet; found by looking for the cause of the broken answers elsewhere. A router that still has the fault, during an update of the fleet, passes such a field on, and the caller's router wrote it into its answer.

Cause: wire.ToAnswer checked the body and the status of an answer, not its header fields.

Change: an answer with a name that is not a token is lost, as one with an invalid status is: the request may have run.

--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
+	"golang.org/x/net/http/httpguts"
 	"google.golang.org/protobuf/proto"
 
 	"endivespring/internal/call"
@@ -59,20 +60,25 @@
 }
 
 // ToAnswer converts a message. It returns false if the body does not match the
-// checksum, or if the status is invalid: only an answer without content has none.
+// checksum, if the status is invalid (only an answer without content has none), or if the
+// name of a header field is no token (RFC 9110, section 5.1).
 func ToAnswer(a *wirepb.Answer) (call.Answer, bool) {
 	return call.Answer{
 		Number: a.GetNumber(), RequestID: string(a.GetRequestId()), Verdict: verdict.Verdict(a.GetVerdict()), Reason: verdict.Reason(a.GetReason()),
 		Status: int(a.GetStatus()), Body: a.GetBody(), ContentType: a.GetContentType(), Upstream: a.GetUpstream(), Epoch: fleet.Epoch(a.GetEpoch()),
 		Header: toFields(a.GetHeader()), RetryAfter: time.Duration(a.GetRetryAfterNs()),
 		Load: ToLoad(a.GetLoad()),
-	}, xxhash.Sum64(a.GetBody()) == a.GetChecksum() && validStatus(a)
+	}, xxhash.Sum64(a.GetBody()) == a.GetChecksum() && validStatus(a) && validFields(a.GetHeader())
 }
 
 func validStatus(a *wirepb.Answer) bool {
 	return call.ValidStatus(int(a.GetStatus())) || a.GetStatus() == 0 && verdict.Verdict(a.GetVerdict()) != verdict.Ran
 }
 
+func validFields(fields []*wirepb.Field) bool {
+	return lo.EveryBy(fields, func(f *wirepb.Field) bool { return httpguts.ValidHeaderFieldName(string(f.GetName())) })
+}
+
 func fromFields(fields []call.HeaderField) []*wirepb.Field {
 	return lo.Map(fields, func(f call.HeaderField, _ int) *wirepb.Field {
 		return &wirepb.Field{Name: []byte(f.Name), Value: []byte(f.Value)}
--- a/internal/wire/roundtrip_test.go
+++ b/internal/wire/roundtrip_test.go
@@ -97,6 +97,9 @@
 		a := rapid.MakeCustom[call.Answer](wireRange).Draw(t, "answer")
 		a.Service, a.Route = "", "" // known to the gateway; not sent
 		a.Status = rapid.IntRange(100, 599).Draw(t, "status")
+		for i := range a.Header {
+			a.Header[i].Name = rapid.StringMatching("[!#$%&'*+.^_`|~0-9A-Za-z-]+").Draw(t, "field name")
+		}
 		back, intact := ToAnswer(roundTrip(t, FromAnswer(&a)))
 		assert.Assert(t, intact)
 		assert.DeepEqual(t, back, a, emptyIsNil)
