Take no malformed answer for the result of an operators' command

Callers saw: nothing yet; found by looking for the cause of the broken answers elsewhere. 'preset apply' and other commands reported a change as accepted, or as refused with nothing changed, after an answer with a status of 000 or 099 or a blank in a field name.

Cause: the commands' client reads with the same library, which reports 000 as 200, and had no check of its own.

Change: the reading of heads moves from package upstream to httphead, as Read and ReadTrailer; httphead.Transport uses them for clients of fasthttp. With it the outcome of such an answer is unknown, and a read has no answer. The transport follows the timeout of a request, which the client sets on each; its read and write timeouts were never shorter and are gone.

Evidence: TestMalformedAnswersAreNoAnswers failed before in nine of ten cases, both for a change and a read (only a control byte other than a tab was an error), and passes.

--- a/internal/httphead/check.go
+++ b/internal/httphead/check.go
@@ -1,5 +1,6 @@
-// Package httphead checks heads of HTTP/1.1 responses before they are parsed. fasthttp accepts
-// some that are malformed, and parses them into another message than the one that was sent.
+// Package httphead reads heads of HTTP/1.1 responses and checks them before they are parsed.
+// fasthttp accepts some that are malformed, and parses them into another message than the one
+// that was sent.
 package httphead
 
 import (
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"endivespring/internal/controller"
+	"endivespring/internal/httphead"
 	"endivespring/internal/ring"
 )
 
@@ -59,7 +60,7 @@
 // may be repeated.
 func NewClient(addresses []string, token string, retryPeriod time.Duration) *Client {
 	return &Client{addresses: addresses, token: token, retryPeriod: retryPeriod, http: fasthttp.Client{
-		MaxIdemponentCallAttempts: 1, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout, MaxResponseBodySize: maxAnswerBody,
+		Transport: httphead.Transport{}, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxAnswerBody,
 		Dial:       func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, dialTimeout) },
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -20,18 +20,16 @@
 	dialTimeout = 500 * time.Millisecond
 	// idleTimeout is the time after which an idle connection is not reused. It is
 	// below the idle timeouts that HTTP servers commonly have.
-	idleTimeout        = 4 * time.Second
-	maxResponseHeaders = 4        // headers read per response, interim (1xx) ones included
-	maxStrayResponses  = 2        // late responses to earlier requests skipped before the matching one
-	maxStrayBody       = 64 << 10 // body size in bytes of a response that does not name the request
-	maxRefusals        = 64       // refusals after which a connection is not reused
-	readBuffer         = 4 << 10  // read buffer size in bytes; also the limit on a response header
-	lengthUntilClose   = -2       // fasthttp's content length for a body terminated by connection close
+	idleTimeout       = 4 * time.Second
+	maxStrayResponses = 2        // late responses to earlier requests skipped before the matching one
+	maxStrayBody      = 64 << 10 // body size in bytes of a response that does not name the request
+	maxRefusals       = 64       // refusals after which a connection is not reused
+	readBuffer        = 4 << 10  // read buffer size in bytes; also the limit on a response header
+	lengthUntilClose  = -2       // fasthttp's content length for a body terminated by connection close
 )
 
 var (
-	errInterim = eris.New("too many interim responses before the final response")
-	errStray   = eris.New("too many responses to earlier requests before the matching response")
+	errStray = eris.New("too many responses to earlier requests before the matching response")
 	// errNoMemory means that an answer is larger than the memory that answers may use.
 	errNoMemory = eris.New("not enough memory for the response")
 )
@@ -89,7 +87,7 @@
 	defer c.answer.release()
 	for range maxStrayResponses + 1 {
 		response.Reset()
-		if err := c.readHeader(response); err != nil {
+		if err := httphead.Read(c.reader, &response.Header); err != nil {
 			return err
 		}
 		limit := min(maxBody, c.answer.limit())
@@ -109,7 +107,7 @@
 // readAnswer reads the next response, whose body may have up to maxBody bytes.
 func (c *connection) readAnswer(response *fasthttp.Response, maxBody int) error {
 	defer c.answer.release()
-	if err := c.readHeader(response); err != nil {
+	if err := httphead.Read(c.reader, &response.Header); err != nil {
 		return err
 	}
 	return c.readBody(response, min(maxBody, c.answer.limit()))
@@ -136,10 +134,7 @@
 	if length >= 0 {
 		return nil
 	}
-	if err := c.await(httphead.CheckFields); err != nil {
-		return err
-	}
-	return response.Header.ReadTrailer(c.reader)
+	return httphead.ReadTrailer(c.reader, &response.Header)
 }
 
 // readUntilClose reads a body terminated by connection close. A reset is reported as
@@ -157,40 +152,6 @@
 	return nil
 }
 
-func (c *connection) readHeader(response *fasthttp.Response) error {
-	for range maxResponseHeaders {
-		if err := c.await(httphead.CheckResponse); err != nil {
-			return err
-		}
-		if err := response.Header.Read(c.reader); err != nil {
-			return err
-		}
-		if response.StatusCode() > 199 {
-			return nil
-		}
-	}
-	return errInterim
-}
-
-// await reads ahead until check has found the end of the section that begins with the next
-// unread byte, or an error in it.
-func (c *connection) await(check func(data []byte) (int, error)) error {
-	for {
-		if length, err := check(c.buffered()); err != nil || length > 0 {
-			return err
-		}
-		if _, err := c.reader.Peek(c.reader.Buffered() + 1); err != nil {
-			return err
-		}
-	}
-}
-
-// buffered returns the bytes that were received and not read yet.
-func (c *connection) buffered() []byte {
-	data, _ := c.reader.Peek(c.reader.Buffered())
-	return data
-}
-
 // setDeadline sets the deadline of pending reads and writes to grace from now. It may
 // be called while another goroutine uses the connection.
 func (c *connection) setDeadline(grace time.Duration) { _ = c.net.SetDeadline(time.Now().Add(grace)) }
