Count no malformed answer as one in load, soak and scenarios

Callers saw: nothing; this is why our runs did not see the broken answers either.

Cause: the callers of 'endivespring load', of the soak and of the scenarios read with the library that accepts malformed heads, as the router did: an answer with a status of 000 or a blank in a field name counted as ran.

Change: they use httphead.Transport. Such an answer counts as none.

--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"endivespring/internal/duty"
+	"endivespring/internal/httphead"
 	"endivespring/internal/ring"
 )
 
@@ -19,7 +20,7 @@
 	scheduled := ring.New[scheduledRequest]("shots", max(1, answers), ring.Wait)
 	results := ring.New[result]("hits", s.Workers, ring.Wait)
 	client := &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1, MaxConnsPerHost: s.Workers,
+		Transport: httphead.Transport{}, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: s.Workers,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
 	for range s.Workers {
--- a/internal/soak/caller_duty.go
+++ b/internal/soak/caller_duty.go
@@ -13,6 +13,7 @@
 
 	"endivespring/internal/caller"
 	"endivespring/internal/clock"
+	"endivespring/internal/httphead"
 	"endivespring/internal/ring"
 	"endivespring/internal/standin"
 	"endivespring/internal/verdict"
@@ -42,7 +43,7 @@
 
 func newCallerClient() *fasthttp.Client {
 	return &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1, MaxConnsPerHost: callerCount, MaxIdleConnDuration: time.Hour,
+		Transport: httphead.Transport{}, MaxIdemponentCallAttempts: 1, MaxConnsPerHost: callerCount, MaxIdleConnDuration: time.Hour,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
 }
--- a/scenarios/callers_test.go
+++ b/scenarios/callers_test.go
@@ -14,6 +14,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/valyala/fasthttp"
 
+	"endivespring/internal/httphead"
 	"endivespring/internal/standin"
 )
 
@@ -67,7 +68,7 @@
 	for _, name := range strings.Split(args[4], ",") {
 		c.callers = append(c.callers, ts.Getenv("caller_"+name))
 	}
-	c.client = &fasthttp.Client{MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
+	c.client = &fasthttp.Client{Transport: httphead.Transport{}, MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false }}
 	callerGroups.Store(callerGroupKey{fleetOf(ts), c.name}, c)
 	go c.run()
 }
