--- a/internal/httphead/check.go
+++ b/internal/httphead/check.go
@@ -24,10 +24,10 @@
 	ErrFieldName = eris.New("response has a header line without a valid field name")
 )
 
-// CheckResponse examines a response that begins with data, empty lines before it included. It
+// checkResponse examines a response that begins with data, empty lines before it included. It
 // returns the length of the head in bytes, zero if data has only a part of it. An invalid line
 // is reported as soon as it is complete.
-func CheckResponse(data []byte) (int, error) {
+func checkResponse(data []byte) (int, error) {
 	start := len(data) - len(bytes.TrimLeft(data, "\r\n"))
 	line, fields, complete := bytes.Cut(data[start:], []byte{'\n'})
 	if !complete {
@@ -36,16 +36,16 @@
 	if !validStatusLine(bytes.TrimRight(line, "\r")) {
 		return 0, ErrStatus
 	}
-	length, err := CheckFields(fields)
+	length, err := checkFields(fields)
 	if err != nil || length == 0 {
 		return 0, err
 	}
 	return len(data) - len(fields) + length, nil
 }
 
-// CheckFields examines a header or trailer section that begins with data. It returns its
+// checkFields examines a header or trailer section that begins with data. It returns its
 // length in bytes with the empty line that ends it, zero if data has only a part of it.
-func CheckFields(data []byte) (int, error) {
+func checkFields(data []byte) (int, error) {
 	for rest := data; ; {
 		line, after, complete := bytes.Cut(rest, []byte{'\n'})
 		if !complete {
--- a/internal/httphead/check_test.go
+++ b/internal/httphead/check_test.go
@@ -19,17 +19,17 @@
 		"HTTP/1.1 200 OK\nA: 1\n\n",
 	} {
 		for cut := range len(head) {
-			length, err := CheckResponse([]byte(head[:cut]))
+			length, err := checkResponse([]byte(head[:cut]))
 			assert.Check(t, length == 0 && err == nil, "%q: %d, %v", head[:cut], length, err)
 		}
-		length, err := CheckResponse([]byte(head + "\r\nbody: 1"))
+		length, err := checkResponse([]byte(head + "\r\nbody: 1"))
 		assert.Check(t, length == len(head) && err == nil, "%q: %d, %v", head, length, err)
 	}
 }
 
 func TestTrailersEndWithAnEmptyLine(t *testing.T) {
 	for data, want := range map[string]int{"": 0, "\r": 0, "\r\n": 2, "A: 1\r\n": 0, "A: 1\r\n\r\nHTTP/1.1": 8} {
-		length, err := CheckFields([]byte(data))
+		length, err := checkFields([]byte(data))
 		assert.Check(t, length == want && err == nil, "%q: %d, %v", data, length, err)
 	}
 }
@@ -44,7 +44,7 @@
 		"HTTP/1.1 200 OK\r\nA: 1\r\n b\n": ErrFieldName,
 		"HTTP/1.1 200 OK\r\n\r\r\n":       ErrFieldName,
 	} {
-		_, err := CheckResponse([]byte(data))
+		_, err := checkResponse([]byte(data))
 		assert.Check(t, err == want, "%q: %v", data, err)
 	}
 }
@@ -59,7 +59,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		length, err := CheckResponse(data)
+		length, err := checkResponse(data)
 		reader, header := bufio.NewReader(bytes.NewReader(data)), &fasthttp.ResponseHeader{}
 		if err != nil || length == 0 || header.Read(reader) != nil {
 			return
--- a/internal/httphead/read.go
+++ b/internal/httphead/read.go
@@ -18,7 +18,7 @@
 // ErrFieldName for a malformed head, ErrInterim, or an error of the reader or the parser.
 func Read(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
 	for range maxHeads {
-		if err := await(reader, CheckResponse); err != nil {
+		if err := await(reader, checkResponse); err != nil {
 			return err
 		}
 		if err := header.Read(reader); err != nil {
@@ -33,7 +33,7 @@
 
 // ReadTrailer reads the trailer section after a chunked body. Its errors are those of Read.
 func ReadTrailer(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
-	if err := await(reader, CheckFields); err != nil {
+	if err := await(reader, checkFields); err != nil {
 		return err
 	}
 	return header.ReadTrailer(reader)
