Wait for an earlier process's leases after any first heartbeat

Cause: a router process that has just started takes the first heartbeat for the newest of its upstream. If that one arrives late and shows no held ranges, the executor concluded that no earlier process had leased any, and reported revoked ranges as released at once. A late list of released ranges did the same.

Change: the leases of an earlier process count from the start of the present one for the longest hold, whatever the first heartbeat shows, as they do for grants by request. A heartbeat that started after the earlier process had ended proves otherwise, as before. A release is proved by a heartbeat that shows the range as held under its present epoch, and a later one that names it as released. TestRangesOfSilentUpstreamAreReleasedAtExpiry now says that no earlier process has leased anything; its bounds are the same.

--- a/internal/executor/key_ranges.go
+++ b/internal/executor/key_ranges.go
@@ -35,7 +35,7 @@
 
 // Observe takes what a heartbeat says of the upstream, and leases nothing.
 func (c *Core) Observe(now clock.Instant, h *Heartbeat) {
-	c.rangeLeases.track(now, h.Upstream, h.Holds)
+	c.rangeLeases.track(now, h)
 	c.rangeRequests.track(now, h.Upstream, h.Newer, c.view)
 	c.limiter.SetColdTime(now, h.ColdFor)
 }
--- a/internal/executor/range_leases.go
+++ b/internal/executor/range_leases.go
@@ -35,22 +35,43 @@
 	service string
 	boot    string
 	// inheritedExpiry is when all leases have expired that an earlier process
-	// of this router may have given to the same boot of the upstream.
+	// of this router may have given. Until then, a heartbeat that shows no range
+	// as held may have been sent before the upstream got its leases.
 	inheritedExpiry clock.Instant
 	leased          []leasedRange
+	// shown are the ranges that heartbeats of the tracked boot showed as held up to
+	// inheritedExpiry.
+	shown []HeldRange
 	// maxHold is the configured maximum duration of a lease.
 	maxHold time.Duration
 }
 
-// track switches to another boot of the upstream. If that boot holds ranges
-// already, an earlier process of this router leased them.
-func (l *rangeLeases) track(now clock.Instant, u fleet.Upstream, holds []HeldRange) {
-	if l.boot == u.Boot && l.service == u.Service {
+// begin records that this process has started: earlier ones give no leases from
+// then on.
+func (l *rangeLeases) begin(now clock.Instant) {
+	if l.inheritedExpiry == 0 {
+		l.inheritedExpiry = now.Add(maxHoldLocal)
+	}
+}
+
+// track takes the upstream of a heartbeat and the ranges that it shows as held. No
+// earlier process has leased ranges to an upstream that is newer than it.
+func (l *rangeLeases) track(now clock.Instant, h *Heartbeat) {
+	l.begin(now)
+	if h.Newer {
+		l.inheritedExpiry = min(l.inheritedExpiry, now)
+	}
+	if l.boot != h.Upstream.Boot || l.service != h.Upstream.Service {
+		l.service, l.boot, l.leased, l.shown = h.Upstream.Service, h.Upstream.Boot, nil, nil
+	}
+	if now >= l.inheritedExpiry {
+		l.shown = nil
 		return
 	}
-	l.service, l.boot, l.inheritedExpiry, l.leased = u.Service, u.Boot, 0, nil
-	if len(holds) > 0 {
-		l.inheritedExpiry = now.Add(maxHoldLocal)
+	for _, held := range h.Holds {
+		if !slices.Contains(l.shown, held) {
+			l.shown = append(l.shown, held)
+		}
 	}
 }
 
@@ -129,7 +150,7 @@
 	for _, r := range l.owned(view, fleet.ShardRevoking) {
 		for _, part := range released {
 			first, last := max(r.First, part.First), min(r.Last, part.Last)
-			if first <= last && !overlaps(holds, first, last) {
+			if first <= last && !overlaps(holds, first, last) && l.provesRelease(now, first, last, r.Epoch) {
 				report.Releases = append(report.Releases, fsm.RangeRelease{First: first, Last: last, Epoch: r.Epoch, Handover: part.Handover})
 			}
 		}
@@ -140,6 +161,15 @@
 	return report
 }
 
+// provesRelease reports whether a heartbeat that names the keys first to last as
+// released was sent after the upstream had taken them under an epoch. One that was
+// sent to an earlier process may arrive late and mean an earlier epoch.
+func (l *rangeLeases) provesRelease(now clock.Instant, first, last uint32, epoch fleet.Epoch) bool {
+	return now >= l.inheritedExpiry || slices.ContainsFunc(l.shown, func(h HeldRange) bool {
+		return h.First <= first && h.Last >= last && h.Epoch == epoch
+	})
+}
+
 // rangeExpiry returns when the last lease of any part of a range expires.
 func (l *rangeLeases) rangeExpiry(r *fleet.KeyRange) clock.Instant {
 	expiry := l.inheritedExpiry
--- a/internal/executor/range_leases_test.go
+++ b/internal/executor/range_leases_test.go
@@ -105,7 +105,7 @@
 func TestRangesOfSilentUpstreamAreReleasedAtExpiry(t *testing.T) {
 	s := newRangeFixture(t)
 	s.setPhase(t, fleet.ShardGranted)
-	answer, _ := s.sendHeartbeat(Heartbeat{})
+	answer, _ := s.sendHeartbeat(Heartbeat{Newer: true}) // no earlier process has leased it anything
 	leasedAt := s.now
 	s.setPhase(t, fleet.ShardRevoking)
 	reported := clock.Instant(0)
@@ -139,6 +139,46 @@
 	assert.Equal(t, len(s.Take().RangeReports), 1)
 }
 
+// Guards against two holders of a key after a restart of the router: a heartbeat that was
+// sent before the upstream got its leases arrives late, as the first one of the new process,
+// and shows nothing as held. Later ones of the same kind show no more.
+func TestLateHeartbeatAfterARestartReleasesNothing(t *testing.T) {
+	for name, late := range map[string]Heartbeat{
+		"nothing held":      {},
+		"an earlier epoch":  {Released: []ReleasedRange{{First: 0, Last: 32767, Handover: "old"}}},
+		"other ranges held": {Holds: []HeldRange{{First: 40000, Last: 40001, Epoch: 7}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newRangeFixture(t)
+			s.setPhase(t, fleet.ShardRevoking)
+			started := s.now
+			for s.now < started.Add(maxHold) {
+				s.SetRangeLease(s.now.Add(5 * time.Second))
+				_, out := s.sendHeartbeat(late)
+				assert.Equal(t, len(out.RangeReports), 0, "%v after the start", s.now.Sub(started))
+				s.now = s.now.Add(500 * time.Millisecond)
+			}
+			s.now = s.now.Add(time.Second)
+			_, out := s.sendHeartbeat(Heartbeat{})
+			assert.Equal(t, len(out.RangeReports), 1)
+		})
+	}
+}
+
+// A heartbeat that shows a range as held is newer than its lease, so that a later one proves
+// the release: the keys need not wait for the leases of the router's earlier process.
+func TestReleaseAfterARestartIsReportedAtOnce(t *testing.T) {
+	released := Heartbeat{Released: []ReleasedRange{{First: 0, Last: 32767, Handover: "h"}}}
+	for epoch, want := range map[fleet.Epoch]int{6: 0, 7: 1} {
+		s := newRangeFixture(t)
+		s.setPhase(t, fleet.ShardRevoking)
+		_, out := s.sendHeartbeat(Heartbeat{Holds: []HeldRange{{First: 0, Last: 32767, Epoch: epoch}}})
+		assert.Equal(t, len(out.RangeReports), 0)
+		_, out = s.sendHeartbeat(released)
+		assert.Equal(t, len(out.RangeReports), want, "held under epoch %d", epoch)
+	}
+}
+
 // TestEarlierBootsAreReportedAsEnded restarts both router and upstream, as
 // after a power loss. The new executor must release the ranges of the
 // upstream's earlier boot, since no other process can.
--- a/internal/executor/view.go
+++ b/internal/executor/view.go
@@ -15,6 +15,7 @@
 	if !c.view.Apply(change) {
 		return false
 	}
+	c.rangeLeases.begin(now)
 	c.rangeRequests.begin(now)
 	if change.ChangesPreset() {
 		c.applyPreset()
