Lease no keys before the router's registration is replicated

Two upstreams could hold the same keys for as long as a hold.

Cause: when a session ends, control frees the ranges of an upstream that is not registered under the router's newer session. A new process of the router leased the upstream its ranges with its first heartbeat, before the registration was replicated. If the earlier session ended in between, they were free and leased.

Change: the executor leases granted ranges only once the view shows the upstream as registered under its session, and the router answers the heartbeat when it does, or without leases after 0.5 s. View and end of sessions have one order, so that a lease is never of ranges that the end of the earlier session frees. The test of a late heartbeat now shows the registration before it expects leases, and checks that none come earlier.

--- a/internal/executor/key_ranges.go
+++ b/internal/executor/key_ranges.go
@@ -26,13 +26,25 @@
 	}
 	c.reportEarlierBoots()
 	c.reportRanges(c.rangeLeases.releases(now, c.view, h.Released, h.Holds))
-	answer := c.rangeLeases.renew(now, c.view, c.rangeLeaseExpiry)
+	answer := LeaseAnswer{}
+	if !c.AwaitsRegistration() {
+		answer = c.rangeLeases.renew(now, c.view, c.rangeLeaseExpiry)
+	}
 	c.reportLoads(now, answer.Ranges, loadInterval)
 	c.logRangeLease(&answer)
 	c.startQueued(now)
 	return answer
 }
 
+// AwaitsRegistration reports whether key ranges are granted to the upstream that must not be
+// leased to it yet: under this session, the router has registered no upstream or another one.
+// Control frees the ranges when the session of the router's earlier process ends meanwhile.
+func (c *Core) AwaitsRegistration() bool {
+	registered, ok := c.view.Routers[c.self]
+	return ok && (registered.Session != c.shards.session || registered.Upstream.Boot != c.rangeLeases.boot) &&
+		len(c.rangeLeases.owned(c.view, fleet.ShardGranted)) > 0
+}
+
 // Observe takes what a heartbeat says of the upstream, and leases nothing.
 func (c *Core) Observe(now clock.Instant, h *Heartbeat) {
 	c.rangeLeases.track(now, h)
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -70,6 +70,10 @@
 	upstream fleet.Upstream
 	// lastHeartbeat is the newest heartbeat of an upstream that sends them.
 	lastHeartbeat *upstream.Heartbeat
+	// awaiting is the heartbeat whose answer awaits the registration of its upstream up to
+	// awaitingUntil, or nil.
+	awaiting      *upstream.Heartbeat
+	awaitingUntil clock.Instant
 	departures    departures
 	// early is the newest heartbeat that arrived before the first lease of a view, or nil.
 	early *upstream.Notification
@@ -110,6 +114,7 @@
 		case update := <-d.updates.Out():
 			d.update(&update)
 			d.applyEarly(ctx)
+			d.answerRegistered(d.clock.Now())
 		case notification := <-d.notifications.Out():
 			d.handleNotification(ctx, &notification)
 		case response := <-d.ranges.responses.Out():
@@ -159,6 +164,9 @@
 	if d.upstream.Name != "" && !d.upstreamGone {
 		deadline = min(deadline, d.lastContact.Add(d.contactTimeout))
 	}
+	if d.awaiting != nil {
+		deadline = min(deadline, d.awaitingUntil)
+	}
 	now := d.clock.Now()
 	if d.reporter != nil {
 		load := d.load(now)
@@ -179,6 +187,7 @@
 func (d *executorDuty) tick(ctx context.Context) {
 	now := d.clock.Now()
 	d.core.Tick(now)
+	d.answerRegistered(now)
 	if d.upstream.Name != "" && !d.upstreamGone && now.Sub(d.lastContact) >= d.contactTimeout {
 		d.events.Record(event.UpstreamLost, event.F("upstream", d.upstream.Name))
 		d.withdrawUpstream(ctx)
--- a/internal/router/foreign_heartbeat_test.go
+++ b/internal/router/foreign_heartbeat_test.go
@@ -30,13 +30,30 @@
 
 // heartbeat passes a heartbeat to the duty and returns the answer.
 func (s *executorHarness) heartbeat(name, service string, startMillis int64, sequence uint64) executor.LeaseAnswer {
+	return <-s.sendHeartbeat(name, service, startMillis, sequence).Out()
+}
+
+// sendHeartbeat passes a heartbeat to the duty. The answer is the reply's.
+func (s *executorHarness) sendHeartbeat(name, service string, startMillis int64, sequence uint64) ring.Reply[executor.LeaseAnswer] {
 	u := fleet.Upstream{Name: name, Service: service, Address: "a", Boot: name, Slots: 2, ColdSlots: 2, StartMillis: startMillis}
 	reply := ring.NewReply[executor.LeaseAnswer]()
 	s.handleNotification(s.ctx, &upstream.Notification{Upstream: u, Heartbeat: &upstream.Heartbeat{
 		Sequence: sequence, Heartbeat: executor.Heartbeat{Upstream: u}, Reply: reply,
 	}})
 	s.dispatch(s.ctx)
-	return <-reply.Out()
+	return reply
+}
+
+// register shows the duty a view in which control has registered its upstream, as the
+// duty's loop does.
+func (s *executorHarness) register(number fleet.Session) {
+	version := s.core.ViewVersion()
+	until := s.time.now.Add(time.Minute)
+	s.update(&session.Update{Session: number, OwnershipUntil: until, ViewUntil: until, RangeLeaseUntil: until, Change: &fleet.Change{
+		From: version, To: version + 1, Routers: []fleet.Router{{ID: "self", Session: number, Upstream: s.upstream}},
+	}})
+	s.answerRegistered(s.time.now)
+	s.dispatch(s.ctx)
 }
 
 // Guards against a heartbeat of another writer that takes the place of a live upstream: control
--- a/internal/router/heartbeat.go
+++ b/internal/router/heartbeat.go
@@ -15,6 +15,10 @@
 // means that the upstream has exited. It exceeds the heartbeat interval.
 const missedHeartbeatTime = 1200 * time.Millisecond
 
+// registrationTime is how long the answer to a heartbeat is delayed until control has
+// registered its upstream. Upstreams wait for a second.
+const registrationTime = 500 * time.Millisecond
+
 // handleHeartbeat processes a heartbeat and answers it. One that is older than the
 // last, or comes from a boot that has already exited, changes nothing and renews no
 // lease.
@@ -31,6 +35,28 @@
 		return
 	}
 	d.acceptHeartbeat(ctx, now, notification)
+	d.answerAwaiting(now)
+	d.awaiting, d.awaitingUntil = heartbeat, now
+	if d.core.AwaitsRegistration() {
+		d.awaitingUntil = now.Add(registrationTime)
+	}
+	d.answerRegistered(now)
+}
+
+// answerRegistered answers the heartbeat that awaits the registration of its upstream, once
+// the view shows it or its time is over.
+func (d *executorDuty) answerRegistered(now clock.Instant) {
+	if d.awaiting != nil && (now >= d.awaitingUntil || !d.core.AwaitsRegistration()) {
+		d.answerAwaiting(now)
+	}
+}
+
+func (d *executorDuty) answerAwaiting(now clock.Instant) {
+	if d.awaiting == nil {
+		return
+	}
+	heartbeat := d.awaiting
+	d.awaiting = nil
 	heartbeat.Reply.Send(d.core.Heartbeat(now, &heartbeat.Heartbeat))
 }
 
@@ -72,6 +98,7 @@
 	d.lastHeartbeat, d.earlierBoot = heartbeat, earlierBoot{}
 	heartbeat.Newer = heartbeat.NewerThanRouter(d.startMillis)
 	d.applyHeartbeat(ctx, now, notification, wasDraining)
+	d.core.Observe(now, &heartbeat.Heartbeat)
 }
 
 // keepEarly keeps the newest heartbeat that arrives before the first lease of a view: it may
@@ -98,7 +125,6 @@
 		d.recordLate(early.Heartbeat)
 	default:
 		d.acceptHeartbeat(ctx, now, early)
-		d.core.Observe(now, &early.Heartbeat.Heartbeat)
 	}
 }
 
--- a/internal/router/late_boot_test.go
+++ b/internal/router/late_boot_test.go
@@ -56,7 +56,10 @@
 			}
 			assert.Equal(t, s.rangeUpdates.Depth(), 0, "keys are reported as free")
 			assert.Equal(t, s.registrations.Depth(), 0)
-			answer := s.heartbeat("later", "s", 2000, 40)
+			reply := s.sendHeartbeat("later", "s", 2000, 40)
+			assert.Equal(t, reply.Depth(), 0, "leased before the registration")
+			s.register(2)
+			answer := <-reply.Out()
 			assert.Assert(t, answer.Renews && len(answer.Ranges) == 1)
 			assert.Assert(t, !s.heartbeat("earlier", "s", 1000, 10).Renews)
 			assert.Equal(t, s.upstream.Name, "later")
@@ -113,7 +116,9 @@
 			assert.Equal(t, s.upstream.Name, "")
 			assert.Equal(t, s.registrations.Depth(), 0)
 			next := time.Now().Add(time.Hour).UnixMilli()
-			assert.Assert(t, s.heartbeat("later", "s", next, 1).Renews, "a later start under the same name")
+			reply := s.sendHeartbeat("later", "s", next, 1)
+			s.register(2)
+			assert.Assert(t, (<-reply.Out()).Renews, "a later start under the same name")
 		})
 	}
 }
