Count bodies of callers until their memory is collected

Cause: requestMemory counted slices in use. What a chunked body had outgrown, as the HTTP library doubles its slice, and the slices of ended or refused bodies stayed in memory until the garbage collector ran.

Change: memory.Buffers makes slices that count until they are collected, since a sender or link may read a body longer than its request lasts. Who finds the budget used up has garbage collected and waits 250 ms at most. The platform's front end reads bodies itself with the library's streams, and parks connections that are idle for 1 s, since the library keeps its reader then. Bodies in parts from other routers use the same buffers.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -58,8 +58,20 @@
 	slot   int
 	// word is a phaseWord.
 	word atomic.Int64
-	// connection, body and answer are what is withdrawn from the budgets.
+	// connection, body and answer are what is withdrawn from the budgets. large is how many
+	// bytes of buffers the present request holds beside them.
 	connection, body, answer *memory.Reservation
+	large                    atomic.Int64
+	// streams is set if the front end reads bodies itself and its reader stays until the
+	// connection is parked.
+	streams *StreamListener
+	// readDeadline is the deadline of reads that the front end has set.
+	readDeadline time.Time
+	// parked is set from when the front end was told that the connection has ended until a
+	// request begins on it. first is the first byte of that request, once it is there.
+	parked   atomic.Bool
+	hasFirst bool
+	first    byte
 	// received is how many bytes of the present request have arrived.
 	received int
 	// inBody is set once the header of the present request was read.
@@ -128,6 +140,7 @@
 func (c *Connection) release() {
 	c.connection.Release()
 	c.body.Release()
+	c.large.Store(0)
 	c.answer.Release()
 }
 
@@ -140,7 +153,7 @@
 	case c.memory.limits.Connections:
 		u.Bytes = c.connection.Taken()
 	case c.memory.limits.Bodies:
-		u.Bytes = c.body.Taken()
+		u.Bytes = c.body.Taken() + int(c.large.Load())
 	default:
 		u.Bytes = c.answer.Taken()
 	}
@@ -156,18 +169,19 @@
 // Read reads from the connection and records when the bytes arrived. It returns ErrNoMemory
 // once the request has grown beyond what the budgets allow, or was given up for others.
 func (c *Connection) Read(p []byte) (int, error) {
+	if c.hasFirst {
+		p[0], c.hasFirst = c.first, false
+		return 1, nil
+	}
+	if c.lingers(p) {
+		return c.linger(p)
+	}
 	if !c.prepare(p) {
 		return 0, c.refuse()
 	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.receivedAt = c.memory.clock.Now()
-		c.movedAt.Store(int64(c.receivedAt))
-		c.moved.Add(int64(n))
-		if c.unreadSince > 0 {
-			c.receivedAt = c.unreadSince
-		}
-		c.received += n
+		c.countReceived(n)
 	}
 	if err != nil && c.inPhase(phaseGivenUp) {
 		return 0, c.refuse()
@@ -175,15 +189,21 @@
 	return n, err
 }
 
+func (c *Connection) countReceived(n int) {
+	c.receivedAt = c.memory.clock.Now()
+	c.movedAt.Store(int64(c.receivedAt))
+	c.moved.Add(int64(n))
+	if c.unreadSince > 0 {
+		c.receivedAt = c.unreadSince
+	}
+	c.received += n
+}
+
 // prepare withdraws what a read into p needs. Front ends wait for the first byte of a request
 // with a slice of one byte, and hold no buffer meanwhile.
 func (c *Connection) prepare(p []byte) bool {
 	if len(p) <= 1 && !c.inPhase(phaseReading) {
-		c.body.Release()
-		c.answer.Release()
-		c.connection.Shrink(idleCost)
-		c.received, c.inBody = 0, false
-		return c.enter(phaseIdle)
+		return c.rest(idleCost)
 	}
 	if !c.inPhase(phaseReading) && !c.enter(phaseReading) {
 		return false
@@ -201,11 +221,24 @@
 	return true
 }
 
+// rest begins a phase without a request, in which the connection holds the given cost at most.
+func (c *Connection) rest(cost int) bool {
+	c.body.Release()
+	c.large.Store(0)
+	c.answer.Release()
+	c.connection.Shrink(cost)
+	c.received, c.inBody = 0, false
+	return c.enter(phaseIdle)
+}
+
 // bodyBytes returns what the slice of the body takes before a read into p. The front end
 // rounds it up to a power of two, and refuses bodies above the limit: what arrives beyond is
 // the framing of chunks, which is not kept. A slice that served a larger body before counts
 // like one that was made for this one.
 func (c *Connection) bodyBytes(p []byte) int {
+	if c.streams != nil {
+		return min(rounded(c.received), firstBytes)
+	}
 	if len(p) <= readerBytes {
 		return c.capped(rounded(c.received))
 	}
@@ -259,6 +292,7 @@
 // SetReadDeadline sets the deadline of reads. One as far ahead as BodyReadTimeout means that
 // the body follows.
 func (c *Connection) SetReadDeadline(at time.Time) error {
+	c.readDeadline = at
 	c.inBody = time.Until(at) > BodyReadTimeout/2
 	if c.inBody {
 		at = time.Now().Add(time.Duration(c.memory.pause.Load()))
@@ -268,8 +302,11 @@
 
 // Close closes the connection and gives back its memory. If the caller may still send a
 // refused request, that is read and dropped first: a connection that is closed with unread
-// bytes is reset, and the refusal would be lost.
+// bytes is reset, and the refusal would be lost. One that was parked stays open.
 func (c *Connection) Close() error {
+	if c.parked.Load() && c.streams.park(c) {
+		return nil
+	}
 	for word := c.phaseWord(); !c.word.CompareAndSwap(int64(word), int64(word.next(phaseGivenUp))); {
 		word = c.phaseWord()
 	}
@@ -315,10 +352,14 @@
 		return false
 	}
 	c.answer.Release()
+	cost := runningCost
+	if c.streams != nil {
+		cost, bytes = runningCost+readerBytes, min(bytes, firstBytes)
+	}
 	bytes = c.capped(bytes)
-	c.connection.Shrink(runningCost + min(bytes, firstBytes))
+	c.connection.Shrink(cost + min(bytes, firstBytes))
 	c.body.Shrink(max(0, bytes-firstBytes))
-	if c.hold(runningCost, bytes) {
+	if c.hold(cost, bytes) {
 		return true
 	}
 	c.memory.countRefusal(RefusedReading)
@@ -337,8 +378,13 @@
 	}
 	c.received, c.inBody = 0, false
 	c.body.Release()
-	c.connection.Shrink(writingCost + min(bytes, firstBytes))
-	c.connection.Force(writingCost + min(bytes, firstBytes))
+	c.large.Store(0)
+	cost := writingCost + min(bytes, firstBytes)
+	if c.streams != nil {
+		cost += readerBytes
+	}
+	c.connection.Shrink(cost)
+	c.connection.Force(cost)
 	if m := c.memory; bytes > firstBytes && !m.grow(c.answer, m.limits.Answers, bytes-firstBytes) && !c.answer.Overdraw(bytes-firstBytes) {
 		m.countRefusal(RefusedAnswer)
 		return false
--- a/internal/caller/gateway_client.go
+++ b/internal/caller/gateway_client.go
@@ -38,22 +38,12 @@
 	return &GatewayClient{clock: c, requests: requests, observe: observe}
 }
 
-// LimitMemory sets the memory that HasMemoryFor looks at, before requests are served.
+// LimitMemory sets the memory that follows the limits, before requests are served.
 func (g *GatewayClient) LimitMemory(m *Memory) {
 	g.memory = m
 	m.setLimits(g.Limits())
 }
 
-// HasMemoryFor reports whether there is memory for a request with a body of the given length
-// now, after slow requests have given up theirs. An unknown length, below zero, is not refused.
-func (g *GatewayClient) HasMemoryFor(length int) bool {
-	if g.memory == nil || length <= firstBytes {
-		return true
-	}
-	slice := min(rounded(length), int(g.memory.maxBody.Load())+firstBytes)
-	return g.memory.makeRoom(g.memory.limits.Bodies, slice-firstBytes)
-}
-
 // SetLimits replaces the limits on callers' requests.
 func (g *GatewayClient) SetLimits(limits fleet.CallerLimits) {
 	g.limits.Store(&limits)
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -141,6 +141,30 @@
 	return r.Grow(bytes) || m.makeRoom(budget, bytes-r.Taken()) && r.Grow(bytes)
 }
 
+// makeBuffer makes a buffer for a large body, after buffers that are not used any more have been
+// collected, and then slow connections have given up theirs. It returns nil if there is no
+// memory. The buffer replaces one of the given size, if any.
+func (m *Memory) makeBuffer(size, replaced int) []byte {
+	for range maxGivenUp {
+		if buffer := m.limits.Buffers.MakeWaiting(size, replaced); buffer != nil {
+			return buffer
+		}
+		if !m.giveUpSlowest(m.limits.Bodies, size) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// closeParked closes the connections that are parked.
+func (m *Memory) closeParked() {
+	for i := range m.slots {
+		if c := m.slots[i].Load(); c != nil && c.parked.Load() {
+			_ = c.Conn.SetReadDeadline(time.Now())
+		}
+	}
+}
+
 // giveUpSlowest makes the slowest connection give up its memory, else one that is idle if that
 // counts for the budget. It returns false if that can't free the given number of bytes.
 func (m *Memory) giveUpSlowest(budget *memory.Budget, bytes int) bool {
--- a/internal/caller/memory_limits.go
+++ b/internal/caller/memory_limits.go
@@ -11,4 +11,7 @@
 	// Connections covers buffers and the first 64 KiB of the body or answer of each connection,
 	// Bodies the rest of bodies, Answers the rest of answers.
 	Connections, Bodies, Answers *memory.Budget
+	// Buffers makes the buffers of large bodies, which count for Bodies. It is only used with a
+	// StreamListener.
+	Buffers *memory.Buffers
 }
--- /dev/null
+++ b/internal/caller/reading.go
@@ -0,0 +1,115 @@
+package caller
+
+import (
+	"errors"
+	"io"
+	"net"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrBodyTooLarge means that a body has more bytes than is allowed.
+var ErrBodyTooLarge = eris.New("body too large")
+
+// bufferSteps are the sizes of the slice in which a body in chunks is collected, in bytes. Beyond
+// the last one, a slice of the limit is made.
+var bufferSteps = []int{4 << 10, firstBytes, 512 << 10, 4 << 20}
+
+// ReadBody reads the body of the request on a connection. The length is negative if it arrives in
+// chunks. The slice is not used again. It returns ErrBodyTooLarge, ErrNoMemory, or the error of
+// the read, and io.ErrUnexpectedEOF if the body ends too early.
+func ReadBody(connection net.Conn, body io.Reader, length, limit int) ([]byte, error) {
+	c, _ := connection.(*Connection)
+	switch {
+	case length > limit:
+		return nil, ErrBodyTooLarge
+	case length >= 0:
+		return c.readWhole(body, length)
+	default:
+		return c.readChunks(body, limit)
+	}
+}
+
+func (c *Connection) readWhole(body io.Reader, length int) ([]byte, error) {
+	buffer, err := c.makeBuffer(length, 0)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := io.ReadFull(body, buffer); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, err
+	}
+	return buffer, nil
+}
+
+func (c *Connection) readChunks(body io.Reader, limit int) ([]byte, error) {
+	var buffer []byte
+	read, step := 0, 0
+	for {
+		if read == len(buffer) {
+			larger, err := c.enlarge(body, buffer, step, limit)
+			if err != nil || larger == nil {
+				return buffer[:read:read], err
+			}
+			buffer, step = larger, step+1
+		}
+		n, err := body.Read(buffer[read:])
+		read += n
+		if errors.Is(err, io.EOF) {
+			return buffer[:read:read], nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// enlarge returns a larger copy of a full buffer, or nil if the body has ended. One at the limit
+// is not enlarged: the body must end.
+func (c *Connection) enlarge(body io.Reader, buffer []byte, step, limit int) ([]byte, error) {
+	if len(buffer) >= limit {
+		var next [1]byte
+		switch n, err := io.ReadFull(body, next[:]); {
+		case n > 0:
+			return nil, ErrBodyTooLarge
+		case !errors.Is(err, io.EOF):
+			return nil, err
+		default:
+			return nil, nil
+		}
+	}
+	size := limit
+	if step < len(bufferSteps) {
+		size = min(bufferSteps[step], limit)
+	}
+	larger, err := c.makeBuffer(size, len(buffer))
+	if err != nil {
+		return nil, err
+	}
+	copy(larger, buffer)
+	return larger, nil
+}
+
+// makeBuffer makes a slice for the body of the request on a connection. A small one counts for
+// the budget of connections. A nil connection has no limits.
+func (c *Connection) makeBuffer(size, replaced int) ([]byte, error) {
+	switch {
+	case c == nil:
+		return make([]byte, size), nil
+	case size <= firstBytes:
+		if !c.memory.grow(c.connection, c.memory.limits.Connections, readingCost+size) {
+			c.memory.countRefusal(RefusedReading)
+			return nil, c.refuse()
+		}
+		return make([]byte, size), nil
+	}
+	buffer := c.memory.makeBuffer(size, replaced)
+	if buffer == nil {
+		c.memory.countRefusal(RefusedReading)
+		return nil, c.refuse()
+	}
+	c.large.Store(int64(size))
+	return buffer, nil
+}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -18,8 +18,12 @@
 }
 
 // Take withdraws bytes and reports whether that many were free.
-func (b *Budget) Take(bytes int) bool {
-	if b.free.Add(-int64(bytes)) >= 0 {
+func (b *Budget) Take(bytes int) bool { return b.takeFor(bytes, 0) }
+
+// takeFor withdraws bytes that replace others, which will soon come back, and reports whether
+// that many were free together with those.
+func (b *Budget) takeFor(bytes, replaced int) bool {
+	if b.free.Add(-int64(bytes)) >= -int64(replaced) {
 		return true
 	}
 	b.Give(bytes)
--- a/internal/router/body_joiner.go
+++ b/internal/router/body_joiner.go
@@ -12,8 +12,8 @@
 // bodyJoiner puts the bodies together that arrive in parts on one link. Parts of calls that
 // it doesn't know, since they were refused or cancelled, are dropped.
 type bodyJoiner struct {
-	budget *memory.Budget
-	calls  map[uint64]*incomingCall
+	buffers *memory.Buffers
+	calls   map[uint64]*incomingCall
 }
 
 // begin takes a call whose body of the given length follows. It reports false if there is no
@@ -22,12 +22,12 @@
 	if length > peer.MaxMessage {
 		return false
 	}
-	reserved := j.budget.Reserve()
-	if !reserved.Grow(int(length)) {
+	buffer := j.buffers.Make(int(length))
+	if buffer == nil {
 		return false
 	}
-	request.Body = make([]byte, 0, length)
-	j.calls[request.Number] = &incomingCall{call: *request, length: int(length), memory: reserved}
+	request.Body = buffer[:0]
+	j.calls[request.Number] = &incomingCall{call: *request, length: int(length)}
 	return true
 }
 
@@ -50,18 +50,7 @@
 
 // drop forgets a call and reports whether its body was not complete yet.
 func (j *bodyJoiner) drop(number uint64) bool {
-	in := j.calls[number]
-	if in == nil {
-		return false
-	}
-	in.memory.Release()
+	_, known := j.calls[number]
 	delete(j.calls, number)
-	return true
-}
-
-// close forgets all calls.
-func (j *bodyJoiner) close() {
-	for number := range j.calls {
-		j.drop(number)
-	}
+	return known
 }
--- a/internal/router/executor_dispatching.go
+++ b/internal/router/executor_dispatching.go
@@ -55,7 +55,6 @@
 		}
 	}
 	for _, reply := range out.Replies {
-		d.releaseBody(reply.Ticket)
 		if sink := d.sinks[reply.Ticket.Link]; sink != nil && !sink.answer(ctx, reply.Answer) {
 			delete(d.sinks, reply.Ticket.Link)
 		}
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -10,7 +10,6 @@
 	"endivespring/internal/executor"
 	"endivespring/internal/fleet"
 	"endivespring/internal/fsm"
-	"endivespring/internal/memory"
 	"endivespring/internal/metrics"
 	"endivespring/internal/ring"
 	"endivespring/internal/session"
@@ -65,9 +64,7 @@
 	cancels         map[uint64]context.CancelFunc
 	pendingReleases []fsm.ShardRelease
 	sinks           map[uint64]answerSink
-	// bodies is what the bodies of calls from links have withdrawn from the budget of requests.
-	bodies   map[executor.Ticket]*memory.Reservation
-	upstream fleet.Upstream
+	upstream        fleet.Upstream
 	// lastHeartbeat is the newest heartbeat of an upstream that sends them.
 	lastHeartbeat *upstream.Heartbeat
 	// awaiting is the heartbeat whose answer awaits the registration of its upstream up to
@@ -251,35 +248,15 @@
 		delete(d.sinks, s.link)
 		d.reporter.closed(s.link)
 		d.core.CancelLink(d.clock.Now(), s.link)
-		d.releaseLink(s.link)
 	case s.cancel != 0:
-		ticket := executor.Ticket{Link: s.link, Number: s.cancel}
-		d.core.Cancel(d.clock.Now(), ticket)
-		d.releaseBody(ticket)
+		d.core.Cancel(d.clock.Now(), executor.Ticket{Link: s.link, Number: s.cancel})
 	default:
 		ticket := executor.Ticket{Link: s.link, Number: s.call.Number}
-		if s.memory != nil {
-			d.bodies[ticket] = s.memory
-		}
 		d.reporter.called(d.clock.Now(), s.link)
 		d.core.Submit(d.clock.Now(), ticket, s.call)
 	}
 }
 
-// releaseBody gives back the memory of the body of a call that is answered or cancelled.
-func (d *executorDuty) releaseBody(ticket executor.Ticket) {
-	d.bodies[ticket].Release()
-	delete(d.bodies, ticket)
-}
-
-func (d *executorDuty) releaseLink(link uint64) {
-	for ticket := range d.bodies {
-		if ticket.Link == link {
-			d.releaseBody(ticket)
-		}
-	}
-}
-
 func (d *executorDuty) update(update *session.Update) {
 	now := d.clock.Now()
 	if update.Change != nil && !d.core.SetView(now, update.Change) {
--- a/internal/router/executor_link.go
+++ b/internal/router/executor_link.go
@@ -9,7 +9,6 @@
 
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
-	"endivespring/internal/memory"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
 	"endivespring/internal/wire"
@@ -30,7 +29,6 @@
 // it sends no more calls. It reports whether the latter is the case: answers then may
 // still be sent.
 func (l *executorLink) receive(ctx context.Context, stream grpc.BidiStreamingServer[wirepb.DoorUp, wirepb.DoorDown]) (halfClosed bool) {
-	defer l.bodies.close()
 	for {
 		up, err := stream.Recv()
 		if err != nil {
@@ -57,7 +55,7 @@
 			return err
 		}
 		if in != nil {
-			l.submit(ctx, &in.call, in.memory)
+			l.submit(ctx, &in.call)
 		}
 	default:
 		l.begin(ctx, up.GetCall())
@@ -70,16 +68,15 @@
 	request := wire.ToCall(message, l.clock.Now())
 	switch {
 	case message.GetBodyLength() == 0:
-		l.submit(ctx, &request, nil)
+		l.submit(ctx, &request)
 	case !l.bodies.begin(&request, message.GetBodyLength()):
 		l.refuse(ctx, &request)
 	}
 }
 
-// submit queues a call for the executor duty, with the memory that its body has withdrawn.
-func (l *executorLink) submit(ctx context.Context, request *call.Call, reserved *memory.Reservation) {
-	if l.executor.Put(ctx, &submission{link: l.id, call: *request, memory: reserved}) != nil {
-		reserved.Release()
+// submit queues a call for the executor duty.
+func (l *executorLink) submit(ctx context.Context, request *call.Call) {
+	if l.executor.Put(ctx, &submission{link: l.id, call: *request}) != nil {
 		l.refuse(ctx, request)
 	}
 }
--- a/internal/router/executor_server.go
+++ b/internal/router/executor_server.go
@@ -25,8 +25,8 @@
 	events   event.Recorder
 	clock    clock.Clock
 	executor *ring.Ring[*submission]
-	// memory is the budget of the bodies of requests in progress.
-	memory   *memory.Budget
+	// buffers makes the buffers of bodies that arrive in parts.
+	buffers  *memory.Buffers
 	lastLink atomic.Uint64
 }
 
@@ -44,7 +44,7 @@
 	if s.executor.Put(ctx, &submission{link: id, open: sink}) != nil {
 		return status.Error(codes.ResourceExhausted, "executor is overloaded: submission queue is full")
 	}
-	link := &executorLink{id: id, clock: s.clock, executor: s.executor, sink: sink, bodies: bodyJoiner{budget: s.memory, calls: map[uint64]*incomingCall{}}}
+	link := &executorLink{id: id, clock: s.clock, executor: s.executor, sink: sink, bodies: bodyJoiner{buffers: s.buffers, calls: map[uint64]*incomingCall{}}}
 	go func() {
 		if link.handle(ctx, first) != nil || !link.receive(ctx, stream) {
 			cancel()
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -94,6 +94,8 @@
 	hasPreset *ring.Ring[struct{}]
 	// requestMemory is what large requests of callers and of other routers may use.
 	requestMemory *memory.Budget
+	// requestBuffers makes the buffers of large bodies of requests.
+	requestBuffers *memory.Buffers
 	// answerMemory is what large answers may use that are read from the upstream. Answers that are
 	// sent have a budget of their own, so that slow callers do not keep others from being read.
 	answerMemory *memory.Budget
@@ -151,6 +153,7 @@
 func (n *Node) build() {
 	s := n.settings
 	n.requestMemory = memory.NewBudget(s.RequestMemory)
+	n.requestBuffers = memory.NewBuffers(n.requestMemory)
 	self := fleet.Router{ID: fleet.RouterID(s.Name), DataCentre: fleet.DataCentre(s.DataCentre), Address: s.AdvertisedAddress(), TakesParts: true}
 	answers := ring.New[*inboundAnswer]("answers", gatewayAnswerCapacity, ring.Wait)
 	submissions := ring.New[*submission]("submissions", submissionCapacity, ring.Refuse)
@@ -174,7 +177,7 @@
 		nestedCalls:   nestedCalls, waits: waits,
 		stop:        ring.New[executorStop]("door-stop", stopSteps, ring.Refuse),
 		runs:        ring.New[outboundRun]("runs", runCapacity, ring.Refuse),
-		delegations: delegations, cancels: map[uint64]context.CancelFunc{}, bodies: map[executor.Ticket]*memory.Reservation{}, departures: departures{},
+		delegations: delegations, cancels: map[uint64]context.CancelFunc{}, departures: departures{},
 		aborts:        ring.New[executor.Abort]("aborts", runCapacity, ring.DropOldest),
 		releases:      ring.New[[]fsm.ShardRelease]("releases", updateCapacity, ring.Refuse),
 		ranges:        newRangeRings(),
@@ -200,6 +203,7 @@
 	n.answerMemory = memory.NewBudget(s.AnswerMemory)
 	n.callerMemory = caller.NewMemory(n.clock, caller.MemoryLimits{
 		MaxConnections: s.MaxConnections, MaxBody: s.MaxBody, Connections: memory.NewBudget(s.ConnectionMemory), Bodies: n.requestMemory, Answers: memory.NewBudget(s.AnswerMemory),
+		Buffers: n.requestBuffers,
 	}, n.events)
 	metrics.RegisterCallerMemory(n.registry, n.callerMemory)
 	n.gatewayClient.LimitMemory(n.callerMemory)
@@ -209,7 +213,7 @@
 	n.callersDone = ring.New[struct{}]("callers-done", 1, ring.DropOldest)
 	n.announce = upstream.NewServer(n.executor.notifications).App()
 	n.grpc = peer.NewServer()
-	wirepb.RegisterDoorsServer(n.grpc, &executorServer{fleet: s.Fleet, events: n.events, clock: n.clock, executor: submissions, memory: n.requestMemory})
+	wirepb.RegisterDoorsServer(n.grpc, &executorServer{fleet: s.Fleet, events: n.events, clock: n.clock, executor: submissions, buffers: n.requestBuffers})
 	wirepb.RegisterExplainerServer(n.grpc, &explainServer{fleet: s.Fleet, events: n.events, questions: n.gateway.questions})
 }
 
--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -26,6 +26,7 @@
 	}
 	n.executor.ranges.start = func() { n.startRangeDuties(dialect) }
 	n.group.Go("event-log", n.events.Run)
+	n.group.Go("buffers", n.requestBuffers.Run)
 	n.group.Go("entry", n.gateway.Run)
 	n.group.Go("door", n.executor.Run)
 	n.group.Go("session", n.session.Run)
@@ -70,7 +71,7 @@
 		waiting, stopWaiting := context.WithTimeout(callers, presetWait)
 		_, _ = n.hasPreset.Take(waiting) // without a preset in time, requests are refused
 		stopWaiting()
-		return n.frontEnd.ServeCallers(callers, caller.NewListener(l.frontCaller, n.callerMemory), n.gatewayClient, n.settings, n.events)
+		return n.frontEnd.ServeCallers(callers, caller.NewStreamListener(l.frontCaller, n.callerMemory), n.gatewayClient, n.settings, n.events)
 	})
 	n.group.Go("front-announcements", func(ctx context.Context) error {
 		return n.frontEnd.ServeAnnouncements(ctx, l.frontAnnounce, n.executor.notifications, n.settings, n.events)
--- a/internal/router/submission.go
+++ b/internal/router/submission.go
@@ -3,7 +3,6 @@
 import (
 	"endivespring/internal/call"
 	"endivespring/internal/executor"
-	"endivespring/internal/memory"
 )
 
 // localLink is the link number of the gateway in the same process.
@@ -15,8 +14,6 @@
 	link   uint64
 	call   call.Call
 	cancel uint64
-	// memory is what the body of the call has withdrawn from the budget of requests, or nil.
-	memory *memory.Reservation
 	// outcome is the outcome of a delegated call.
 	outcome *executor.Outcome
 	// open registers the answer sink of a new link. closed unregisters the link and
