Clear the deadlines that the gateway gives away

Callers saw: refusals for lack of memory on a router without any load.

Cause: the heap of deadlines left the pointer to a request that it had given away behind its end. The body of the last request stayed in use until another request took its place; since bodies count until they are collected, no other large body fitted.

Change: Pop clears the place.

Evidence: TestAnsweredRequestHoldsNoBody failed before (64 KiB still in use).

--- a/internal/gateway/timers.go
+++ b/internal/gateway/timers.go
@@ -26,6 +26,7 @@
 // Pop removes and returns the last request.
 func (t *timers) Pop() any {
 	last := (*t)[len(*t)-1]
+	(*t)[len(*t)-1] = nil
 	*t = (*t)[:len(*t)-1]
 	return last
 }
