Give no owner more key ranges than an answer to a heartbeat holds

Cause: ranges with handovers were never merged, and an owner with 96 ranges got more if no other was left. With 144 the answer exceeds the 4 KiB that upstreams read, so that it acknowledges and renews nothing.

Change: placement merges adjacent free ranges if owners have no room for all, revokes ranges between free ones if that is not enough, and leaves ranges free rather than to exceed 96. The executor leases 96 at most, those held first, and sends a handover only until its range is held, 1,152 bytes in one answer.

--- a/internal/executor/key_ranges.go
+++ b/internal/executor/key_ranges.go
@@ -28,7 +28,7 @@
 	c.reportRanges(c.rangeLeases.releases(now, c.view, h.Released, h.Holds))
 	answer := LeaseAnswer{}
 	if !c.AwaitsRegistration() {
-		answer = c.rangeLeases.renew(now, c.view, c.rangeLeaseExpiry)
+		answer = c.rangeLeases.renew(now, c.view, c.rangeLeaseExpiry, h.Holds)
 	}
 	c.reportLoads(now, answer.Ranges, loadInterval)
 	c.logRangeLease(&answer)
--- a/internal/executor/range_leases.go
+++ b/internal/executor/range_leases.go
@@ -21,6 +21,8 @@
 	// maxHoldLocal is the time by this VM's clock after which any lease to an
 	// upstream has expired, at the maximum drift.
 	maxHoldLocal = maxHold + maxHold*2/100
+	// maxHandovers is how many bytes of handovers one answer to a heartbeat carries.
+	maxHandovers = 1152
 	// minHold is the shortest lease worth sending: one more heartbeat comes
 	// within it.
 	minHold = 200 * time.Millisecond
@@ -94,13 +96,13 @@
 // clockDrift the lease ends no later than the router's range lease. It is counted
 // from now; the upstream counts it from when it sent its heartbeat, which is
 // earlier.
-func (l *rangeLeases) renew(now clock.Instant, view *fleet.View, leaseExpiry clock.Instant) LeaseAnswer {
+func (l *rangeLeases) renew(now clock.Instant, view *fleet.View, leaseExpiry clock.Instant, holds []HeldRange) LeaseAnswer {
 	hold := time.Duration(float64(leaseExpiry.Sub(now)) / (1 + clockDrift))
 	hold = min(l.maxHold, hold.Truncate(time.Millisecond))
 	if hold < minHold {
 		return LeaseAnswer{}
 	}
-	answer := LeaseAnswer{Renews: true, Ranges: l.owned(view, fleet.ShardGranted), Hold: hold}
+	answer := LeaseAnswer{Renews: true, Ranges: l.selectRanges(l.owned(view, fleet.ShardGranted), holds), Hold: hold}
 	expiry := now.Add(time.Duration(float64(hold) * (1 + clockDrift)))
 	kept := slices.DeleteFunc(l.leased, func(lease leasedRange) bool { return lease.expiry <= now })
 	l.leased = nil
@@ -118,6 +120,51 @@
 	return answer
 }
 
+// selectRanges returns the granted ranges that fit in one answer, sorted: those that the upstream
+// holds, and others as far as their handovers fit. The rest follow with the next answers. The
+// upstream has the handover of a range that it holds.
+func (l *rangeLeases) selectRanges(granted []fleet.KeyRange, holds []HeldRange) []fleet.KeyRange {
+	var selected, others []fleet.KeyRange
+	for _, r := range granted {
+		if holdsUnder(holds, &r) {
+			r.Handover = ""
+			selected = append(selected, r)
+		} else {
+			others = append(others, r)
+		}
+	}
+	// Ranges that were leased before come first: the upstream releases what is left out.
+	slices.SortStableFunc(others, func(a, b fleet.KeyRange) int { return cmp.Compare(l.leaseEnd(&b), l.leaseEnd(&a)) })
+	bytes := 0
+	for _, r := range others {
+		if len(r.Handover) > maxHandovers {
+			r.Handover = ""
+		}
+		if bytes+len(r.Handover) <= maxHandovers {
+			bytes += len(r.Handover)
+			selected = append(selected, r)
+		}
+	}
+	selected = selected[:min(len(selected), fleet.MaxOwnerRanges)]
+	slices.SortFunc(selected, func(a, b fleet.KeyRange) int { return cmp.Compare(a.First, b.First) })
+	return selected
+}
+
+// holdsUnder reports whether one of the held ranges contains a range under its epoch.
+func holdsUnder(holds []HeldRange, r *fleet.KeyRange) bool {
+	return slices.ContainsFunc(holds, func(h HeldRange) bool { return h.First <= r.First && h.Last >= r.Last && h.Epoch == r.Epoch })
+}
+
+// leaseEnd returns when the upstream's lease of a range under its epoch ends, or zero.
+func (l *rangeLeases) leaseEnd(r *fleet.KeyRange) clock.Instant {
+	for _, lease := range l.leased {
+		if lease.first <= r.First && lease.last >= r.Last && lease.epoch == r.Epoch && !lease.revoked {
+			return lease.expiry
+		}
+	}
+	return 0
+}
+
 func (l *rangeLeases) covered(lease *leasedRange, ranges []fleet.KeyRange) bool {
 	return slices.ContainsFunc(ranges, func(r fleet.KeyRange) bool { return r.First <= lease.first && r.Last >= lease.last })
 }
@@ -165,9 +212,7 @@
 // released was sent after the upstream had taken them under an epoch. One that was
 // sent to an earlier process may arrive late and mean an earlier epoch.
 func (l *rangeLeases) provesRelease(now clock.Instant, first, last uint32, epoch fleet.Epoch) bool {
-	return now >= l.inheritedExpiry || slices.ContainsFunc(l.shown, func(h HeldRange) bool {
-		return h.First <= first && h.Last >= last && h.Epoch == epoch
-	})
+	return now >= l.inheritedExpiry || holdsUnder(l.shown, &fleet.KeyRange{First: first, Last: last, Epoch: epoch})
 }
 
 // rangeExpiry returns when the last lease of any part of a range expires.
--- a/internal/fleet/key_space.go
+++ b/internal/fleet/key_space.go
@@ -5,6 +5,10 @@
 	"sort"
 )
 
+// MaxOwnerRanges bounds the ranges of one owner, so that an answer to a heartbeat with all of
+// them stays short.
+const MaxOwnerRanges = 96
+
 // KeySpace is the ownership of all keys of a ranged service. Its ranges are
 // sorted and cover every key exactly once, so that each key has at most one
 // owner. A key space is immutable once it is in a view.
--- a/internal/placement/range_owner.go
+++ b/internal/placement/range_owner.go
@@ -55,7 +55,7 @@
 }
 
 // full reports whether the owner holds as many ranges as it may.
-func (o *rangeOwner) full() bool { return o.ranges >= MaxOwnerRanges }
+func (o *rangeOwner) full() bool { return o.ranges >= fleet.MaxOwnerRanges }
 
 // room returns the load that the owner can take in addition.
 func (o *rangeOwner) room() float64 { return usableCapacity*o.capacity - o.load }
--- a/internal/placement/range_owner_list.go
+++ b/internal/placement/range_owner_list.go
@@ -51,6 +51,11 @@
 	return slices.MinFunc(l, func(a, b *rangeOwner) int { return cmp.Compare(a.load-a.target, b.load-b.target) })
 }
 
+// withRoom returns the owners that may hold another range.
+func (l rangeOwnerList) withRoom() rangeOwnerList {
+	return slices.DeleteFunc(slices.Clone(l), func(o *rangeOwner) bool { return o.full() })
+}
+
 // overloaded returns the owners whose load is well above their target, the highest ratio
 // of load to target first. One request a second is added to both sides of the ratio, so
 // that it is defined for a target of zero and small loads weigh little.
@@ -68,7 +73,7 @@
 
 // receiver returns the owner that gets the next free range: one without any range, else
 // the one that lacks most among those that lack load and have received the fewest ranges
-// in this plan, else the one with the least surplus. Owners with MaxOwnerRanges come last.
+// in this plan, else the one with the least surplus. Full owners come last.
 func (l rangeOwnerList) receiver() *rangeOwner {
 	order := func(o *rangeOwner) (class, received int) {
 		switch {
@@ -89,8 +94,7 @@
 	})
 }
 
-// roomiest returns the owner that can take the most load in addition. Owners with
-// MaxOwnerRanges come last.
+// roomiest returns the owner that can take the most load in addition. Full owners come last.
 func (l rangeOwnerList) roomiest() *rangeOwner {
 	return slices.MinFunc(l, func(a, b *rangeOwner) int {
 		return cmp.Or(lo.Ternary(a.full(), 1, 0)-lo.Ternary(b.full(), 1, 0), cmp.Compare(b.room(), a.room()))
--- a/internal/placement/range_owner_list_test.go
+++ b/internal/placement/range_owner_list_test.go
@@ -10,7 +10,7 @@
 	"endivespring/internal/fsm"
 )
 
-// TestOwnersWithAllRangesGetNoBusyKey guards against more than MaxOwnerRanges ranges of one
+// TestOwnersWithAllRangesGetNoBusyKey guards against more than fleet.MaxOwnerRanges ranges of one
 // owner, whose list then exceeds the answer to a heartbeat: the owner with the most room
 // holds as many already, and a free range has more load than the others have room for.
 func TestOwnersWithAllRangesGetNoBusyKey(t *testing.T) {
@@ -26,7 +26,7 @@
 	space.Ranges = nil
 	for i := range uint32(150) {
 		r := fleet.KeyRange{First: i, Last: i, Phase: fleet.ShardGranted, Owner: "r03", Boot: fast.Upstream.Boot, Epoch: fleet.Epoch(i + 1)}
-		if i >= MaxOwnerRanges {
+		if i >= fleet.MaxOwnerRanges {
 			r.Owner, r.Boot = "r04", f.state.View.Routers["r04"].Upstream.Boot
 		}
 		space.Ranges = append(space.Ranges, r)
@@ -39,5 +39,5 @@
 	f.state.Apply(1, &fsm.Command{AssignRanges: assign})
 	owner := f.state.View.KeySpaces["s"].Find(fleet.KeyCount - 1)
 	assert.Assert(t, owner.Phase == fleet.ShardGranted && owner.Owner != "r03", "%+v", owner)
-	assert.Equal(t, f.rangesOf()["r03"], MaxOwnerRanges)
+	assert.Equal(t, f.rangesOf()["r03"], fleet.MaxOwnerRanges)
 }
--- a/internal/placement/range_plan.go
+++ b/internal/placement/range_plan.go
@@ -46,6 +46,7 @@
 	} else {
 		p.grantFree()
 	}
+	p.coarsen()
 	if !limits.SuspendRebalancing {
 		p.rebalance()
 	}
@@ -109,12 +110,17 @@
 // range with more load than such an owner lacks is split. Every grant gets a new
 // epoch above all earlier ones of the key space.
 func (p *rangePlan) grantFree() {
+	p.joinFree()
 	epoch := p.space.LastEpoch
 	for i := 0; i < len(p.space.Ranges); i++ {
 		if p.space.Ranges[i].Phase != fleet.ShardFree {
 			continue
 		}
-		o := p.owners.mostUnderloaded()
+		owners := p.owners.withRoom()
+		if len(owners) == 0 {
+			break
+		}
+		o := owners.mostUnderloaded()
 		r := p.space.Ranges[i]
 		if last := p.loads.PrefixEnd(r.First, r.Last, o.target-o.load); last < r.Last && p.maySplit(&r) {
 			p.space.Split(last + 1)
@@ -122,6 +128,7 @@
 		}
 		epoch++
 		o.load += p.loads.Sum(r.First, r.Last)
+		o.ranges++
 		p.space.Ranges[i] = fleet.KeyRange{
 			First: r.First, Last: r.Last, Phase: fleet.ShardGranted, Owner: o.router, Boot: o.boot, Epoch: epoch, Handover: r.Handover,
 		}
--- a/internal/placement/range_relief.go
+++ b/internal/placement/range_relief.go
@@ -98,7 +98,7 @@
 		return false
 	}
 	first, last := key, key
-	if p.full() {
+	if p.full() || from.full() {
 		r := p.space.Find(key)
 		first, last = r.First, r.Last
 		load = p.loads.Sum(first, last)
@@ -122,6 +122,7 @@
 
 func (p *rangePlan) move(m *Move, from, to *rangeOwner) {
 	p.revoke(m.First, m.Last)
+	from.ranges = p.countRanges(from)
 	from.load -= m.Load
 	to.load += m.Load
 	to.received++
@@ -143,7 +144,7 @@
 			visit(p.loads.SuffixStart(r.First, r.Last, amount), r.Last)
 		}
 	}
-	if key, load := p.busiestKey(o); load > 0 && !p.full() {
+	if key, load := p.busiestKey(o); load > 0 && !p.full() && !o.full() {
 		visit(key, key)
 	}
 }
--- a/internal/placement/range_spread.go
+++ b/internal/placement/range_spread.go
@@ -11,9 +11,6 @@
 	// maxPieces bounds the pieces of the first grants of a service with fewer owners
 	// than that, since a full view holds all of them.
 	maxPieces = 1024
-	// MaxOwnerRanges bounds the ranges of one owner: as many rows of 40 bytes fit in
-	// the answer to a heartbeat of at most 4 KiB.
-	MaxOwnerRanges = 96
 	// wholeShare is the load, as a share of the next owner's target, up to which a free
 	// range is granted whole even if that owner lacks less.
 	wholeShare = 0.25
@@ -26,14 +23,15 @@
 		p.grantPieces()
 		return
 	}
-	if p.full() {
-		p.mergeFree()
-	}
+	p.joinFree()
 	free := p.freeByLoad()
 	for i := 0; i < len(free); i++ {
 		r := p.space.Find(free[i])
 		load := p.loads.Sum(r.First, r.Last)
 		o := p.receiver(r, load)
+		if o.full() {
+			return
+		}
 		if most := max(o.lack(), wholeShare*o.target); load > maxOvershoot*most && p.maySplit(r) {
 			if last := p.loads.PrefixEnd(r.First, r.Last, most); last < r.Last {
 				p.space.Split(last + 1)
@@ -113,20 +111,3 @@
 	slices.SortStableFunc(free, func(a, b uint32) int { return cmp.Compare(loads[b], loads[a]) })
 	return free
 }
-
-// mergeFree merges adjacent free ranges that have no handover, so that the owners that are
-// left after the loss of many do not hold more ranges than fit in an answer.
-func (p *rangePlan) mergeFree() {
-	merged := p.space.Ranges[:0]
-	for _, r := range p.space.Ranges {
-		if n := len(merged); n > 0 {
-			last := &merged[n-1]
-			if last.Phase == fleet.ShardFree && r.Phase == fleet.ShardFree && last.Handover == "" && r.Handover == "" {
-				last.Last, last.Epoch = r.Last, max(last.Epoch, r.Epoch)
-				continue
-			}
-		}
-		merged = append(merged, r)
-	}
-	p.space.Ranges = merged
-}
--- a/internal/placement/range_spread_test.go
+++ b/internal/placement/range_spread_test.go
@@ -92,7 +92,7 @@
 	}
 	f.converge(t)
 	for owner, count := range f.rangesOf() {
-		assert.Assert(t, count <= MaxOwnerRanges, "%s has %d ranges", owner, count)
+		assert.Assert(t, count <= fleet.MaxOwnerRanges, "%s has %d ranges", owner, count)
 	}
 }
 
