--- a/internal/caller/reading.go
+++ b/internal/caller/reading.go
@@ -16,11 +16,13 @@
 var bufferSteps = []int{4 << 10, firstBytes, 512 << 10, 4 << 20}
 
 // ReadBody reads the body of the request on a connection. The length is negative if it arrives in
-// chunks. The slice is not used again. It returns ErrBodyTooLarge, ErrNoMemory, or the error of
+// chunks; body is nil if there is none. The slice is not used again. It returns ErrBodyTooLarge, ErrNoMemory, or the error of
 // the read, and io.ErrUnexpectedEOF if the body ends too early.
 func ReadBody(connection net.Conn, body io.Reader, length, limit int) ([]byte, error) {
 	c, _ := connection.(*Connection)
 	switch {
+	case body == nil:
+		return nil, nil
 	case length > limit:
 		return nil, ErrBodyTooLarge
 	case length >= 0:
