Acknowledge a departure once control has replicated it

Cause: the departure was acknowledged as soon as it was queued, and forgotten if the router's process ended before control had taken it. The end of the router's session removed it from the replicated state too, with the latest start time.

Change: the executor answers a departure, and a heartbeat that says that the upstream drains, when the view shows it, else 503 after 0.5 s. Departures of upstreams that the process has not seen are replicated as well (LastDeparture), and a new process takes them from its view. The replicated state remembers 1,024 former routers.

Evidence: TestDepartureOutlivesTheEndOfTheSession failed before ("the departed upstream is in use").

--- a/internal/executor/availability.go
+++ b/internal/executor/availability.go
@@ -1,6 +1,9 @@
 package executor
 
-import "endivespring/internal/clock"
+import (
+	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
+)
 
 // unavailable reports whether the upstream must get no new work of a service.
 func (c *Core) unavailable(service string) bool {
@@ -15,6 +18,20 @@
 	return registered.Departed() && registered.DepartedBoot == c.upstream.Boot
 }
 
+// DepartureRegistered reports whether the view shows under this session that a boot of the
+// upstream has announced its departure.
+func (c *Core) DepartureRegistered(boot string) bool {
+	registered := c.view.Routers[c.self]
+	return registered.Session == c.shards.session && registered.DepartedBoot == boot
+}
+
+// LastDeparture returns the latest departure that the view shows to have been announced to this
+// router.
+func (c *Core) LastDeparture() fleet.Departure {
+	registered := c.view.Routers[c.self]
+	return registered.LastDeparture
+}
+
 // unavailableForRanges reports whether the upstream must get no new calls for its key
 // ranges. An upstream that is leaving or out of service goes on serving them for
 // revocationGrace, while they are revoked.
--- a/internal/executor/lease_answer.go
+++ b/internal/executor/lease_answer.go
@@ -16,6 +16,9 @@
 	// Unexpected is set if the heartbeat was ignored because it does not come from the
 	// upstream beside the router.
 	Unexpected bool
-	Ranges     []fleet.KeyRange
-	Hold       time.Duration
+	// Unacknowledged is set if the heartbeat says that the upstream drains, and that is not
+	// recorded yet so that it outlives the process.
+	Unacknowledged bool
+	Ranges         []fleet.KeyRange
+	Hold           time.Duration
 }
--- a/internal/fleet/router.go
+++ b/internal/fleet/router.go
@@ -18,6 +18,9 @@
 	// empty. That boot gets no new work. It is replicated because a restarted router has
 	// forgotten the departure and may receive an earlier announcement late.
 	DepartedBoot string
+	// LastDeparture is the latest departure that was announced to the router, also to an earlier
+	// process of it, or to one that knew no upstream yet.
+	LastDeparture Departure
 	// EarlierStart is the StartMillis of the upstream that the router had registered under
 	// its earlier session, or zero. A restarted router has forgotten it, and may receive a
 	// heartbeat of an ended boot late.
--- a/internal/fsm/departure_test.go
+++ b/internal/fsm/departure_test.go
@@ -1,6 +1,7 @@
 package fsm
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -70,3 +71,35 @@
 	apply(&Command{UpdateRouter: &UpdateRouter{Router: fleet.Router{ID: "r", Session: 2, Upstream: boot("next", 3000)}}})
 	assert.Assert(t, !held(), "a later boot")
 }
+
+// Guards against a departed upstream that is used again, since its router was down for longer
+// than its session lasts: what the router knew is lost with its registration.
+func TestDepartureOutlivesTheEndOfTheSession(t *testing.T) {
+	s := NewState()
+	apply := func(c *Command) {
+		t.Helper()
+		result, _ := s.Apply(1, c)
+		assert.Assert(t, result.Accepted, result.Reason)
+	}
+	u := fleet.Upstream{Name: "u", Service: "s", Boot: "u/1000", StartMillis: 1000}
+	apply(&Command{OpenSession: &OpenSession{Nonce: "1", Router: fleet.Router{ID: "r", Upstream: u}}})
+	apply(&Command{UpdateRouter: &UpdateRouter{Router: fleet.Router{ID: "r", Session: 1, Upstream: u, Leaving: true, DepartedBoot: u.Boot}}})
+	apply(&Command{CloseSessions: &CloseSessions{Term: 1, Sessions: []fleet.Session{1}}})
+	assert.Equal(t, len(s.View.Routers), 0)
+	apply(&Command{OpenSession: &OpenSession{Nonce: "2", Router: fleet.Router{ID: "r", Upstream: u}}})
+	assert.Assert(t, !s.View.Eligible(s.View.Routers["r"]), "the departed upstream is in use")
+	assert.Equal(t, s.View.Routers["r"].EarlierStart, int64(1000))
+}
+
+// Routers that never come back are forgotten in the end.
+func TestFormerRoutersAreBounded(t *testing.T) {
+	s := NewState()
+	for i := range maxFormerRouters + 5 {
+		name := fleet.RouterID(fmt.Sprint("r", i))
+		u := fleet.Upstream{Name: "u", Service: "s", Boot: "u", StartMillis: 1000}
+		s.Apply(1, &Command{OpenSession: &OpenSession{Nonce: string(name), Router: fleet.Router{ID: name, Upstream: u}}})
+		s.Apply(1, &Command{CloseSessions: &CloseSessions{Term: 1, Sessions: []fleet.Session{s.LastSession}}})
+	}
+	assert.Equal(t, len(s.FormerRouters), maxFormerRouters)
+	assert.Equal(t, s.FormerRouters[0].ID, fleet.RouterID("r5"))
+}
--- a/internal/fsm/sessions.go
+++ b/internal/fsm/sessions.go
@@ -8,7 +8,7 @@
 
 // openSession registers a router under a new session, once for each nonce. What an earlier
 // process of the router knew of its upstream is carried over: when it started, and that it
-// has announced its departure.
+// has announced its departure. That lasts beyond the end of the router's session.
 func (s *State) openSession(c *OpenSession, change *fleet.Change) Result {
 	for _, o := range s.OpenedSessions {
 		if o.Nonce == c.Nonce {
@@ -19,7 +19,11 @@
 	s.OpenedSessions = append(s.OpenedSessions, OpenedSession{Nonce: c.Nonce, Session: s.LastSession, Router: c.Router.ID})
 	router := c.Router
 	router.Session = s.LastSession
-	earlier := s.View.Routers[router.ID]
+	earlier, ok := s.View.Routers[router.ID]
+	if !ok {
+		earlier = s.takeFormer(router.ID)
+	}
+	router.LastDeparture = router.LastDeparture.Later(earlier.LastDeparture)
 	router.EarlierStart = earlier.LatestStart()
 	if router.Upstream.Boot == "" || router.Upstream.Boot == earlier.DepartedBoot {
 		router.DepartedBoot = earlier.DepartedBoot
@@ -49,6 +53,9 @@
 		}
 	}
 	slices.Sort(change.Removed)
+	for _, id := range change.Removed {
+		s.rememberFormer(s.View.Routers[id])
+	}
 	for shard := range s.View.Shards.All() {
 		if shard.Phase != fleet.ShardFree && closed[shard.Session] {
 			change.Shards = append(change.Shards, freeShard(shard))
@@ -64,6 +71,29 @@
 	return Result{Accepted: true}
 }
 
+// rememberFormer keeps what a router whose session ends knew of its upstream.
+func (s *State) rememberFormer(r fleet.Router) {
+	former := fleet.Router{ID: r.ID, DepartedBoot: r.DepartedBoot, EarlierStart: r.LatestStart(), LastDeparture: r.LastDeparture}
+	if former == (fleet.Router{ID: r.ID}) {
+		return
+	}
+	s.FormerRouters = append(s.FormerRouters, former)
+	if len(s.FormerRouters) > maxFormerRouters {
+		s.FormerRouters = slices.Delete(s.FormerRouters, 0, len(s.FormerRouters)-maxFormerRouters)
+	}
+}
+
+// takeFormer returns what is remembered of a router, and forgets it.
+func (s *State) takeFormer(id fleet.RouterID) fleet.Router {
+	i := slices.IndexFunc(s.FormerRouters, func(r fleet.Router) bool { return r.ID == id })
+	if i < 0 {
+		return fleet.Router{}
+	}
+	former := s.FormerRouters[i]
+	s.FormerRouters = slices.Delete(s.FormerRouters, i, i+1)
+	return former
+}
+
 // updateRouter replaces a router's registration. If its upstream has restarted, the
 // ranges of the earlier start are freed. A start before the latest known one proves no
 // restart: the router reports the ranges that it finds to be free.
@@ -74,6 +104,7 @@
 	}
 	router := c.Router
 	router.EarlierStart = current.EarlierStart
+	router.LastDeparture = router.LastDeparture.Later(current.LastDeparture)
 	if current != router {
 		change.Routers = append(change.Routers, router)
 	}
--- a/internal/fsm/state.go
+++ b/internal/fsm/state.go
@@ -4,6 +4,9 @@
 	"endivespring/internal/fleet"
 )
 
+// maxFormerRouters is the number of routers without a session that are remembered.
+const maxFormerRouters = 1024
+
 // MaxOperatorResults is the number of operator results kept for resends.
 const MaxOperatorResults = 20000
 
@@ -16,6 +19,9 @@
 	Results []OperatorResult
 	// OpenedSessions are the sessions that are not closed yet, oldest first.
 	OpenedSessions []OpenedSession
+	// FormerRouters are routers without a session, the one whose session ended first first: what
+	// they knew of their upstreams, by which late messages of those are recognized.
+	FormerRouters []fleet.Router
 	// ConfigChangedAt is the view version of the last accepted operator change.
 	ConfigChangedAt fleet.Version
 	// ShardCounts holds the number of shards of every service that was ever part of a
--- a/internal/router/departures.go
+++ b/internal/router/departures.go
@@ -9,11 +9,14 @@
 // the Unix epoch. Their boots never come back, but heartbeats of them may arrive late.
 type departures map[string]int64
 
-func (d departures) record(name string, millis int64) {
+func (d departures) record(departure fleet.Departure) {
+	if departure.Name == "" || d[departure.Name] >= departure.Millis {
+		return
+	}
 	if len(d) >= maxDepartures {
 		clear(d)
 	}
-	d[name] = millis
+	d[departure.Name] = departure.Millis
 }
 
 // includes reports whether a boot had started when the upstream of its name departed.
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -72,6 +72,8 @@
 	awaiting      *upstream.Heartbeat
 	awaitingUntil clock.Instant
 	departures    departures
+	// leaving is the departure whose acknowledgement awaits its registration, or nil.
+	leaving *awaitedDeparture
 	// early is the newest heartbeat that arrived before the first lease of a view, or nil.
 	early *upstream.Notification
 	// earlierBoot follows the heartbeats of a boot that is known to have a successor.
@@ -164,6 +166,9 @@
 	if d.awaiting != nil {
 		deadline = min(deadline, d.awaitingUntil)
 	}
+	if d.leaving != nil {
+		deadline = min(deadline, d.leaving.until)
+	}
 	now := d.clock.Now()
 	if d.reporter != nil {
 		load := d.load(now)
@@ -264,6 +269,7 @@
 	}
 	d.core.SetLease(now, update.Session, update.OwnershipUntil, update.ViewUntil)
 	d.core.SetRangeLease(update.RangeLeaseUntil)
+	d.departures.record(d.core.LastDeparture())
 }
 
 func (d *executorDuty) handleNotification(ctx context.Context, notification *upstream.Notification) {
@@ -275,16 +281,8 @@
 		d.handleHeartbeat(ctx, notification)
 		return
 	}
-	if notification.Leaving && notification.Name != "" {
-		d.departures.record(notification.Name, time.Now().UnixMilli())
-	}
-	if notification.Leaving && notification.Name != "" && notification.Name != d.upstream.Name {
-		return
-	}
 	if notification.Leaving {
-		d.events.Record(event.UpstreamLeft, event.F("upstream", d.upstream.Name))
-		d.leftAt, d.upstreamExited, d.upstreamDeparted = d.clock.Now(), true, true
-		d.withdrawUpstream(ctx)
+		d.handleDeparture(ctx, notification)
 		return
 	}
 	now := d.clock.Now()
--- a/internal/router/heartbeat.go
+++ b/internal/router/heartbeat.go
@@ -15,8 +15,8 @@
 // means that the upstream has exited. It exceeds the heartbeat interval.
 const missedHeartbeatTime = 1200 * time.Millisecond
 
-// registrationTime is how long the answer to a heartbeat is delayed until control has
-// registered its upstream. Upstreams wait for a second.
+// registrationTime is how long the answer to a heartbeat or to a departure is delayed until
+// control has registered the upstream or its departure. Upstreams wait for a second.
 const registrationTime = 500 * time.Millisecond
 
 // handleHeartbeat processes a heartbeat and answers it. One that is older than the
@@ -26,29 +26,37 @@
 	now, heartbeat := d.clock.Now(), notification.Heartbeat
 	if !d.core.KnowsFleet() {
 		d.keepEarly(notification)
-		heartbeat.Reply.Send(executor.LeaseAnswer{})
+		d.answerWithoutLeases(heartbeat)
 		return
 	}
 	if !d.isCurrent(now, heartbeat) {
 		d.recordLate(heartbeat)
-		heartbeat.Reply.Send(executor.LeaseAnswer{})
+		d.answerWithoutLeases(heartbeat)
 		return
 	}
 	d.acceptHeartbeat(ctx, now, notification)
 	d.answerAwaiting(now)
-	d.awaiting, d.awaitingUntil = heartbeat, now
-	if d.core.AwaitsRegistration() {
-		d.awaitingUntil = now.Add(registrationTime)
-	}
+	d.awaiting, d.awaitingUntil = heartbeat, now.Add(registrationTime)
 	d.answerRegistered(now)
 }
 
-// answerRegistered answers the heartbeat that awaits the registration of its upstream, once
-// the view shows it or its time is over.
+// answerRegistered answers the heartbeat that awaits the registration of its upstream, or that
+// it drains, once the view shows that or its time is over; and so with a departure.
 func (d *executorDuty) answerRegistered(now clock.Instant) {
-	if d.awaiting != nil && (now >= d.awaitingUntil || !d.core.AwaitsRegistration()) {
+	if d.awaiting != nil && (now >= d.awaitingUntil || !d.core.AwaitsRegistration() && !d.unrecorded(d.awaiting)) {
 		d.answerAwaiting(now)
 	}
+	d.answerDepartureRegistered(now)
+}
+
+// unrecorded reports whether a heartbeat says that its upstream drains, and control has not
+// replicated that.
+func (d *executorDuty) unrecorded(heartbeat *upstream.Heartbeat) bool {
+	return heartbeat.Draining && !d.core.DepartureRegistered(heartbeat.Upstream.Boot)
+}
+
+func (d *executorDuty) answerWithoutLeases(heartbeat *upstream.Heartbeat) {
+	heartbeat.Reply.Send(executor.LeaseAnswer{Unacknowledged: d.unrecorded(heartbeat)})
 }
 
 func (d *executorDuty) answerAwaiting(now clock.Instant) {
@@ -57,7 +65,9 @@
 	}
 	heartbeat := d.awaiting
 	d.awaiting = nil
-	heartbeat.Reply.Send(d.core.Heartbeat(now, &heartbeat.Heartbeat))
+	answer := d.core.Heartbeat(now, &heartbeat.Heartbeat)
+	answer.Unacknowledged = d.unrecorded(heartbeat)
+	heartbeat.Reply.Send(answer)
 }
 
 func (d *executorDuty) recordLate(heartbeat *upstream.Heartbeat) {
@@ -69,7 +79,7 @@
 // newer than the last one.
 func (d *executorDuty) isCurrent(now clock.Instant, heartbeat *upstream.Heartbeat) bool {
 	if d.departures.includes(&heartbeat.Upstream) {
-		return false
+		return d.earlierBoot.proves(now, heartbeat)
 	}
 	if d.isLastBoot(heartbeat) {
 		return !d.upstreamExited && heartbeat.NewerThan(d.lastHeartbeat)
--- a/internal/router/registration.go
+++ b/internal/router/registration.go
@@ -9,4 +9,7 @@
 	leaving  bool
 	// departed is set if the upstream itself has announced the departure.
 	departed bool
+	// departure is one that was announced, of whatever upstream. If it is set, the other
+	// fields do not count.
+	departure fleet.Departure
 }
--- a/internal/router/session_duty.go
+++ b/internal/router/session_duty.go
@@ -91,7 +91,7 @@
 		case <-ctx.Done():
 			return
 		case r := <-d.registrations.Out():
-			d.core.SetRegistration(d.clock.Now(), r.upstream, r.leaving, r.departed)
+			d.register(&r)
 		case releases := <-d.releases.Out():
 			d.core.Release(d.clock.Now(), releases)
 		case update := <-d.rangeUpdates.Out():
@@ -151,7 +151,7 @@
 				return cause
 			}
 		case r := <-d.registrations.Out():
-			d.core.SetRegistration(d.clock.Now(), r.upstream, r.leaving, r.departed)
+			d.register(&r)
 		case releases := <-d.releases.Out():
 			d.core.Release(d.clock.Now(), releases)
 		case update := <-d.rangeUpdates.Out():
@@ -171,6 +171,15 @@
 	}
 }
 
+func (d *sessionDuty) register(r *registration) {
+	now := d.clock.Now()
+	if r.departure.Name != "" {
+		d.core.SetDeparture(now, r.departure)
+		return
+	}
+	d.core.SetRegistration(now, r.upstream, r.leaving, r.departed)
+}
+
 // recordDelay logs that the duty runs later than its timer was due.
 func (d *sessionDuty) recordDelay(now clock.Instant) {
 	if late := now.Sub(d.wakeAt); late >= reportedDelay {
--- a/internal/session/core.go
+++ b/internal/session/core.go
@@ -155,6 +155,7 @@
 		Router: c.router, Differences: true, Closing: c.closing,
 	}
 	up.Router.Session, up.Router.EarlierStart = c.session, c.registered.EarlierStart
+	up.Router.LastDeparture = c.router.LastDeparture.Later(c.registered.LastDeparture)
 	if c.session != 0 {
 		up.Nonce = ""
 	}
--- a/internal/session/registration.go
+++ b/internal/session/registration.go
@@ -30,6 +30,14 @@
 	}
 }
 
+// SetDeparture registers that an upstream has announced its departure, beside the upstream that
+// is registered. A renewal becomes due now if that changes anything.
+func (c *Core) SetDeparture(now clock.Instant, departure fleet.Departure) {
+	if later := c.router.LastDeparture.Later(departure); later != c.router.LastDeparture {
+		c.router.LastDeparture, c.renewAt = later, now
+	}
+}
+
 // adoptDeparture takes over for a while that the upstream has announced its departure to
 // an earlier process of this router.
 func (c *Core) adoptDeparture(now clock.Instant) {
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -48,7 +48,12 @@
 	return s.enqueue(c, Notification{Upstream: a.upstream()})
 }
 
-func (s *Server) leave(c *fiber.Ctx) error { return s.enqueue(c, Notification{Leaving: true}) }
+func (s *Server) leave(c *fiber.Ctx) error {
+	if err := Leave(c.Context(), s.notifications, ""); err != nil {
+		return c.Status(fiber.StatusServiceUnavailable).SendString(err.Error())
+	}
+	return c.SendStatus(fiber.StatusNoContent)
+}
 
 func (s *Server) enqueue(c *fiber.Ctx, notification Notification) error {
 	if err := s.notifications.Put(c.Context(), notification); err != nil {
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -12,6 +12,7 @@
 	return &wirepb.Router{
 		Id: string(r.ID), Session: uint64(r.Session), DataCentre: string(r.DataCentre),
 		Address: r.Address, Upstream: fromUpstream(r.Upstream), Leaving: r.Leaving, DepartedBoot: r.DepartedBoot, EarlierStartMs: r.EarlierStart, TakesParts: r.TakesParts,
+		LeftName: r.LastDeparture.Name, LeftMs: r.LastDeparture.Millis,
 	}
 }
 
@@ -20,6 +21,7 @@
 	return fleet.Router{
 		ID: fleet.RouterID(r.GetId()), Session: fleet.Session(r.GetSession()), DataCentre: fleet.DataCentre(r.GetDataCentre()),
 		Address: r.GetAddress(), Upstream: toUpstream(r.GetUpstream()), Leaving: r.GetLeaving(), DepartedBoot: r.GetDepartedBoot(), EarlierStart: r.GetEarlierStartMs(), TakesParts: r.GetTakesParts(),
+		LastDeparture: fleet.Departure{Name: r.GetLeftName(), Millis: r.GetLeftMs()},
 	}
 }
 
--- a/internal/wire/roundtrip_test.go
+++ b/internal/wire/roundtrip_test.go
@@ -157,6 +157,7 @@
 		assert.DeepEqual(t, restored.OpenedSessions, state.OpenedSessions, emptyIsNil)
 		assert.DeepEqual(t, restored.ShardCounts, state.ShardCounts, emptyIsNil)
 		assert.DeepEqual(t, restored.KeptLoads, state.KeptLoads, emptyIsNil)
+		assert.DeepEqual(t, restored.FormerRouters, state.FormerRouters, emptyIsNil)
 		assert.Equal(t, restored.LastSession, state.LastSession)
 		assert.Equal(t, restored.ConfigChangedAt, state.ConfigChangedAt)
 	})
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -21,6 +21,9 @@
 	for _, o := range s.OpenedSessions {
 		out.Opened = append(out.Opened, &wirepb.OpenedSession{Nonce: o.Nonce, Session: uint64(o.Session), Router: string(o.Router)})
 	}
+	for _, r := range s.FormerRouters {
+		out.FormerRouters = append(out.FormerRouters, FromRouter(r))
+	}
 	for service, count := range s.ShardCounts {
 		out.ShardCounts = append(out.ShardCounts, &wirepb.ShardCount{Service: service, Shards: count})
 	}
@@ -54,6 +57,9 @@
 	for _, o := range in.GetOpened() {
 		s.OpenedSessions = append(s.OpenedSessions, fsm.OpenedSession{Nonce: o.GetNonce(), Session: fleet.Session(o.GetSession()), Router: fleet.RouterID(o.GetRouter())})
 	}
+	for _, r := range in.GetFormerRouters() {
+		s.FormerRouters = append(s.FormerRouters, ToRouter(r))
+	}
 	for _, c := range in.GetShardCounts() {
 		s.ShardCounts[c.GetService()] = c.GetShards()
 	}
