Pace an upstream that comes into use again as cold

Cause: the pace follows heartbeats alone. With the end of the evacuation all routers sent full load, up to 0.87 s before the heartbeat that told of the cold.

Change: the executor paces an upstream that was out of use until the second heartbeat since, as the first may have been sent before: data centres and upstreams put into use again, heartbeats that were missing, a new process or session of the router, another start of the upstream.

--- a/internal/executor/availability.go
+++ b/internal/executor/availability.go
@@ -49,6 +49,9 @@
 func (c *Core) followAvailability(now clock.Instant) {
 	switch {
 	case !c.unavailable(c.upstream.Service):
+		if c.unavailableSince != 0 {
+			c.suspectCold(now)
+		}
 		c.unavailableSince = 0
 	case c.registeredAsDeparted() && !c.leaving:
 		c.unavailableSince = now.Add(-c.revocationGrace)
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -54,6 +54,7 @@
 	rangeRequests *rangeRequests
 	keyMeter      *keyMeter
 	earlyReport   earlyReport
+	suspicion     coldSuspicion
 	// unavailableSince is when the upstream became unavailable for new work, or zero.
 	unavailableSince clock.Instant
 	// revocationCheckAt is when to check next whether the leases of revoked key
@@ -151,6 +152,9 @@
 // The shards held under another session are dropped.
 func (c *Core) SetLease(now clock.Instant, session fleet.Session, ownershipExpiry, viewExpiry clock.Instant) {
 	if session != c.shards.session {
+		if session != 0 {
+			c.suspectCold(now)
+		}
 		c.shards.session = session
 		c.shards.rebuild(now, c.view)
 	}
@@ -162,9 +166,13 @@
 
 // Announce takes an announcement of the upstream beside the executor.
 func (c *Core) Announce(now clock.Instant, u fleet.Upstream) {
+	restarted := u.Boot != c.upstream.Boot
 	c.upstream = u
 	c.leaving = false
 	c.followAvailability(now)
+	if restarted {
+		c.suspectCold(now)
+	}
 	c.findPeers()
 	c.applyPreset()
 	if c.limiter.Announce(u) {
--- a/internal/executor/key_ranges.go
+++ b/internal/executor/key_ranges.go
@@ -49,7 +49,7 @@
 func (c *Core) Observe(now clock.Instant, h *Heartbeat) {
 	c.rangeLeases.track(now, h)
 	c.rangeRequests.track(now, h.Upstream, h.Newer, c.view)
-	c.limiter.SetColdTime(now, h.ColdFor)
+	c.observeCold(now, h)
 }
 
 // reportLoads reports the load of the owned ranges if the interval has passed since the
