Refuse requests with invalid names of fields

Callers saw: requests whose head has a blank inside the name of a field reached upstreams with that line (X Name: v, Content Length: 5, Transfer Encoding: chunked), and what followed was read as the next request. Folded values became one value.

Cause: fasthttp accepts blanks in names, as in responses (issue of the malformed answers); the checker of that fix saw responses only.

Change: package httphead checks the header section of requests as it was received, and the names in trailers. The platform's callers, heartbeats and operators get 400 and a closed connection; so do the native interface's, by a middleware.

--- a/internal/caller/reading.go
+++ b/internal/caller/reading.go
@@ -6,6 +6,9 @@
 	"net"
 
 	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"endivespring/internal/httphead"
 )
 
 // ErrBodyTooLarge means that a body has more bytes than is allowed.
@@ -15,10 +18,22 @@
 // the last one, a slice of the limit is made.
 var bufferSteps = []int{4 << 10, firstBytes, 512 << 10, 4 << 20}
 
-// ReadBody reads the body of the request on a connection. The length is negative if it arrives in
-// chunks; body is nil if there is none. The slice is not used again. It returns ErrBodyTooLarge, ErrNoMemory, or the error of
-// the read, and io.ErrUnexpectedEOF if the body ends too early.
-func ReadBody(connection net.Conn, body io.Reader, length, limit int) ([]byte, error) {
+// ReadBody checks the head of a request and reads its body of up to limit bytes. The slice is not
+// used again. It returns httphead.ErrFieldName, ErrBodyTooLarge, ErrNoMemory, or the error of the
+// read, and io.ErrUnexpectedEOF if the body ends too early.
+func ReadBody(request *fasthttp.RequestCtx, limit int) ([]byte, error) {
+	header := &request.Request.Header
+	if err := httphead.CheckRequest(header); err != nil {
+		return nil, err
+	}
+	body, err := readBody(request.Conn(), request.RequestBodyStream(), header.ContentLength(), limit)
+	if err != nil {
+		return nil, err
+	}
+	return body, httphead.CheckTrailer(header)
+}
+
+func readBody(connection net.Conn, body io.Reader, length, limit int) ([]byte, error) {
 	c, _ := connection.(*Connection)
 	switch {
 	case body == nil:
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -16,6 +16,7 @@
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/gateway"
+	"endivespring/internal/httphead"
 	"endivespring/internal/ring"
 	"endivespring/internal/verdict"
 )
@@ -65,6 +66,7 @@
 		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, ErrorHandler: s.handleError,
 		ReduceMemoryUsage: true, // also makes fasthttp flush each response before it reads the next request
 	})
+	s.app.Use(httphead.Middleware)
 	s.app.Add(fiber.MethodPost, "/v1/:service/:operation", s.serve)
 	s.app.Add(fiber.MethodGet, "/v1/:service/:operation", s.serve)
 	return s
--- a/internal/caller/within_memory.go
+++ b/internal/caller/within_memory.go
@@ -1,16 +1,26 @@
 package caller
 
-import "github.com/valyala/fasthttp"
+import (
+	"errors"
+
+	"github.com/valyala/fasthttp"
+
+	"endivespring/internal/httphead"
+)
 
 // WithinMemory returns a handler that counts what requests and their answers hold, and passes
-// requests for which there is no memory to refuse, with ErrNoMemory. An answer is always sent:
-// what was asked for was done.
+// requests for which there is no memory to refuse, with ErrNoMemory, and those with a malformed
+// head with its error. An answer is always sent: what was asked for was done.
 func WithinMemory(handle fasthttp.RequestHandler, refuse func(*fasthttp.RequestCtx, error)) fasthttp.RequestHandler {
 	return func(c *fasthttp.RequestCtx) {
-		if StartRequest(c.Conn(), len(c.PostBody())+2*len(c.Request.Header.Header())) {
+		err := errors.Join(httphead.CheckRequest(&c.Request.Header), httphead.CheckTrailer(&c.Request.Header))
+		if err == nil && !StartRequest(c.Conn(), len(c.PostBody())+2*len(c.Request.Header.Header())) {
+			err = ErrNoMemory
+		}
+		if err == nil {
 			handle(c)
 		} else {
-			refuse(c, ErrNoMemory)
+			refuse(c, err)
 			c.SetConnectionClose()
 		}
 		if !StartAnswer(c.Conn(), len(c.Response.Body())) {
--- a/internal/httphead/check.go
+++ b/internal/httphead/check.go
@@ -1,4 +1,4 @@
-// Package httphead reads heads of HTTP/1.1 responses and checks them before they are parsed.
+// Package httphead checks heads of HTTP/1.1 messages, those of responses before they are parsed.
 // fasthttp accepts some that are malformed, and parses them into another message than the one
 // that was sent.
 package httphead
@@ -21,7 +21,7 @@
 	// (RFC 9110, section 5.1). fasthttp ignores blanks at the end of a name and passes on
 	// those within it. A line that begins with a blank is a folded value (RFC 9112, section
 	// 5.2) or a field whose name begins with one; neither is accepted.
-	ErrFieldName = eris.New("response has a header line without a valid field name")
+	ErrFieldName = eris.New("message has a header line without a valid field name")
 )
 
 // checkResponse examines a response that begins with data, empty lines before it included. It
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -15,6 +15,7 @@
 
 	"endivespring/internal/fleet"
 	"endivespring/internal/fsm"
+	"endivespring/internal/httphead"
 	"endivespring/internal/preset"
 	"endivespring/internal/ring"
 	"endivespring/internal/settings"
@@ -53,7 +54,7 @@
 			return c.Status(code).JSON(ErrorBody{Error: err.Error()})
 		},
 	})
-	s.app.Use(s.authenticate)
+	s.app.Use(httphead.Middleware, s.authenticate)
 	s.app.Post("/v1/changes", s.change)
 	s.app.Get("/v1/status", s.status)
 	s.app.Get("/v1/explain", s.explain)
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/gofiber/fiber/v2"
 
+	"endivespring/internal/httphead"
 	"endivespring/internal/ring"
 )
 
@@ -29,6 +30,7 @@
 	s := &Server{notifications: notifications, app: fiber.New(fiber.Config{
 		DisableStartupMessage: true, Immutable: true, BodyLimit: maxAnnouncement,
 	})}
+	s.app.Use(httphead.Middleware)
 	s.app.Post("/v1/announce", s.announce)
 	s.app.Post("/v1/leave", s.leave)
 	return s
