Empty the ring of a link without waiting

A router that hangs answers nobody.

Cause: the gateway retires a link while the link itself ends, and both empty the ring of its calls by looking at its depth and then waiting for an item. The other may have taken it; a gateway that waits then hangs for good.

Change: Ring.Poll takes an item without waiting; both use it, and so does the listener of callers when it is closed.

--- a/internal/caller/stream_listener.go
+++ b/internal/caller/stream_listener.go
@@ -70,8 +70,8 @@
 	l.cancel()
 	err := l.Listener.Close()
 	l.memory.closeParked()
-	for l.accepted.Depth() > 0 {
-		if next := <-l.accepted.Out(); next.connection != nil {
+	for next, ok := l.accepted.Poll(); ok; next, ok = l.accepted.Poll() {
+		if next.connection != nil {
 			_ = next.connection.Close()
 		}
 	}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -88,6 +88,17 @@
 	}
 }
 
+// Poll removes the oldest item if there is one, without waiting. Several goroutines may empty a
+// ring with it at the same time.
+func (r *Ring[T]) Poll() (item T, ok bool) {
+	select {
+	case item = <-r.items:
+		return item, true
+	default:
+		return item, false
+	}
+}
+
 // Out returns the receiving channel, for a duty that selects on several rings.
 func (r *Ring[T]) Out() <-chan T { return r.items }
 
--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -212,8 +212,8 @@
 		delete(d.links, l.router)
 		l.lastNumber = d.core.LastCall()
 	}
-	for l.calls.Depth() > 0 {
-		if out := <-l.calls.Out(); !out.cancel {
+	for out, ok := l.calls.Poll(); ok; out, ok = l.calls.Poll() {
+		if !out.cancel {
 			d.core.HandleLostCall(now, out.call.Number, verdict.NotRun)
 		}
 	}
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -72,14 +72,18 @@
 // still queued then were never written and are reported as not run.
 func (l *link) Run(ctx context.Context) error {
 	_ = l.stream(ctx)
-	for l.calls.Depth() > 0 {
-		out := <-l.calls.Out()
+	l.reportQueued(ctx)
+	_ = l.answers.Put(ctx, &inboundAnswer{from: l.router, ended: l})
+	return nil
+}
+
+// reportQueued reports the calls that are still queued as not run.
+func (l *link) reportQueued(ctx context.Context) {
+	for out, ok := l.calls.Poll(); ok; out, ok = l.calls.Poll() {
 		if !out.cancel {
 			l.reportUnsent(ctx, out.call.Number)
 		}
 	}
-	_ = l.answers.Put(ctx, &inboundAnswer{from: l.router, ended: l})
-	return nil
 }
 
 // reportUnsent reports a call that was never written, or not with its whole body, as not run.
