Keep a link while a call on it is in flight

A request that runs for more than 30 s got 502 if no other call followed on its link.

Cause: a link ends after 30 s without a new call, whether or not calls are in flight.

Change: a link is idle only if none is.

Evidence: TestLinkWithACallInFlightIsNotIdle failed before.

--- a/internal/router/link_end_test.go
+++ b/internal/router/link_end_test.go
@@ -45,3 +45,16 @@
 		}
 	}
 }
+
+// Guards against a call that is lost while it runs, since no other call followed on its link: a
+// link is idle only if nothing is in flight.
+func TestLinkWithACallInFlightIsNotIdle(t *testing.T) {
+	now := &manualClock{}
+	l := newLink("f", fleet.Router{ID: "r"}, &atomic.Int64{}, now, nil, discardEvents{})
+	w := newLinkWriter(l, nil, func() {})
+	w.trackInFlight(&outgoingCall{})
+	now.now = now.now.Add(10 * idleTimeout)
+	assert.Assert(t, !w.idle())
+	l.callEnded()
+	assert.Assert(t, w.idle())
+}
--- a/internal/router/link_writer.go
+++ b/internal/router/link_writer.go
@@ -165,5 +165,7 @@
 	return &wirepb.DoorUp{Fleet: w.fleet, Ping: uint64(now)}, nil
 }
 
-// idle reports whether the link has not been used for idleTimeout.
-func (w *linkWriter) idle() bool { return w.clock.Now().Sub(w.used) > idleTimeout }
+// idle reports whether the link has not been used for idleTimeout and no call on it is in flight.
+func (w *linkWriter) idle() bool {
+	return w.clock.Now().Sub(w.used) > idleTimeout && w.inFlight.Load() == 0
+}
