--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -1,5 +1,5 @@
 // Package memory bounds what requests and answers may use in a process at the same time, and
-// chooses who gives memory up when it runs out. It counts bytes; it allocates nothing.
+// chooses who gives memory up when it runs out. Budgets count bytes; Buffers also allocates them.
 package memory
 
 import "sync/atomic"
