Await no body after HEAD

Cause: the router read the body that the answer's length announces; an answer to HEAD has none.

Evidence: TestHeadIsAnswered (real processes, kept connections, other methods in between) failed before with 504.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -94,8 +94,10 @@
 		if !dialect.Names(run, response) {
 			limit = min(limit, maxStrayBody)
 		}
-		if err := c.readBody(response, limit); err != nil {
-			return err
+		if run.Call.Method != fasthttp.MethodHead { // its answer states the length of a body that does not follow
+			if err := c.readBody(response, limit); err != nil {
+				return err
+			}
 		}
 		if dialect.Answers(run, response) || c.atEOF {
 			return nil
