Pace an upstream that comes into use again until its next heartbeat only

Cause: the pace lasted until the second heartbeat, since the first may have been sent before the upstream came into use.

Change: the next heartbeat ends it.

--- a/internal/executor/cold_suspicion.go
+++ b/internal/executor/cold_suspicion.go
@@ -6,42 +6,22 @@
 	"endivespring/internal/clock"
 )
 
-const (
-	// suspicionTime is how long an upstream that sends no heartbeats is taken for cold at most.
-	suspicionTime = 3 * time.Second
-	// provingHeartbeats is the number of heartbeats until one is known to be newer than the
-	// return to use: the first may have been sent before, the next follows its answer.
-	provingHeartbeats = 2
-)
-
-// coldSuspicion takes an upstream that comes into use again for cold, until a heartbeat that is
-// newer than that says otherwise. Only upstreams that state their start times send heartbeats.
-type coldSuspicion struct {
-	// missing is the number of heartbeats until the suspicion ends.
-	missing int
-	// last is the latest heartbeat that was observed.
-	last *Heartbeat
-}
+// suspicionTime is how long an upstream that comes into use again is taken for cold at most.
+const suspicionTime = 3 * time.Second
 
-// suspectCold paces the upstream as cold: it was out of use, and may have become cold meanwhile.
+// suspectCold paces the upstream as cold until its next heartbeat: it was out of use, and may have
+// become cold meanwhile. Only upstreams that state their start times send heartbeats.
 func (c *Core) suspectCold(now clock.Instant) {
 	if c.upstream.StartMillis != 0 {
-		c.suspicion.missing = provingHeartbeats
 		c.limiter.SetColdTime(now, suspicionTime)
 	}
 }
 
-// observeCold takes how long the upstream stays cold, as a heartbeat says.
+// observeCold takes how long the upstream stays cold, as a heartbeat says. A heartbeat is observed
+// again if its answer was delayed.
 func (c *Core) observeCold(now clock.Instant, h *Heartbeat) {
-	s := &c.suspicion
-	if s.last == h {
-		return
-	}
-	s.last = h
-	s.missing = max(0, s.missing-1)
-	if s.missing > 0 {
-		c.limiter.SetColdTime(now, max(h.ColdFor, suspicionTime))
-		return
+	if c.observed != h {
+		c.observed = h
+		c.limiter.SetColdTime(now, h.ColdFor)
 	}
-	c.limiter.SetColdTime(now, h.ColdFor)
 }
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -54,7 +54,8 @@
 	rangeRequests *rangeRequests
 	keyMeter      *keyMeter
 	earlyReport   earlyReport
-	suspicion     coldSuspicion
+	// observed is the latest heartbeat of the upstream.
+	observed *Heartbeat
 	// unavailableSince is when the upstream became unavailable for new work, or zero.
 	unavailableSince clock.Instant
 	// revocationCheckAt is when to check next whether the leases of revoked key
