Reword comments on ranges without an owner and on buffers

Comments only, no change of code: they named the state of ranges and buffers in words other than those of the code around them. Checked with go vet on the four packages.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -58,8 +58,8 @@
 	slot   int
 	// word is a phaseWord.
 	word atomic.Int64
-	// connection, body and answer are what is withdrawn from the budgets. large is how many
-	// bytes of buffers the present request holds beside them.
+	// connection, body and answer are what is withdrawn from the budgets. large is the size of
+	// the present request's buffer in bytes, which the buffer itself has withdrawn.
 	connection, body, answer *memory.Reservation
 	large                    atomic.Int64
 	// streams is set if the front end reads bodies itself and its reader stays until the
--- a/internal/memory/buffers.go
+++ b/internal/memory/buffers.go
@@ -19,7 +19,7 @@
 // outlast the request that it was made for. It is safe for concurrent use.
 type Buffers struct {
 	budget *Budget
-	// due asks for a collection, freed tells of a slice that was collected.
+	// due requests a collection. freed signals that a buffer was collected.
 	due, freed *ring.Ring[struct{}]
 }
 
--- a/internal/placement/range_joining.go
+++ b/internal/placement/range_joining.go
@@ -44,9 +44,9 @@
 	p.space.Ranges = merged
 }
 
-// coarsen revokes ranges while owners hold too many, or may not hold the others: those next to
-// ranges that nobody holds, so that a later plan can merge and grant them. Without it, keys whose
-// neighbours have an owner would stay without one.
+// coarsen revokes granted ranges if owners have too many, or no room for the other ranges. It
+// prefers ranges next to those, since a later plan can merge them. Otherwise free ranges between
+// granted ones could not be granted.
 func (p *rangePlan) coarsen() {
 	if len(p.space.Ranges) <= fleet.MaxOwnerRanges {
 		return
@@ -67,8 +67,8 @@
 	}
 }
 
-// excess returns how many of the ranges that nobody holds, once they are merged, the owners may
-// not hold.
+// excess returns the number of ranges that are free or being revoked, once adjacent ones are
+// merged, less the number of ranges that the owners have room for.
 func (p *rangePlan) excess() int {
 	excess, unheld := 0, false
 	for i := range p.space.Ranges {
@@ -110,7 +110,8 @@
 	return neighbours, true
 }
 
-// unheldNeighbours returns how many of the ranges before and after a range nobody holds.
+// unheldNeighbours returns how many of the ranges before and after a range are free or being
+// revoked.
 func (p *rangePlan) unheldNeighbours(i int) int {
 	n := 0
 	for _, j := range []int{i - 1, i + 1} {
--- a/internal/placement/range_joining_test.go
+++ b/internal/placement/range_joining_test.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// grantedOf returns the number of granted ranges of each owner; those that nobody holds have
-// an empty one.
+// grantedOf returns the number of granted ranges of each owner, and that of all others under an
+// empty owner.
 func (f *rangeFixture) grantedOf() map[fleet.RouterID]int {
 	counts := map[fleet.RouterID]int{}
 	for _, r := range f.state.View.KeySpaces["s"].Ranges {
@@ -58,7 +58,7 @@
 }
 
 // Guards against an owner with more ranges than an answer to a heartbeat has room for, and
-// against keys that nobody gets for that reason: a service shrinks from six upstreams to one.
+// against keys that stay without an owner for that reason: a service shrinks from six upstreams to one.
 func TestShrinkingServiceKeepsAllKeys(t *testing.T) {
 	for _, policy := range []Policy{{}, {Interleave: 24, ByCapacity: true}, {Interleave: 24}} {
 		for _, atOnce := range []bool{false, true} {
--- a/internal/router/body_parts_test.go
+++ b/internal/router/body_parts_test.go
@@ -178,7 +178,7 @@
 }
 
 // The memory of a body is given back once its call is answered or cancelled, or its link ends, and
-// nobody sends it any more.
+// its run has completed.
 func TestExecutorGivesBodiesBack(t *testing.T) {
 	for name, end := range map[string]func(s *executorHarness){
 		"answered":   func(s *executorHarness) { s.time.now = s.time.now.Add(time.Minute); s.tick(s.ctx) },
