Settle only a link's own calls when it ends

Cause, from the logs of that play: the router beside the upstream stops too and retires its links. The gateway opens another link for its next call. At 4.790 that link, which never opened, ends (request-retried "unreachable", peer-lost), and the gateway settles all calls to that router up to the last number of the link, so also the one that runs on the earlier link. The opposite order, an earlier link that ends while a later one has calls, was handled. Class: the state of a connection is looked up by its peer, of which there may be several connections.

Change: a link knows the numbers of the first and the last call that were queued on it; its end settles these only. It does so too when a router has moved to another address.

Ruled out: the retired link itself had not ended (the answer came at 6.640 as "cancelled", when the other router's process ended), and its grace had not passed (SIGTERM at 1.037).

TestEndOfALaterLinkKeepsCallsOnTheEarlierOne before: "may-have-run != ran: reason connection" in three runs of three; it passes now. Callers of HandleLostLink in the simulations pass 0 as the first number, which settles the same calls as before.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -68,9 +68,6 @@
 	return out
 }
 
-// LastCall returns the number of the latest call.
-func (c *Core) LastCall() uint64 { return c.lastCall }
-
 // Len returns the number of requests in flight.
 func (c *Core) Len() int { return len(c.requestsByToken) }
 
--- a/internal/gateway/core_test.go
+++ b/internal/gateway/core_test.go
@@ -89,7 +89,7 @@
 		sim.freeShard(shard)
 		sim.after(50*time.Millisecond, func() { sim.grantShard(shard, i) })
 	case 2:
-		sim.core.HandleLostLink(sim.now, routerID(i), math.MaxUint64)
+		sim.core.HandleLostLink(sim.now, routerID(i), 0, math.MaxUint64)
 	case 3:
 		left := testRouter(i)
 		left.Leaving = true
--- a/internal/gateway/load_refusal_test.go
+++ b/internal/gateway/load_refusal_test.go
@@ -60,7 +60,7 @@
 
 // ask starts a request and returns where it was sent, or the answer.
 func (c *reportedCore) ask(r Request) (*Send, *call.Answer) {
-	r.Token, r.ID, r.Method, r.Host = c.LastCall()+1e6+uint64(c.now), "x", "GET", "h"
+	r.Token, r.ID, r.Method, r.Host = c.lastCall+1e6+uint64(c.now), "x", "GET", "h"
 	c.Start(c.now, r)
 	out := c.Take()
 	if len(out.Sends) > 0 {
--- a/internal/gateway/outcomes.go
+++ b/internal/gateway/outcomes.go
@@ -81,11 +81,12 @@
 }
 
 // HandleLostLink handles the loss of a link to a router: all calls in flight on it, those
-// up to the number last, may have run.
-func (c *Core) HandleLostLink(now clock.Instant, id fleet.RouterID, last uint64) {
+// with the numbers from first to last, may have run. Calls to the router on other links are
+// left alone.
+func (c *Core) HandleLostLink(now clock.Instant, id fleet.RouterID, first, last uint64) {
 	var lost []uint64
 	for number, pc := range c.callsByNumber {
-		if pc.router == id && number <= last {
+		if pc.router == id && first <= number && number <= last {
 			lost = append(lost, number)
 		}
 	}
--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -196,12 +196,12 @@
 }
 
 // handleLinkEnd settles the calls of a link that has ended. The outcome of those that
-// were written and not answered is unknown. Calls on a later link to the same router are
-// left alone.
+// were written and not answered is unknown. Calls on other links to the same router, earlier
+// or later ones, are left alone.
 func (d *gatewayDuty) handleLinkEnd(now clock.Instant, in *inboundAnswer) {
 	d.openLinks.Add(-1)
 	d.retireLink(now, in.ended)
-	d.core.HandleLostLink(now, in.from, in.ended.lastNumber)
+	d.core.HandleLostLink(now, in.from, in.ended.firstNumber, in.ended.lastNumber)
 	d.events.Record(event.PeerLost, event.F("router", string(in.from)))
 }
 
@@ -210,7 +210,6 @@
 func (d *gatewayDuty) retireLink(now clock.Instant, l *link) {
 	if d.links[l.router] == l {
 		delete(d.links, l.router)
-		l.lastNumber = d.core.LastCall()
 	}
 	for out, ok := l.calls.Poll(); ok; out, ok = l.calls.Poll() {
 		if !out.cancel {
@@ -277,7 +276,9 @@
 	if send.Router.ID == d.self {
 		err = d.executor.Put(ctx, &submission{link: localLink, call: send.Call})
 	} else {
-		err = d.link(send.Router).calls.Put(ctx, &outgoingCall{call: send.Call, request: request, queuedAt: d.clock.Now()})
+		l := d.link(send.Router)
+		l.countCall(send.Call.Number)
+		err = l.calls.Put(ctx, &outgoingCall{call: send.Call, request: request, queuedAt: d.clock.Now()})
 	}
 	if err != nil {
 		d.core.HandleLostCall(d.clock.Now(), send.Call.Number, verdict.NotRun)
@@ -301,9 +302,6 @@
 	if l != nil && l.address == router.Address {
 		return l
 	}
-	if l != nil {
-		l.lastNumber = d.core.LastCall()
-	}
 	d.openLinks.Add(1)
 	l = newLink(d.fleet, router, &d.openLinks, d.clock, d.answers, d.events)
 	l.takesReports = d.loadMeter != nil
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync/atomic"
 	"time"
 
@@ -52,16 +51,16 @@
 	settled *ring.Ring[uint64]
 	// bodiesLeft is the number of bodies that are being sent in parts.
 	bodiesLeft atomic.Int64
-	// lastNumber is the number of the last call that may have been sent on the link. It
-	// is owned by the gateway duty.
-	lastNumber uint64
+	// firstNumber and lastNumber are the numbers of the first and the last call that the
+	// gateway duty, which owns them, has queued on the link. firstNumber is 0 before the first.
+	firstNumber, lastNumber uint64
 	// inFlight is the number of calls sent and not yet answered or cancelled.
 	inFlight atomic.Int64
 }
 
 func newLink(fleetName string, r fleet.Router, links *atomic.Int64, c clock.Clock, answers *ring.Ring[*inboundAnswer], events event.Recorder) *link {
 	return &link{
-		fleet: fleetName, router: r.ID, address: r.Address, links: links, clock: c, answers: answers, events: events, lastNumber: math.MaxUint64,
+		fleet: fleetName, router: r.ID, address: r.Address, links: links, clock: c, answers: answers, events: events,
 		calls:   ring.New[*outgoingCall]("link-"+string(r.ID), linkCapacity, ring.Refuse),
 		retired: ring.New[struct{}]("link-retired", 1, ring.DropOldest),
 		settled: ring.New[uint64]("link-settled", settledCapacity, ring.DropOldest), takesParts: r.TakesParts,
@@ -134,6 +133,14 @@
 	return limited.Err()
 }
 
+// countCall records the number of a call that is queued on the link. Numbers increase.
+func (l *link) countCall(number uint64) {
+	if l.firstNumber == 0 {
+		l.firstNumber = number
+	}
+	l.lastNumber = number
+}
+
 // trackInFlight updates the number of calls in flight for a sent message. It reports
 // whether this is the first of them.
 func (l *link) trackInFlight(out *outgoingCall) (first bool) {
