Log each answer to an attempt of an operators' command

An order without an acknowledgement left no trace of its attempts: the log had the commands that were committed, but not which process an attempt reached, whether it was redirected and to whom, how long it waited for the controller and for the commit, or that the same order was acknowledged again and again. So a leader that is unknown, a commit that takes long and answers that are lost on their way could not be told apart.

command-answered (406) says so at the process that answered.

--- a/internal/controlnode/controller_duty.go
+++ b/internal/controlnode/controller_duty.go
@@ -39,8 +39,8 @@
 	// streams holds the latest event of each open stream, for its ring and
 	// cancel.
 	streams map[controller.StreamID]streamEvent
-	// pendingRequests holds the changes that wait for their outcome, by token.
-	pendingRequests map[uint64]operator.Request
+	// pendingCommands holds the changes that wait for their outcome, by token.
+	pendingCommands map[uint64]pendingCommand
 	lastToken       uint64
 	applied         uint64
 	compacted       uint64
@@ -150,7 +150,7 @@
 	switch {
 	case request.Change != nil:
 		d.lastToken++
-		d.pendingRequests[d.lastToken] = *request
+		d.pendingCommands[d.lastToken] = pendingCommand{request: *request, queued: time.Since(request.ReceivedAt)}
 		propose := d.core.ProposeOperatorChange
 		if request.CallerConfirmed {
 			propose = d.core.ProposeConfirmedChange
@@ -192,9 +192,10 @@
 		return err
 	}
 	for _, reply := range out.Replies {
-		if request, ok := d.pendingRequests[reply.Token]; ok {
-			delete(d.pendingRequests, reply.Token)
-			request.Reply.Send(operator.Reply{
+		if pending, ok := d.pendingCommands[reply.Token]; ok {
+			delete(d.pendingCommands, reply.Token)
+			d.events.Record(event.CommandAnswered, pending.fields(&reply)...)
+			pending.request.Reply.Send(operator.Reply{
 				Redirect: reply.Redirect, Leader: reply.Leader, TooFewVoters: reply.TooFewVoters, ConfirmCaller: reply.ConfirmCaller, OutcomeUnknown: reply.OutcomeUnknown, Result: reply.Result,
 			})
 		}
--- a/internal/controlnode/node_duties.go
+++ b/internal/controlnode/node_duties.go
@@ -83,7 +83,7 @@
 		streamEvents:     ring.New[streamEvent]("renewals", streamEventCapacity, ring.Refuse),
 		operators:        ring.New[operator.Request]("operators", operatorCapacity, ring.Refuse),
 		meter:            metrics.NewControlMeter(n.registry),
-		streams:          map[controller.StreamID]streamEvent{}, pendingRequests: map[uint64]operator.Request{},
+		streams:          map[controller.StreamID]streamEvent{}, pendingCommands: map[uint64]pendingCommand{},
 	}
 	if stored.Snapshot != nil {
 		state, err := wire.DecodeState(stored.Snapshot.Data)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -36,6 +36,7 @@
 	CommandRefused     = define(401, "command-refused", Warn, "An operator's command was refused.")
 	CommandMalformed   = define(402, "command-malformed", Warn, "An operator's command could not be decoded; nothing was changed.")
 	CommandAbandoned   = define(405, "command-abandoned", Info, "An operator's command without a base version was not executed because its caller had closed the connection: it may be an earlier attempt of a command that was executed since.")
+	CommandAnswered    = define(406, "command-answered", Info, "A control process answered an attempt of an operator's command: accepted or refused once it was committed, redirected to the leader, or why not. `queued` is the time until the controller took it up, `took` that until its answer.")
 	ConfigInForce      = define(403, "config-in-force", Info, "Every router with an open session has applied the operators' commands up to this one.")
 	ConfigDelayed      = define(404, "config-delayed", Warn, "Some routers have not applied an operators' command in time.")
 	ViewApplied        = define(500, "view-applied", Info, "The router applied a newer view.")
--- a/internal/event/event_docs.go
+++ b/internal/event/event_docs.go
@@ -38,6 +38,7 @@
 	CommandMalformed: {fields: []string{"command", "cause"},
 		action: "Correct the field that is named in `cause` and send the command again."},
 	CommandAbandoned: {fields: []string{"command", "path", "method"}},
+	CommandAnswered:  {fields: []string{"command", "outcome", "leader", "queued", "took"}},
 	ConfigInForce:    {fields: []string{"config", "view", "took"}},
 	ConfigDelayed: {fields: []string{"config", "view", "took", "routers"},
 		action: "Check the VMs and the network of the routers that are listed; `control-lost` and `config-applied` in their logs show since when they lag."},
--- a/internal/operator/request.go
+++ b/internal/operator/request.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"time"
+
 	"endivespring/internal/fsm"
 	"endivespring/internal/ring"
 )
@@ -8,7 +10,9 @@
 // Request is an operator's request to the controller duty. Exactly one of
 // Change, Status, Preset and Explain is set.
 type Request struct {
-	Change *fsm.OperatorChange
+	// ReceivedAt is when the front end had read the request, or had confirmed its caller.
+	ReceivedAt time.Time
+	Change     *fsm.OperatorChange
 	// CallerConfirmed is set if the caller of Change was seen to still wait for the answer
 	// some time after the command was read.
 	CallerConfirmed bool
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -121,7 +121,7 @@
 // forward puts a request on the ring and waits for the reply. After a time-out
 // the outcome is unknown, since the request may still be carried out.
 func (s *Server) forward(request Request) (Reply, error) {
-	request.Reply = ring.NewReply[Reply]()
+	request.ReceivedAt, request.Reply = time.Now(), ring.NewReply[Reply]()
 	ctx, cancel := context.WithTimeout(context.Background(), replyTimeout)
 	defer cancel()
 	if err := s.requests.Put(ctx, request); err != nil {
