Answer what a stopping router cannot finish before its process is killed

Callers saw: after a planned stop of their router, requests ended with their connection and no answer: those at which an upstream was at work, and also those that still waited for a slot. Processes were still there at the end of the grace time and were killed.

Cause: at the end of the grace period the duties were stopped while requests were open. Nothing answered them then, so that their handlers waited until the kill, and the process waited for its handlers. The wait for the callers' server (up to the grace period less linger, counted from its stop and not from the signal), the flush of the links (500 ms) and the wait for the duties (no limit) all began when the margin before the kill was nearly used up.

Fix: the last steps have times of their own before the end of the grace period (stopSchedule): what waits is refused as not-run, runs are broken off with their outcome, the rest is answered as may-have-run, and then connections and links are flushed. The exit has limits that fit before the kill. The same steps hold for the native interface. Each step logs what is open (stop-progressed), and the exit which duties did not return (duties-outstanding).

--- a/internal/duty/group_test.go
+++ b/internal/duty/group_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
@@ -76,3 +78,23 @@
 	cancel()
 	assert.NilError(t, g.Wait())
 }
+
+// Guards against a process that does not exit because one of its duties does not return.
+func TestWaitIsBounded(t *testing.T) {
+	g := NewGroup(context.Background())
+	release := make(chan struct{})
+	g.Go("stuck", func(context.Context) error {
+		<-release
+		return nil
+	})
+	g.Go("d", untilStopped)
+	g.Stop()
+	outstanding, err := g.WaitFor(50 * time.Millisecond)
+	assert.NilError(t, err)
+	assert.Assert(t, slices.Contains(outstanding, "stuck"))
+	close(release)
+	outstanding, err = g.WaitFor(time.Minute)
+	assert.NilError(t, err)
+	assert.Equal(t, len(outstanding), 0)
+	assert.NilError(t, g.Wait())
+}
--- a/internal/executor/core.go
+++ b/internal/executor/core.go
@@ -46,6 +46,8 @@
 	peerAvailable bool
 	leaving       bool
 	stopping      bool
+	// startsNone is set once a stopping router starts no more runs.
+	startsNone bool
 
 	shards      *ownedShards
 	rangeLeases rangeLeases
@@ -193,10 +195,6 @@
 	c.startQueued(now)
 }
 
-// Stop refuses new calls because the router is stopping. Queued calls still
-// run.
-func (c *Core) Stop() { c.stopping = true }
-
 // Tick starts or refuses queued calls that are due, releases revoked key ranges
 // whose lease has expired, and answers calls whose deadline has passed or whose
 // shard's lease has expired.
--- a/internal/executor/run_queue.go
+++ b/internal/executor/run_queue.go
@@ -52,6 +52,8 @@
 	switch {
 	case !j.hasWaiters():
 		return verdict.ReasonCancelled
+	case c.startsNone:
+		return verdict.ReasonStopping
 	case now >= j.call.Deadline:
 		return verdict.ReasonDeadline
 	case now >= j.startBy:
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -44,6 +44,9 @@
 // admit returns the pending request, or why the view lease, the preset or the
 // request itself does not allow it.
 func (c *Core) admit(now clock.Instant, r Request) (*pendingRequest, verdict.Reason) {
+	if c.stopping {
+		return nil, verdict.ReasonStopping
+	}
 	if now >= c.viewExpiry {
 		return nil, verdict.ReasonViewStale
 	}
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -47,7 +47,9 @@
 	// waitsReportedAt is when their waits were last reported.
 	nestedServices  []nestedService
 	waitsReportedAt clock.Instant
-	output          Output
+	// stopping is set once the router refuses what waits because it is stopping.
+	stopping bool
+	output   Output
 }
 
 // New returns a core without requests. It refuses every request until it has a view lease
--- a/internal/gateway/hedging.go
+++ b/internal/gateway/hedging.go
@@ -18,7 +18,7 @@
 // sendHedge sends a second call of a request whose only call is late, if another
 // executor is available and the hedge budget has a token.
 func (c *Core) sendHedge(now clock.Instant, p *pendingRequest) {
-	if !p.hedgeAllowed() || len(p.calls) != 1 || p.attempts >= maxAttempts {
+	if c.stopping || !p.hedgeAllowed() || len(p.calls) != 1 || p.attempts >= maxAttempts {
 		return
 	}
 	router, ok := c.chooseExecutor(now, p)
--- a/internal/gateway/outcomes.go
+++ b/internal/gateway/outcomes.go
@@ -124,6 +124,9 @@
 // request proved not to have run, or an idempotent one, is sent again. A redirect costs no
 // upstream anything and needs no token.
 func (c *Core) mayRetry(now clock.Instant, p *pendingRequest, answer *call.Answer) bool {
+	if c.stopping {
+		return false
+	}
 	if c.usesReports() && c.ownerRuns(p) && answer.Verdict == verdict.NotRun && answer.Reason == verdict.ReasonOverloaded {
 		return false // the one owner is still full at a second try
 	}
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -36,7 +36,7 @@
 	notifications *ring.Ring[upstream.Notification]
 	nestedCalls   *ring.Ring[call.NestedCall]
 	waits         *ring.Ring[call.ServiceWait]
-	stop          *ring.Ring[executorStop]
+	stop          *ring.Ring[stopStep]
 	runs          *ring.Ring[outboundRun]
 	delegations   *ring.Ring[executor.Delegation]
 	aborts        *ring.Ring[executor.Abort]
@@ -198,16 +198,28 @@
 
 // advanceStop performs a step of the shutdown. An upstream that holds ranges of keys
 // keeps them, and continues to receive calls, until stopFinish.
-func (d *executorDuty) advanceStop(ctx context.Context, step executorStop) {
-	if step == stopLinks {
+func (d *executorDuty) advanceStop(ctx context.Context, step stopStep) {
+	queued, running, delegated := d.core.Open()
+	d.events.Record(event.StopProgressed, event.F("duty", "executor"), event.F("step", step.String()),
+		event.F("queued", queued), event.F("running", running), event.F("delegated", delegated), event.F("links", len(d.sinks)-1))
+	switch step {
+	case stopRetire, stopFinish:
+		d.retire(ctx, step == stopFinish)
+	case stopWaiting:
+		d.core.RefuseQueued()
+	case stopRuns:
+		d.core.AbortRuns()
+	case stopLinks:
 		for _, sink := range d.sinks {
 			sink.finish(ctx)
 		}
-		return
 	}
+}
+
+func (d *executorDuty) retire(ctx context.Context, finish bool) {
 	holdsRanges := d.core.HoldsRanges()
 	d.shutdownStarted = true
-	d.stopping = step == stopFinish
+	d.stopping = finish
 	if !holdsRanges {
 		d.withdrawUpstream(ctx)
 	}
--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -34,6 +34,9 @@
 	executor *ring.Ring[*submission]
 	// questions are operators' questions where a request would go.
 	questions *ring.Ring[*whereQuestion]
+	stop      *ring.Ring[stopStep]
+	// drained is signalled while stopping, once no request is in flight.
+	drained *ring.Ring[struct{}]
 	// nestedCalls and waits tell the executor duty about nested requests. They drop the oldest.
 	nestedCalls *ring.Ring[call.NestedCall]
 	waits       *ring.Ring[call.ServiceWait]
@@ -59,6 +62,8 @@
 	links     map[fleet.RouterID]*link
 	// openLinks is the number of links that have not ended.
 	openLinks atomic.Int64
+	// stopping is set from stopFinish on.
+	stopping bool
 }
 
 // Run drives the core until the context ends.
@@ -79,16 +84,36 @@
 			d.handleAnswer(answer)
 		case update := <-d.updates.Out():
 			d.update(&update)
+		case step := <-d.stop.Out():
+			d.advanceStop(step)
 		case q := <-d.questions.Out():
 			q.reply.Send(d.core.ExplainWhere(d.clock.Now(), &q.question))
 			continue // nothing has changed
 		}
 		d.core.ReportWaits(d.clock.Now())
 		d.dispatch(ctx)
+		if d.stopping && d.core.Len() == 0 && d.requests.Depth() == 0 {
+			_ = d.drained.Put(ctx, struct{}{})
+		}
 		timer.Reset(d.sleep())
 	}
 }
 
+// advanceStop performs a step of the shutdown.
+func (d *gatewayDuty) advanceStop(step stopStep) {
+	d.events.Record(event.StopProgressed, event.F("duty", "gateway"), event.F("step", step.String()),
+		event.F("requests", d.core.Len()), event.F("waiting", d.core.Waiting()))
+	now := d.clock.Now()
+	switch step {
+	case stopFinish:
+		d.stopping = true
+	case stopWaiting:
+		d.core.RefuseWaiting(now)
+	case stopRequests:
+		d.core.EndRequests(now)
+	}
+}
+
 func (d *gatewayDuty) update(update *session.Update) {
 	d.core.SetViewLease(update.ViewUntil)
 	if update.Change != nil {
--- a/internal/router/gone_caller_test.go
+++ b/internal/router/gone_caller_test.go
@@ -43,8 +43,8 @@
 	d := &gatewayDuty{
 		self: "self", fleet: "f", core: gateway.New(gateway.Settings{Balancer: balancer.Settings{Self: "self"}, NoHedging: true}), clock: now, events: log,
 		requests: requests, answers: ring.New[*inboundAnswer]("answers", 64, ring.Wait), executor: ring.New[*submission]("submissions", 64, ring.Refuse),
-		questions: ring.New[*whereQuestion]("questions", 4, ring.Refuse),
-		updates:   ring.New[session.Update]("updates", 4, ring.Wait), delegations: ring.New[executor.Delegation]("delegations", 4, ring.Refuse),
+		questions: ring.New[*whereQuestion]("questions", 4, ring.Refuse), stop: ring.New[stopStep]("stop", int(stopSteps), ring.Refuse),
+		updates: ring.New[session.Update]("updates", 4, ring.Wait), delegations: ring.New[executor.Delegation]("delegations", 4, ring.Refuse),
 		pending: map[uint64]*caller.Request{}, tokens: map[uint64]uint64{}, links: map[fleet.RouterID]*link{}, delegatedRuns: map[uint64]uint64{},
 		readiness: &readiness{}, hasPreset: ring.New[struct{}]("has-preset", 1, ring.DropOldest), client: caller.NewGatewayClient(now, requests, observe),
 	}
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -49,8 +49,6 @@
 	waitCapacity          = 64   // waits at services of which the executor duty is told
 	gatewayAnswerCapacity = 8192 // answers queued for the gateway duty
 
-	stopSteps = 3 // steps of an executor's stop
-
 	closeTimeout = time.Second // limit on closing the session
 	// presetWait is how long a router that starts lets callers' connections wait for its
 	// first preset and the lease to use it, before it accepts them and refuses their requests. Callers give up on
@@ -64,6 +62,11 @@
 	// sending the last answers.
 	linkCloseTime = 200 * time.Millisecond
 	flushTimeout  = 500 * time.Millisecond
+	// serverCloseTime is the limit on closing the servers once the duties have stopped, and
+	// exitTime that on the end of the duties. Both fit into the time between the end of the
+	// grace period and the kill.
+	serverCloseTime = 100 * time.Millisecond
+	exitTime        = 200 * time.Millisecond
 	// stopLinger is the minimum time for which a stopping router still accepts
 	// requests, so that callers with open connections and the gateways of other
 	// routers learn of the stop.
@@ -104,7 +107,12 @@
 	// callersDone is signalled once the front end has answered all requests that
 	// it has read.
 	callersDone *ring.Ring[struct{}]
-	stopCallers context.CancelFunc
+	// stopCallers closes the callers' listeners. It may be called again.
+	stopCallers func()
+	stopStarted time.Time
+	// executorDrained and gatewayDrained are set once the duties have signalled that they are
+	// drained. They are owned by Stop, which sets stopStarted.
+	executorDrained, gatewayDrained bool
 }
 
 // Start opens the listeners and starts the duties. The injector must provide
@@ -165,7 +173,8 @@
 		requests: ring.New[*caller.Request]("requests", s.MaxRequests, ring.Refuse), answers: answers, executor: submissions,
 		updates: ring.New[session.Update]("entry-updates", updateCapacity, ring.Wait),
 		pending: map[uint64]*caller.Request{}, tokens: map[uint64]uint64{}, links: map[fleet.RouterID]*link{},
-		readiness:   &n.readiness,
+		readiness: &n.readiness,
+		stop:      ring.New[stopStep]("gateway-stop", int(stopSteps), ring.Refuse), drained: ring.New[struct{}]("gateway-drained", 1, ring.DropOldest),
 		questions:   ring.New[*whereQuestion]("questions", questionCapacity, ring.Refuse),
 		delegations: delegations, delegatedRuns: map[uint64]uint64{}, nestedCalls: nestedCalls, waits: waits,
 	}
@@ -175,7 +184,7 @@
 		updates:       ring.New[session.Update]("door-updates", updateCapacity, ring.Wait),
 		notifications: ring.New[upstream.Notification]("notices", notificationCapacity, ring.Refuse),
 		nestedCalls:   nestedCalls, waits: waits,
-		stop:        ring.New[executorStop]("door-stop", stopSteps, ring.Refuse),
+		stop:        ring.New[stopStep]("door-stop", int(stopSteps), ring.Refuse),
 		runs:        ring.New[outboundRun]("runs", runCapacity, ring.Refuse),
 		delegations: delegations, cancels: map[uint64]context.CancelFunc{}, departures: departures{},
 		aborts:        ring.New[executor.Abort]("aborts", runCapacity, ring.DropOldest),
--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"time"
 
 	"github.com/gofiber/fiber/v2"
 
@@ -43,7 +45,15 @@
 	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, l.peer) })
 	if n.frontEnd != nil {
 		n.serveFrontEnd(l)
+		return
 	}
+	n.stopCallers = sync.OnceFunc(func() {
+		n.group.Go("caller-shutdown", func(ctx context.Context) error {
+			pause(ctx, time.Until(n.stopStarted.Add(stopLinger)))
+			_ = n.caller.App().ShutdownWithContext(ctx)
+			return n.callersDone.Put(ctx, struct{}{})
+		})
+	})
 }
 
 func (n *Node) startRangeDuties(dialect upstream.Dialect) {
--- /dev/null
+++ b/internal/router/stop_step.go
@@ -0,0 +1,30 @@
+package router
+
+// stopStep is a step in the graceful shutdown of a router. The gateway and the executor duty
+// are told of each.
+type stopStep uint8
+
+const (
+	// stopRetire withdraws the upstream, unless it holds ranges of keys, so that
+	// callers and gateways turn to other routers.
+	stopRetire stopStep = iota
+	// stopFinish accepts no new calls and finishes those that run. The gateways of other
+	// routers are asked to send no more.
+	stopFinish
+	// stopWaiting refuses what no upstream works on yet. Nothing is started or retried any
+	// more.
+	stopWaiting
+	// stopRuns breaks off the runs at the upstream and answers their callers.
+	stopRuns
+	// stopRequests answers the callers' requests that are still open.
+	stopRequests
+	// stopLinks ends the links of other routers, after the answers queued for them.
+	stopLinks
+
+	stopSteps // number of steps
+)
+
+var stopStepNames = [stopSteps]string{"retire", "finish", "refuse what waits", "break off runs", "answer what is open", "end links"}
+
+// String returns the name in events.
+func (s stopStep) String() string { return stopStepNames[s] }
