Cancel a call on the link that carries it

What callers and upstreams saw: an upstream went on working for a caller who had left, if the router beside it was stopping.

Once the router beside the upstream had retired its link, the cancellation of a call on it was sent on the next link to that router, where nobody knew the call, or on none. It could not be sent on the right one, since a link half-closed its stream as soon as it was retired.

Change: a retired link takes no more calls, but sends cancellations and pings until no call on it is in flight; only then is its stream half-closed. Calls that are still queued when it is retired are reported as not run by its writer. The gateway duty keeps the links that get no more calls until they have ended, and finds the one that carries a call by its number.

TestRetiredLinkThatEndsIsEmptiedOnce calls emptyLink, the part of the former retireLink that empties the ring; it checks the same.

--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -60,6 +61,9 @@
 	pending   map[uint64]*caller.Request
 	tokens    map[uint64]uint64 // tokens by the caller server's numbers
 	links     map[fleet.RouterID]*link
+	// earlierLinks are links that get no more calls and have not ended. Calls on them may be in
+	// flight.
+	earlierLinks []*link
 	// openLinks is the number of links that have not ended.
 	openLinks atomic.Int64
 	// stopping is set from stopFinish on.
@@ -209,7 +213,7 @@
 	case in.ended != nil:
 		d.handleLinkEnd(now, in)
 	case in.retired != nil:
-		d.retireLink(now, in.retired)
+		d.replaceLink(in.retired)
 	case in.load != nil:
 		d.core.HandleReport(now, in.from, *in.load)
 		d.loadMeter.CountReceived()
@@ -225,17 +229,24 @@
 // or later ones, are left alone.
 func (d *gatewayDuty) handleLinkEnd(now clock.Instant, in *inboundAnswer) {
 	d.openLinks.Add(-1)
-	d.retireLink(now, in.ended)
+	d.replaceLink(in.ended)
+	d.earlierLinks = slices.DeleteFunc(d.earlierLinks, func(l *link) bool { return l == in.ended })
+	d.emptyLink(now, in.ended)
 	d.core.HandleLostLink(now, in.from, in.ended.firstNumber, in.ended.lastNumber)
 	d.events.Record(event.PeerLost, event.F("router", string(in.from)))
 }
 
-// retireLink sends no more calls on a link. Those still queued on its ring were never
-// written and did not run.
-func (d *gatewayDuty) retireLink(now clock.Instant, l *link) {
+// replaceLink sends no more calls on a link: the next call to its router opens another.
+func (d *gatewayDuty) replaceLink(l *link) {
 	if d.links[l.router] == l {
 		delete(d.links, l.router)
+		d.earlierLinks = append(d.earlierLinks, l)
 	}
+}
+
+// emptyLink settles the calls that are queued on a link that has ended. They were never
+// written and did not run.
+func (d *gatewayDuty) emptyLink(now clock.Instant, l *link) {
 	for out, ok := l.calls.Poll(); ok; out, ok = l.calls.Poll() {
 		if !out.cancel {
 			d.core.HandleLostCall(now, out.call.Number, verdict.NotRun)
@@ -315,11 +326,24 @@
 		_ = d.executor.Put(ctx, &submission{link: localLink, cancel: cancel.Number})
 		return
 	}
-	if l := d.links[cancel.Router]; l != nil {
+	if l := d.linkOf(cancel); l != nil {
 		_ = l.calls.Put(ctx, &outgoingCall{call: call.Call{Number: cancel.Number}, cancel: true})
 	}
 }
 
+// linkOf returns the link on which a call was queued, or nil if it has ended.
+func (d *gatewayDuty) linkOf(cancel gateway.Cancel) *link {
+	if l := d.links[cancel.Router]; l != nil && l.carries(cancel.Number) {
+		return l
+	}
+	for _, l := range d.earlierLinks {
+		if l.router == cancel.Router && l.carries(cancel.Number) {
+			return l
+		}
+	}
+	return nil
+}
+
 // link returns the link to the executor of a router. It opens a new one if there is
 // none or if the router's address has changed.
 func (d *gatewayDuty) link(router fleet.Router) *link {
@@ -327,6 +351,9 @@
 	if l != nil && l.address == router.Address {
 		return l
 	}
+	if l != nil {
+		d.replaceLink(l)
+	}
 	d.openLinks.Add(1)
 	l = newLink(d.fleet, router, &d.openLinks, d.clock, d.answers, d.events)
 	l.takesReports = d.loadMeter != nil
--- a/internal/router/later_link_test.go
+++ b/internal/router/later_link_test.go
@@ -59,6 +59,22 @@
 	return reply
 }
 
+// chargeOnALaterLink submits a request and returns the sink of the link that it opens. It is sent
+// on the earlier link, and answered, as long as the gateway has not retired that.
+func (h *laterLinkHarness) chargeOnALaterLink(t *testing.T, ctx context.Context, earlier answerSink) (answerSink, ring.Reply[call.Answer]) {
+	t.Helper()
+	for {
+		second := h.charge(t, ctx, 2, "second")
+		s := h.take(t, ctx)
+		if s.open != nil {
+			h.take(t, ctx)
+			return s.open, second
+		}
+		earlier.answer(ctx, call.Answer{Number: s.call.Number, RequestID: "second", Verdict: verdict.Ran, Status: 200})
+		<-second.Out()
+	}
+}
+
 func (h *laterLinkHarness) take(t *testing.T, ctx context.Context) *submission {
 	t.Helper()
 	s, err := h.submissions.Take(ctx)
@@ -78,20 +94,10 @@
 	running := h.take(t, ctx)
 	assert.Equal(t, running.call.RequestID, "first")
 	earlier.retire(ctx)
-	for {
-		second := h.charge(t, ctx, 2, "second")
-		s := h.take(t, ctx)
-		if s.open == nil { // sent before the gateway had retired the earlier link
-			earlier.answer(ctx, call.Answer{Number: s.call.Number, RequestID: "second", Verdict: verdict.Ran, Status: 200})
-			<-second.Out()
-			continue
-		}
-		h.take(t, ctx)
-		s.open.finish(ctx)
-		answer := <-second.Out()
-		assert.Equal(t, answer.Verdict, verdict.MayHaveRun)
-		break
-	}
+	later, second := h.chargeOnALaterLink(t, ctx, earlier)
+	later.finish(ctx)
+	answer := <-second.Out()
+	assert.Equal(t, answer.Verdict, verdict.MayHaveRun)
 	earlier.answer(ctx, call.Answer{Number: running.call.Number, RequestID: "first", Verdict: verdict.Ran, Status: 200})
 	select {
 	case answer := <-first.Out():
@@ -100,3 +106,20 @@
 		t.Fatal("the first request was not answered")
 	}
 }
+
+// Guards against an upstream that goes on working for a caller who has left (GONE): the
+// cancellation of a call on a retired link was sent on a later link, where nobody knows the call.
+func TestCancellationFollowsItsCallToARetiredLink(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	h := newLaterLinkHarness(t, ctx)
+	h.charge(t, ctx, 1, "first")
+	opened := h.take(t, ctx)
+	running := h.take(t, ctx)
+	opened.open.retire(ctx)
+	h.chargeOnALaterLink(t, ctx, opened.open)
+	assert.NilError(t, h.requests.Put(ctx, &caller.Request{Number: 1, Abandoned: true}))
+	cancelled := h.take(t, ctx)
+	assert.Equal(t, cancelled.cancel, running.call.Number)
+	assert.Equal(t, cancelled.link, opened.link)
+}
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -119,14 +119,13 @@
 	return err
 }
 
-// awaitAnswers half-closes the stream, so that the other router knows that no more calls
-// follow, and waits until it has ended the stream. Calls that are queued meanwhile are
-// reported as not run by Run.
-func (l *link) awaitAnswers(ctx context.Context, stream grpc.BidiStreamingClient[wirepb.DoorUp, wirepb.DoorDown]) error {
+// awaitEnd half-closes the stream, so that the other router knows that nothing more follows,
+// and waits until it has ended the stream. Calls that are queued meanwhile are reported as not
+// run by Run.
+func (l *link) awaitEnd(ctx context.Context, stream grpc.BidiStreamingClient[wirepb.DoorUp, wirepb.DoorDown]) error {
 	if err := stream.CloseSend(); err != nil {
 		return err
 	}
-	_ = l.answers.Put(ctx, &inboundAnswer{from: l.router, retired: l})
 	limited, cancel := context.WithTimeout(ctx, idleTimeout)
 	defer cancel()
 	<-limited.Done()
@@ -141,6 +140,11 @@
 	l.lastNumber = number
 }
 
+// carries reports whether a call was queued on the link.
+func (l *link) carries(number uint64) bool {
+	return l.firstNumber <= number && number <= l.lastNumber
+}
+
 // trackInFlight updates the number of calls in flight for a sent message. It reports
 // whether this is the first of them.
 func (l *link) trackInFlight(out *outgoingCall) (first bool) {
--- a/internal/router/link_end_test.go
+++ b/internal/router/link_end_test.go
@@ -15,8 +15,8 @@
 	"endivespring/internal/verdict"
 )
 
-// Guards against a gateway that hangs for good: it retires a link that ends at the same time, and
-// both empty the ring of its calls.
+// Guards against a gateway that hangs for good: it and a link that ends may empty the ring of the
+// link's calls at the same time.
 func TestRetiredLinkThatEndsIsEmptiedOnce(t *testing.T) {
 	const rounds, calls = 3000, 3
 	now := &manualClock{}
@@ -28,7 +28,7 @@
 		}
 		d := &gatewayDuty{core: gateway.New(gateway.Settings{}), links: map[fleet.RouterID]*link{}}
 		var both sync.WaitGroup
-		both.Go(func() { d.retireLink(0, l) })
+		both.Go(func() { d.emptyLink(0, l) })
 		both.Go(func() { l.reportQueued(t.Context()) })
 		done := make(chan struct{})
 		go func() {
--- a/internal/router/link_writer.go
+++ b/internal/router/link_writer.go
@@ -30,7 +30,8 @@
 	// are any.
 	bodies  []outgoingBody
 	partDue *ring.Ring[struct{}]
-	// closing is set once the other router asks for no more calls.
+	// closing is set once the other router asks for no more calls. Cancellations of those in
+	// flight are still sent.
 	closing bool
 }
 
@@ -49,8 +50,8 @@
 	defer w.watchdog.Stop()
 	defer w.ping.Stop()
 	for {
-		if w.closing && len(w.bodies) == 0 {
-			return w.awaitAnswers(ctx, w.stream)
+		if w.closing && len(w.bodies) == 0 && w.inFlight.Load() == 0 {
+			return w.awaitEnd(ctx, w.stream)
 		}
 		up, err := w.next(ctx)
 		if err != nil || w.idle() {
@@ -70,20 +71,16 @@
 
 // next waits for the next message to send. It is nil if there is none yet.
 func (w *linkWriter) next(ctx context.Context) (*wirepb.DoorUp, error) {
-	calls := w.calls.Out()
-	if w.closing {
-		calls = nil
-	}
 	select {
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	case <-w.retired.Out():
 		w.closing = true
-		return nil, nil
+		return nil, w.answers.Put(ctx, &inboundAnswer{from: w.router, retired: w.link})
 	case number := <-w.settled.Out():
 		w.dropBody(ctx, number)
 		return nil, nil
-	case out := <-calls:
+	case out := <-w.calls.Out():
 		return w.message(ctx, out), nil
 	case <-w.partDue.Out():
 		return w.nextPart(ctx), nil
@@ -93,10 +90,10 @@
 }
 
 // message returns the message of a call or a cancellation, or nil if the call is not sent
-// because its caller has gone.
+// because its caller has gone or the other router takes no more calls.
 func (w *linkWriter) message(ctx context.Context, out *outgoingCall) *wirepb.DoorUp {
 	w.used = w.clock.Now()
-	if out.callerGone(w.used) {
+	if !out.cancel && w.closing || out.callerGone(w.used) {
 		w.reportUnsent(ctx, out.call.Number)
 		return nil
 	}
