Redirect operators to no leader without a lease

What operators saw: an order took longer to be acknowledged than the process that took it needed.

Cause: a process that is leader in its own eyes but holds no lease any more named the known leader, which is itself. Operators follow a redirect twice, each time into the same answer, before they turn to another process. The streams of routers already left the address out in this case.

Change: a leader knows no address of another leader.

TestLeaderWithoutALeaseRedirectsToNobody before: "control-1 (replies[0].Leader) != ''".

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -127,8 +127,14 @@
 	return out
 }
 
-// LeaderAddress returns the peer address of the known leader, or an empty string.
-func (c *Core) LeaderAddress() string { return c.peerAddress(c.leadership.Leader) }
+// LeaderAddress returns the peer address of another process that is known as leader, or an empty
+// string. A leader whose lease has run out knows no other.
+func (c *Core) LeaderAddress() string {
+	if c.leadership.IsLeader {
+		return ""
+	}
+	return c.peerAddress(c.leadership.Leader)
+}
 
 // State returns the replicated state. The caller must not change it.
 func (c *Core) State() *fsm.State { return c.state }
--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -71,6 +71,24 @@
 	assert.Equal(t, proposedCloses(core.Take()), 1)
 }
 
+// Guards against an order that is not acknowledged in time (SHORT): a leader that was suspended
+// until its lease had run out redirected operators to itself, and each followed it twice.
+func TestLeaderWithoutALeaseRedirectsToNobody(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	core, _ := newLeader(t, now)
+	core.SetLeadership(now, controller.Leadership{IsLeader: true, Leader: "control-1", Term: 1, LeaseUntil: now})
+	core.Take()
+	core.ProposeOperatorChange(now, 1, &fsm.OperatorChange{CommandID: "c"})
+	replies := core.Take().Replies
+	assert.Equal(t, len(replies), 1)
+	assert.Assert(t, replies[0].Redirect)
+	assert.Equal(t, replies[0].Leader, "")
+	core.SetLeadership(now, controller.Leadership{Leader: "control-2", Term: 2})
+	core.ProposeOperatorChange(now, 2, &fsm.OperatorChange{CommandID: "c"})
+	replies = core.Take().Replies
+	assert.Assert(t, replies[len(replies)-1].Leader != "")
+}
+
 // Every operator's request is answered: with the result once its command is committed,
 // as unknown if the command is not committed in time or the leader changes before, and
 // with a redirect by a process that is not leader.
--- a/internal/controller/leading.go
+++ b/internal/controller/leading.go
@@ -58,9 +58,6 @@
 }
 
 func (c *Core) redirect(id StreamID) {
-	down := session.ControlMessage{Redirect: true}
-	if !c.leadership.IsLeader {
-		down.Leader = c.peerAddress(c.leadership.Leader)
-	}
+	down := session.ControlMessage{Redirect: true, Leader: c.LeaderAddress()}
 	c.output.Sends = append(c.output.Sends, StreamMessage{Stream: id, Message: down})
 }
