Refuse requests of running work that a stopping router cannot finish

Callers saw: a request that an upstream sent for one of its runs was broken off at the end of its router's grace period, while another upstream was at work on it.

Cause: a stopping router refuses new requests after it has lingered, except those of the runs beside it. These were taken until the process ended, with any deadline.

Fix: from then on the gateway refuses such a request as not-run with the reason `stopping` if its deadline lies behind the time at which requests are broken off and four times the mean run time of its route, or 1 s, do not fit before. Run times are learned also without load reports; nothing else used them then.

--- a/internal/caller/gateway_client.go
+++ b/internal/caller/gateway_client.go
@@ -94,6 +94,9 @@
 	} else if request.Resend { // an earlier attempt may have run
 		answer.Verdict = verdict.MayHaveRun
 	}
+	if answer.Verdict == verdict.NotRun && answer.Reason == verdict.ReasonStopping && answer.RetryAfter == 0 {
+		answer.RetryAfter = restartTime
+	}
 	g.observe(&answer, time.Since(start))
 	return answer
 }
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -96,6 +96,9 @@
 	if entry.Route.Objective > 0 {
 		p.objective = r.receivedAt(now).Add(entry.Route.Objective - entry.Elapsed(r.Timeout, r.Nested))
 	}
+	if c.outlasts(now, p) {
+		return nil, verdict.ReasonStopping
+	}
 	p.waitUntil = now.Add(maxWait(entry.Route, p.deadline.Sub(now)))
 	c.fillBudgets(p, service)
 	return p, verdict.ReasonNone
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -47,6 +47,8 @@
 	// waitsReportedAt is when their waits were last reported.
 	nestedServices  []nestedService
 	waitsReportedAt clock.Instant
+	// endsAt is when a stopping router breaks off its requests, or zero.
+	endsAt clock.Instant
 	// stopping is set once the router refuses what waits because it is stopping.
 	stopping bool
 	output   Output
--- a/internal/gateway/load_refusal.go
+++ b/internal/gateway/load_refusal.go
@@ -97,7 +97,7 @@
 // observeRun adds the latency of a call without its wait to the run time of its route.
 func (c *Core) observeRun(now clock.Instant, pc *pendingCall) {
 	route := pc.parent.route
-	if route == nil || !c.usesReports() {
+	if route == nil {
 		return
 	}
 	took := max(0, now.Sub(pc.sent)-pc.wait)
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -4,12 +4,35 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/verdict"
 )
 
+const (
+	// endShare is the multiple of a route's mean run time that a request must have left when it
+	// arrives at a stopping router, as executors have it, and minEndTime the least time.
+	endShare   = 4.0
+	minEndTime = time.Second
+)
+
+// StopBy tells that requests are broken off at end, because the router is stopping. From now on
+// a nested request is refused if it may last longer and is not expected to end before. Other
+// requests are refused by the front ends.
+func (c *Core) StopBy(end clock.Instant) { c.endsAt = end }
+
+// outlasts reports whether a request that arrives must be refused because the router may end
+// before its run.
+func (c *Core) outlasts(now clock.Instant, p *pendingRequest) bool {
+	if c.endsAt == 0 || !p.request.Nested || p.deadline <= c.endsAt {
+		return false
+	}
+	needs := max(minEndTime, time.Duration(endShare*float64(c.runTimes[p.route.Name])))
+	return now.Add(needs) > c.endsAt
+}
+
 // RefuseWaiting refuses the requests without a call in flight because the router is stopping.
 // From now on new requests are refused, and none is sent again.
 func (c *Core) RefuseWaiting(now clock.Instant) {
--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -64,6 +64,9 @@
 	openLinks atomic.Int64
 	// stopping is set from stopFinish on.
 	stopping bool
+	// endsAt is when a stopping router answers the requests that are still open.
+	endsAt       clock.Instant
+	stopSchedule stopSchedule
 }
 
 // Run drives the core until the context ends.
@@ -105,8 +108,11 @@
 		event.F("requests", d.core.Len()), event.F("waiting", d.core.Waiting()))
 	now := d.clock.Now()
 	switch step {
+	case stopBegin:
+		d.endsAt = now.Add(d.stopSchedule.requests)
 	case stopFinish:
 		d.stopping = true
+		d.core.StopBy(d.endsAt)
 	case stopWaiting:
 		d.core.RefuseWaiting(now)
 	case stopRequests:
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -195,7 +195,7 @@
 		startMillis:   time.Now().UnixMilli(), contactTimeout: s.AnnounceTimeout.Value(), drained: ring.New[struct{}]("door-drained", 1, ring.DropOldest),
 		sinks: map[uint64]answerSink{localLink: &localSink{self: self.ID, answers: answers}},
 	}
-	n.executor.stopSchedule = newStopSchedule(s)
+	n.gateway.stopSchedule, n.executor.stopSchedule = newStopSchedule(s), newStopSchedule(s)
 	n.executor.core.LearnCapacity(s.Load.LearnCapacity)
 	n.executor.core.SetEarlyReports(s.Load.Reports)
 	n.session = &sessionDuty{
--- a/internal/router/stopping.go
+++ b/internal/router/stopping.go
@@ -13,7 +13,7 @@
 // of the grace period is answered as it stands.
 func (n *Node) Stop() {
 	n.events.Record(event.ProcessStopping, event.F("name", n.settings.Name))
-	schedule := n.executor.stopSchedule
+	schedule := newStopSchedule(n.settings)
 	n.stopStarted = time.Now()
 	ctx, cancel := context.WithDeadline(n.group.Context(), n.stopStarted.Add(schedule.end))
 	defer cancel()
