Withdraw the calls of a stopping router that wait at other routers

Callers saw: a request that had never started was ended with 502 (may-have-run) at the end of its router's grace period, so that one that must not run twice could not be sent again.

Cause: a gateway could only cancel a call, and a cancellation has no answer: whether the call was queued or running was not known when the router ended.

An executor refuses a withdrawn call as not-run if it is queued and nobody else waits for it, and goes on with any other. The message travels with a ping, which is all that earlier builds see of it.

--- a/internal/caller/gateway_client.go
+++ b/internal/caller/gateway_client.go
@@ -94,7 +94,7 @@
 	} else if request.Resend { // an earlier attempt may have run
 		answer.Verdict = verdict.MayHaveRun
 	}
-	if answer.Verdict == verdict.NotRun && answer.Reason == verdict.ReasonStopping && answer.RetryAfter == 0 {
+	if answer.Verdict == verdict.NotRun && answer.RetryAfter == 0 && g.refusing.Load() {
 		answer.RetryAfter = restartTime
 	}
 	g.observe(&answer, time.Since(start))
--- a/internal/executor/stopping.go
+++ b/internal/executor/stopping.go
@@ -70,3 +70,14 @@
 func (c *Core) Open() (queued, running, delegated int) {
 	return c.queue.length, len(c.jobs) - c.queue.length - c.delegated, c.delegated
 }
+
+// Withdraw refuses a call as not-run if it is queued and nobody else waits for it, since its
+// gateway is stopping. Any other call goes on.
+func (c *Core) Withdraw(now clock.Instant, ticket Ticket) {
+	j, ok := c.tickets[ticket]
+	if !ok || j.phase != jobQueued || len(j.tickets) > 1 {
+		return
+	}
+	c.refuseQueued(j, verdict.ReasonCancelled, CauseNone)
+	c.startQueued(now)
+}
--- a/internal/executor/stopping_test.go
+++ b/internal/executor/stopping_test.go
@@ -107,3 +107,37 @@
 		assert.Equal(t, s.take().Runs[0].Call.RequestID, "short")
 	})
 }
+
+// Guards against a withdrawn call that runs although its caller was told that it has not, and
+// against a caller that is told so although its request runs for another one.
+func TestWithdrawnCallsAreRefusedUnlessTheyHaveStarted(t *testing.T) {
+	s := newFixture(t, true)
+	var last uint64
+	for _, id := range []string{"a", "b", "c", "d"} {
+		last = s.submit(id, nil)
+	}
+	runs := s.take().Runs
+	assert.Equal(t, len(runs), 2)
+	withdraw := func(number uint64) []Reply {
+		s.core.Withdraw(s.now, Ticket{Link: 1, Number: number})
+		return s.take().Replies
+	}
+	assert.Equal(t, len(withdraw(1)), 0, "it runs")
+	refused := withdraw(last - 1)
+	assert.Equal(t, len(refused), 1)
+	assert.Equal(t, refused[0].Answer.RequestID, "c")
+	assert.Equal(t, refused[0].Answer.Verdict, verdict.NotRun)
+	assert.Equal(t, len(withdraw(last-1)), 0, "it is gone")
+
+	resend := s.submit("d", func(c *call.Call) { c.Resend = true })
+	assert.Equal(t, len(withdraw(last)), 0, "another caller waits for it")
+	s.complete(runs[0], verdict.Ran, "")
+	out := s.take()
+	assert.Equal(t, len(out.Runs), 1)
+	s.complete(out.Runs[0], verdict.Ran, "d")
+	numbers := map[uint64]verdict.Verdict{}
+	for _, reply := range s.take().Replies {
+		numbers[reply.Ticket.Number] = reply.Answer.Verdict
+	}
+	assert.DeepEqual(t, numbers, map[uint64]verdict.Verdict{last: verdict.Ran, resend: verdict.Ran})
+}
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -60,7 +60,8 @@
 	if answer.Verdict == verdict.NotRun && (p.mayHaveRun || unproved) {
 		answer.Verdict = verdict.MayHaveRun
 	}
-	if answer.Verdict == verdict.NotRun && p.route != nil {
+	// The front ends know when a stopping router is back.
+	if answer.Verdict == verdict.NotRun && p.route != nil && !c.stopping {
 		answer.RetryAfter = c.retryAfter(now, p, answer.Reason)
 	}
 	if answer.Verdict == verdict.Ran {
--- a/internal/gateway/output.go
+++ b/internal/gateway/output.go
@@ -7,8 +7,10 @@
 type Output struct {
 	Sends   []Send
 	Cancels []Cancel
-	Replies []Reply
-	Events  []call.Event
+	// Withdrawals are calls that are to be refused unless they have started.
+	Withdrawals []Cancel
+	Replies     []Reply
+	Events      []call.Event
 	// NestedCalls and Waits are for the executor of this router.
 	NestedCalls []call.NestedCall
 	Waits       []call.ServiceWait
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -33,14 +33,17 @@
 	return now.Add(needs) > c.endsAt
 }
 
-// RefuseWaiting refuses the requests without a call in flight because the router is stopping.
-// From now on new requests are refused, and none is sent again.
+// RefuseWaiting refuses the requests without a call in flight because the router is stopping, and
+// withdraws the calls in flight. From now on new requests are refused, and none is sent again.
 func (c *Core) RefuseWaiting(now clock.Instant) {
 	c.stopping = true
 	for _, p := range c.inOrder() {
 		if len(p.calls) == 0 {
 			c.finish(now, p, &call.Answer{RequestID: p.request.ID, Verdict: verdict.NotRun, Reason: verdict.ReasonStopping})
 		}
+		for _, number := range p.calls {
+			c.output.Withdrawals = append(c.output.Withdrawals, Cancel{Router: c.callsByNumber[number].router, Number: number})
+		}
 	}
 }
 
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -20,6 +20,7 @@
 		end, sends := waiting+time.Duration(sim.random.IntN(200))*time.Millisecond, 0
 		sim.after(waiting, func() {
 			sim.core.RefuseWaiting(sim.now)
+			assert.Equal(t, len(sim.core.output.Withdrawals), len(sim.core.callsByNumber), "seed %d", seed)
 			assert.Equal(t, sim.core.Waiting(), 0, "seed %d", seed)
 			sends = len(sim.callRouters)
 		})
--- a/internal/router/executor_duty.go
+++ b/internal/router/executor_duty.go
@@ -270,6 +270,8 @@
 		d.core.CancelLink(d.clock.Now(), s.link)
 	case s.cancel != 0:
 		d.core.Cancel(d.clock.Now(), executor.Ticket{Link: s.link, Number: s.cancel})
+	case s.withdraw != 0:
+		d.core.Withdraw(d.clock.Now(), executor.Ticket{Link: s.link, Number: s.withdraw})
 	default:
 		ticket := executor.Ticket{Link: s.link, Number: s.call.Number}
 		d.reporter.called(d.clock.Now(), s.link)
--- a/internal/router/executor_link.go
+++ b/internal/router/executor_link.go
@@ -42,6 +42,9 @@
 
 // handle handles one message. An error means that the stream must not be used any more.
 func (l *executorLink) handle(ctx context.Context, up *wirepb.DoorUp) error {
+	if up.GetWithdraw() != 0 {
+		_ = l.executor.Put(ctx, &submission{link: l.id, withdraw: up.GetWithdraw()})
+	}
 	switch {
 	case up.GetPing() != 0:
 		_ = l.sink.out.Put(ctx, &wirepb.DoorDown{Pong: up.GetPing()})
--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -244,7 +244,7 @@
 		l.lastNumber = d.core.LastCall()
 	}
 	for out, ok := l.calls.Poll(); ok; out, ok = l.calls.Poll() {
-		if !out.cancel {
+		if out.isCall() {
 			d.core.HandleLostCall(now, out.call.Number, verdict.NotRun)
 		}
 	}
@@ -262,6 +262,9 @@
 		for _, cancel := range out.Cancels {
 			d.cancel(ctx, cancel)
 		}
+		for _, withdrawal := range out.Withdrawals {
+			d.withdraw(ctx, withdrawal)
+		}
 		for _, send := range out.Sends {
 			d.send(ctx, send)
 		}
@@ -325,6 +328,13 @@
 	}
 }
 
+// withdraw passes on a withdrawal. The executor of this router is stopping itself.
+func (d *gatewayDuty) withdraw(ctx context.Context, withdrawal gateway.Cancel) {
+	if l := d.links[withdrawal.Router]; l != nil && withdrawal.Router != d.self {
+		_ = l.calls.Put(ctx, &outgoingCall{call: call.Call{Number: withdrawal.Number}, withdraw: true})
+	}
+}
+
 // link returns the link to the executor of a router. It opens a new one if there is
 // none or if the router's address has changed.
 func (d *gatewayDuty) link(router fleet.Router) *link {
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -80,7 +80,7 @@
 // reportQueued reports the calls that are still queued as not run.
 func (l *link) reportQueued(ctx context.Context) {
 	for out, ok := l.calls.Poll(); ok; out, ok = l.calls.Poll() {
-		if !out.cancel {
+		if out.isCall() {
 			l.reportUnsent(ctx, out.call.Number)
 		}
 	}
--- a/internal/router/link_writer.go
+++ b/internal/router/link_writer.go
@@ -100,6 +100,9 @@
 		w.reportUnsent(ctx, out.call.Number)
 		return nil
 	}
+	if out.withdraw {
+		return w.withdrawal(ctx, out.call.Number)
+	}
 	if w.trackInFlight(out) {
 		w.ping.Reset(pingInterval)
 	}
@@ -115,6 +118,18 @@
 	}
 }
 
+// withdrawal returns the message that withdraws a call. One whose body was not sent as a whole
+// can't have run and is cancelled.
+func (w *linkWriter) withdrawal(ctx context.Context, number uint64) *wirepb.DoorUp {
+	if slices.ContainsFunc(w.bodies, func(b outgoingBody) bool { return b.number == number }) {
+		w.dropBody(ctx, number)
+		w.callEnded()
+		w.reportUnsent(ctx, number)
+		return &wirepb.DoorUp{Fleet: w.fleet, Cancel: number}
+	}
+	return &wirepb.DoorUp{Fleet: w.fleet, Ping: uint64(w.used), Withdraw: number}
+}
+
 // nextPart returns the next part of a body; the bodies take turns.
 func (w *linkWriter) nextPart(ctx context.Context) *wirepb.DoorUp {
 	if len(w.bodies) == 0 {
