--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -68,6 +68,9 @@
 	openLinks atomic.Int64
 	// stopping is set from stopFinish on.
 	stopping bool
+	// endsAt is when a stopping router answers the requests that are still open.
+	endsAt       clock.Instant
+	stopSchedule stopSchedule
 }
 
 // Run drives the core until the context ends.
@@ -109,8 +112,11 @@
 		event.F("requests", d.core.Len()), event.F("waiting", d.core.Waiting()))
 	now := d.clock.Now()
 	switch step {
+	case stopBegin:
+		d.endsAt = now.Add(d.stopSchedule.requests)
 	case stopFinish:
 		d.stopping = true
+		d.core.StopBy(d.endsAt)
 	case stopWaiting:
 		d.core.RefuseWaiting(now)
 	case stopRequests:
@@ -248,7 +254,7 @@
 // written and did not run.
 func (d *gatewayDuty) emptyLink(now clock.Instant, l *link) {
 	for out, ok := l.calls.Poll(); ok; out, ok = l.calls.Poll() {
-		if !out.cancel {
+		if out.isCall() {
 			d.core.HandleLostCall(now, out.call.Number, verdict.NotRun)
 		}
 	}
@@ -266,6 +272,9 @@
 		for _, cancel := range out.Cancels {
 			d.cancel(ctx, cancel)
 		}
+		for _, withdrawal := range out.Withdrawals {
+			d.withdraw(ctx, withdrawal)
+		}
 		for _, send := range out.Sends {
 			d.send(ctx, send)
 		}
@@ -331,7 +340,14 @@
 	}
 }
 
-// linkOf returns the link on which a call was queued, or nil if it has ended.
+// withdraw passes on a withdrawal. The executor of this router is stopping itself.
+func (d *gatewayDuty) withdraw(ctx context.Context, withdrawal gateway.Cancel) {
+	if l := d.linkOf(withdrawal); l != nil {
+		_ = l.calls.Put(ctx, &outgoingCall{call: call.Call{Number: withdrawal.Number}, withdraw: true})
+	}
+}
+
+// linkOf returns the link on which a call was queued, or nil if it has ended or there was none.
 func (d *gatewayDuty) linkOf(cancel gateway.Cancel) *link {
 	if l := d.links[cancel.Router]; l != nil && l.carries(cancel.Number) {
 		return l
