Read the answers that arrived before a link was found ended

Callers saw: 502 for a request whose upstream had answered, when the other router had ended its link, as it does at the end of a stop.

Cause: a link ends when a message can't be sent on its stream. The stream may have ended in order, after the last answers; those that had arrived and were not read yet were dropped with the connection, and their calls counted as may-have-run. A router that asks for no more calls first avoids this only if its message is read in time.

Fix: if sending finds the stream ended, the link reads what has arrived before it closes the connection, for peerTimeout at most.

--- a/internal/router/link_writer.go
+++ b/internal/router/link_writer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"slices"
 	"time"
 
@@ -62,12 +64,23 @@
 		w.watchdog.Reset(peerTimeout)
 		err = w.stream.Send(up)
 		w.watchdog.Stop()
+		if errors.Is(err, io.EOF) {
+			w.awaitReceived(ctx)
+		}
 		if err != nil {
 			return err
 		}
 	}
 }
 
+// awaitReceived waits until the answers that arrived before the end of the stream are read, but
+// no longer than peerTimeout.
+func (w *linkWriter) awaitReceived(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	<-limited.Done()
+}
+
 // next waits for the next message to send. It is nil if there is none yet.
 func (w *linkWriter) next(ctx context.Context) (*wirepb.DoorUp, error) {
 	calls := w.calls.Out()
