Acknowledge an accepted operators' command again at every process

What callers saw: an order that had been accepted, whose acknowledgement was lost on its way, stayed without one as long as its resends did not reach a leader with a lease: other control processes redirected to the leader they knew, also if it was frozen, cut off or gone, or answered 503 while there was none. Each such attempt costs its sender a second or more, and the sender waits longer each time.

Cause: the answer to a resend was always looked up by proposing the command once more, though each process keeps the results of commands in its state.

Evidence: TestAnyProcessAcknowledgesAnAcceptedCommandAgain failed before: Redirect was true and Result.Accepted false without a leader, at a follower and at a leader without a lease.

Why it works: a command in the applied state is committed, on a majority and on as many disks as its first acknowledgement needed, and no later entry takes it back. So any process that has applied it may acknowledge it, at once and without a redirect. A command that was refused, another one under the same id and one that is unknown go to the leader as before; with too few voters nothing is acknowledged. The leader does not commit resends a second time any more.

TestOperatorRequestsAreAnswered used a resend of an accepted command to show that a process that is not leader redirects; it now uses a new command for that, and the resend has a test of its own.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -169,13 +169,13 @@
 }
 
 // ProposeOperatorChange proposes an operator's command. The reply, which carries the token,
-// follows once the command is committed, or at once if this process may not propose it. A
-// command without a base version may be an attempt that was held up on its way while later
+// follows once the command is committed, or at once if this process may not propose it or has
+// applied the command already. A command without a base version may be an attempt that was held up on its way while later
 // commands were executed, so it needs a caller that is known to still wait for it.
 func (c *Core) ProposeOperatorChange(now clock.Instant, token uint64, change *fsm.OperatorChange) {
-	if refusal, refused := c.refuseOperatorChange(now); refused {
-		refusal.Token = token
-		c.output.Replies = append(c.output.Replies, refusal)
+	if reply, ok := c.replyAtOnce(now, change); ok {
+		reply.Token = token
+		c.output.Replies = append(c.output.Replies, reply)
 		return
 	}
 	if change.Unconditional {
@@ -188,20 +188,26 @@
 // ProposeConfirmedChange is ProposeOperatorChange for a command whose caller is known to
 // still wait for it.
 func (c *Core) ProposeConfirmedChange(now clock.Instant, token uint64, change *fsm.OperatorChange) {
-	if refusal, refused := c.refuseOperatorChange(now); refused {
-		refusal.Token = token
-		c.output.Replies = append(c.output.Replies, refusal)
+	if reply, ok := c.replyAtOnce(now, change); ok {
+		reply.Token = token
+		c.output.Replies = append(c.output.Replies, reply)
 		return
 	}
 	c.acceptOperatorChange(now, token, change)
 }
 
-// refuseOperatorChange returns the reply if this process may not propose commands.
-func (c *Core) refuseOperatorChange(now clock.Instant) (reply OperatorReply, refused bool) {
+// replyAtOnce returns the reply to a command that is not to be proposed here: it was accepted
+// before, or this process may not propose commands. What was applied is committed, so that any
+// process may say so, leader or not.
+func (c *Core) replyAtOnce(now clock.Instant, change *fsm.OperatorChange) (reply OperatorReply, ok bool) {
+	enoughVoters := len(c.leadership.Voters) >= c.minVoters
+	if result, accepted := c.state.AcceptedBefore(change); accepted && enoughVoters {
+		return OperatorReply{Result: result}, true
+	}
 	switch {
 	case !c.holdsLeaderLease(now):
 		return OperatorReply{Redirect: true, Leader: c.LeaderAddress()}, true
-	case len(c.leadership.Voters) < c.minVoters:
+	case !enoughVoters:
 		return OperatorReply{TooFewVoters: true}, true
 	default:
 		return OperatorReply{}, false
--- a/internal/controller/core_test.go
+++ b/internal/controller/core_test.go
@@ -92,11 +92,60 @@
 	core.SetLeadership(now, controller.Leadership{Term: 2})
 	replies = core.Take().Replies
 	assert.Assert(t, len(replies) == 1 && replies[0].OutcomeUnknown)
-	core.ProposeOperatorChange(now, 4, change)
+	core.ProposeOperatorChange(now, 4, &fsm.OperatorChange{CommandID: "new"})
 	replies = core.Take().Replies
 	assert.Assert(t, len(replies) == 1 && replies[0].Redirect)
 }
 
+// Guards against an accepted command whose acknowledgement was lost and that nobody can
+// acknowledge again, because there is no leader, it cannot be reached, or its lease has expired:
+// every process that has applied the command answers its resends.
+func TestAnyProcessAcknowledgesAnAcceptedCommandAgain(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	change := &fsm.OperatorChange{CommandID: "c", Digest: 7, Expected: 1, DataCentre: &fleet.DataCentreSetting{Name: "lodz", Out: true}}
+	for name, leadership := range map[string]controller.Leadership{
+		"no leader":            {Term: 2},
+		"follower":             {Term: 2, Leader: "other"},
+		"expired leader lease": {IsLeader: true, Term: 2, LeaseUntil: now - 1},
+		"leader":               {IsLeader: true, Term: 2, LeaseUntil: clock.Never},
+	} {
+		core, _ := newLeader(t, now)
+		core.ApplyCommitted(now, 1, &fsm.Command{OperatorChange: change})
+		core.SetLeadership(now, leadership)
+		core.Take()
+		core.ProposeOperatorChange(now, 1, change)
+		out := core.Take()
+		assert.Equal(t, len(out.Proposals), 0, name)
+		assert.Assert(t, len(out.Replies) == 1, name)
+		assert.DeepEqual(t, out.Replies[0], controller.OperatorReply{Token: 1, Result: fsm.Result{Accepted: true, Config: 2, Version: 3}})
+	}
+}
+
+// Only the result of the very command that was accepted is final: commands that reuse its id,
+// and those that were refused, go to the leader. Without enough voters nothing is acknowledged.
+func TestOtherCommandsAreNotAcknowledgedFromTheState(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	accepted := fsm.OperatorChange{CommandID: "c", Digest: 7, Expected: 1, DataCentre: &fleet.DataCentreSetting{Name: "lodz", Out: true}}
+	refused := accepted
+	refused.CommandID = "late"
+	other := accepted
+	other.Digest = 8
+	core, _ := newLeader(t, now)
+	core.ApplyCommitted(now, 1, &fsm.Command{OperatorChange: &accepted})
+	core.ApplyCommitted(now, 1, &fsm.Command{OperatorChange: &refused})
+	core.SetLeadership(now, controller.Leadership{Term: 2, Leader: "other"})
+	core.Take()
+	for _, change := range []*fsm.OperatorChange{&refused, &other, {CommandID: "new"}} {
+		core.ProposeOperatorChange(now, 1, change)
+		replies := core.Take().Replies
+		assert.Assert(t, len(replies) == 1 && replies[0].Redirect, change.CommandID)
+	}
+	core.RequireVoters(2)
+	core.ProposeOperatorChange(now, 1, &accepted)
+	replies := core.Take().Replies
+	assert.Assert(t, len(replies) == 1 && replies[0].Redirect)
+}
+
 // Guards against an early attempt of a command that is held up on its way, and undoes a
 // later command when it arrives: without a base version the state cannot tell the two, but
 // whoever sent the attempt has closed its connection by then.
--- a/internal/fsm/operators.go
+++ b/internal/fsm/operators.go
@@ -27,6 +27,13 @@
 	return result, changed
 }
 
+// AcceptedBefore returns the result of the first execution of a command that was accepted. It
+// reports false for commands that are unknown or were refused.
+func (s *State) AcceptedBefore(c *OperatorChange) (Result, bool) {
+	first, ok := s.resultsByCommand[c.CommandID]
+	return first.Result, ok && first.Digest == c.Digest && first.Result.Accepted
+}
+
 // checkOperatorChange decides whether a command is accepted, and returns the preset that
 // it brings into force, if any.
 func (s *State) checkOperatorChange(c *OperatorChange) (Result, *fleet.Preset) {
