Test calm groups also after a machine was replaced, and for enough voters

With fewer voters than twice the tolerance the leader refuses orders, so that a replacement that takes long would leave them without an acknowledgement.

--- a/internal/consensus/calm_test.go
+++ b/internal/consensus/calm_test.go
@@ -118,6 +118,15 @@
 		w.disturb(w.random.IntN(11))
 		w.disturb(w.random.IntN(11))
 		return
+	case 12: // replaced by an empty machine with another name
+		target.kill()
+		w.busyFor(w.jitter(time.Second))
+		w.machines[openVoters].start()
+	case 13: // replaced while another is frozen
+		second.freeze()
+		w.busyFor(w.jitter(time.Second))
+		target.kill()
+		w.machines[openVoters].start()
 	case 10: // frozen beside a killed one
 		target.freeze()
 		w.busyFor(w.jitter(time.Second))
@@ -155,6 +164,9 @@
 			w.fail("no leader while calm: %s", w.describe())
 			return 0
 		}
+		if voters := leader.core.Membership().Voters; len(voters) < openVoters-1 {
+			w.fail("too few voters to accept orders: %s", w.describe())
+		}
 		for _, m := range w.connected() {
 			if m.core.Leader() != leader.id() {
 				w.fail("%s takes %s for the leader: %s", m.id(), m.core.Leader(), w.describe())
@@ -186,7 +198,7 @@
 // still down, frozen or cut off, there is a leader that the others know, and it commits what is
 // proposed.
 func TestCalmGroupCommitsAtOnce(t *testing.T) {
-	for kind := range 12 {
+	for kind := range 14 {
 		slowest := time.Duration(0)
 		for seed := range uint64(calmSeeds) {
 			w := newSettledGroup(t, seed)
