Count the elements of callers' headers for their memory

Callers saw a router end for its memory. A header counted as twice its bytes. The library allocates for each field, cookie and trailer name, and keeps that storage for later requests: 16,000 bytes of them take 200 to 680 KB. While a body of up to 8 KiB stopped short, the header did not count at all: the library reads that much before it calls the handler.

Now each element counts with the read that brings it, before it is parsed, and the whole header when its end is marked. Requests for which there is no memory are refused as not run.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
 
 	"endivespring/internal/clock"
 	"endivespring/internal/memory"
@@ -32,10 +33,6 @@
 	writePiece = 64 << 10
 )
 
-// BodyReadTimeout marks the end of a request's header on its connection if a front end sets it
-// as its read time-out. Each read of the body is then bounded by the longest pause.
-const BodyReadTimeout = 24 * time.Hour
-
 // drainTime and maxDrained bound the reading of what a caller still sends when its request
 // has been refused, in time and in bytes.
 const (
@@ -74,6 +71,9 @@
 	first    byte
 	// received is how many bytes of the present request have arrived.
 	received int
+	// header is what the header of the present request takes in bytes. elements is how many it had
+	// when that was last estimated.
+	header, elements int
 	// inBody is set once the header of the present request was read.
 	inBody bool
 	// began is when the present phase began, movedAt when its last byte was received or sent, as
@@ -160,10 +160,11 @@
 	return u
 }
 
-// hold makes the connection hold what a phase costs and the given number of bytes of a body.
+// hold makes the connection hold what a phase and the request's header cost, and the given number
+// of bytes of a body.
 func (c *Connection) hold(cost, bytes int) bool {
 	m := c.memory
-	return m.grow(c.connection, m.limits.Connections, cost+min(bytes, firstBytes)) && m.grow(c.body, m.limits.Bodies, max(0, bytes-firstBytes))
+	return m.grow(c.connection, m.limits.Connections, cost+c.header+min(bytes, firstBytes)) && m.grow(c.body, m.limits.Bodies, max(0, bytes-firstBytes))
 }
 
 // Read reads from the connection and records when the bytes arrived. It returns ErrNoMemory
@@ -183,7 +184,7 @@
 	if n > 0 {
 		c.countReceived(n)
 	}
-	if err != nil && c.inPhase(phaseGivenUp) {
+	if err != nil && c.inPhase(phaseGivenUp) || !c.holdElements(p[:n]) {
 		return 0, c.refuse()
 	}
 	return n, err
@@ -227,7 +228,7 @@
 	c.large.Store(0)
 	c.answer.Release()
 	c.connection.Shrink(cost)
-	c.received, c.inBody = 0, false
+	c.received, c.header, c.elements, c.inBody = 0, 0, 0, false
 	return c.enter(phaseIdle)
 }
 
@@ -293,8 +294,9 @@
 // the body follows.
 func (c *Connection) SetReadDeadline(at time.Time) error {
 	c.readDeadline = at
-	c.inBody = time.Until(at) > BodyReadTimeout/2
-	if c.inBody {
+	cost, ends := headerEnd(time.Until(at))
+	if c.inBody = ends; ends {
+		c.header = cost
 		at = time.Now().Add(time.Duration(c.memory.pause.Load()))
 	}
 	return c.Conn.SetReadDeadline(at)
@@ -341,13 +343,14 @@
 	return ok && c.refused.Load()
 }
 
-// StartRequest records that the request on a connection was read, and that it holds the given
-// number of bytes from now on. It returns false if there is no memory for it.
-func StartRequest(connection net.Conn, bytes int) bool {
+// StartRequest records that the request on a connection was read, and that it holds its header and
+// a body of the given number of bytes from now on. It returns false if there is no memory for it.
+func StartRequest(connection net.Conn, header *fasthttp.RequestHeader, bytes int) bool {
 	c, ok := connection.(*Connection)
 	if !ok {
 		return true
 	}
+	c.header = headerCost(header)
 	if !c.enter(phaseRunning) {
 		return false
 	}
@@ -357,7 +360,7 @@
 		cost, bytes = runningCost+readerBytes, min(bytes, firstBytes)
 	}
 	bytes = c.capped(bytes)
-	c.connection.Shrink(cost + min(bytes, firstBytes))
+	c.connection.Shrink(cost + c.header + min(bytes, firstBytes))
 	c.body.Shrink(max(0, bytes-firstBytes))
 	if c.hold(cost, bytes) {
 		return true
@@ -376,7 +379,7 @@
 	if !ok {
 		return true
 	}
-	c.received, c.inBody = 0, false
+	c.received, c.header, c.elements, c.inBody = 0, 0, 0, false
 	c.body.Release()
 	c.large.Store(0)
 	cost := writingCost + min(bytes, firstBytes)
--- a/internal/caller/parking.go
+++ b/internal/caller/parking.go
@@ -38,7 +38,7 @@
 	n, err := c.Conn.Read(p)
 	switch {
 	case n > 0:
-		return c.beginRequest(n)
+		return c.beginRequest(p[:n])
 	case c.inPhase(phaseGivenUp):
 		return 0, c.refuse()
 	case errors.Is(err, os.ErrDeadlineExceeded) && (c.readDeadline.IsZero() || time.Now().Before(c.readDeadline)):
@@ -51,16 +51,15 @@
 }
 
 // beginRequest records the first bytes of a request that was lingered for.
-func (c *Connection) beginRequest(n int) (int, error) {
+func (c *Connection) beginRequest(first []byte) (int, error) {
 	if !c.enter(phaseReading) {
 		return 0, c.refuse()
 	}
-	c.countReceived(n)
-	if !c.hold(readingCost, c.bodyBytes(nil)) {
-		c.memory.countRefusal(RefusedReading)
+	c.countReceived(len(first))
+	if !c.holdReading() || !c.holdElements(first) {
 		return 0, c.refuse()
 	}
-	return n, nil
+	return len(first), nil
 }
 
 // awaitRequest waits for the first byte of the next request on a parked connection, and has the
--- a/internal/caller/reading.go
+++ b/internal/caller/reading.go
@@ -26,6 +26,9 @@
 	if err := httphead.CheckRequest(header); err != nil {
 		return nil, err
 	}
+	if c, ok := request.Conn().(*Connection); ok && !c.holdHeader(header) {
+		return nil, c.refuse()
+	}
 	body, err := readBody(request.Conn(), request.RequestBodyStream(), header.ContentLength(), limit)
 	if err != nil {
 		return nil, err
@@ -33,6 +36,31 @@
 	return body, httphead.CheckTrailer(header)
 }
 
+// holdElements makes the connection hold what a part of a header will take once it is parsed, which
+// takes several times its bytes.
+func (c *Connection) holdElements(part []byte) bool {
+	if c.streams == nil || c.inBody {
+		return true
+	}
+	c.elements += countElements(part)
+	c.header = elementsCost(c.elements)
+	return c.header == 0 || c.holdReading()
+}
+
+// holdHeader makes the connection hold what the header of its request takes, which was just read.
+func (c *Connection) holdHeader(header *fasthttp.RequestHeader) bool {
+	c.header = headerCost(header)
+	return c.holdReading()
+}
+
+func (c *Connection) holdReading() bool {
+	if c.hold(readingCost, c.bodyBytes(nil)) {
+		return true
+	}
+	c.memory.countRefusal(RefusedReading)
+	return false
+}
+
 func readBody(connection net.Conn, body io.Reader, length, limit int) ([]byte, error) {
 	c, _ := connection.(*Connection)
 	switch {
@@ -116,7 +144,7 @@
 	case c == nil:
 		return make([]byte, size), nil
 	case size <= firstBytes:
-		if !c.memory.grow(c.connection, c.memory.limits.Connections, readingCost+size) {
+		if !c.memory.grow(c.connection, c.memory.limits.Connections, readingCost+c.header+size) {
 			c.memory.countRefusal(RefusedReading)
 			return nil, c.refuse()
 		}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -81,7 +81,7 @@
 func (s *Server) serve(c *fiber.Ctx) error {
 	connection := c.Context().Conn()
 	request, problem := parseRequest(c)
-	if problem == verdict.ReasonNone && !StartRequest(connection, len(request.Body)+2*len(c.Request().Header.Header())) {
+	if problem == verdict.ReasonNone && !StartRequest(connection, &c.Request().Header, len(request.Body)) {
 		problem = verdict.ReasonOverloaded
 	}
 	var answer call.Answer
--- a/internal/caller/within_memory.go
+++ b/internal/caller/within_memory.go
@@ -14,7 +14,7 @@
 func WithinMemory(handle fasthttp.RequestHandler, refuse func(*fasthttp.RequestCtx, error)) fasthttp.RequestHandler {
 	return func(c *fasthttp.RequestCtx) {
 		err := errors.Join(httphead.CheckRequest(&c.Request.Header), httphead.CheckTrailer(&c.Request.Header))
-		if err == nil && !StartRequest(c.Conn(), len(c.PostBody())+2*len(c.Request.Header.Header())) {
+		if err == nil && !StartRequest(c.Conn(), &c.Request.Header, len(c.PostBody())) {
 			err = ErrNoMemory
 		}
 		if err == nil {
