Read the bodies of native callers within their memory

Callers of the native interface saw a router end for its memory. The library collected their bodies: it allocates the whole slice of a body with a length before it reads, doubles that of a body in chunks, and keeps slices for later bodies that count for less. It parsed headers that did not count.

Now it reads bodies as the platform's front end does, into buffers of the budget, and its connections are parked while they are idle. The reader takes headers of up to 32 KiB, 8 before. Tests of the server use the listener that routers use now.

--- a/internal/caller/request_memory_test.go
+++ b/internal/caller/request_memory_test.go
@@ -25,7 +25,7 @@
 	assert.NilError(t, err)
 	requests := ring.New[*Request]("requests", 1, ring.Refuse)
 	server := NewServer(testClock, requests, 1<<20, func(*call.Answer, time.Duration) {})
-	go func() { _ = server.App().Listener(NewListener(listener, newTestMemory(memory.NewBudget(1<<10)))) }()
+	go func() { _ = server.App().Listener(NewStreamListener(listener, newTestMemory(memory.NewBudget(1<<10)))) }()
 	defer func() { _ = server.App().ShutdownWithTimeout(time.Second) }()
 	body := strings.NewReader(strings.Repeat("b", 4*firstBytes))
 	response, err := http.Post("http://"+listener.Addr().String()+"/v1/s/lookup", "text/plain", body)
@@ -44,7 +44,7 @@
 	assert.NilError(t, err)
 	server := NewServer(testClock, ring.New[*Request]("requests", 1, ring.Refuse), 1<<20, func(*call.Answer, time.Duration) {})
 	shared := newTestMemory(memory.NewBudget(1 << 20))
-	go func() { _ = server.App().Listener(NewListener(listener, shared)) }()
+	go func() { _ = server.App().Listener(NewStreamListener(listener, shared)) }()
 	defer func() { _ = server.App().ShutdownWithTimeout(time.Second) }()
 	for range 100 {
 		response, err := http.Post("http://"+listener.Addr().String()+"/unknown", "text/plain", strings.NewReader(strings.Repeat("b", 20000)))
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -3,15 +3,16 @@
 package caller
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"errors"
+	"net"
 	"strconv"
 	"time"
 	"unicode/utf8"
 
 	"github.com/gofiber/fiber/v2"
+	"github.com/valyala/fasthttp"
 
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
@@ -44,7 +45,7 @@
 	maxAttempt              = 1_000_000
 	maxTimeout              = 3_600_000        // largest accepted HeaderTimeout in milliseconds
 	answerTimeout           = 11 * time.Minute // limit on waiting for the gateway's answer
-	readBufferBytes         = 8 << 10
+	readBufferBytes         = ReaderBytes
 	disconnectCheckInterval = 100 * time.Millisecond // interval of checks whether the caller has disconnected
 )
 
@@ -55,17 +56,21 @@
 type Server struct {
 	gateway *GatewayClient
 	app     *fiber.App
+	// maxBody is the limit on bodies, in bytes.
+	maxBody int
 }
 
 // NewServer returns a server that submits requests over a ring and passes each
 // answer to observe. Request bodies are limited to maxBody bytes.
 func NewServer(c clock.Clock, requests *ring.Ring[*Request], maxBody int, observe Observer) *Server {
-	s := &Server{gateway: NewGatewayClient(c, requests, observe)}
+	s := &Server{gateway: NewGatewayClient(c, requests, observe), maxBody: maxBody}
 	s.app = fiber.New(fiber.Config{
-		DisableStartupMessage: true, BodyLimit: maxBody, ReadBufferSize: readBufferBytes,
+		DisableStartupMessage: true, BodyLimit: maxBody, ReadBufferSize: ReaderBytes,
+		StreamRequestBody: true, DisablePreParseMultipartForm: true, // bodies are read by serve
 		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, ErrorHandler: s.handleError,
 		ReduceMemoryUsage: true, // also makes fasthttp flush each response before it reads the next request
 	})
+	s.app.Server().HeaderReceived = s.beginBody
 	s.app.Use(httphead.Middleware)
 	s.app.Add(fiber.MethodPost, "/v1/:service/:operation", s.serve)
 	s.app.Add(fiber.MethodGet, "/v1/:service/:operation", s.serve)
@@ -78,12 +83,24 @@
 // Stop makes the server close each connection after its next response.
 func (s *Server) Stop() { s.gateway.Stop() }
 
+// beginBody makes the connection bound each pause within the body instead of the whole of it.
+func (s *Server) beginBody(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return fasthttp.RequestConfig{MaxRequestBodySize: s.maxBody, ReadTimeout: BodyReadTimeout(header)}
+}
+
 func (s *Server) serve(c *fiber.Ctx) error {
 	connection := c.Context().Conn()
-	request, problem := parseRequest(c)
-	if problem == verdict.ReasonNone && !StartRequest(connection, &c.Request().Header, len(request.Body)) {
+	body, err := ReadBody(c.Context(), s.maxBody)
+	if err != nil {
+		c.Response().SetConnectionClose()
+		return readError(err)
+	}
+	request, problem := parseRequest(c, body)
+	if problem == verdict.ReasonNone && !StartRequest(connection, &c.Request().Header, cap(request.Body)) {
 		problem = verdict.ReasonOverloaded
+		c.Response().SetConnectionClose()
 	}
+	ReleaseHeader(c.Context())
 	var answer call.Answer
 	if problem == verdict.ReasonNone {
 		answer = s.gateway.Do(connection, request)
@@ -106,13 +123,27 @@
 	return call.Answer{RequestID: answer.RequestID, Verdict: verdict.MayHaveRun, Reason: verdict.ReasonOverloaded}
 }
 
-// parseRequest parses a request. It copies all strings and the body, since fiber
-// reuses its buffers.
-func parseRequest(c *fiber.Ctx) (gateway.Request, verdict.Reason) {
+// readError returns the error of the library for one of ReadBody.
+func readError(err error) error {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, ErrNoMemory):
+		return fiber.ErrServiceUnavailable
+	case errors.Is(err, ErrBodyTooLarge):
+		return fiber.ErrRequestEntityTooLarge
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return fiber.ErrRequestTimeout
+	default:
+		return fiber.ErrBadRequest
+	}
+}
+
+// parseRequest parses a request. It copies all strings, since fiber reuses its buffers.
+func parseRequest(c *fiber.Ctx, body []byte) (gateway.Request, verdict.Reason) {
 	request := gateway.Request{
 		ID:      clone(c.Get(HeaderRequestID)),
 		Service: clone(c.Params("service")), Operation: clone(c.Params("operation")),
-		Key: clone(c.Get(HeaderKey)), Body: bytes.Clone(c.BodyRaw()),
+		Key: clone(c.Get(HeaderKey)), Body: body,
 	}
 	if request.ID == "" {
 		request.ID = rand.Text()
@@ -199,15 +230,21 @@
 	if !validText(answer.RequestID) {
 		answer.RequestID = ""
 	}
-	if RefusedUnread(c.Context().Conn()) { // the library makes a bad request of it
+	DropHeader(c.Context())
+	connection := c.Context().Conn()
+	switch {
+	case known.Code == fiber.StatusRequestEntityTooLarge:
+		RefuseUnread(connection)
+	case known.Code == fiber.StatusServiceUnavailable, RefusedUnread(connection): // the library makes a bad request of it
 		known = fiber.ErrServiceUnavailable
 		answer.Verdict, answer.Reason = verdict.NotRun, verdict.ReasonOverloaded
+		RefuseUnread(connection)
 	}
 	if known.Code >= fiber.StatusBadRequest && known.Code < fiber.StatusInternalServerError {
 		answer.Verdict, answer.Reason = verdict.NotRun, reasonForStatus(known.Code)
 	}
 	s.gateway.Observe(&answer, 0)
-	if !StartAnswer(c.Context().Conn(), 0) { // the connection stays open after an unknown path
+	if !StartAnswer(connection, 0) { // the connection stays open after an unknown path
 		c.Response().SetConnectionClose()
 	}
 	if err := writeAnswer(c, &answer); err != nil {
--- a/internal/caller/test_server_test.go
+++ b/internal/caller/test_server_test.go
@@ -30,8 +30,11 @@
 
 // newTestMemory returns memory whose bodies share a budget.
 func newTestMemory(bodies *memory.Budget) *Memory {
+	buffers := memory.NewBuffers(bodies)
+	go func() { _ = buffers.Run(context.Background()) }()
 	return NewMemory(testClock, MemoryLimits{
 		MaxConnections: 64, MaxBody: 1 << 20, Connections: memory.NewBudget(4 << 20), Bodies: bodies, Answers: memory.NewBudget(1 << 20),
+		Buffers: buffers,
 	}, event.NewLog(io.Discard, "test"))
 }
 
@@ -50,7 +53,7 @@
 	f := &testServer{t: t, requests: ring.New[*Request]("requests", capacity, ring.Refuse), address: listener.Addr().String()}
 	f.server = NewServer(testClock, f.requests, testBody, func(*call.Answer, time.Duration) {})
 	go func() {
-		_ = f.server.App().Listener(NewListener(listener, newTestMemory(memory.NewBudget(testMemory))))
+		_ = f.server.App().Listener(NewStreamListener(listener, newTestMemory(memory.NewBudget(testMemory))))
 	}()
 	t.Cleanup(func() { _ = f.server.App().ShutdownWithTimeout(time.Second) })
 	return f
--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -36,7 +36,7 @@
 	}
 	n.group.Go("aborts", aborts.Run)
 	if l.caller != nil {
-		n.serveApp("caller-server", n.caller.App(), caller.NewListener(l.caller, n.callerMemory))
+		n.serveApp("caller-server", n.caller.App(), caller.NewStreamListener(l.caller, n.callerMemory))
 	}
 	n.serveApp("announce-server", n.announce, l.announce)
 	n.serveApp("metrics-server", n.metrics, l.metrics)
