Close callers' connections when descriptors run out

With more connections of callers than the process has descriptors, a router ended, since its servers return at an error of Accept.

Evidence: TestRouterOutlivesACrowdBeyondItsDescriptors before: "no ordinary request was served after a crowd that stays open: connection refused".

Now one sixteenth of the connections is closed each time that a descriptor is missing, the longest idle ones first, then slow ones; events and metrics count them as `descriptors`.

--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -6,6 +6,7 @@
 	"endivespring/internal/clock"
 	"endivespring/internal/event"
 	"endivespring/internal/memory"
+	"endivespring/internal/peer"
 )
 
 // Limits of a LimitListener.
@@ -22,7 +23,7 @@
 
 // NewListener returns a listener over another one, whose connections share the memory.
 func NewListener(listener net.Listener, m *Memory) *Listener {
-	return &Listener{Listener: listener, memory: m}
+	return &Listener{Listener: peer.OnExhaustion(listener, m.freeDescriptors), memory: m}
 }
 
 // LimitListener returns a listener for few callers, such as operators or an upstream, with limits
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -121,6 +121,17 @@
 	return longest != nil
 }
 
+// freeDescriptors has a share of the connections closed, because the process has no descriptor left:
+// those that have been idle for longest, and then slow ones.
+func (m *Memory) freeDescriptors() {
+	m.countRefusal(RefusedDescriptor)
+	for range max(1, m.Open()/spareConnections) {
+		if !m.closeIdle(0) && !m.giveUpSlowest(m.limits.Connections, 0) {
+			return
+		}
+	}
+}
+
 // makeRoom reports whether a budget has the given number of bytes left, after slow connections
 // have given up what they hold of it, and then idle ones. None does if all together do not hold
 // enough.
--- a/internal/caller/refusal_cause.go
+++ b/internal/caller/refusal_cause.go
@@ -13,14 +13,16 @@
 	RefusedSlow
 	// RefusedAnswer: there was no memory for the answer on its way to the caller.
 	RefusedAnswer
+	// RefusedDescriptor: the process had no descriptor to accept a connection with.
+	RefusedDescriptor
 )
 
-var refusalCauses = [...]string{"connections", "memory", "slow", "answer"}
+var refusalCauses = [...]string{"connections", "memory", "slow", "answer", "descriptors"}
 
 // String returns the value of the cause in events and metrics.
 func (c RefusalCause) String() string { return refusalCauses[c] }
 
 // RefusalCauses returns all causes.
 func RefusalCauses() []RefusalCause {
-	return []RefusalCause{RefusedConnection, RefusedReading, RefusedSlow, RefusedAnswer}
+	return []RefusalCause{RefusedConnection, RefusedReading, RefusedSlow, RefusedAnswer, RefusedDescriptor}
 }
--- a/internal/caller/stream_listener.go
+++ b/internal/caller/stream_listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 
+	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 )
 
@@ -25,7 +26,7 @@
 // NewStreamListener returns a listener over another one, whose connections share the memory. The
 // read buffer of the front end must have ReaderBytes.
 func NewStreamListener(listener net.Listener, m *Memory) *StreamListener {
-	l := &StreamListener{Listener: listener, memory: m, accepted: ring.New[acceptedConnection]("accepted-connections", acceptedConnections, ring.Wait)}
+	l := &StreamListener{Listener: peer.OnExhaustion(listener, m.freeDescriptors), memory: m, accepted: ring.New[acceptedConnection]("accepted-connections", acceptedConnections, ring.Wait)}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	go l.run()
 	return l
--- a/internal/event/event_docs.go
+++ b/internal/event/event_docs.go
@@ -55,7 +55,7 @@
 	AnswerDropped: {fields: []string{"request", "router", "upstream"},
 		action: "None for a single event: the caller got a correct verdict in time. Many from one router indicate a slow upstream or network there."},
 	CallerRefused: {fields: []string{"cause"},
-		action: "None for single events. Many with `slow` show callers that stop within their requests; with `memory` and no `slow`, callers send more at once than `connectionMemory` and `requestMemory` allow; with `connections`, see `maxConnections`."},
+		action: "None for single events. Many with `slow` show callers that stop within their requests; with `memory` and no `slow`, callers send more at once than `connectionMemory` and `requestMemory` allow; with `connections`, see `maxConnections`; with `descriptors`, allow the process more of them, or lower `maxConnections`."},
 	RequestRefused: {fields: []string{
 		"request", "service", "operation", "verdict", "reason", "shard", "key", "view", "running", "queued", "limit", "typical", "why", "wait"}},
 	RunFailed:         {fields: []string{"request", "upstream", "boot", "verdict", "reason", "took"}},
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -61,5 +61,5 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen on %s", address)
 	}
-	return listener{opened}, nil
+	return listener{Listener: opened}, nil
 }
--- a/internal/peer/listener.go
+++ b/internal/peer/listener.go
@@ -12,7 +12,19 @@
 
 // listener is a TCP listener that waits while the process or the system has no descriptor or
 // memory for a connection. Servers end at most errors of Accept.
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	// free closes connections that can be spared, or is nil.
+	free func()
+}
+
+// OnExhaustion returns a listener that has free close connections before it waits for a descriptor.
+func OnExhaustion(l net.Listener, free func()) net.Listener {
+	if opened, ok := l.(listener); ok {
+		l = opened.Listener
+	}
+	return listener{l, free}
+}
 
 // Accept waits for the next connection.
 func (l listener) Accept() (net.Conn, error) {
@@ -21,6 +33,9 @@
 		if err == nil || !exhausted(err) {
 			return connection, err
 		}
+		if l.free != nil {
+			l.free()
+		}
 		<-time.After(acceptPause)
 	}
 }
--- a/internal/peer/listener_test.go
+++ b/internal/peer/listener_test.go
@@ -31,10 +31,18 @@
 	refused := func(code syscall.Errno) error {
 		return &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", code)}
 	}
-	l := listener{&failingListener{failures: []error{refused(syscall.EMFILE), refused(syscall.ENFILE), refused(syscall.ECONNABORTED)}}}
+	l := listener{Listener: &failingListener{failures: []error{refused(syscall.EMFILE), refused(syscall.ENFILE), refused(syscall.ECONNABORTED)}}}
 	connection, err := l.Accept()
 	assert.NilError(t, err)
 	assert.NilError(t, connection.Close())
-	_, err = listener{&failingListener{failures: []error{net.ErrClosed}}}.Accept()
+	_, err = listener{Listener: &failingListener{failures: []error{net.ErrClosed}}}.Accept()
 	assert.Assert(t, errors.Is(err, net.ErrClosed))
 }
+
+// Guards against a listener that waits for descriptors which nobody gives back.
+func TestListenerHasConnectionsClosed(t *testing.T) {
+	failing, closed := &failingListener{failures: []error{syscall.EMFILE, syscall.EMFILE}}, 0
+	_, err := OnExhaustion(listener{Listener: failing}, func() { closed++ }).Accept()
+	assert.NilError(t, err)
+	assert.Equal(t, closed, 2)
+}
