Lower the budgets of callers on small machines

On a VM with less memory than the default budgets take together, callers ended the router for its memory: the budgets had fixed defaults, whatever `memoryMB` says. Even the default of 192 MB was less than its budgets.

Now budgets that do not fit together are lowered in proportion, but keep one body of the largest size.

--- a/internal/event/event_docs.go
+++ b/internal/event/event_docs.go
@@ -3,7 +3,7 @@
 // eventDocs holds the field names and the operator's action of every event of the
 // catalogue.
 var eventDocs = map[*Definition]eventDoc{
-	ProcessStarted:   {fields: []string{"role", "name", "disk"}},
+	ProcessStarted:   {fields: []string{"role", "name", "disk", "connectionMemory", "requestMemory", "answerMemory"}},
 	ProcessStopping:  {fields: []string{"name"}},
 	ProcessStopped:   {fields: []string{"error"}},
 	SettingsReloaded: {fields: []string{"control"}},
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -132,7 +132,9 @@
 	n.executor.core.SetHoldLimits(n.settings.MaxHold.Value(), n.settings.UpstreamDrain.Value())
 	n.executor.core.SetLoad(executorLoad(&n.settings.Load))
 	n.run(listeners)
-	n.events.Record(event.ProcessStarted, event.F("role", "router"), event.F("name", n.settings.Name))
+	budgets := n.settings.Budgets()
+	n.events.Record(event.ProcessStarted, event.F("role", "router"), event.F("name", n.settings.Name), event.F("connectionMemory", budgets.Connections),
+		event.F("requestMemory", budgets.Requests), event.F("answerMemory", budgets.Answers))
 	return n, nil
 }
 
@@ -151,8 +153,8 @@
 
 // build creates the duties, the servers and the rings between them.
 func (n *Node) build() {
-	s := n.settings
-	n.requestMemory = memory.NewBudget(s.RequestMemory)
+	s, budgets := n.settings, n.settings.Budgets()
+	n.requestMemory = memory.NewBudget(budgets.Requests)
 	n.requestBuffers = memory.NewBuffers(n.requestMemory)
 	self := fleet.Router{ID: fleet.RouterID(s.Name), DataCentre: fleet.DataCentre(s.DataCentre), Address: s.AdvertisedAddress(), TakesParts: true}
 	answers := ring.New[*inboundAnswer]("answers", gatewayAnswerCapacity, ring.Wait)
@@ -200,9 +202,9 @@
 	observe := metrics.NewRequestMeter(n.registry).Observe
 	n.caller = caller.NewServer(n.clock, n.gateway.requests, s.MaxBody, observe)
 	n.gatewayClient = caller.NewGatewayClient(n.clock, n.gateway.requests, observe)
-	n.answerMemory = memory.NewBudget(s.AnswerMemory)
+	n.answerMemory = memory.NewBudget(budgets.Answers)
 	n.callerMemory = caller.NewMemory(n.clock, caller.MemoryLimits{
-		MaxConnections: s.MaxConnections, MaxBody: s.MaxBody, Connections: memory.NewBudget(s.ConnectionMemory), Bodies: n.requestMemory, Answers: memory.NewBudget(s.AnswerMemory),
+		MaxConnections: s.MaxConnections, MaxBody: s.MaxBody, Connections: memory.NewBudget(budgets.Connections), Bodies: n.requestMemory, Answers: memory.NewBudget(budgets.Answers),
 		Buffers: n.requestBuffers,
 	}, n.events)
 	metrics.RegisterCallerMemory(n.registry, n.callerMemory)
