Count connections for their memory beside small budgets

Connections counted for `connectionMemory` but were accepted beyond it, so that idle ones could overdraw a small budget several times over; those on which the rest of a refused request is dropped did not count.

Now idle connections use four fifths of the budget at most.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -315,7 +315,9 @@
 	c.release()
 	defer c.memory.remove(c)
 	if c.refused.CompareAndSwap(true, false) {
+		c.connection.Force(idleCost)
 		c.drain()
+		c.connection.Release()
 	}
 	return c.Conn.Close()
 }
--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -18,6 +18,8 @@
 	// spareConnections share of slots is for connections that are accepted while an idle one is
 	// being closed for them.
 	spareConnections = 16
+	// idleShare of idleParts of the budget of connections may be in use by idle ones.
+	idleShare, idleParts = 4, 5
 	// minIdle is for how long a connection must have been idle to be closed for memory: the first
 	// bytes of a request may have arrived on it and not been read yet.
 	minIdle = time.Second
@@ -44,8 +46,10 @@
 	refused       [len(refusalCauses)]atomic.Int64
 }
 
-// NewMemory returns the memory of a front end without connections.
+// NewMemory returns the memory of a front end without connections. There are fewer connections than
+// the limits allow if their budget would not leave enough for requests.
 func NewMemory(c clock.Clock, limits MemoryLimits, events event.Recorder) *Memory {
+	limits.MaxConnections = min(limits.MaxConnections, limits.Connections.Left()/idleCost/idleParts*idleShare)
 	m := &Memory{limits: limits, clock: c, events: events}
 	m.slots = make([]atomic.Pointer[Connection], limits.MaxConnections+max(1, limits.MaxConnections/spareConnections))
 	m.setLimits(fleet.CallerLimits{})
