Limit callers' headers as they were received

A caller got 431 for a header inside the limit of the configuration if its fields have no blank before their values: the limit was compared with the header as the library writes it, which adds one to each field.

Evidence before: TestLargestHeadersAreServed, 431 != 200, for 16,000 bytes with a limit of 16,384. Now the length is that of what was received.

--- a/internal/httphead/request.go
+++ b/internal/httphead/request.go
@@ -20,6 +20,12 @@
 	return err
 }
 
+// RequestLength returns the bytes of a request's head as it was received. That of fasthttp may be
+// longer: it adds a blank to each field that has none before its value.
+func RequestLength(header *fasthttp.RequestHeader) int {
+	return len(header.Method()) + len(header.RequestURI()) + len(header.Protocol()) + len("  \r\n") + len(header.RawHeaders())
+}
+
 // CheckTrailer examines the names of the fields after a chunked body that was read. It returns
 // ErrFieldName if one is invalid.
 func CheckTrailer(header *fasthttp.RequestHeader) error {
