--- a/internal/caller/memory.go
+++ b/internal/caller/memory.go
@@ -18,6 +18,8 @@
 	// spareConnections share of slots is for connections that are accepted while an idle one is
 	// being closed for them.
 	spareConnections = 16
+	// idleShare of idleParts of the budget of connections may be in use by idle ones.
+	idleShare, idleParts = 4, 5
 	// minIdle is for how long a connection must have been idle to be closed for memory: the first
 	// bytes of a request may have arrived on it and not been read yet.
 	minIdle = time.Second
@@ -44,8 +46,10 @@
 	refused       [len(refusalCauses)]atomic.Int64
 }
 
-// NewMemory returns the memory of a front end without connections.
+// NewMemory returns the memory of a front end without connections. There are fewer connections than
+// the limits allow if their budget would not leave enough for requests.
 func NewMemory(c clock.Clock, limits MemoryLimits, events event.Recorder) *Memory {
+	limits.MaxConnections = min(limits.MaxConnections, limits.Connections.Left()/idleCost/idleParts*idleShare)
 	m := &Memory{limits: limits, clock: c, events: events}
 	m.slots = make([]atomic.Pointer[Connection], limits.MaxConnections+max(1, limits.MaxConnections/spareConnections))
 	m.setLimits(fleet.CallerLimits{})
@@ -121,6 +125,17 @@
 	return longest != nil
 }
 
+// freeDescriptors has a share of the connections closed, because the process has no descriptor left:
+// those that have been idle for longest, and then slow ones.
+func (m *Memory) freeDescriptors() {
+	m.countRefusal(RefusedDescriptor)
+	for range max(1, m.Open()/spareConnections) {
+		if !m.closeIdle(0) && !m.giveUpSlowest(m.limits.Connections, 0) {
+			return
+		}
+	}
+}
+
 // makeRoom reports whether a budget has the given number of bytes left, after slow connections
 // have given up what they hold of it, and then idle ones. None does if all together do not hold
 // enough.
