Keep accepting after a want of descriptors

Clients that opened more connections than the process has descriptors ended it: fasthttp's server returns at every error of Accept that is no time-out, and its duty's error stops the process.

TestPortsLeaveDescriptorsToOthers, TestPortsHoldUnreadAnswers and TestPortsHoldManyUnendedBodies/very_small_chunks ended control and routers before ("control has ended"); both now live through them. They still fail for the descriptors in use (1,024 of 824).

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -55,8 +55,11 @@
 	return nil
 }
 
-// Listen opens a TCP listener. Its errors name the address.
+// Listen opens a TCP listener, which outlasts a want of descriptors. Its errors name the address.
 func Listen(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	return listener, eris.Wrapf(err, "listen on %s", address)
+	opened, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %s", address)
+	}
+	return listener{opened}, nil
 }
