Bound the connections and memory of the native operator, announce and metrics ports

Any number of clients could connect to these ports, each with a body of up to 4 MiB, and keep its answer unread: fiber's servers have no limit on connections and none on what all bodies take together. Their applications are now served within the limits of a LimitListener, as the platform's operator, announce and readiness ports are: 128 connections, 2 MiB for them, and bodies together as large as one may be (1 MiB at the metrics). Writes of answers have a time limit (10 s; the metrics had one), reads at the native announce port as well.

--- /dev/null
+++ b/internal/caller/limited_app.go
@@ -0,0 +1,42 @@
+package caller
+
+import (
+	"errors"
+	"net"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/valyala/fasthttp"
+
+	"endivespring/internal/event"
+)
+
+// ServeLimited serves an application for few callers, such as operators, an upstream or scrapers,
+// until it is shut down, within the limits of a LimitListener. The application's limit on bodies
+// is that of all bodies together.
+func ServeLimited(app *fiber.App, listener net.Listener, events event.Recorder) error {
+	server := app.Server()
+	server.Handler, server.ReduceMemoryUsage = WithinMemory(app.Handler(), refuseLimited), true
+	answerError := server.ErrorHandler
+	server.ErrorHandler = func(c *fasthttp.RequestCtx, err error) {
+		switch {
+		case RefusedUnread(c.Conn()), errors.Is(err, ErrNoMemory):
+			refuseLimited(c, ErrNoMemory)
+			return
+		case errors.Is(err, fasthttp.ErrBodyTooLarge):
+			RefuseUnread(c.Conn())
+		}
+		answerError(c, err)
+	}
+	return app.Listener(LimitListener(listener, app.Config().BodyLimit, events))
+}
+
+// refuseLimited answers a request that did not run for lack of memory or because its head is
+// malformed.
+func refuseLimited(c *fasthttp.RequestCtx, err error) {
+	if errors.Is(err, ErrNoMemory) {
+		c.Error("no memory; nothing was done", fasthttp.StatusServiceUnavailable)
+		c.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
+		return
+	}
+	c.Error(err.Error(), fasthttp.StatusBadRequest)
+}
--- a/internal/controlnode/node_duties.go
+++ b/internal/controlnode/node_duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 
+	"endivespring/internal/caller"
 	"endivespring/internal/clock"
 	"endivespring/internal/consensus"
 	"endivespring/internal/controller"
@@ -27,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	n.group.Go("metrics-server", func(context.Context) error { return n.metricsServer.Listener(listener) })
+	n.group.Go("metrics-server", func(context.Context) error { return caller.ServeLimited(n.metricsServer, listener, n.events) })
 	return nil
 }
 
--- a/internal/controlnode/node_operators.go
+++ b/internal/controlnode/node_operators.go
@@ -6,6 +6,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/samber/do/v2"
 
+	"endivespring/internal/caller"
 	"endivespring/internal/operator"
 	"endivespring/internal/peer"
 	"endivespring/internal/ring"
@@ -20,7 +21,7 @@
 		if err != nil {
 			return err
 		}
-		n.group.Go("operator-server", func(context.Context) error { return n.operatorServer.Listener(listener) })
+		n.group.Go("operator-server", func(context.Context) error { return caller.ServeLimited(n.operatorServer, listener, n.events) })
 	}
 	if n.settings.FrontEnd.Name == "" {
 		return nil
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -24,6 +24,7 @@
 const (
 	replyTimeout  = 5 * time.Second // longest wait for the controller duty's reply, for a change until it is committed
 	readTimeout   = 10 * time.Second
+	writeTimeout  = 10 * time.Second
 	idleTimeout   = 30 * time.Second
 	maxBody       = 4 << 20 // bytes of a request body
 	maxNameLength = 128     // bytes of a command ID or an operator's name
@@ -44,7 +45,7 @@
 func NewServer(token string, requests *ring.Ring[Request]) *Server {
 	s := &Server{token: token, requests: requests}
 	s.app = fiber.New(fiber.Config{
-		DisableStartupMessage: true, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Immutable: true, BodyLimit: maxBody,
+		DisableStartupMessage: true, ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, Immutable: true, BodyLimit: maxBody,
 		ErrorHandler: func(c *fiber.Ctx, err error) error {
 			code := fiber.StatusInternalServerError
 			var known *fiber.Error
--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -36,7 +36,9 @@
 	}
 	n.group.Go("aborts", aborts.Run)
 	if l.caller != nil {
-		n.serveApp("caller-server", n.caller.App(), caller.NewListener(l.caller, n.callerMemory))
+		n.group.Go("caller-server", func(context.Context) error {
+			return n.caller.App().Listener(caller.NewListener(l.caller, n.callerMemory))
+		})
 	}
 	n.serveApp("announce-server", n.announce, l.announce)
 	n.serveApp("metrics-server", n.metrics, l.metrics)
@@ -57,9 +59,10 @@
 	}
 }
 
+// serveApp serves an application for few callers if there is a listener.
 func (n *Node) serveApp(name string, app *fiber.App, listener net.Listener) {
 	if listener != nil {
-		n.group.Go(name, func(context.Context) error { return app.Listener(listener) })
+		n.group.Go(name, func(context.Context) error { return caller.ServeLimited(app, listener, n.events) })
 	}
 }
 
--- a/internal/upstream/server.go
+++ b/internal/upstream/server.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"time"
 
 	"github.com/gofiber/fiber/v2"
 
@@ -15,6 +16,9 @@
 const (
 	maxSlots        = 1024     // concurrent requests that one upstream may announce
 	maxAnnouncement = 64 << 10 // body size in bytes
+
+	serverTimeout     = 10 * time.Second // bound on reading a request and on writing its response
+	serverIdleTimeout = time.Minute      // idle time after which a connection is closed
 )
 
 // Server receives the announcements and the departure of the upstream beside the
@@ -29,6 +33,7 @@
 func NewServer(notifications *ring.Ring[Notification]) *Server {
 	s := &Server{notifications: notifications, app: fiber.New(fiber.Config{
 		DisableStartupMessage: true, Immutable: true, BodyLimit: maxAnnouncement,
+		ReadTimeout: serverTimeout, WriteTimeout: serverTimeout, IdleTimeout: serverIdleTimeout,
 	})}
 	s.app.Use(httphead.Middleware)
 	s.app.Post("/v1/announce", s.announce)
