Refuse reads for whose answers there is no memory

Clients that read the configuration again and again, and did not read the answers, took the control process beyond its memory: each of 43 requests encoded an answer of its own at the same time, and an answer that did not fit the budget was sent all the same, as that of a change must be. Reads of a server now run one at a time, and one for whose answer there is no memory is refused with 503; nothing was done, as the status says.

--- a/internal/caller/within_memory.go
+++ b/internal/caller/within_memory.go
@@ -10,21 +10,36 @@
 
 // WithinMemory returns a handler that counts what requests and their answers hold, and passes
 // requests for which there is no memory to refuse, with ErrNoMemory, and those with a malformed
-// head with its error. An answer is always sent: what was asked for was done.
+// head with its error. Reads run one at a time, and one for whose answer there is no memory is
+// refused. Any other answer is always sent: what was asked for was done.
 func WithinMemory(handle fasthttp.RequestHandler, refuse func(*fasthttp.RequestCtx, error)) fasthttp.RequestHandler {
+	reads := newReadGate()
 	return func(c *fasthttp.RequestCtx) {
 		err := errors.Join(httphead.CheckRequest(&c.Request.Header), httphead.CheckTrailer(&c.Request.Header))
 		if err == nil && !StartRequest(c.Conn(), len(c.PostBody())+2*len(c.Request.Header.Header())) {
 			err = ErrNoMemory
 		}
+		if err == nil && isRead(c) {
+			if reads.enter() {
+				defer reads.leave()
+			} else {
+				err = ErrNoMemory
+			}
+		}
 		if err == nil {
 			handle(c)
 		} else {
 			refuse(c, err)
 			c.SetConnectionClose()
 		}
-		if !StartAnswer(c.Conn(), len(c.Response.Body())) {
-			c.SetConnectionClose()
+		if StartAnswer(c.Conn(), len(c.Response.Body())) {
+			return
+		}
+		if isRead(c) {
+			c.Response.Reset()
+			refuse(c, ErrNoMemory)
+			StartAnswer(c.Conn(), len(c.Response.Body()))
 		}
+		c.SetConnectionClose()
 	}
 }
