Bound what an operator's body takes once it is decoded

A body of a legal size could take many times its bytes: 1.5 million empty routes in 16 MiB took the control process beyond its memory before they were refused. What the items of a body take is now estimated from its objects, lists and commas before it is decoded, and a body of more than 96 MiB is answered 400. The largest proper configurations take two thirds of that.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -76,6 +76,9 @@
 
 func (s *Server) change(c *fiber.Ctx) error {
 	var body ChangeBody
+	if err := checkItems(c.Body()); err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, err.Error())
+	}
 	decoder := json.NewDecoder(bytes.NewReader(c.Body()))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&body); err != nil {
