Bound what peer ports hold for connections that have not named the fleet

Streams between the system's processes now name the fleet in their header. Until a connection has done so, there or in a message (as processes of earlier versions do), it may send 4 KiB, and 8 MiB together with all others; it is closed after 10 s, or for a newer one beyond 192. A connection has 16 streams, a header 16 KiB.

--- a/internal/command/explain_where.go
+++ b/internal/command/explain_where.go
@@ -129,7 +129,7 @@
 		return gateway.Whereabouts{}, err
 	}
 	defer func() { _ = connection.Close() }()
-	reply, err := wirepb.NewExplainerClient(connection).Where(ctx, wire.FromQuestion(q, c.fleet))
+	reply, err := wirepb.NewExplainerClient(connection).Where(peer.NameFleet(ctx, c.fleet), wire.FromQuestion(q, c.fleet))
 	switch status.Code(err) {
 	case codes.OK:
 		return wire.ToWhereabouts(reply), nil
--- a/internal/controlnode/consensus_server.go
+++ b/internal/controlnode/consensus_server.go
@@ -31,6 +31,7 @@
 		if message.GetFleet() != s.fleet {
 			return peer.RefuseFleet(stream.Context(), s.events, s.fleet, message.GetFleet())
 		}
+		peer.Admit(stream.Context())
 		_ = s.inbound.Put(stream.Context(), wire.ToMessage(message))
 		if err := stream.Send(&wirepb.Empty{}); err != nil {
 			return err
--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -127,10 +127,11 @@
 	n.group.Go("consensus", consensusDuty.Run)
 	n.group.Go("controller", controllerDuty.Run)
 
-	n.peerServer = peer.NewServer()
+	guard := peer.NewGuard(n.settings.Fleet)
+	n.peerServer = guard.NewServer()
 	wirepb.RegisterConsensusServer(n.peerServer, &consensusServer{fleet: n.settings.Fleet, events: n.events, inbound: consensusDuty.inbound})
 	wirepb.RegisterSessionsServer(n.peerServer, &sessionServer{fleet: n.settings.Fleet, events: n.events, streamEvents: controllerDuty.streamEvents})
-	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.peerServer, peerListener) })
+	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.peerServer, guard.Listen(peerListener)) })
 	if err := n.startOperators(injector, token, controllerDuty.operators); err != nil {
 		return err
 	}
--- a/internal/controlnode/peer_duty.go
+++ b/internal/controlnode/peer_duty.go
@@ -49,7 +49,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	opening := time.AfterFunc(openTimeout, cancel)
-	client, err := wirepb.NewConsensusClient(connection).Deliver(ctx)
+	client, err := wirepb.NewConsensusClient(connection).Deliver(peer.NameFleet(ctx, d.fleet))
 	opening.Stop()
 	if err != nil {
 		return err
--- a/internal/controlnode/session_server.go
+++ b/internal/controlnode/session_server.go
@@ -71,6 +71,7 @@
 		if up.GetFleet() != s.fleet {
 			return peer.RefuseFleet(ctx, s.events, s.fleet, up.GetFleet())
 		}
+		peer.Admit(ctx)
 		takesParts.Store(up.GetParts())
 		e.up = wire.ToUp(up)
 		if err := s.streamEvents.Put(ctx, e); err != nil {
--- a/internal/operator/decode_test.go
+++ b/internal/operator/decode_test.go
@@ -15,7 +15,7 @@
 	var body any
 	empty := `{"r":[` + strings.Repeat("{},", largest/3) + "{}]}"
 	assert.Assert(t, errors.Is(Decode([]byte(empty), &body), errTooManyItems))
-	route := `"r":{"host":"h","path_prefix":"/","kind":"safe","timeout_s":1,"service":"s","max_attempts":1},`
+	route := `"r":{"host":"h","prefix":"/","kind":"safe","timeout_s":1,"service":"s","max_attempts":1},`
 	var routes struct{ Z string }
 	assert.NilError(t, Decode([]byte("{"+strings.Repeat(route, largest/len(route))+`"Z":""}`), &routes))
 	part := `{"service":"s","weight":1},`
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -40,10 +40,13 @@
 }
 
 // NewServer returns a gRPC server with the limits that Dial uses.
-func NewServer() *grpc.Server {
-	return grpc.NewServer(grpc.MaxRecvMsgSize(MaxMessage), grpc.MaxSendMsgSize(MaxMessage),
+func NewServer() *grpc.Server { return newServer() }
+
+func newServer(more ...grpc.ServerOption) *grpc.Server {
+	return grpc.NewServer(append(more, grpc.MaxRecvMsgSize(MaxMessage), grpc.MaxSendMsgSize(MaxMessage),
+		grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeader), grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
-		grpc.InitialWindowSize(windowSize), grpc.InitialConnWindowSize(windowSize))
+		grpc.InitialWindowSize(windowSize), grpc.InitialConnWindowSize(windowSize))...)
 }
 
 // Serve accepts connections until the server is stopped. It returns nil also if
--- a/internal/router/control_stream.go
+++ b/internal/router/control_stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"endivespring/internal/peer"
 	"endivespring/internal/ring"
 	"endivespring/internal/session"
 	"endivespring/internal/wire"
@@ -39,7 +40,7 @@
 func (s *controlStream) pump(ctx context.Context, client wirepb.SessionsClient) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := client.Attach(ctx)
+	stream, err := client.Attach(peer.NameFleet(ctx, s.fleet))
 	if err != nil {
 		return err
 	}
--- a/internal/router/executor_server.go
+++ b/internal/router/executor_server.go
@@ -64,6 +64,7 @@
 	if first.GetFleet() != s.fleet {
 		return nil, peer.RefuseFleet(stream.Context(), s.events, s.fleet, first.GetFleet())
 	}
+	peer.Admit(stream.Context())
 	return first, nil
 }
 
--- a/internal/router/explain_server.go
+++ b/internal/router/explain_server.go
@@ -33,6 +33,7 @@
 	if request.GetFleet() != s.fleet {
 		return nil, peer.RefuseFleet(ctx, s.events, s.fleet, request.GetFleet())
 	}
+	peer.Admit(ctx)
 	ctx, cancel := context.WithTimeout(ctx, questionTimeout)
 	defer cancel()
 	q := &whereQuestion{question: wire.ToQuestion(request), reply: ring.NewReply[gateway.Whereabouts]()}
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -102,7 +102,7 @@
 	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
 	opening := time.AfterFunc(peerTimeout, cancel)
-	stream, err := wirepb.NewDoorsClient(connection).Link(ctx)
+	stream, err := wirepb.NewDoorsClient(connection).Link(peer.NameFleet(ctx, l.fleet))
 	opening.Stop()
 	if err != nil {
 		return err
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -82,6 +82,7 @@
 	session  *sessionDuty
 	caller   *caller.Server
 	announce *fiber.App
+	guard    *peer.Guard
 	grpc     *grpc.Server
 	registry *metrics.Registry
 	metrics  *fiber.App
@@ -212,7 +213,8 @@
 	n.gateway.hasPreset = n.hasPreset
 	n.callersDone = ring.New[struct{}]("callers-done", 1, ring.DropOldest)
 	n.announce = upstream.NewServer(n.executor.notifications).App()
-	n.grpc = peer.NewServer()
+	n.guard = peer.NewGuard(n.settings.Fleet)
+	n.grpc = n.guard.NewServer()
 	wirepb.RegisterDoorsServer(n.grpc, &executorServer{fleet: s.Fleet, events: n.events, clock: n.clock, executor: submissions, buffers: n.requestBuffers})
 	wirepb.RegisterExplainerServer(n.grpc, &explainServer{fleet: s.Fleet, events: n.events, questions: n.gateway.questions})
 }
--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -42,7 +42,7 @@
 	}
 	n.serveApp("announce-server", n.announce, l.announce)
 	n.serveApp("metrics-server", n.metrics, l.metrics)
-	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, l.peer) })
+	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, n.guard.Listen(l.peer)) })
 	if n.frontEnd != nil {
 		n.serveFrontEnd(l)
 	}
