--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -42,7 +42,7 @@
 	}
 	n.serveApp("announce-server", n.announce, l.announce)
 	n.serveApp("metrics-server", n.metrics, l.metrics)
-	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, l.peer) })
+	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, n.guard.Listen(l.peer)) })
 	if n.frontEnd != nil {
 		n.serveFrontEnd(l)
 		return
@@ -67,9 +67,10 @@
 	}
 }
 
+// serveApp serves an application for few callers if there is a listener.
 func (n *Node) serveApp(name string, app *fiber.App, listener net.Listener) {
 	if listener != nil {
-		n.group.Go(name, func(context.Context) error { return app.Listener(listener) })
+		n.group.Go(name, func(context.Context) error { return caller.ServeLimited(app, listener, n.events) })
 	}
 }
 
