Settle calls on a link that retires, and cancel on it until it ends

What callers would see: 504 for a request that was never sent, up to 3 s late; and an upstream that goes on working for a caller who has left.

Cause: a link whose peer asked for no more calls half-closed its stream once no call seemed to be in flight, and then read its ring no more. A call queued before the gateway duty had learned of it was neither sent nor settled. The count of calls in flight is too low if an answer and a cancellation cross, so that the stream was half-closed with a call at work, and its cancellation never sent.

Change: the stream is not half-closed at all; nobody used that. The writer goes on with cancellations, withdrawals and pings, and reports calls as not run, until the other router ends the stream.

--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -22,7 +22,7 @@
 	// settledCapacity is the number of answered calls that the writer of a link may still have
 	// to look at.
 	settledCapacity = 16
-	idleTimeout     = 30 * time.Second // time without calls after which a link closes; also limits the wait for the last answers of a retired link
+	idleTimeout     = 30 * time.Second // time without calls after which a link closes
 )
 
 // link sends calls to the executor of one router over one gRPC stream. It does not
@@ -119,19 +119,6 @@
 	return err
 }
 
-// awaitEnd half-closes the stream, so that the other router knows that nothing more follows,
-// and waits until it has ended the stream. Calls that are queued meanwhile are reported as not
-// run by Run.
-func (l *link) awaitEnd(ctx context.Context, stream grpc.BidiStreamingClient[wirepb.DoorUp, wirepb.DoorDown]) error {
-	if err := stream.CloseSend(); err != nil {
-		return err
-	}
-	limited, cancel := context.WithTimeout(ctx, idleTimeout)
-	defer cancel()
-	<-limited.Done()
-	return limited.Err()
-}
-
 // countCall records the number of a call that is queued on the link. Numbers increase.
 func (l *link) countCall(number uint64) {
 	if l.firstNumber == 0 {
--- a/internal/router/link_writer.go
+++ b/internal/router/link_writer.go
@@ -32,8 +32,8 @@
 	// are any.
 	bodies  []outgoingBody
 	partDue *ring.Ring[struct{}]
-	// closing is set once the other router asks for no more calls. Cancellations of those in
-	// flight are still sent.
+	// closing is set once the other router asks for no more calls. Messages about those in
+	// flight are still sent, until that router ends the stream.
 	closing bool
 }
 
@@ -52,9 +52,6 @@
 	defer w.watchdog.Stop()
 	defer w.ping.Stop()
 	for {
-		if w.closing && len(w.bodies) == 0 && w.inFlight.Load() == 0 {
-			return w.awaitEnd(ctx, w.stream)
-		}
 		up, err := w.next(ctx)
 		if err != nil || w.idle() {
 			return err
