--- a/internal/controlnode/node_duties.go
+++ b/internal/controlnode/node_duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 
+	"endivespring/internal/caller"
 	"endivespring/internal/clock"
 	"endivespring/internal/consensus"
 	"endivespring/internal/controller"
@@ -27,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	n.group.Go("metrics-server", func(context.Context) error { return n.metricsServer.Listener(listener) })
+	n.group.Go("metrics-server", func(context.Context) error { return caller.ServeLimited(n.metricsServer, listener, n.events) })
 	return nil
 }
 
@@ -83,7 +84,7 @@
 		streamEvents:     ring.New[streamEvent]("renewals", streamEventCapacity, ring.Refuse),
 		operators:        ring.New[operator.Request]("operators", operatorCapacity, ring.Refuse),
 		meter:            metrics.NewControlMeter(n.registry),
-		streams:          map[controller.StreamID]streamEvent{}, pendingRequests: map[uint64]operator.Request{},
+		streams:          map[controller.StreamID]streamEvent{}, pendingCommands: map[uint64]pendingCommand{},
 	}
 	if stored.Snapshot != nil {
 		state, err := wire.DecodeState(stored.Snapshot.Data)
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -47,7 +47,11 @@
 	// waitsReportedAt is when their waits were last reported.
 	nestedServices  []nestedService
 	waitsReportedAt clock.Instant
-	output          Output
+	// endsAt is when a stopping router breaks off its requests, or zero.
+	endsAt clock.Instant
+	// stopping is set once the router refuses what waits because it is stopping.
+	stopping bool
+	output   Output
 }
 
 // New returns a core without requests. It refuses every request until it has a view lease
@@ -68,9 +72,6 @@
 	return out
 }
 
-// LastCall returns the number of the latest call.
-func (c *Core) LastCall() uint64 { return c.lastCall }
-
 // Len returns the number of requests in flight.
 func (c *Core) Len() int { return len(c.requestsByToken) }
 
--- a/internal/router/gateway_duty.go
+++ b/internal/router/gateway_duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,9 @@
 	executor *ring.Ring[*submission]
 	// questions are operators' questions where a request would go.
 	questions *ring.Ring[*whereQuestion]
+	stop      *ring.Ring[stopStep]
+	// drained is signalled while stopping, once no request is in flight.
+	drained *ring.Ring[struct{}]
 	// nestedCalls and waits tell the executor duty about nested requests. They drop the oldest.
 	nestedCalls *ring.Ring[call.NestedCall]
 	waits       *ring.Ring[call.ServiceWait]
@@ -57,8 +61,16 @@
 	pending   map[uint64]*caller.Request
 	tokens    map[uint64]uint64 // tokens by the caller server's numbers
 	links     map[fleet.RouterID]*link
+	// earlierLinks are links that get no more calls and have not ended. Calls on them may be in
+	// flight.
+	earlierLinks []*link
 	// openLinks is the number of links that have not ended.
 	openLinks atomic.Int64
+	// stopping is set from stopFinish on.
+	stopping bool
+	// endsAt is when a stopping router answers the requests that are still open.
+	endsAt       clock.Instant
+	stopSchedule stopSchedule
 }
 
 // Run drives the core until the context ends.
@@ -79,16 +91,39 @@
 			d.handleAnswer(answer)
 		case update := <-d.updates.Out():
 			d.update(&update)
+		case step := <-d.stop.Out():
+			d.advanceStop(step)
 		case q := <-d.questions.Out():
 			q.reply.Send(d.core.ExplainWhere(d.clock.Now(), &q.question))
 			continue // nothing has changed
 		}
 		d.core.ReportWaits(d.clock.Now())
 		d.dispatch(ctx)
+		if d.stopping && d.core.Len() == 0 && d.requests.Depth() == 0 {
+			_ = d.drained.Put(ctx, struct{}{})
+		}
 		timer.Reset(d.sleep())
 	}
 }
 
+// advanceStop performs a step of the shutdown.
+func (d *gatewayDuty) advanceStop(step stopStep) {
+	d.events.Record(event.StopProgressed, event.F("duty", "gateway"), event.F("step", step.String()),
+		event.F("requests", d.core.Len()), event.F("waiting", d.core.Waiting()))
+	now := d.clock.Now()
+	switch step {
+	case stopBegin:
+		d.endsAt = now.Add(d.stopSchedule.requests)
+	case stopFinish:
+		d.stopping = true
+		d.core.StopBy(d.endsAt)
+	case stopWaiting:
+		d.core.RefuseWaiting(now)
+	case stopRequests:
+		d.core.EndRequests(now)
+	}
+}
+
 func (d *gatewayDuty) update(update *session.Update) {
 	d.core.SetViewLease(update.ViewUntil)
 	if update.Change != nil {
@@ -184,7 +219,7 @@
 	case in.ended != nil:
 		d.handleLinkEnd(now, in)
 	case in.retired != nil:
-		d.retireLink(now, in.retired)
+		d.replaceLink(in.retired)
 	case in.load != nil:
 		d.core.HandleReport(now, in.from, *in.load)
 		d.loadMeter.CountReceived()
@@ -196,24 +231,30 @@
 }
 
 // handleLinkEnd settles the calls of a link that has ended. The outcome of those that
-// were written and not answered is unknown. Calls on a later link to the same router are
-// left alone.
+// were written and not answered is unknown. Calls on other links to the same router, earlier
+// or later ones, are left alone.
 func (d *gatewayDuty) handleLinkEnd(now clock.Instant, in *inboundAnswer) {
 	d.openLinks.Add(-1)
-	d.retireLink(now, in.ended)
-	d.core.HandleLostLink(now, in.from, in.ended.lastNumber)
+	d.replaceLink(in.ended)
+	d.earlierLinks = slices.DeleteFunc(d.earlierLinks, func(l *link) bool { return l == in.ended })
+	d.emptyLink(now, in.ended)
+	d.core.HandleLostLink(now, in.from, in.ended.firstNumber, in.ended.lastNumber)
 	d.events.Record(event.PeerLost, event.F("router", string(in.from)))
 }
 
-// retireLink sends no more calls on a link. Those still queued on its ring were never
-// written and did not run.
-func (d *gatewayDuty) retireLink(now clock.Instant, l *link) {
+// replaceLink sends no more calls on a link: the next call to its router opens another.
+func (d *gatewayDuty) replaceLink(l *link) {
 	if d.links[l.router] == l {
 		delete(d.links, l.router)
-		l.lastNumber = d.core.LastCall()
+		d.earlierLinks = append(d.earlierLinks, l)
 	}
+}
+
+// emptyLink settles the calls that are queued on a link that has ended. They were never
+// written and did not run.
+func (d *gatewayDuty) emptyLink(now clock.Instant, l *link) {
 	for out, ok := l.calls.Poll(); ok; out, ok = l.calls.Poll() {
-		if !out.cancel {
+		if out.isCall() {
 			d.core.HandleLostCall(now, out.call.Number, verdict.NotRun)
 		}
 	}
@@ -231,6 +272,9 @@
 		for _, cancel := range out.Cancels {
 			d.cancel(ctx, cancel)
 		}
+		for _, withdrawal := range out.Withdrawals {
+			d.withdraw(ctx, withdrawal)
+		}
 		for _, send := range out.Sends {
 			d.send(ctx, send)
 		}
@@ -277,7 +321,9 @@
 	if send.Router.ID == d.self {
 		err = d.executor.Put(ctx, &submission{link: localLink, call: send.Call})
 	} else {
-		err = d.link(send.Router).calls.Put(ctx, &outgoingCall{call: send.Call, request: request, queuedAt: d.clock.Now()})
+		l := d.link(send.Router)
+		l.countCall(send.Call.Number)
+		err = l.calls.Put(ctx, &outgoingCall{call: send.Call, request: request, queuedAt: d.clock.Now()})
 	}
 	if err != nil {
 		d.core.HandleLostCall(d.clock.Now(), send.Call.Number, verdict.NotRun)
@@ -289,11 +335,31 @@
 		_ = d.executor.Put(ctx, &submission{link: localLink, cancel: cancel.Number})
 		return
 	}
-	if l := d.links[cancel.Router]; l != nil {
+	if l := d.linkOf(cancel); l != nil {
 		_ = l.calls.Put(ctx, &outgoingCall{call: call.Call{Number: cancel.Number}, cancel: true})
 	}
 }
 
+// withdraw passes on a withdrawal. The executor of this router is stopping itself.
+func (d *gatewayDuty) withdraw(ctx context.Context, withdrawal gateway.Cancel) {
+	if l := d.linkOf(withdrawal); l != nil {
+		_ = l.calls.Put(ctx, &outgoingCall{call: call.Call{Number: withdrawal.Number}, withdraw: true})
+	}
+}
+
+// linkOf returns the link on which a call was queued, or nil if it has ended or there was none.
+func (d *gatewayDuty) linkOf(cancel gateway.Cancel) *link {
+	if l := d.links[cancel.Router]; l != nil && l.carries(cancel.Number) {
+		return l
+	}
+	for _, l := range d.earlierLinks {
+		if l.router == cancel.Router && l.carries(cancel.Number) {
+			return l
+		}
+	}
+	return nil
+}
+
 // link returns the link to the executor of a router. It opens a new one if there is
 // none or if the router's address has changed.
 func (d *gatewayDuty) link(router fleet.Router) *link {
@@ -302,7 +368,7 @@
 		return l
 	}
 	if l != nil {
-		l.lastNumber = d.core.LastCall()
+		d.replaceLink(l)
 	}
 	d.openLinks.Add(1)
 	l = newLink(d.fleet, router, &d.openLinks, d.clock, d.answers, d.events)
--- a/internal/router/link.go
+++ b/internal/router/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync/atomic"
 	"time"
 
@@ -52,16 +51,16 @@
 	settled *ring.Ring[uint64]
 	// bodiesLeft is the number of bodies that are being sent in parts.
 	bodiesLeft atomic.Int64
-	// lastNumber is the number of the last call that may have been sent on the link. It
-	// is owned by the gateway duty.
-	lastNumber uint64
+	// firstNumber and lastNumber are the numbers of the first and the last call that the
+	// gateway duty, which owns them, has queued on the link. firstNumber is 0 before the first.
+	firstNumber, lastNumber uint64
 	// inFlight is the number of calls sent and not yet answered or cancelled.
 	inFlight atomic.Int64
 }
 
 func newLink(fleetName string, r fleet.Router, links *atomic.Int64, c clock.Clock, answers *ring.Ring[*inboundAnswer], events event.Recorder) *link {
 	return &link{
-		fleet: fleetName, router: r.ID, address: r.Address, links: links, clock: c, answers: answers, events: events, lastNumber: math.MaxUint64,
+		fleet: fleetName, router: r.ID, address: r.Address, links: links, clock: c, answers: answers, events: events,
 		calls:   ring.New[*outgoingCall]("link-"+string(r.ID), linkCapacity, ring.Refuse),
 		retired: ring.New[struct{}]("link-retired", 1, ring.DropOldest),
 		settled: ring.New[uint64]("link-settled", settledCapacity, ring.DropOldest), takesParts: r.TakesParts,
@@ -80,7 +79,7 @@
 // reportQueued reports the calls that are still queued as not run.
 func (l *link) reportQueued(ctx context.Context) {
 	for out, ok := l.calls.Poll(); ok; out, ok = l.calls.Poll() {
-		if !out.cancel {
+		if out.isCall() {
 			l.reportUnsent(ctx, out.call.Number)
 		}
 	}
@@ -102,7 +101,7 @@
 	ctx, cancel := context.WithCancel(outer)
 	defer cancel()
 	opening := time.AfterFunc(peerTimeout, cancel)
-	stream, err := wirepb.NewDoorsClient(connection).Link(ctx)
+	stream, err := wirepb.NewDoorsClient(connection).Link(peer.NameFleet(ctx, l.fleet))
 	opening.Stop()
 	if err != nil {
 		return err
@@ -120,20 +119,32 @@
 	return err
 }
 
-// awaitAnswers half-closes the stream, so that the other router knows that no more calls
-// follow, and waits until it has ended the stream. Calls that are queued meanwhile are
-// reported as not run by Run.
-func (l *link) awaitAnswers(ctx context.Context, stream grpc.BidiStreamingClient[wirepb.DoorUp, wirepb.DoorDown]) error {
+// awaitEnd half-closes the stream, so that the other router knows that nothing more follows,
+// and waits until it has ended the stream. Calls that are queued meanwhile are reported as not
+// run by Run.
+func (l *link) awaitEnd(ctx context.Context, stream grpc.BidiStreamingClient[wirepb.DoorUp, wirepb.DoorDown]) error {
 	if err := stream.CloseSend(); err != nil {
 		return err
 	}
-	_ = l.answers.Put(ctx, &inboundAnswer{from: l.router, retired: l})
 	limited, cancel := context.WithTimeout(ctx, idleTimeout)
 	defer cancel()
 	<-limited.Done()
 	return limited.Err()
 }
 
+// countCall records the number of a call that is queued on the link. Numbers increase.
+func (l *link) countCall(number uint64) {
+	if l.firstNumber == 0 {
+		l.firstNumber = number
+	}
+	l.lastNumber = number
+}
+
+// carries reports whether a call was queued on the link.
+func (l *link) carries(number uint64) bool {
+	return l.firstNumber <= number && number <= l.lastNumber
+}
+
 // trackInFlight updates the number of calls in flight for a sent message. It reports
 // whether this is the first of them.
 func (l *link) trackInFlight(out *outgoingCall) (first bool) {
--- a/internal/router/link_writer.go
+++ b/internal/router/link_writer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"slices"
 	"time"
 
@@ -30,7 +32,8 @@
 	// are any.
 	bodies  []outgoingBody
 	partDue *ring.Ring[struct{}]
-	// closing is set once the other router asks for no more calls.
+	// closing is set once the other router asks for no more calls. Cancellations of those in
+	// flight are still sent.
 	closing bool
 }
 
@@ -49,8 +52,8 @@
 	defer w.watchdog.Stop()
 	defer w.ping.Stop()
 	for {
-		if w.closing && len(w.bodies) == 0 {
-			return w.awaitAnswers(ctx, w.stream)
+		if w.closing && len(w.bodies) == 0 && w.inFlight.Load() == 0 {
+			return w.awaitEnd(ctx, w.stream)
 		}
 		up, err := w.next(ctx)
 		if err != nil || w.idle() {
@@ -62,28 +65,35 @@
 		w.watchdog.Reset(peerTimeout)
 		err = w.stream.Send(up)
 		w.watchdog.Stop()
+		if errors.Is(err, io.EOF) {
+			w.awaitReceived(ctx)
+		}
 		if err != nil {
 			return err
 		}
 	}
 }
 
+// awaitReceived waits until the answers that arrived before the end of the stream are read, but
+// no longer than peerTimeout.
+func (w *linkWriter) awaitReceived(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	<-limited.Done()
+}
+
 // next waits for the next message to send. It is nil if there is none yet.
 func (w *linkWriter) next(ctx context.Context) (*wirepb.DoorUp, error) {
-	calls := w.calls.Out()
-	if w.closing {
-		calls = nil
-	}
 	select {
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	case <-w.retired.Out():
 		w.closing = true
-		return nil, nil
+		return nil, w.answers.Put(ctx, &inboundAnswer{from: w.router, retired: w.link})
 	case number := <-w.settled.Out():
 		w.dropBody(ctx, number)
 		return nil, nil
-	case out := <-calls:
+	case out := <-w.calls.Out():
 		return w.message(ctx, out), nil
 	case <-w.partDue.Out():
 		return w.nextPart(ctx), nil
@@ -93,13 +103,16 @@
 }
 
 // message returns the message of a call or a cancellation, or nil if the call is not sent
-// because its caller has gone.
+// because its caller has gone or the other router takes no more calls.
 func (w *linkWriter) message(ctx context.Context, out *outgoingCall) *wirepb.DoorUp {
 	w.used = w.clock.Now()
-	if out.callerGone(w.used) {
+	if out.isCall() && w.closing || out.callerGone(w.used) {
 		w.reportUnsent(ctx, out.call.Number)
 		return nil
 	}
+	if out.withdraw {
+		return w.withdrawal(ctx, out.call.Number)
+	}
 	if w.trackInFlight(out) {
 		w.ping.Reset(pingInterval)
 	}
@@ -115,6 +128,18 @@
 	}
 }
 
+// withdrawal returns the message that withdraws a call. One whose body was not sent as a whole
+// can't have run and is cancelled.
+func (w *linkWriter) withdrawal(ctx context.Context, number uint64) *wirepb.DoorUp {
+	if slices.ContainsFunc(w.bodies, func(b outgoingBody) bool { return b.number == number }) {
+		w.dropBody(ctx, number)
+		w.callEnded()
+		w.reportUnsent(ctx, number)
+		return &wirepb.DoorUp{Fleet: w.fleet, Cancel: number}
+	}
+	return &wirepb.DoorUp{Fleet: w.fleet, Ping: uint64(w.used), Withdraw: number}
+}
+
 // nextPart returns the next part of a body; the bodies take turns.
 func (w *linkWriter) nextPart(ctx context.Context) *wirepb.DoorUp {
 	if len(w.bodies) == 0 {
--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"time"
 
 	"github.com/gofiber/fiber/v2"
 
@@ -40,10 +42,18 @@
 	}
 	n.serveApp("announce-server", n.announce, l.announce)
 	n.serveApp("metrics-server", n.metrics, l.metrics)
-	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, l.peer) })
+	n.group.Go("peer-server", func(context.Context) error { return peer.Serve(n.grpc, n.guard.Listen(l.peer)) })
 	if n.frontEnd != nil {
 		n.serveFrontEnd(l)
+		return
 	}
+	n.stopCallers = sync.OnceFunc(func() {
+		n.group.Go("caller-shutdown", func(ctx context.Context) error {
+			pause(ctx, time.Until(n.stopStarted.Add(stopLinger)))
+			_ = n.caller.App().ShutdownWithContext(ctx)
+			return n.callersDone.Put(ctx, struct{}{})
+		})
+	})
 }
 
 func (n *Node) startRangeDuties(dialect upstream.Dialect) {
@@ -57,9 +67,10 @@
 	}
 }
 
+// serveApp serves an application for few callers if there is a listener.
 func (n *Node) serveApp(name string, app *fiber.App, listener net.Listener) {
 	if listener != nil {
-		n.group.Go(name, func(context.Context) error { return app.Listener(listener) })
+		n.group.Go(name, func(context.Context) error { return caller.ServeLimited(app, listener, n.events) })
 	}
 }
 
