Serve native callers within the memory of callers again

The merge of the limits at other ports served native callers within those for few: at most 128 connections, GETs one at a time, bodies read twice.

Evidence before: TestManyNativeConnectionsAreKept, unexpected EOF on one of 200 connections. Now the server of callers is started with its own listener. After: all 200 are kept.

--- a/internal/router/starting.go
+++ b/internal/router/starting.go
@@ -38,7 +38,9 @@
 	}
 	n.group.Go("aborts", aborts.Run)
 	if l.caller != nil {
-		n.serveApp("caller-server", n.caller.App(), caller.NewStreamListener(l.caller, n.callerMemory))
+		n.group.Go("caller-server", func(context.Context) error {
+			return n.caller.App().Listener(caller.NewStreamListener(l.caller, n.callerMemory))
+		})
 	}
 	n.serveApp("announce-server", n.announce, l.announce)
 	n.serveApp("metrics-server", n.metrics, l.metrics)
