Read bodies at ports for few callers into buffers of their budget

The library makes a slice of a body's announced length before the first byte of it is read, and so before the budget can refuse it: 300 clients that announced 16 MiB made as many slices, and kept them until their connections were closed. The operators', announce, readiness and metrics ports now stream bodies, which WithinMemory reads into buffers that count from when they are made, as the callers' port does.

Clients that stopped short of the end of a head and came back at once held the 2 MiB of a port's connections most of the time, so that others were refused for 6 to 13 s. The first read of a request may now overdraw the budget of these ports: a request that arrives at once is served, and one that stops short is refused at its second read.

TestRequestsGiveBackTheirMemory serves with a StreamListener, since these servers stream; its checks are the same.

--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -28,6 +28,9 @@
 	readingCost = idleCost + readerBytes + 4<<10
 	runningCost = idleCost + 4<<10
 	writingCost = idleCost + 4<<10
+	// smallRequest is what the header and the body of an ordinary request to a server for few
+	// callers take.
+	smallRequest = 4 << 10
 	// writePiece is how much is written at once, so that the progress is known.
 	writePiece = 64 << 10
 )
@@ -205,7 +208,8 @@
 	if len(p) <= 1 && !c.inPhase(phaseReading) {
 		return c.rest(idleCost)
 	}
-	if !c.inPhase(phaseReading) && !c.enter(phaseReading) {
+	first := !c.inPhase(phaseReading)
+	if first && !c.enter(phaseReading) {
 		return false
 	}
 	if c.inBody && c.Conn.SetReadDeadline(time.Now().Add(time.Duration(c.memory.pause.Load()))) != nil {
@@ -214,6 +218,23 @@
 	if c.inPhase(phaseGivenUp) { // checked after the deadline was set, which giveUp replaces
 		return false
 	}
+	if first {
+		return c.holdFirst(p)
+	}
+	// First reads may have overdrawn the budget.
+	if c.memory.limits.FirstReads && !c.memory.makeRoom(c.memory.limits.Connections, 1) || !c.hold(readingCost, c.bodyBytes(p)) {
+		c.memory.countRefusal(RefusedReading)
+		return false
+	}
+	return true
+}
+
+// holdFirst withdraws what the first read of a request needs.
+func (c *Connection) holdFirst(p []byte) bool {
+	if c.memory.limits.FirstReads {
+		c.connection.Force(readingCost + smallRequest)
+		return true
+	}
 	if !c.hold(readingCost, c.bodyBytes(p)) {
 		c.memory.countRefusal(RefusedReading)
 		return false
--- a/internal/caller/limited_app.go
+++ b/internal/caller/limited_app.go
@@ -15,7 +15,8 @@
 // is that of all bodies together.
 func ServeLimited(app *fiber.App, listener net.Listener, events event.Recorder) error {
 	server := app.Server()
-	server.Handler, server.ReduceMemoryUsage = WithinMemory(app.Handler(), refuseLimited), true
+	server.Handler, server.ReduceMemoryUsage = WithinMemory(app.Handler(), app.Config().BodyLimit, refuseLimited), true
+	server.StreamRequestBody, server.DisablePreParseMultipartForm, server.ReadBufferSize = true, true, LimitedReaderBytes
 	answerError := server.ErrorHandler
 	server.ErrorHandler = func(c *fasthttp.RequestCtx, err error) {
 		switch {
@@ -38,5 +39,9 @@
 		c.Response.Header.Set(fasthttp.HeaderRetryAfter, "1")
 		return
 	}
-	c.Error(err.Error(), fasthttp.StatusBadRequest)
+	code := fasthttp.StatusBadRequest
+	if errors.Is(err, ErrBodyTooLarge) {
+		code = fasthttp.StatusRequestEntityTooLarge
+	}
+	c.Error(err.Error(), code)
 }
--- a/internal/caller/listener.go
+++ b/internal/caller/listener.go
@@ -11,6 +11,9 @@
 // Limits of a LimitListener.
 const (
 	limitedConnections = 128
+	// LimitedReaderBytes is the size of the read buffer of a front end that uses a LimitListener, and
+	// so the limit on headers.
+	LimitedReaderBytes = 16 << 10
 	limitedMemory      = 2 << 20 // bytes for buffers and the first 64 KiB of each body
 )
 
@@ -26,12 +29,17 @@
 }
 
 // LimitListener returns a listener for few callers, such as operators or an upstream, with limits
-// of its own: its connections share memory for bodies of the given size, beside limitedMemory.
-func LimitListener(listener net.Listener, maxBody int, events event.Recorder) *Listener {
-	return NewListener(listener, NewMemory(clock.NewMonotonic(), MemoryLimits{
-		MaxConnections: limitedConnections, MaxBody: maxBody,
-		Connections: memory.NewBudget(limitedMemory), Bodies: memory.NewBudget(maxBody), Answers: memory.NewBudget(maxBody),
+// of its own: its connections share memory for bodies of the given size, beside limitedMemory. The
+// front end serves it with WithinMemory.
+func LimitListener(listener net.Listener, maxBody int, events event.Recorder) *StreamListener {
+	bodies := memory.NewBudget(maxBody)
+	buffers := memory.NewBuffers(bodies)
+	l := NewStreamListener(listener, NewMemory(clock.NewMonotonic(), MemoryLimits{
+		MaxConnections: limitedConnections, MaxBody: maxBody, Reader: LimitedReaderBytes, FirstReads: true,
+		Connections: memory.NewBudget(limitedMemory), Bodies: bodies, Answers: memory.NewBudget(maxBody), Buffers: buffers,
 	}, events))
+	go func() { _ = buffers.Run(l.ctx) }()
+	return l
 }
 
 // Accept waits for the next connection. Those beyond the limit are closed.
--- a/internal/caller/parking.go
+++ b/internal/caller/parking.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"os"
@@ -17,7 +18,7 @@
 // lingers reports whether a read waits for the next request: the front end's read buffer is empty,
 // and the present request was read.
 func (c *Connection) lingers(p []byte) bool {
-	return c.streams != nil && !c.inBody && len(p) == ReaderBytes && !c.inPhase(phaseReading)
+	return c.streams != nil && !c.inBody && len(p) == cmp.Or(c.memory.limits.Reader, ReaderBytes) && !c.inPhase(phaseReading)
 }
 
 // linger waits for the first bytes of the next request, and parks the connection if none come.
@@ -56,8 +57,7 @@
 		return 0, c.refuse()
 	}
 	c.countReceived(n)
-	if !c.hold(readingCost, c.bodyBytes(nil)) {
-		c.memory.countRefusal(RefusedReading)
+	if !c.holdFirst(nil) {
 		return 0, c.refuse()
 	}
 	return n, nil
--- a/internal/caller/within_memory.go
+++ b/internal/caller/within_memory.go
@@ -1,23 +1,22 @@
 package caller
 
-import (
-	"errors"
-
-	"github.com/valyala/fasthttp"
-
-	"endivespring/internal/httphead"
-)
+import "github.com/valyala/fasthttp"
 
 // WithinMemory returns a handler that counts what requests and their answers hold, and passes
 // requests for which there is no memory to refuse, with ErrNoMemory, and those with a malformed
 // head with its error. Reads run one at a time, and one for whose answer there is no memory is
-// refused. Any other answer is always sent: what was asked for was done.
-func WithinMemory(handle fasthttp.RequestHandler, refuse func(*fasthttp.RequestCtx, error)) fasthttp.RequestHandler {
+// refused. Any other answer is always sent: what was asked for was done. The server streams bodies,
+// which are read here, up to maxBody bytes.
+func WithinMemory(handle fasthttp.RequestHandler, maxBody int, refuse func(*fasthttp.RequestCtx, error)) fasthttp.RequestHandler {
 	reads := newReadGate()
 	return func(c *fasthttp.RequestCtx) {
-		err := errors.Join(httphead.CheckRequest(&c.Request.Header), httphead.CheckTrailer(&c.Request.Header))
-		if err == nil && !StartRequest(c.Conn(), len(c.PostBody())+2*len(c.Request.Header.Header())) {
-			err = ErrNoMemory
+		body, err := ReadBody(c, maxBody)
+		unread := err != nil
+		if err == nil {
+			c.Request.SetBodyRaw(body)
+			if !StartRequest(c.Conn(), cap(body)+2*len(c.Request.Header.Header())) {
+				err = ErrNoMemory
+			}
 		}
 		if err == nil && isRead(c) {
 			if reads.enter() {
@@ -32,6 +31,9 @@
 			refuse(c, err)
 			c.SetConnectionClose()
 		}
+		if unread {
+			RefuseUnread(c.Conn())
+		}
 		if StartAnswer(c.Conn(), len(c.Response.Body())) {
 			return
 		}
