--- a/internal/controlnode/node.go
+++ b/internal/controlnode/node.go
@@ -24,15 +24,16 @@
 )
 
 const (
-	inboundCapacity      = 1024 // consensus messages
-	proposalCapacity     = 4096 // commands
-	writeCapacity        = 256  // requests to the storage duty
-	updateCapacity       = 1024 // log updates for the controller duty
-	streamEventCapacity  = 8192 // renewals and closed streams
-	operatorCapacity     = 256  // requests from operators
-	peerCapacity         = 256  // consensus messages to one peer
-	maxEntriesPerMessage = 512  // log entries in one consensus message
-	outboundCapacity     = 1024 // consensus messages to all peers together
+	inboundCapacity      = 1024    // consensus messages
+	proposalCapacity     = 4096    // commands
+	writeCapacity        = 256     // requests to the storage duty
+	updateCapacity       = 1024    // log updates for the controller duty
+	streamEventCapacity  = 8192    // renewals and closed streams
+	operatorCapacity     = 256     // requests from operators
+	peerCapacity         = 256     // consensus messages to one peer
+	maxEntriesPerMessage = 512     // log entries in one consensus message
+	strangerMemory       = 8 << 20 // bytes from connections that have not named the fleet
+	outboundCapacity     = 1024    // consensus messages to all peers together
 
 	// transferWait is how long a stopping process keeps running after it starts a
 	// leadership transfer, so that the successor is elected before it ends.
@@ -127,7 +128,7 @@
 	n.group.Go("consensus", consensusDuty.Run)
 	n.group.Go("controller", controllerDuty.Run)
 
-	guard := peer.NewGuard(n.settings.Fleet)
+	guard := peer.NewGuard(n.settings.Fleet, strangerMemory)
 	n.peerServer = guard.NewServer()
 	wirepb.RegisterConsensusServer(n.peerServer, &consensusServer{fleet: n.settings.Fleet, events: n.events, inbound: consensusDuty.inbound})
 	wirepb.RegisterSessionsServer(n.peerServer, &sessionServer{fleet: n.settings.Fleet, events: n.events, streamEvents: controllerDuty.streamEvents})
--- a/internal/peer/guard.go
+++ b/internal/peer/guard.go
@@ -24,7 +24,6 @@
 	strangerTime     = 10 * time.Second       // until one must have named the fleet
 	strangerKept     = 500 * time.Millisecond // for which one is not closed for another
 	strangerFree     = 4 << 10                // bytes that each may send in any case
-	strangerMemory   = 8 << 20                // bytes that all may send beyond that
 	maxStreams       = 16                     // streams of a connection at the same time
 	maxHeader        = 16 << 10               // bytes of a stream's header
 	handshakeTimeout = 10 * time.Second
@@ -38,9 +37,11 @@
 	budget    *memory.Budget
 }
 
-// NewGuard returns the guard of a server of a fleet.
-func NewGuard(fleet string) *Guard {
-	return &Guard{fleet: fleet, budget: memory.NewBudget(strangerMemory)}
+// NewGuard returns the guard of a server of a fleet. All connections that have not named it may
+// send the given number of bytes together, beside strangerFree each. It bounds the first message
+// of processes that name the fleet in messages only.
+func NewGuard(fleet string, bytes int) *Guard {
+	return &Guard{fleet: fleet, budget: memory.NewBudget(bytes)}
 }
 
 // NewServer returns a server for connections of Listen.
--- a/internal/peer/guard_test.go
+++ b/internal/peer/guard_test.go
@@ -15,7 +15,8 @@
 
 const (
 	guardedFleet = "f"
-	largeMessage = 2 * strangerMemory
+	guardMemory  = 8 << 20
+	largeMessage = 2 * guardMemory
 )
 
 // guardedConsensus admits those of its fleet and acknowledges their messages.
@@ -42,7 +43,7 @@
 	t.Helper()
 	listener, err := Listen("127.0.0.1:0")
 	assert.NilError(t, err)
-	guard = NewGuard(guardedFleet)
+	guard = NewGuard(guardedFleet, guardMemory)
 	server := guard.NewServer()
 	wirepb.RegisterConsensusServer(server, guardedConsensus{})
 	go func() { _ = Serve(server, guard.Listen(listener)) }()
--- a/internal/router/node.go
+++ b/internal/router/node.go
@@ -49,6 +49,8 @@
 	waitCapacity          = 64   // waits at services of which the executor duty is told
 	gatewayAnswerCapacity = 8192 // answers queued for the gateway duty
 
+	strangerMemory = 1 << 20 // bytes from connections to the peer port that have not named the fleet
+
 	stopSteps = 3 // steps of an executor's stop
 
 	closeTimeout = time.Second // limit on closing the session
@@ -213,7 +215,7 @@
 	n.gateway.hasPreset = n.hasPreset
 	n.callersDone = ring.New[struct{}]("callers-done", 1, ring.DropOldest)
 	n.announce = upstream.NewServer(n.executor.notifications).App()
-	n.guard = peer.NewGuard(n.settings.Fleet)
+	n.guard = peer.NewGuard(n.settings.Fleet, strangerMemory)
 	n.grpc = n.guard.NewServer()
 	wirepb.RegisterDoorsServer(n.grpc, &executorServer{fleet: s.Fleet, events: n.events, clock: n.clock, executor: submissions, buffers: n.requestBuffers})
 	wirepb.RegisterExplainerServer(n.grpc, &explainServer{fleet: s.Fleet, events: n.events, questions: n.gateway.questions})
