--- a/internal/caller/connection.go
+++ b/internal/caller/connection.go
@@ -29,6 +29,9 @@
 	readingCost = idleCost + readerBytes + 4<<10
 	runningCost = idleCost + 4<<10
 	writingCost = idleCost + 4<<10
+	// smallRequest is what the header and the body of an ordinary request to a server for few
+	// callers take.
+	smallRequest = 4 << 10
 	// writePiece is how much is written at once, so that the progress is known.
 	writePiece = 64 << 10
 )
@@ -206,7 +209,8 @@
 	if len(p) <= 1 && !c.inPhase(phaseReading) {
 		return c.rest(idleCost)
 	}
-	if !c.inPhase(phaseReading) && !c.enter(phaseReading) {
+	first := !c.inPhase(phaseReading)
+	if first && !c.enter(phaseReading) {
 		return false
 	}
 	if c.inBody && c.Conn.SetReadDeadline(time.Now().Add(time.Duration(c.memory.pause.Load()))) != nil {
@@ -215,11 +219,19 @@
 	if c.inPhase(phaseGivenUp) { // checked after the deadline was set, which giveUp replaces
 		return false
 	}
-	if !c.hold(readingCost, c.bodyBytes(p)) {
-		c.memory.countRefusal(RefusedReading)
-		return false
+	if first {
+		return c.holdFirst(p)
 	}
-	return true
+	return c.holdReading(p)
+}
+
+// holdFirst withdraws what the first read of a request needs.
+func (c *Connection) holdFirst(p []byte) bool {
+	if c.memory.limits.FirstReads {
+		c.connection.Force(readingCost + smallRequest)
+		return true
+	}
+	return c.holdReading(p)
 }
 
 // rest begins a phase without a request, in which the connection holds the given cost at most.
--- a/internal/caller/reading.go
+++ b/internal/caller/reading.go
@@ -44,17 +44,20 @@
 	}
 	c.elements += countElements(part)
 	c.header = elementsCost(c.elements)
-	return c.header == 0 || c.holdReading()
+	return c.header == 0 || c.holdReading(nil)
 }
 
 // holdHeader makes the connection hold what the header of its request takes, which was just read.
 func (c *Connection) holdHeader(header *fasthttp.RequestHeader) bool {
 	c.header = headerCost(header)
-	return c.holdReading()
+	return c.holdReading(nil)
 }
 
-func (c *Connection) holdReading() bool {
-	if c.hold(readingCost, c.bodyBytes(nil)) {
+// holdReading makes the connection hold what its request takes once p is read.
+func (c *Connection) holdReading(p []byte) bool {
+	// First reads may have overdrawn the budget.
+	roomy := !c.memory.limits.FirstReads || c.memory.makeRoom(c.memory.limits.Connections, 1)
+	if roomy && c.hold(readingCost, c.bodyBytes(p)) {
 		return true
 	}
 	c.memory.countRefusal(RefusedReading)
