Send a broken off request again until a stopping router ends

A caller lost an idempotent request: its router was between the steps that refuse what waits (4.8 s of a killAfter of 6 s) and that end its requests (5.25 s) when another stopping router broke off the run, and answered it as may-have-run at once. That was too early for the upstream to count as still at work near the end, and there was time to run it elsewhere. The same held for one that waited for its next try at that moment, or whose next try was withdrawn from another router's queue.

Cause: RefuseWaiting ended or withdrew every request and stopped all retries, also for requests that it can no longer answer as not-run. Now it leaves alone those of which a call may have run, which are idempotent; they are sent again, within the retry budget, until EndRequests. The others are refused and withdrawn as before.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -49,7 +49,8 @@
 	waitsReportedAt clock.Instant
 	// endsAt is when a stopping router breaks off its requests, or zero.
 	endsAt clock.Instant
-	// stopping is set once the router refuses what waits because it is stopping.
+	// stopping is set once the router refuses what waits because it is stopping. Only requests of
+	// which a call may have run are sent again then.
 	stopping bool
 	output   Output
 }
--- a/internal/gateway/outcomes.go
+++ b/internal/gateway/outcomes.go
@@ -125,7 +125,7 @@
 // request proved not to have run, or an idempotent one, is sent again. A redirect costs no
 // upstream anything and needs no token.
 func (c *Core) mayRetry(now clock.Instant, p *pendingRequest, answer *call.Answer) bool {
-	if c.stopping {
+	if c.stopping && !p.mayHaveRun {
 		return false
 	}
 	if c.usesReports() && c.ownerRuns(p) && answer.Verdict == verdict.NotRun && answer.Reason == verdict.ReasonOverloaded {
--- a/internal/gateway/simulation_test.go
+++ b/internal/gateway/simulation_test.go
@@ -54,7 +54,9 @@
 	// unreachable is a router whose link cannot be opened.
 	unreachable fleet.RouterID
 	// questions is how many questions are asked after each step.
-	questions   int
+	questions int
+	// checkSend, if set, checks each call that the core sends.
+	checkSend   func(*Send)
 	cancels     int
 	refused     int64                     // because of load reports
 	callRouters map[uint64]fleet.RouterID // router of each call by call number
@@ -178,6 +180,9 @@
 
 // deliver simulates the executor that receives a call.
 func (sim *simulation) deliver(s Send) {
+	if sim.checkSend != nil {
+		sim.checkSend(&s)
+	}
 	history := sim.byID[s.Call.RequestID]
 	history.sentTo, history.sentAt = append(history.sentTo, s.Router.ID), sim.now
 	sim.callRouters[s.Call.Number] = s.Router.ID
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -34,10 +34,15 @@
 }
 
 // RefuseWaiting refuses the requests without a call in flight because the router is stopping, and
-// withdraws the calls in flight. From now on new requests are refused, and none is sent again.
+// withdraws the calls in flight. From now on new requests are refused, and none that is proved not
+// to have run is sent again. An idempotent request of which a call may have run cannot be refused
+// as not-run any more: it is still sent until EndRequests.
 func (c *Core) RefuseWaiting(now clock.Instant) {
 	c.stopping = true
 	for _, p := range c.inOrder() {
+		if p.mayHaveRun {
+			continue
+		}
 		if len(p.calls) == 0 {
 			c.finish(now, p, &call.Answer{RequestID: p.request.ID, Verdict: verdict.NotRun, Reason: verdict.ReasonStopping})
 		}
--- a/internal/router/stop_step.go
+++ b/internal/router/stop_step.go
@@ -13,8 +13,8 @@
 	// stopFinish accepts no new calls and finishes those that run. The gateways of other
 	// routers are asked to send no more.
 	stopFinish
-	// stopWaiting refuses what no upstream works on yet. Nothing is started or retried any
-	// more.
+	// stopWaiting refuses what no upstream works on yet. Nothing is started any more, and
+	// only requests that may have run are retried, until stopRequests.
 	stopWaiting
 	// stopRuns breaks off the runs at the upstream and answers their callers.
 	stopRuns
