Keep the run times of routes when the preset changes

After a change of the preset a stopping router took a request of running work that it then broke off: the gateway had discarded the mean run times of all routes, so that only the least time of 1 s counted. Changes are frequent, and the few requests of a stop do not bring the means back.

Now SetView discards only those of routes that the preset no longer has.

Failed before: TestStoppingGatewayKnowsRunTimesAfterAPresetChange: stopping_test.go:129: assertion failed: 1 (int) != 0 (int): there is no time for it after the change

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -63,6 +63,7 @@
 		settings: s, table: balancer.NewTable(s.Balancer), view: fleet.NewView(),
 		routes: routes.NewTable(nil, nil, random), random: random,
 		requestsByToken: map[uint64]*pendingRequest{}, callsByNumber: map[uint64]pendingCall{}, services: map[string]*serviceState{},
+		runTimes: map[string]time.Duration{},
 	}
 }
 
@@ -88,7 +89,8 @@
 	}
 	if change.ChangesPreset() || change.Full {
 		c.routes = routes.NewTable(c.view.Preset, c.routes, c.random)
-		c.lastPriority, c.runTimes = lastPriorities(c.view.Preset), map[string]time.Duration{}
+		c.lastPriority = lastPriorities(c.view.Preset)
+		c.pruneRunTimes()
 	}
 	c.table.Update(c.view, change)
 	for _, s := range c.services {
--- a/internal/gateway/load_refusal.go
+++ b/internal/gateway/load_refusal.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"endivespring/internal/balancer"
@@ -107,6 +108,17 @@
 	c.runTimes[route.Name] = took
 }
 
+// pruneRunTimes discards the run times of routes that the preset no longer has.
+func (c *Core) pruneRunTimes() {
+	names := map[string]bool{}
+	if c.view.Preset != nil {
+		for i := range c.view.Preset.Routes {
+			names[c.view.Preset.Routes[i].Name] = true
+		}
+	}
+	maps.DeleteFunc(c.runTimes, func(name string, _ time.Duration) bool { return !names[name] })
+}
+
 // refuseByLoad answers a request without a try.
 func (c *Core) refuseByLoad(now clock.Instant, p *pendingRequest, admission *balancer.Admission) {
 	p.returnRetry()
--- a/internal/gateway/stopping_test.go
+++ b/internal/gateway/stopping_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
+	"endivespring/internal/fleet"
 	"endivespring/internal/verdict"
 )
 
@@ -93,3 +95,38 @@
 	assert.Equal(t, len(start(true, 2*runTime).Sends), 1, "its own time ends before")
 	assert.Equal(t, len(start(false, time.Minute).Sends), 1, "a request that is not nested")
 }
+
+// Guards against a stopping router that forgets the run times of its routes when the preset
+// changes, and takes a request of a run beside it that it breaks off.
+func TestStoppingGatewayKnowsRunTimesAfterAPresetChange(t *testing.T) {
+	const runTime = 400 * time.Millisecond
+	core := newCoreWithRouters(t, 1, 2)
+	now, token := clock.Instant(time.Hour), uint64(0)
+	start := func() Output {
+		token++
+		core.Start(now, Request{Token: token, ID: "id", Method: "GET", Host: "h", Path: "/x", Target: "/x", Timeout: time.Minute, Nested: true})
+		return core.Take()
+	}
+	apply := func(change func(*fleet.Preset)) {
+		preset := *core.View().Preset
+		preset.Number++
+		preset.Routes = slices.Clone(preset.Routes)
+		change(&preset)
+		version := core.View().Version
+		assert.Assert(t, core.SetView(now, &fleet.Change{From: version, To: version + 1, Preset: &preset}))
+		core.Take()
+	}
+	apply(func(p *fleet.Preset) { p.Routes[0].Timeout = time.Minute })
+	sent := start().Sends
+	assert.Equal(t, len(sent), 1)
+	now = now.Add(runTime)
+	core.HandleAnswer(now, sent[0].Router.ID, call.Answer{Number: sent[0].Call.Number, RequestID: "id", Verdict: verdict.Ran, Status: 200, Load: call.Load{Limit: 9}})
+	core.Take()
+	core.StopBy(now.Add(3 * runTime))
+
+	assert.Equal(t, len(start().Sends), 0, "there is no time for it")
+	apply(func(p *fleet.Preset) { p.Routes[0].Objective = time.Second })
+	assert.Equal(t, len(start().Sends), 0, "there is no time for it after the change")
+	apply(func(p *fleet.Preset) { p.Routes[0].Name = "another" })
+	assert.Equal(t, len(core.runTimes), 0, "a route that is gone")
+}
