--- a/internal/executor/stopping.go
+++ b/internal/executor/stopping.go
@@ -1,18 +1,11 @@
 package executor
 
 import (
-	"time"
-
 	"endivespring/internal/call"
 	"endivespring/internal/clock"
 	"endivespring/internal/verdict"
 )
 
-// endShare is the multiple of an operation's mean run time that a call must have left when it
-// starts at a stopping router. Run times spread widely, and a run that lasts longer is broken
-// off.
-const endShare = 4.0
-
 // StopBy tells that runs are broken off at end, because the router is stopping. A call that can
 // last longer is refused if another executor may run it; one that only this upstream can run,
 // if it is not expected to end before. Queued calls are refused once that is so for them.
@@ -31,7 +24,7 @@
 	if c.endsAt == 0 || request.Deadline <= c.endsAt {
 		return clock.Never
 	}
-	return c.endsAt.Add(-time.Duration(endShare * float64(c.expectedRunTime(request.Operation))))
+	return c.endsAt.Add(-call.StopReserve(c.expectedRunTime(request.Operation)))
 }
 
 // outlasts reports whether a call that arrives may last longer than the router.
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -11,12 +11,8 @@
 	"endivespring/internal/verdict"
 )
 
-const (
-	// endShare is the multiple of a route's mean run time that a request must have left when it
-	// arrives at a stopping router, as executors have it, and minEndTime the least time.
-	endShare   = 4.0
-	minEndTime = time.Second
-)
+// minEndTime is the least time that a request must have left when it arrives at a stopping router.
+const minEndTime = time.Second
 
 // StopBy tells that requests are broken off at end, because the router is stopping. From now on
 // a nested request is refused if it may last longer and is not expected to end before. Other
@@ -29,7 +25,7 @@
 	if c.endsAt == 0 || !p.request.Nested || p.deadline <= c.endsAt {
 		return false
 	}
-	needs := max(minEndTime, time.Duration(endShare*float64(c.runTimes[p.route.Name])))
+	needs := max(minEndTime, call.StopReserve(c.runTimes[p.route.Name]))
 	return now.Add(needs) > c.endsAt
 }
 
