Name the steps of a stop with identifiers in events

The steps in 108 stop-progressed read as text ("refuse what waits"), so that operators could not filter or count by them without quoting. They are now refuse-waiting, abort-runs, end-requests and end-links, and the reference of events lists all.

Failed before: TestStopStepNamesAreIdentifiers: stop_step_test.go:16: assertion failed: expression is false: identifier.MatchString(step.String()): step "refuse what waits" (and the three others)

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -17,7 +17,7 @@
 	LinesOmitted       = define(105, "lines-omitted", Info, "Lines of one kind were omitted from this log because they exceeded the rate limit; the counters include them.")
 	HandlerFailed      = define(106, "handler-failed", Alarm, "Handling a request of the front end failed unexpectedly; it was answered with 500, and the process goes on.")
 	DutyDelayed        = define(107, "duty-delayed", Info, "The session duty ran later than its timer was due: the process had no processor time, or its VM was suspended. What arrived meanwhile was read late.")
-	StopProgressed     = define(108, "stop-progressed", Info, "A duty of a stopping router took the next step of the stop. What is open then: `requests` are those of callers, of which `waiting` have no call in flight; `queued`, `running` and `delegated` are calls at the executor, `links` those of other routers to it.")
+	StopProgressed     = define(108, "stop-progressed", Info, "A duty of a stopping router took the next `step` of the stop: `begin`, `retire`, `finish`, `refuse-waiting`, `abort-runs`, `end-requests` or `end-links`. What is open then: `requests` are those of callers, of which `waiting` have no call in flight; `queued`, `running` and `delegated` are calls at the executor, `links` those of other routers to it.")
 	DutiesOutstanding  = define(109, "duties-outstanding", Warn, "The process exits while the named duties still wait for something.")
 	LeaderElected      = define(200, "leader-elected", Info, "This voter became leader of the control log.")
 	LeaderLost         = define(201, "leader-lost", Warn, "This voter is no longer leader of the control log.")
--- a/internal/router/stop_step.go
+++ b/internal/router/stop_step.go
@@ -26,7 +26,7 @@
 	stopSteps // number of steps
 )
 
-var stopStepNames = [stopSteps]string{"begin", "retire", "finish", "refuse what waits", "break off runs", "answer what is open", "end links"}
+var stopStepNames = [stopSteps]string{"begin", "retire", "finish", "refuse-waiting", "abort-runs", "end-requests", "end-links"}
 
 // String returns the name in events.
 func (s stopStep) String() string { return stopStepNames[s] }
