--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -11,12 +11,8 @@
 	"endivespring/internal/verdict"
 )
 
-const (
-	// endShare is the multiple of a route's mean run time that a request must have left when it
-	// arrives at a stopping router, as executors have it, and minEndTime the least time.
-	endShare   = 4.0
-	minEndTime = time.Second
-)
+// minEndTime is the least time that a request must have left when it arrives at a stopping router.
+const minEndTime = time.Second
 
 // StopBy tells that requests are broken off at end, because the router is stopping. From now on
 // a nested request is refused if it may last longer and is not expected to end before. Other
@@ -29,15 +25,20 @@
 	if c.endsAt == 0 || !p.request.Nested || p.deadline <= c.endsAt {
 		return false
 	}
-	needs := max(minEndTime, time.Duration(endShare*float64(c.runTimes[p.route.Name])))
+	needs := max(minEndTime, call.StopReserve(c.runTimes[p.route.Name]))
 	return now.Add(needs) > c.endsAt
 }
 
 // RefuseWaiting refuses the requests without a call in flight because the router is stopping, and
-// withdraws the calls in flight. From now on new requests are refused, and none is sent again.
+// withdraws the calls in flight. From now on new requests are refused, and none that is proved not
+// to have run is sent again. An idempotent request of which a call may have run cannot be refused
+// as not-run any more: it is still sent until EndRequests.
 func (c *Core) RefuseWaiting(now clock.Instant) {
 	c.stopping = true
 	for _, p := range c.inOrder() {
+		if p.mayHaveRun {
+			continue
+		}
 		if len(p.calls) == 0 {
 			c.finish(now, p, &call.Answer{RequestID: p.request.ID, Verdict: verdict.NotRun, Reason: verdict.ReasonStopping})
 		}
--- a/internal/router/stop_step.go
+++ b/internal/router/stop_step.go
@@ -13,8 +13,8 @@
 	// stopFinish accepts no new calls and finishes those that run. The gateways of other
 	// routers are asked to send no more.
 	stopFinish
-	// stopWaiting refuses what no upstream works on yet. Nothing is started or retried any
-	// more.
+	// stopWaiting refuses what no upstream works on yet. Nothing is started any more, and
+	// only requests that may have run are retried, until stopRequests.
 	stopWaiting
 	// stopRuns breaks off the runs at the upstream and answers their callers.
 	stopRuns
@@ -26,7 +26,7 @@
 	stopSteps // number of steps
 )
 
-var stopStepNames = [stopSteps]string{"begin", "retire", "finish", "refuse what waits", "break off runs", "answer what is open", "end links"}
+var stopStepNames = [stopSteps]string{"begin", "retire", "finish", "refuse-waiting", "abort-runs", "end-requests", "end-links"}
 
 // String returns the name in events.
 func (s stopStep) String() string { return stopStepNames[s] }
