Derive no context from a request of the library in Leave

Cause: a context derived from fasthttp's request context reads it in a goroutine of its own, which may run after the handler has returned and the library uses the context again. Seen as a data race in TestDeparturesOfGoneUpstreamsAreIgnored, once in a full run of package platform with the race detector and once in some 180 runs alone.

Change: the wait selects on a timer and on the request's context itself. No other context is derived from a request's. The race detector finds nothing in package upstream; the one run in 180 was not repeated.

--- a/internal/upstream/leaving.go
+++ b/internal/upstream/leaving.go
@@ -24,10 +24,17 @@
 	if err := notifications.Put(ctx, Notification{Leaving: true, Name: name, Acknowledged: acknowledged}); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	if recorded, err := acknowledged.Take(ctx); err != nil || !recorded {
-		return ErrNotRecorded
+	timer := time.NewTimer(leaveTimeout)
+	defer timer.Stop()
+	// No context is derived from ctx: the library uses that of a request again once its handler has
+	// returned, while a derived one may still read it.
+	select {
+	case recorded := <-acknowledged.Out():
+		if recorded {
+			return nil
+		}
+	case <-ctx.Done():
+	case <-timer.C:
 	}
-	return nil
+	return ErrNotRecorded
 }
