--- a/internal/caller/reading.go
+++ b/internal/caller/reading.go
@@ -39,7 +39,8 @@
 // holdElements makes the connection hold what a part of a header will take once it is parsed, which
 // takes several times its bytes.
 func (c *Connection) holdElements(part []byte) bool {
-	if c.streams == nil || c.inBody || c.memory.limits.FirstReads { // the last don't mark where headers end
+	marksHeaders := c.streams != nil && !c.memory.limits.FirstReads
+	if !marksHeaders || c.inBody {
 		return true
 	}
 	c.elements += countElements(part)
--- a/internal/executor/stopping.go
+++ b/internal/executor/stopping.go
@@ -6,7 +6,7 @@
 	"endivespring/internal/verdict"
 )
 
-// StopBy tells that runs are broken off at end, because the router is stopping. A call that can
+// StopBy sets when the runs of a stopping router are broken off. A call that can
 // last longer is refused if another executor may run it; one that only this upstream can run,
 // if it is not expected to end before. Queued calls are refused once that is so for them.
 func (c *Core) StopBy(now, end clock.Instant) {
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -14,7 +14,7 @@
 // minEndTime is the least time that a request must have left when it arrives at a stopping router.
 const minEndTime = time.Second
 
-// StopBy tells that requests are broken off at end, because the router is stopping. From now on
+// StopBy sets when the requests of a stopping router are broken off. From now on
 // a nested request is refused if it may last longer and is not expected to end before. Other
 // requests are refused by the front ends.
 func (c *Core) StopBy(end clock.Instant) { c.endsAt = end }
