Keep idempotent calls at a stopping router while they are expected to end

Cause: the refusal went by the time limit, which is many run times. An idempotent call that is broken off is sent again by its gateway; one that must not run twice is not.

Change: the first is taken while four times its operation's mean run time is left, like one that only this upstream can run. The second still goes elsewhere.

--- a/internal/executor/stopping.go
+++ b/internal/executor/stopping.go
@@ -6,9 +6,9 @@
 	"endivespring/internal/verdict"
 )
 
-// StopBy sets when the runs of a stopping router are broken off. A call that can
-// last longer is refused if another executor may run it; one that only this upstream can run,
-// if it is not expected to end before. Queued calls are refused once that is so for them.
+// StopBy sets when the runs of a stopping router are broken off. A call that can last longer is
+// refused if it is not expected to end before, and if another executor may run it and it must not
+// run twice. Queued calls are refused once they are not expected to end before.
 func (c *Core) StopBy(now, end clock.Instant) {
 	c.endsAt = end
 	for _, j := range c.queue.collect(nil, func(*job) bool { return true }) {
@@ -33,7 +33,7 @@
 	if last == clock.Never {
 		return false
 	}
-	return now >= last || c.peerAvailable && !request.Ranged && !request.Sharded
+	return now >= last || c.peerAvailable && !request.Idempotent && !request.Ranged && !request.Sharded
 }
 
 // Stop refuses new calls because the router is stopping. Queued calls still
