--- a/review/rig-3/fleet.go
+++ b/review/rig-3/platform/fleet_test.go
@@ -1,7 +1,7 @@
-// Command rig-3 plays the cases of the third review: it starts the programs of the deploy file
+// Package platform plays the cases of the third review: it starts the programs of the deploy file
 // as separate processes on loopback addresses, with small stand-ins for servers, clients and the
 // platform, and judges what these have seen.
-package main
+package platform
 
 import (
 	"bytes"
@@ -41,9 +41,7 @@
 	binary, folder string
 	ports          ports
 	cores, sides   []*machine
-	started        time.Time
 	record         *record
-	memoryMB       int
 }
 
 func freePorts(n int) []int {
@@ -74,7 +72,7 @@
 	folder, err := os.MkdirTemp("", "rig3-")
 	check(err)
 	p := freePorts(6)
-	f := &fleet{binary: binary, folder: folder, ports: ports{p[0], p[1], p[2], p[3], p[4], p[5]}, record: rec, started: time.Now()}
+	f := &fleet{binary: binary, folder: folder, ports: ports{p[0], p[1], p[2], p[3], p[4], p[5]}, record: rec}
 	net3 := 16 + os.Getpid()%200
 	for i := range cores {
 		f.cores = append(f.cores, &machine{name: fmt.Sprintf("core-%d", i+1), role: "control", ip: fmt.Sprintf("127.%d.1.%d", net3, i+1), zone: zoneOf(i), fleet: f, first: true})
@@ -108,7 +106,7 @@
 	}
 	return map[string]any{
 		"fleet": "endivespring", "name": m.name, "dataCentre": m.zone, "peer": m.addr(p.internal1), "control": seeds, "controlPort": p.internal0,
-		"metrics": m.addr(9464), "service": m.service, "upstream": m.addr(p.server), "maxBody": 67108864, "answerMemory": 16777216, "memoryMB": cmpOr(m.fleet.memoryMB, 284),
+		"metrics": m.addr(9464), "service": m.service, "upstream": m.addr(p.server), "maxBody": 67108864, "answerMemory": 16777216, "memoryMB": 184,
 		"grace": "10s", "killAfter": "6s", "maxHold": "10s", "upstreamDrain": "2s", "gcPercent": 40, "load": map[string]any{"learnCapacity": true},
 		"frontEnd": map[string]any{"name": "platform", "caller": m.addr(p.outbound), "announce": m.addr(p.announce), "ready": m.addr(p.ready)},
 	}
@@ -276,10 +274,3 @@
 		_ = p.Kill()
 	}
 }
-
-func cmpOr(a, b int) int {
-	if a != 0 {
-		return a
-	}
-	return b
-}
--- a/review/rig-3/main.go
+++ b/review/rig-3/platform/main_test.go
@@ -1,9 +1,10 @@
-package main
+package platform
 
 import (
 	"encoding/json"
 	"fmt"
 	"os"
+	"testing"
 	"time"
 )
 
@@ -31,7 +32,8 @@
 	return data
 }
 
-func main() {
+// TestMain runs the case that the command line names: the files here are test files, built with go test -c.
+func TestMain(*testing.M) {
 	if len(os.Args) < 4 {
 		fmt.Fprintln(os.Stderr, "usage: rig-3 CASE BINARY RECORD")
 		os.Exit(2)
--- a/review/rig-3/server.go
+++ b/review/rig-3/platform/server_test.go
@@ -1,4 +1,4 @@
-package main
+package platform
 
 import (
 	"bufio"
@@ -48,13 +48,9 @@
 	state    string
 	holds    []holding
 	released [][3]any
-	maxFence map[int]uint64
 	running  atomic.Int64
 	stopped  chan struct{}
-	paused   atomic.Bool
 	conns    map[net.Conn]bool
-	acks     int
-	grants   []string
 }
 
 func newServer(m *machine, id string, sharded bool) *server {
@@ -254,7 +250,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.acks++
 	s.released = s.released[reported:]
 	if !s.sharded {
 		return false
@@ -286,27 +281,3 @@
 	s.holds = next
 	return again
 }
-
-// leave sends DELETE for the server.
-func (s *server) leave() int {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	r, err := http.NewRequest(http.MethodDelete, "http://"+s.m.addr(s.m.fleet.ports.announce)+"/api/instances/"+s.id, nil)
-	check(err)
-	response, err := client.Do(r)
-	if err != nil {
-		return 0
-	}
-	_ = response.Body.Close()
-	return response.StatusCode
-}
-
-func (s *server) ran(id string) (n int, last *run) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, r := range s.runs {
-		if r.id == id {
-			n, last = n+1, r
-		}
-	}
-	return n, last
-}
