--- a/review/rig-3/platform/fleet_test.go
+++ b/review/rig-3/platform/fleet_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -41,6 +42,7 @@
 	binary, folder string
 	ports          ports
 	cores, sides   []*machine
+	seeds          []*machine
 	record         *record
 }
 
@@ -77,6 +79,7 @@
 	for i := range cores {
 		f.cores = append(f.cores, &machine{name: fmt.Sprintf("core-%d", i+1), role: "control", ip: fmt.Sprintf("127.%d.1.%d", net3, i+1), zone: zoneOf(i), fleet: f, first: true})
 	}
+	f.seeds = slices.Clone(f.cores)
 	for i, s := range services {
 		f.sides = append(f.sides, &machine{name: fmt.Sprintf("side-%d", i+1), role: "router", ip: fmt.Sprintf("127.%d.2.%d", net3, i+1), zone: zoneOf(i), service: s, fleet: f, first: true})
 	}
@@ -92,7 +95,7 @@
 	p := m.fleet.ports
 	var seeds []string
 	for i := range min(3, len(m.fleet.cores)) {
-		seeds = append(seeds, m.fleet.cores[i].addr(p.announce))
+		seeds = append(seeds, m.fleet.seeds[i].addr(p.announce))
 	}
 	if m.role == "control" {
 		return map[string]any{
--- a/review/rig-3/platform/forming_test.go
+++ b/review/rig-3/platform/forming_test.go
@@ -2,14 +2,16 @@
 
 import (
 	"fmt"
+	"os"
+	"strings"
 	"syscall"
 	"time"
 )
 
 // forming starts a deployment for the first time: all machines within 0.3 s, the first core before
-// the others. The trouble: the process on that core is killed once, before the others have started,
-// and is back 0.2 s later. The operator then sends the first desired state until it is accepted,
-// and a client sends requests.
+// the others. The trouble: that core is gone for good before the others have started, and an empty
+// one comes 1 s later at another address. With GONE=0 its process starts again 0.2 s later instead.
+// The operator then sends the first desired state until it is accepted, and a client sends requests.
 func forming(binary string, rec *record, trouble bool) bool {
 	f := newFleet(binary, 5, []string{"ledger", "ledger"}, rec)
 	defer f.stop()
@@ -27,9 +29,13 @@
 		rec.line("%s is killed", first.name)
 		first.signal(syscall.SIGKILL, true)
 		<-first.ended
-		time.Sleep(200 * time.Millisecond)
-		rec.line("%s starts again, first_start is false", first.name)
-		first.start()
+		if os.Getenv("GONE") == "0" {
+			time.Sleep(200 * time.Millisecond)
+			rec.line("%s starts again, first_start is false", first.name)
+			first.start()
+		} else {
+			f.replace(first)
+		}
 	}
 	time.Sleep(time.Second)
 	for i, m := range f.sides {
@@ -53,6 +59,15 @@
 	return t.served == 0
 }
 
+// replace starts an empty core at another address, a second after one has gone.
+func (f *fleet) replace(gone *machine) {
+	time.Sleep(time.Second)
+	other := &machine{name: "core-6", role: "control", ip: strings.TrimSuffix(gone.ip, "1") + "6", zone: gone.zone, fleet: f}
+	f.cores = append(f.cores[1:], other)
+	f.record.line("%s comes in place of %s, empty, first_start is false", other.name, gone.name)
+	other.start()
+}
+
 const startSpread = 300 * time.Millisecond
 
 func init() { cases["forming"] = forming }
